Add the design page, the workspace and the first decision logic

Cause: the repository is empty; every later change needs the packages, the terms and the module borders. Ruled out: one crate with modules only, because the peer packages must not see each other's types. Change: docs/design.md, ten packages, claims, configuration, the fold and its encoding, the traffic trait. Conclusion: the decision logic can be extended module by module; no process runs yet.

--- /dev/null
+++ b/crates/core/src/ids/names.rs
@@ -0,0 +1,117 @@
+use {
+    serde::{Deserialize, Serialize},
+    std::fmt,
+};
+
+/// Longest accepted name in bytes; the length limit of a DNS label.
+pub const MAX_NAME_BYTES: usize = 63;
+
+/// A name that does not follow the rules.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error(
+    "\"{value}\" is not a {role} name: allowed are 1 to 63 of a-z, 0-9, '-' and '.', starting with a letter or digit"
+)]
+pub struct NameError {
+    /// What the name stands for.
+    pub role: &'static str,
+    /// The rejected text.
+    pub value: String,
+}
+
+fn check_name(role: &'static str, value: &str) -> Result<(), NameError> {
+    let allowed = |byte: u8| {
+        byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-' || byte == b'.'
+    };
+    let starts_well = value
+        .bytes()
+        .next()
+        .is_some_and(|byte| byte.is_ascii_lowercase() || byte.is_ascii_digit());
+    if starts_well && value.len() <= MAX_NAME_BYTES && value.bytes().all(allowed) {
+        return Ok(());
+    }
+    Err(NameError {
+        role,
+        value: value.to_owned(),
+    })
+}
+
+macro_rules! checked_name {
+    ($(#[$doc:meta])* $name:ident, $role:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        #[serde(into = "String", try_from = "String")]
+        pub struct $name(Box<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<&str> for $name {
+            type Error = NameError;
+
+            fn try_from(value: &str) -> Result<Self, NameError> {
+                check_name($role, value)?;
+                Ok(Self(value.into()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(value: String) -> Result<Self, NameError> {
+                Self::try_from(value.as_str())
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.into()
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+    };
+}
+
+checked_name!(
+    /// Name of a data centre.
+    DataCentre,
+    "data centre"
+);
+checked_name!(
+    /// Name of an entry host.
+    EntryName,
+    "entry host"
+);
+checked_name!(
+    /// Name of a host.
+    HostName,
+    "host"
+);
+checked_name!(
+    /// Name of a pool of hosts.
+    PoolName,
+    "pool"
+);
+checked_name!(
+    /// Name of a rack.
+    RackName,
+    "rack"
+);
+checked_name!(
+    /// Name of a service.
+    ServiceName,
+    "service"
+);
+checked_name!(
+    /// Name of a tenant.
+    TenantName,
+    "tenant"
+);
--- /dev/null
+++ b/crates/core/src/ledger/fleet_state.rs
@@ -0,0 +1,109 @@
+use {
+    super::{LedgerRecord, RecordBody, Rejection, recent_ids::RecentIds},
+    crate::{
+        claims::ClaimLedger, collections::SortedMap, config::ConfigLedger, ids::LogTime,
+        membership::MembershipLedger,
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// Place of an entry in the log.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct LogOffset(pub u64);
+
+/// Identity of a log. Offsets of different logs cannot be compared.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct LogIdentity(pub u64);
+
+/// One entry of the log with its decoded records.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LogEntry {
+    /// Place of the entry.
+    pub offset: LogOffset,
+    /// The records of the entry, in order.
+    pub records: Vec<LedgerRecord>,
+    /// Time stamped by the log.
+    pub time: LogTime,
+}
+
+/// The state of the fleet after a prefix of the log.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct FleetState {
+    /// Claims of non-idempotent requests.
+    pub claims: ClaimLedger,
+    /// The configuration.
+    pub config: ConfigLedger,
+    /// Hosts, pools, moves, stops and waves.
+    pub membership: MembershipLedger,
+    log: LogIdentity,
+    next: LogOffset,
+    recent: RecentIds,
+    rejected: SortedMap<Rejection, u64>,
+    time: LogTime,
+}
+
+impl FleetState {
+    /// Creates the state before the first entry of a log.
+    pub fn new(log: LogIdentity) -> Self {
+        Self {
+            log,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the identity of the log.
+    pub fn log(&self) -> LogIdentity {
+        self.log
+    }
+
+    /// Returns the offset of the first entry that is not applied.
+    pub fn next(&self) -> LogOffset {
+        self.next
+    }
+
+    /// Returns the latest time stamped by the log.
+    pub fn time(&self) -> LogTime {
+        self.time
+    }
+
+    /// Returns how many records were ignored, by reason.
+    pub fn rejected(&self) -> &SortedMap<Rejection, u64> {
+        &self.rejected
+    }
+
+    /// Applies an entry and returns what became of each record.
+    ///
+    /// Entries before [`FleetState::next`] were applied already; they change nothing and yield no results.
+    pub fn apply(&mut self, entry: &LogEntry) -> Vec<Result<(), Rejection>> {
+        if entry.offset < self.next {
+            return Vec::new();
+        }
+        self.next = LogOffset(entry.offset.0 + 1);
+        // The clock of the log may step back; the clock of the fold must not.
+        self.time = self.time.max(entry.time);
+        let records = entry.records.iter();
+        records.map(|record| self.apply_record(record)).collect()
+    }
+
+    fn apply_record(&mut self, record: &LedgerRecord) -> Result<(), Rejection> {
+        let result = self
+            .recent
+            .admit(self.time, record.id)
+            .and_then(|()| self.apply_body(&record.body));
+        if let Err(rejection) = result {
+            let count = self.rejected.get(&rejection).copied().unwrap_or_default();
+            self.rejected.insert(rejection, count + 1);
+        }
+        result
+    }
+
+    fn apply_body(&mut self, body: &RecordBody) -> Result<(), Rejection> {
+        match body {
+            RecordBody::Claim(record) => self.claims.apply(self.time, record),
+            RecordBody::Config(record) => self.config.apply(record),
+            RecordBody::Membership(record) => self.membership.apply(self.config.fleet(), record),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/ledger/ledger_record.rs
@@ -0,0 +1,34 @@
+use {
+    crate::{
+        claims::ClaimRecord, config::ConfigRecord, ids::RecordId, membership::MembershipRecord,
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// Who made a record: an operator or an entry host.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Author(pub String);
+
+/// One change in the log.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LedgerRecord {
+    /// Who made the record.
+    pub author: Author,
+    /// The change.
+    pub body: RecordBody,
+    /// Identity of the record; a record that is sent again keeps it.
+    pub id: RecordId,
+}
+
+/// The change that a record asks for.
+///
+/// The encoding numbers the variants, so new ones are added at the end only.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum RecordBody {
+    /// A change of the claims.
+    Claim(ClaimRecord),
+    /// A change of the configuration.
+    Config(ConfigRecord),
+    /// A change of hosts, moves, stops or waves.
+    Membership(MembershipRecord),
+}
--- /dev/null
+++ b/crates/core/src/ledger/mod.rs
@@ -0,0 +1,15 @@
+//! The log records, and the fold that turns them into the state of the fleet.
+
+mod fleet_state;
+mod ledger_record;
+mod recent_ids;
+mod rejection;
+mod wire_format;
+
+pub use {
+    fleet_state::{FleetState, LogEntry, LogIdentity, LogOffset},
+    ledger_record::{Author, LedgerRecord, RecordBody},
+    recent_ids::{DEDUP_WINDOW, ID_MAX_LEAD},
+    rejection::Rejection,
+    wire_format::{FormatError, decode_records, decode_state, encode_records, encode_state},
+};
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Filled in by the next commits.
