Add the routing view builder and the fair traffic policy

Cause: the daemon needs admission, fair shares, choice of target and retries; only the first-come baseline existed, and views could not be rebuilt while requests were in flight.

Ruled out: target keys without a generation (places would have to be kept for ever or a late answer would free a slot of another host); leaving marks without the activation of the host (two entry hosts at different log offsets would keep sending each other a mark that the log has overruled); a retry minimum per entry host (the sum would grow with their number).

Change: RoutingView::next builds a view from configuration, membership and host list; TargetKey carries a generation; FairPolicy implements the trait. The trait gains update_peers, leaving_marks and drain, mark_leaving takes a LeavingMark, and SendOutcome gains Failed.

--- /dev/null
+++ b/crates/core/src/traffic/fair_policy.rs
@@ -0,0 +1,320 @@
+use {
+    super::{
+        Assignment, LeavingMark, MAX_RETRIES, PeerDemand, Refusal, RequestSpec, RoutingView,
+        SendOutcome, TargetKey, TenantKey, Ticket, TrafficPolicy, Urgency, class_queue::QueueEntry,
+        service_queue::ServiceQueue, target_pool::TargetPool,
+    },
+    crate::{
+        error::ErrorKind,
+        ids::{EntryName, LocalTime, Millis},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
+};
+
+/// Time between two looks for tenants that no longer ask.
+const SWEEP_PERIOD: Millis = Millis(1_000);
+
+/// Admits what can end in time, shares by class and tenant, and learns the limits of targets.
+///
+/// The cost of a decision grows with the logarithm of the queued requests and of the tenants; it does
+/// not depend on the number of targets. A new view or new digests cost time in proportion to the targets.
+#[derive(Debug)]
+pub struct FairPolicy {
+    draining: bool,
+    in_flight: BTreeMap<Ticket, SentRequest>,
+    latest_starts: BTreeSet<(LocalTime, Ticket)>,
+    queued: BTreeMap<Ticket, QueuedRequest>,
+    refusals: Vec<Refusal>,
+    sequence: u64,
+    services: Vec<ServiceQueue>,
+    swept: LocalTime,
+    targets: TargetPool,
+    view: Arc<RoutingView>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct QueuedRequest {
+    class: Urgency,
+    latest_start: LocalTime,
+    sequence: u64,
+    spec: RequestSpec,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SentRequest {
+    charged: f64,
+    class: Urgency,
+    sent: LocalTime,
+    spec: RequestSpec,
+    target: TargetKey,
+}
+
+impl FairPolicy {
+    /// Returns the policy of an entry host; it refuses everything until it has a view.
+    pub fn new(entry: EntryName) -> Self {
+        Self {
+            draining: false,
+            in_flight: BTreeMap::new(),
+            latest_starts: BTreeSet::new(),
+            queued: BTreeMap::new(),
+            refusals: Vec::new(),
+            sequence: 0,
+            services: Vec::new(),
+            swept: LocalTime(0),
+            targets: TargetPool::new(entry),
+            view: Arc::default(),
+        }
+    }
+
+    fn weight(&self, tenant: TenantKey) -> u32 {
+        let tenant = self.view.tenants.get(usize::from(tenant.0));
+        tenant.map_or(1, |tenant| tenant.weight)
+    }
+
+    /// Takes a request out of the queue.
+    fn unqueue(&mut self, ticket: Ticket) -> Option<QueuedRequest> {
+        let request = self.queued.remove(&ticket)?;
+        self.latest_starts.remove(&(request.latest_start, ticket));
+        let queued = &self.queued;
+        let service = &mut self.services[usize::from(request.spec.service.0)];
+        service.remove(request.class, request.spec.tenant, |entry| {
+            is_live(queued, entry)
+        });
+        Some(request)
+    }
+
+    fn refuse(&mut self, ticket: Ticket, kind: ErrorKind) {
+        if self.unqueue(ticket).is_some() {
+            self.refusals.push(Refusal { kind, ticket });
+        }
+    }
+
+    fn refuse_late(&mut self, now: LocalTime) {
+        while let Some((latest_start, ticket)) = self.latest_starts.first().copied() {
+            if latest_start >= now {
+                return;
+            }
+            self.refuse(ticket, ErrorKind::DeadlineUnreachable);
+        }
+    }
+
+    fn refuse_retired(&mut self) {
+        let services = &self.services;
+        let queued = self.queued.iter();
+        let retired: Vec<Ticket> = queued
+            .filter(|(_, request)| services[usize::from(request.spec.service.0)].retired)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in retired {
+            self.refuse(ticket, ErrorKind::UnknownService);
+        }
+    }
+
+    /// Sends the next request of a service, if there is one and a target can take it.
+    fn assign_next(&mut self, now: LocalTime, index: usize, random: u64) -> Option<Assignment> {
+        let queued = &self.queued;
+        let service = &mut self.services[index];
+        if service.len() == 0 || !self.targets.has_open(now, index) {
+            return None;
+        }
+        let charged = service.charge();
+        let entry = service.pop(now, |entry| is_live(queued, entry))?;
+        let request = self.queued.remove(&entry.ticket)?;
+        let latest_start = (request.latest_start, entry.ticket);
+        self.latest_starts.remove(&latest_start);
+        let idempotent = request.spec.idempotent;
+        let Some(target) = self.targets.start(now, index, idempotent, random) else {
+            let service = &mut self.services[index];
+            let tenant = request.spec.tenant;
+            service.finish(now, request.class, tenant, charged, 0.0);
+            self.refusals.push(Refusal {
+                kind: ErrorKind::NoTarget,
+                ticket: entry.ticket,
+            });
+            return None;
+        };
+        let sent = SentRequest {
+            charged,
+            class: request.class,
+            sent: now,
+            spec: request.spec,
+            target,
+        };
+        self.in_flight.insert(entry.ticket, sent);
+        Some(Assignment {
+            target,
+            ticket: entry.ticket,
+        })
+    }
+}
+
+impl TrafficPolicy for FairPolicy {
+    fn update_view(&mut self, now: LocalTime, view: Arc<RoutingView>) {
+        let count = view.services.len();
+        self.services.resize_with(count, ServiceQueue::default);
+        for (service, row) in self.services.iter_mut().zip(&view.services) {
+            service.max_queue = row.max_queue;
+            service.retired = row.retired;
+        }
+        self.targets.update_view(now, Arc::clone(&view));
+        self.view = view;
+        self.refuse_retired();
+    }
+
+    fn offer(
+        &mut self,
+        now: LocalTime,
+        ticket: Ticket,
+        spec: RequestSpec,
+    ) -> Result<(), ErrorKind> {
+        let index = usize::from(spec.service.0);
+        let weight = self.weight(spec.tenant);
+        if self.queued.contains_key(&ticket) || self.in_flight.contains_key(&ticket) {
+            return Err(ErrorKind::InvalidRequest);
+        }
+        let service = self.services.get_mut(index);
+        let service = service.ok_or(ErrorKind::UnknownService)?;
+        if service.retired {
+            return Err(ErrorKind::UnknownService);
+        }
+        if spec.deadline <= now {
+            return Err(ErrorKind::DeadlineUnreachable);
+        }
+        if self.targets.usable(index) == 0 {
+            return Err(ErrorKind::NoTarget);
+        }
+        let open = self.targets.has_open(now, index);
+        if self.draining && (!open || service.len() > 0) {
+            return Err(ErrorKind::Draining);
+        }
+        let capacity = self.targets.capacity(index);
+        let admission = service.admit(now, &spec, weight, capacity, open)?;
+        service.budget.count_request(now);
+        self.sequence += 1;
+        let entry = QueueEntry {
+            sequence: self.sequence,
+            ticket,
+        };
+        service.push(admission.class, spec.tenant, weight, entry);
+        let request = QueuedRequest {
+            class: admission.class,
+            latest_start: admission.latest_start,
+            sequence: self.sequence,
+            spec,
+        };
+        self.queued.insert(ticket, request);
+        self.latest_starts.insert((request.latest_start, ticket));
+        Ok(())
+    }
+
+    fn cancel(&mut self, _now: LocalTime, ticket: Ticket) -> bool {
+        self.unqueue(ticket).is_some()
+    }
+
+    fn assign(&mut self, now: LocalTime, random: u64) -> Vec<Assignment> {
+        self.refuse_late(now);
+        let mut assignments = Vec::new();
+        let mut random = random;
+        for index in 0..self.services.len() {
+            while let Some(assignment) = self.assign_next(now, index, random) {
+                assignments.push(assignment);
+                random = next_random(random);
+            }
+        }
+        assignments
+    }
+
+    fn expire(&mut self, now: LocalTime) -> Vec<Refusal> {
+        self.refuse_late(now);
+        if now.since(self.swept) >= SWEEP_PERIOD {
+            self.swept = now;
+            for service in &mut self.services {
+                service.sweep_tenants(now);
+            }
+        }
+        std::mem::take(&mut self.refusals)
+    }
+
+    fn finish(&mut self, now: LocalTime, assignment: Assignment, outcome: SendOutcome) {
+        let Some(sent) = self.in_flight.get(&assignment.ticket).copied() else {
+            return;
+        };
+        if sent.target != assignment.target {
+            return;
+        }
+        self.in_flight.remove(&assignment.ticket);
+        let service = &mut self.services[usize::from(sent.spec.service.0)];
+        let class = sent.spec.urgency;
+        let elapsed = now.since(sent.sent);
+        let took = match outcome {
+            SendOutcome::Answered { took } => {
+                service.times.learn(now, class, took);
+                took
+            }
+            // A request that was given up after a long time would have taken longer still.
+            SendOutcome::Unknown if elapsed.0 as f64 > service.times.class_mean(class) => {
+                service.times.learn(now, class, elapsed);
+                elapsed
+            }
+            SendOutcome::Failed { .. } | SendOutcome::NotRun | SendOutcome::Unknown => elapsed,
+        };
+        let uncontended = service.times.uncontended(class);
+        let tenant = sent.spec.tenant;
+        service.finish(now, sent.class, tenant, sent.charged, took.0 as f64);
+        self.targets.finish(now, sent.target, outcome, uncontended);
+    }
+
+    fn allow_retry(&mut self, now: LocalTime, spec: &RequestSpec, attempts: u32) -> bool {
+        let service = self.services.get_mut(usize::from(spec.service.0));
+        let Some(service) = service else {
+            return false;
+        };
+        let left = spec.deadline.since(now).0 as f64;
+        let in_time = left > service.times.class_mean(spec.urgency);
+        spec.idempotent && attempts <= MAX_RETRIES && in_time && service.budget.take(now)
+    }
+
+    fn mark_leaving(&mut self, _now: LocalTime, mark: &LeavingMark) {
+        self.targets.mark_leaving(mark);
+    }
+
+    fn leaving_marks(&self) -> Vec<LeavingMark> {
+        self.targets.leaving_marks()
+    }
+
+    fn update_peers(&mut self, now: LocalTime, peers: &[PeerDemand]) {
+        self.targets.update_peers(now, peers);
+    }
+
+    fn drain(&mut self, now: LocalTime) -> Vec<Refusal> {
+        self.draining = true;
+        let tickets: Vec<Ticket> = self.queued.keys().copied().collect();
+        for ticket in tickets {
+            self.refuse(ticket, ErrorKind::Draining);
+        }
+        self.expire(now)
+    }
+
+    fn demand(&self) -> Vec<u32> {
+        let services = self.services.iter();
+        services
+            .map(|service| service.len() + service.in_flight)
+            .collect()
+    }
+}
+
+fn is_live(queued: &BTreeMap<Ticket, QueuedRequest>, entry: QueueEntry) -> bool {
+    let request = queued.get(&entry.ticket);
+    request.is_some_and(|request| request.sequence == entry.sequence)
+}
+
+/// The step of the SplitMix64 generator.
+fn next_random(random: u64) -> u64 {
+    let mut mixed = random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -1,13 +1,34 @@
 //! Admission, fair shares, choice of target, limits and retries of requests.
 
+mod class_queue;
+mod fair_policy;
+mod leaving_mark;
+mod open_targets;
+mod peer_demand;
+mod queue_policy;
+mod retry_budget;
 mod routing_view;
+mod service_queue;
+mod service_times;
+mod slot_split;
+mod target_pool;
+mod target_state;
+mod tenant_usage;
 mod traffic_policy;
+mod view_input;
 
 pub use {
+    fair_policy::FairPolicy,
+    leaving_mark::LeavingMark,
+    peer_demand::{PEER_SILENCE, PeerDemand, ServiceDemand},
+    queue_policy::QueuePolicy,
+    retry_budget::{MAX_RETRIES, RETRY_PERCENT, RETRY_WINDOW},
     routing_view::{
         RoutingView, ServiceKey, ServiceView, TargetKey, TargetView, TenantKey, TenantView,
     },
+    slot_split::SlotSplit,
     traffic_policy::{
-        Assignment, QueuePolicy, Refusal, RequestSpec, SendOutcome, Ticket, TrafficPolicy, Urgency,
+        Assignment, Refusal, RequestSpec, SendOutcome, Ticket, TrafficPolicy, Urgency,
     },
+    view_input::{PlatformHost, PoolMember, ViewInput},
 };
--- /dev/null
+++ b/crates/core/src/traffic/queue_policy.rs
@@ -0,0 +1,121 @@
+use {
+    super::{
+        Assignment, LeavingMark, PeerDemand, Refusal, RequestSpec, RoutingView, SendOutcome,
+        ServiceKey, TargetKey, Ticket, TrafficPolicy,
+    },
+    crate::{error::ErrorKind, ids::LocalTime},
+    std::{collections::VecDeque, sync::Arc},
+};
+
+/// First come, first served, to a random target with a free slot.
+#[derive(Debug, Default)]
+pub struct QueuePolicy {
+    in_flight: Vec<u32>,
+    queue: VecDeque<(Ticket, RequestSpec)>,
+    view: Arc<RoutingView>,
+}
+
+impl QueuePolicy {
+    fn choose(&self, service: ServiceKey, random: u64) -> Option<TargetKey> {
+        let targets = self.view.targets.iter().enumerate();
+        let free: Vec<usize> = targets
+            .filter(|(_, target)| target.service == service && !target.leaving)
+            .filter(|(index, target)| self.in_flight[*index] < target.slots)
+            .map(|(index, _)| index)
+            .collect();
+        let count = u64::try_from(free.len()).ok().filter(|count| *count > 0)?;
+        let index = free[usize::try_from(random % count).ok()?];
+        Some(TargetKey {
+            generation: self.view.targets[index].generation,
+            index: u32::try_from(index).ok()?,
+        })
+    }
+}
+
+impl TrafficPolicy for QueuePolicy {
+    fn update_view(&mut self, _now: LocalTime, view: Arc<RoutingView>) {
+        self.in_flight.resize(view.targets.len(), 0);
+        self.view = view;
+    }
+
+    fn offer(
+        &mut self,
+        now: LocalTime,
+        ticket: Ticket,
+        spec: RequestSpec,
+    ) -> Result<(), ErrorKind> {
+        if spec.deadline <= now {
+            return Err(ErrorKind::DeadlineUnreachable);
+        }
+        self.queue.push_back((ticket, spec));
+        Ok(())
+    }
+
+    fn cancel(&mut self, _now: LocalTime, ticket: Ticket) -> bool {
+        let before = self.queue.len();
+        self.queue.retain(|(queued, _)| *queued != ticket);
+        self.queue.len() < before
+    }
+
+    fn assign(&mut self, _now: LocalTime, random: u64) -> Vec<Assignment> {
+        let mut assignments = Vec::new();
+        let queued = std::mem::take(&mut self.queue);
+        for (ticket, spec) in queued {
+            match self.choose(spec.service, random) {
+                Some(target) => {
+                    self.in_flight[target.index as usize] += 1;
+                    assignments.push(Assignment { target, ticket });
+                }
+                None => self.queue.push_back((ticket, spec)),
+            }
+        }
+        assignments
+    }
+
+    fn expire(&mut self, now: LocalTime) -> Vec<Refusal> {
+        let mut refusals = Vec::new();
+        self.queue.retain(|(ticket, spec)| {
+            let live = spec.deadline > now;
+            if !live {
+                refusals.push(Refusal {
+                    kind: ErrorKind::DeadlineUnreachable,
+                    ticket: *ticket,
+                });
+            }
+            live
+        });
+        refusals
+    }
+
+    fn finish(&mut self, _now: LocalTime, assignment: Assignment, _outcome: SendOutcome) {
+        if let Some(count) = self.in_flight.get_mut(assignment.target.index as usize) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    fn allow_retry(&mut self, _now: LocalTime, spec: &RequestSpec, attempts: u32) -> bool {
+        spec.idempotent && attempts < 3
+    }
+
+    fn mark_leaving(&mut self, _now: LocalTime, _mark: &LeavingMark) {}
+
+    fn leaving_marks(&self) -> Vec<LeavingMark> {
+        Vec::new()
+    }
+
+    fn update_peers(&mut self, _now: LocalTime, _peers: &[PeerDemand]) {}
+
+    fn drain(&mut self, _now: LocalTime) -> Vec<Refusal> {
+        let queued = self.queue.drain(..);
+        queued
+            .map(|(ticket, _)| Refusal {
+                kind: ErrorKind::Draining,
+                ticket,
+            })
+            .collect()
+    }
+
+    fn demand(&self) -> Vec<u32> {
+        vec![0; self.view.services.len()]
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/target_pool.rs
@@ -0,0 +1,319 @@
+use {
+    super::{
+        LeavingMark, PEER_SILENCE, PeerDemand, RoutingView, SendOutcome, SlotSplit, TargetKey,
+        open_targets::OpenTargets, target_state::TargetState,
+    },
+    crate::{
+        collections::SortedMap,
+        ids::{EntryName, HostName, LocalTime},
+    },
+    std::{collections::BTreeSet, sync::Arc},
+};
+
+/// Most marks kept for hosts that the view does not show.
+const ABSENT_MARKS: usize = 4_096;
+/// Fractional part of the golden ratio; its multiples spread evenly over 0..1.
+const GOLDEN: f64 = 0.618_033_988_749_894_9;
+
+/// The targets as one entry host may use them.
+#[derive(Debug)]
+pub struct TargetPool {
+    entry: EntryName,
+    marks: SortedMap<HostName, LeavingMark>,
+    peers: Vec<PeerDemand>,
+    services: Vec<ServiceTargets>,
+    split_epoch: u64,
+    states: Vec<TargetState>,
+    view: Arc<RoutingView>,
+}
+
+/// The targets of one service.
+#[derive(Debug, Default)]
+struct ServiceTargets {
+    capacity: u32,
+    far: OpenTargets,
+    near: OpenTargets,
+    probes: BTreeSet<(LocalTime, u32)>,
+    usable: u32,
+}
+
+impl TargetPool {
+    /// Returns the empty pool of an entry host.
+    pub fn new(entry: EntryName) -> Self {
+        Self {
+            entry,
+            marks: SortedMap::default(),
+            peers: Vec::new(),
+            services: Vec::new(),
+            split_epoch: 0,
+            states: Vec::new(),
+            view: Arc::default(),
+        }
+    }
+
+    /// Returns the requests that this entry host may have in flight at a service.
+    pub fn capacity(&self, service: usize) -> u32 {
+        self.services[service].capacity
+    }
+
+    /// Returns the number of targets that are not leaving.
+    pub fn usable(&self, service: usize) -> u32 {
+        self.services[service].usable
+    }
+
+    /// Tells whether a request to the service can be sent now.
+    pub fn has_open(&self, now: LocalTime, service: usize) -> bool {
+        let targets = &self.services[service];
+        let open = targets.near.len() + targets.far.len() > 0;
+        open || (targets.all_failing() && targets.probe(now).is_some())
+    }
+
+    /// Chooses a target and counts the request at it.
+    pub fn start(
+        &mut self,
+        now: LocalTime,
+        service: usize,
+        idempotent: bool,
+        random: u64,
+    ) -> Option<TargetKey> {
+        let targets = &self.services[service];
+        // A probe may fail, so that it is made with a request that may be sent again.
+        let may_probe = idempotent || targets.all_failing();
+        let probe = targets.probe(now).filter(|_| may_probe);
+        let index = match probe {
+            Some(index) => {
+                self.states[index as usize].start_probe(now);
+                index
+            }
+            None => self.draw(service, random)?,
+        };
+        self.states[index as usize].in_flight += 1;
+        self.refresh(index);
+        Some(TargetKey {
+            generation: self.states[index as usize].generation,
+            index,
+        })
+    }
+
+    /// Reports the end of a request; `uncontended` is the service time without load, if known.
+    pub fn finish(
+        &mut self,
+        now: LocalTime,
+        key: TargetKey,
+        outcome: SendOutcome,
+        uncontended: Option<f64>,
+    ) {
+        let index = key.index as usize;
+        let known = self.states.get(index);
+        if known.is_none_or(|state| state.generation != key.generation) {
+            return;
+        }
+        let service = usize::from(self.states[index].service);
+        let may_exclude = self.services[service].may_exclude();
+        let state = &mut self.states[index];
+        state.in_flight = state.in_flight.saturating_sub(1);
+        match outcome {
+            SendOutcome::Answered { took } => {
+                let ratio = uncontended.map(|time| took.0.max(1) as f64 / time.max(1.0));
+                state.learn_answer(now, took, ratio);
+            }
+            SendOutcome::NotRun => {
+                state.learn_refusal(now);
+                state.learn_failure(now, may_exclude);
+            }
+            SendOutcome::Failed { .. } | SendOutcome::Unknown => {
+                state.learn_failure(now, may_exclude);
+            }
+        }
+        self.update_allowed(index);
+        self.refresh(key.index);
+    }
+
+    /// Takes over a new view. Counts and learned values of targets that keep their key are kept.
+    pub fn update_view(&mut self, now: LocalTime, view: Arc<RoutingView>) {
+        self.view = view;
+        let view = Arc::clone(&self.view);
+        for (index, target) in view.targets.iter().enumerate() {
+            let fresh = || TargetState::new(target.generation, target.service.0, target.slots);
+            match self.states.get_mut(index) {
+                None => self.states.push(fresh()),
+                Some(state) if state.generation != target.generation => *state = fresh(),
+                Some(state) => state.declare(target.slots),
+            }
+            self.states[index].near = Some(&target.data_centre) == view.data_centre.as_ref();
+        }
+        self.drop_void_marks();
+        self.split_slots(now);
+    }
+
+    /// Takes over the latest digests and splits the slots anew.
+    pub fn update_peers(&mut self, now: LocalTime, peers: &[PeerDemand]) {
+        self.peers = peers.to_vec();
+        self.split_epoch += 1;
+        self.split_slots(now);
+    }
+
+    /// Keeps a mark and closes the targets that it covers.
+    pub fn mark_leaving(&mut self, mark: &LeavingMark) {
+        let known = self.marks.get(&mark.host);
+        if known.is_none_or(|known| known < mark) {
+            self.marks.insert(mark.host.clone(), mark.clone());
+        }
+        let view = Arc::clone(&self.view);
+        for key in view.targets_of(&mark.host) {
+            let target = &view.targets[key.index as usize];
+            let state = &mut self.states[key.index as usize];
+            if mark.covers(target.incarnation, target.activation) && state.usable {
+                state.usable = false;
+                self.services[usize::from(state.service)].usable -= 1;
+                self.refresh(key.index);
+            }
+        }
+        self.drop_void_marks();
+    }
+
+    /// Returns the marks of hosts that the view shows.
+    pub fn leaving_marks(&self) -> Vec<LeavingMark> {
+        let marks = self.marks.values();
+        marks
+            .filter(|mark| self.view.target(&mark.host).is_some())
+            .cloned()
+            .collect()
+    }
+
+    fn draw(&self, service: usize, random: u64) -> Option<u32> {
+        let targets = &self.services[service];
+        let drawn = targets.near.draw(random);
+        let (first, second) = drawn.or_else(|| targets.far.draw(random))?;
+        let cost = |index: u32| self.states[index as usize].cost();
+        Some(if cost(second) < cost(first) {
+            second
+        } else {
+            first
+        })
+    }
+
+    fn is_marked(&self, index: usize) -> bool {
+        let target = &self.view.targets[index];
+        let mark = self.marks.get(&target.name);
+        mark.is_some_and(|mark| mark.covers(target.incarnation, target.activation))
+    }
+
+    fn drop_void_marks(&mut self) {
+        let view = &self.view;
+        let mut absent = 0;
+        self.marks.retain(|host, mark| match view.target(host) {
+            Some(key) => {
+                let target = &view.targets[key.index as usize];
+                mark.covers(target.incarnation, target.activation)
+            }
+            None => {
+                absent += 1;
+                absent <= ABSENT_MARKS
+            }
+        });
+    }
+
+    fn split_slots(&mut self, now: LocalTime) {
+        let view = Arc::clone(&self.view);
+        let mut entries: Vec<&PeerDemand> = self
+            .peers
+            .iter()
+            .filter(|peer| peer.entry != self.entry && now.since(peer.heard) <= PEER_SILENCE)
+            .collect();
+        entries.sort_by(|left, right| left.entry.cmp(&right.entry));
+        let own = entries.partition_point(|peer| peer.entry < self.entry);
+        let own_digest = self.peers.iter().find(|peer| peer.entry == self.entry);
+        let mut splits: Vec<SlotSplit> = Vec::new();
+        for service in &view.services {
+            let mut demands: Vec<u32> = entries
+                .iter()
+                .map(|peer| peer.requests(&service.name))
+                .collect();
+            // A request that arrives before the next digest needs a slot to go to.
+            let demand = own_digest.map_or(0, |digest| digest.requests(&service.name));
+            demands.insert(own, demand.max(1));
+            splits.push(SlotSplit::new(&demands));
+        }
+        for index in view.present_targets() {
+            let target = &view.targets[index];
+            let split = &mut splits[usize::from(target.service.0)];
+            self.states[index].share = split.next_target(target.slots)[own];
+        }
+        self.rebuild();
+    }
+
+    fn rebuild(&mut self) {
+        self.services.clear();
+        let count = self.view.services.len();
+        self.services.resize_with(count, ServiceTargets::default);
+        for index in 0..self.states.len() {
+            let target = &self.view.targets[index];
+            let usable = target.present && !target.leaving && !self.is_marked(index);
+            self.update_allowed(index);
+            let state = &mut self.states[index];
+            state.counted = 0;
+            state.open_place = None;
+            state.probe_listed = None;
+            state.usable = usable;
+            self.services[usize::from(state.service)].usable += u32::from(usable);
+            self.refresh(index as u32);
+        }
+    }
+
+    fn update_allowed(&mut self, index: usize) {
+        let step = (self.split_epoch % 1_000) as f64 + index as f64;
+        let connections = self.view.targets[index].connections;
+        self.states[index].update_allowed(connections, (step * GOLDEN).fract());
+    }
+
+    /// Brings the lists of the service in line with the state of a target.
+    fn refresh(&mut self, index: u32) {
+        let state = &mut self.states[index as usize];
+        let targets = &mut self.services[usize::from(state.service)];
+        let counted = state.countable();
+        targets.capacity = targets.capacity + counted - state.counted;
+        state.counted = counted;
+        let probe = state.probe_due.filter(|_| state.usable);
+        if probe != state.probe_listed {
+            if let Some(listed) = state.probe_listed {
+                targets.probes.remove(&(listed, index));
+            }
+            if let Some(due) = probe {
+                targets.probes.insert((due, index));
+            }
+            state.probe_listed = probe;
+        }
+        let list = if state.near {
+            &mut targets.near
+        } else {
+            &mut targets.far
+        };
+        match (state.is_open(), state.open_place) {
+            (true, None) => state.open_place = Some(list.add(index)),
+            (false, Some(place)) => {
+                state.open_place = None;
+                if let Some(moved) = list.remove(place) {
+                    self.states[moved as usize].open_place = Some(place);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+impl ServiceTargets {
+    fn all_failing(&self) -> bool {
+        self.usable as usize <= self.probes.len()
+    }
+
+    /// Failures of most targets at once are not the fault of one target.
+    fn may_exclude(&self) -> bool {
+        2 * (self.probes.len() + 1) <= self.usable as usize
+    }
+
+    fn probe(&self, now: LocalTime) -> Option<u32> {
+        let (due, index) = self.probes.first()?;
+        (*due <= now).then_some(*index)
+    }
+}
--- a/crates/core/src/traffic/traffic_policy.rs
+++ b/crates/core/src/traffic/traffic_policy.rs
@@ -1,10 +1,10 @@
 use {
-    super::{RoutingView, ServiceKey, TargetKey, TenantKey},
+    super::{LeavingMark, PeerDemand, RoutingView, ServiceKey, TargetKey, TenantKey},
     crate::{
         error::ErrorKind,
-        ids::{HostName, LocalTime, Millis},
+        ids::{LocalTime, Millis},
     },
-    std::{collections::VecDeque, sync::Arc},
+    std::sync::Arc,
 };
 
 /// How soon a caller needs its answer; the most urgent class is the smallest.
@@ -63,6 +63,11 @@
         /// Time between sending and the end of the answer.
         took: Millis,
     },
+    /// The whole answer arrived and says that the target failed (status 500 to 599, but not run).
+    Failed {
+        /// Time between sending and the end of the answer.
+        took: Millis,
+    },
     /// The request was not run: no connection, or the target said so.
     NotRun,
     /// The outcome is unknown.
@@ -94,105 +99,23 @@
     fn finish(&mut self, now: LocalTime, assignment: Assignment, outcome: SendOutcome);
 
     /// Decides whether a request may be sent again, and pays for it from the retry budget.
+    /// `attempts` counts how often it was sent so far.
     fn allow_retry(&mut self, now: LocalTime, spec: &RequestSpec, attempts: u32) -> bool;
 
-    /// Marks a target as leaving, before the view says so.
-    fn mark_leaving(&mut self, now: LocalTime, host: &HostName);
+    /// Marks the run of a host as leaving, before the view says so.
+    fn mark_leaving(&mut self, now: LocalTime, mark: &LeavingMark);
 
-    /// Returns queued and in-flight requests of each service, indexed by [`ServiceKey`].
-    fn demand(&self) -> Vec<u32>;
-}
+    /// Returns the marks that still hold for hosts in the view, for the digests to peers.
+    fn leaving_marks(&self) -> Vec<LeavingMark>;
 
-/// First come, first served, to a random target with a free slot.
-#[derive(Debug, Default)]
-pub struct QueuePolicy {
-    in_flight: Vec<u32>,
-    queue: VecDeque<(Ticket, RequestSpec)>,
-    view: Arc<RoutingView>,
-}
+    /// Replaces the demand of the entry hosts, including the digest that this one sent last, and
+    /// splits the slots anew. Peers that are silent for `PEER_SILENCE` no longer count.
+    fn update_peers(&mut self, now: LocalTime, peers: &[PeerDemand]);
 
-impl QueuePolicy {
-    fn choose(&self, service: ServiceKey, random: u64) -> Option<TargetKey> {
-        let targets = self.view.targets.iter().enumerate();
-        let free: Vec<usize> = targets
-            .filter(|(_, target)| target.service == service && !target.leaving)
-            .filter(|(index, target)| self.in_flight[*index] < target.slots)
-            .map(|(index, _)| index)
-            .collect();
-        let count = u64::try_from(free.len()).ok().filter(|count| *count > 0)?;
-        let index = free[usize::try_from(random % count).ok()?];
-        Some(TargetKey(u32::try_from(index).ok()?))
-    }
-}
+    /// Starts the graceful shutdown: returns all queued requests as refused. From then on, a request
+    /// is admitted only when a slot is free for it.
+    fn drain(&mut self, now: LocalTime) -> Vec<Refusal>;
 
-impl TrafficPolicy for QueuePolicy {
-    fn update_view(&mut self, _now: LocalTime, view: Arc<RoutingView>) {
-        self.in_flight.resize(view.targets.len(), 0);
-        self.view = view;
-    }
-
-    fn offer(
-        &mut self,
-        now: LocalTime,
-        ticket: Ticket,
-        spec: RequestSpec,
-    ) -> Result<(), ErrorKind> {
-        if spec.deadline <= now {
-            return Err(ErrorKind::DeadlineUnreachable);
-        }
-        self.queue.push_back((ticket, spec));
-        Ok(())
-    }
-
-    fn cancel(&mut self, _now: LocalTime, ticket: Ticket) -> bool {
-        let before = self.queue.len();
-        self.queue.retain(|(queued, _)| *queued != ticket);
-        self.queue.len() < before
-    }
-
-    fn assign(&mut self, _now: LocalTime, random: u64) -> Vec<Assignment> {
-        let mut assignments = Vec::new();
-        let queued = std::mem::take(&mut self.queue);
-        for (ticket, spec) in queued {
-            match self.choose(spec.service, random) {
-                Some(target) => {
-                    self.in_flight[target.0 as usize] += 1;
-                    assignments.push(Assignment { target, ticket });
-                }
-                None => self.queue.push_back((ticket, spec)),
-            }
-        }
-        assignments
-    }
-
-    fn expire(&mut self, now: LocalTime) -> Vec<Refusal> {
-        let mut refusals = Vec::new();
-        self.queue.retain(|(ticket, spec)| {
-            let live = spec.deadline > now;
-            if !live {
-                refusals.push(Refusal {
-                    kind: ErrorKind::DeadlineUnreachable,
-                    ticket: *ticket,
-                });
-            }
-            live
-        });
-        refusals
-    }
-
-    fn finish(&mut self, _now: LocalTime, assignment: Assignment, _outcome: SendOutcome) {
-        if let Some(count) = self.in_flight.get_mut(assignment.target.0 as usize) {
-            *count = count.saturating_sub(1);
-        }
-    }
-
-    fn allow_retry(&mut self, _now: LocalTime, spec: &RequestSpec, attempts: u32) -> bool {
-        spec.idempotent && attempts < 3
-    }
-
-    fn mark_leaving(&mut self, _now: LocalTime, _host: &HostName) {}
-
-    fn demand(&self) -> Vec<u32> {
-        vec![0; self.view.services.len()]
-    }
+    /// Returns queued and in-flight requests of each service, indexed by [`ServiceKey`].
+    fn demand(&self) -> Vec<u32>;
 }
