Add messages, decisions and connections between entry hosts

Cause: the daemon needs demand, leaving marks, log entries and states of its peers. Ruled out: digests with all names in each frame, because at 42 entry hosts half of 8 KB/s leaves about 97 bytes a second for each peer; a digest that says only "changed" without the base of the change, because a lost frame would leave a wrong demand behind. Change: prost messages over length-delimited frames, digests as numbered changes per connection, states in chunks of 256 KiB; PeerTable, LeavingMarks, EntryRelay, CatchUp, StartChoice, DigestPacer without I/O; PeerMesh with one connection per peer and direction. Conclusion: the daemon can use the mesh; digests, marks, relay and start choice are not tested yet.

--- /dev/null
+++ b/crates/peers/src/mesh/outgoing_link.rs
@@ -0,0 +1,220 @@
+use {
+    super::{
+        PeerAddress, PeerError, PeerStream,
+        mesh_context::MeshContext,
+        peer_request::{PeerRequest, PendingRequest},
+    },
+    crate::{
+        decisions::{DIGEST_INTERVAL, DigestPacer, Pace, ReconnectBackoff},
+        wire::{DigestEncoder, FRAME_HEAD_BYTES, Frame, Hello, WireError, frame_codec},
+    },
+    bytes::Bytes,
+    futures_util::{SinkExt, StreamExt},
+    slog::{debug, info, warn},
+    std::sync::Arc,
+    tokio::{
+        sync::mpsc,
+        time::{Duration, Instant, MissedTickBehavior, interval, sleep, timeout},
+    },
+    tokio_util::codec::{Framed, LengthDelimitedCodec},
+};
+
+/// Longest time for opening a connection.
+const DIAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time for handing one frame to the connection.
+const SEND_TIMEOUT: Duration = Duration::from_secs(1);
+/// A connection that lasted this long starts the pauses between attempts anew.
+const STABLE_TIME: Duration = Duration::from_secs(2);
+/// A connection of this age is opened again when its peer is silent.
+///
+/// After a network partition TCP may wait much longer than the partition lasted before it sends again.
+const SILENT_RESET: Duration = Duration::from_secs(2);
+/// The age doubles with each reset up to this, because a frozen peer queues up the connections.
+const LONGEST_SILENT_RESET: Duration = Duration::from_secs(32);
+
+type FrameStream<S> = Framed<S, LengthDelimitedCodec>;
+
+/// The connection over which this host tells one peer its digests and asks it for entries and states.
+pub(super) struct OutgoingLink {
+    backoff: ReconnectBackoff,
+    context: Arc<MeshContext>,
+    peer: PeerAddress,
+    peer_index: usize,
+    requests: mpsc::Receiver<PeerRequest>,
+    /// Sequence number of the next digest; it grows over all connections to the peer.
+    sequence: u64,
+    silent_resets: u32,
+}
+
+/// State of one connection.
+struct Session {
+    encoder: DigestEncoder,
+    opened: Instant,
+    pacer: DigestPacer,
+    pending: Option<PendingRequest>,
+}
+
+impl OutgoingLink {
+    pub(super) fn new(
+        context: Arc<MeshContext>,
+        peer_index: usize,
+        requests: mpsc::Receiver<PeerRequest>,
+    ) -> Self {
+        Self {
+            backoff: ReconnectBackoff::default(),
+            peer: context.settings.peers()[peer_index].clone(),
+            context,
+            peer_index,
+            requests,
+            sequence: 0,
+            silent_resets: 0,
+        }
+    }
+
+    /// Keeps a connection to the peer until the mesh stops.
+    pub(super) async fn run(mut self) {
+        while !self.context.stop.is_cancelled() {
+            let opened = Instant::now();
+            let result = self.connect_once().await;
+            if opened.elapsed() >= STABLE_TIME {
+                self.backoff.reset();
+            }
+            if let Err(error) = result {
+                self.log_failure(&error);
+                self.pause().await;
+            }
+        }
+    }
+
+    async fn connect_once(&mut self) -> Result<(), PeerError> {
+        let dial = timeout(DIAL_TIMEOUT, self.context.dialer.dial(&self.peer));
+        let stream = tokio::select! {
+            () = self.context.stop.cancelled() => return Ok(()),
+            stream = dial => stream.map_err(|_| PeerError::TimedOut("connecting"))??,
+        };
+        info!(self.context.logger, "peer: connected to {}", self.peer);
+        self.serve(stream).await
+    }
+
+    async fn serve(&mut self, stream: impl PeerStream) -> Result<(), PeerError> {
+        let mut frames = Framed::new(stream, frame_codec());
+        let hello = Hello {
+            first_sequence: self.sequence,
+            from: self.context.settings.local.clone(),
+            to: self.peer.name.clone(),
+        };
+        send(&mut frames, Frame::Hello(hello)).await?;
+        let settings = &self.context.settings;
+        let peers = settings.peers().len();
+        let mut session = Session {
+            encoder: DigestEncoder::default(),
+            opened: Instant::now(),
+            pacer: DigestPacer::new(self.context.now(), settings.node_budget_bytes, peers),
+            pending: None,
+        };
+        let mut ticks = interval(Duration::from_millis(DIGEST_INTERVAL.0));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            // The order keeps a long answer from delaying digests.
+            tokio::select! {
+                biased;
+                () = self.context.stop.cancelled() => {
+                    let _ = timeout(SEND_TIMEOUT, SinkExt::<Bytes>::close(&mut frames)).await;
+                    return Ok(());
+                }
+                _ = ticks.tick() => self.tick(&mut frames, &mut session).await?,
+                Some(request) = self.requests.recv(), if session.pending.is_none() => {
+                    send(&mut frames, request.frame()).await?;
+                    session.pending = Some(PendingRequest::new(request));
+                }
+                frame = frames.next() => {
+                    let bytes = frame.ok_or(PeerError::Closed)??;
+                    receive(&mut session, Frame::decode(bytes)?)?;
+                }
+            }
+        }
+    }
+
+    async fn tick(
+        &mut self,
+        frames: &mut FrameStream<impl PeerStream>,
+        session: &mut Session,
+    ) -> Result<(), PeerError> {
+        self.check_silence(session.opened)?;
+        if session
+            .pending
+            .as_ref()
+            .is_some_and(PendingRequest::is_late)
+        {
+            return Err(PeerError::TimedOut("an answer"));
+        }
+        let content = self.context.handler.digest(&self.peer.name);
+        let now = self.context.now();
+        let pace = session.pacer.plan(now, session.encoder.change(&content));
+        if pace == Pace::Skip {
+            return Ok(());
+        }
+        let digest = session.encoder.encode(content, pace == Pace::Full);
+        self.sequence += 1;
+        let sent = send(frames, Frame::Digest(digest)).await?;
+        session.pacer.charge(now, sent);
+        Ok(())
+    }
+
+    fn check_silence(&mut self, opened: Instant) -> Result<(), PeerError> {
+        if self.context.last_heard(self.peer_index).elapsed() < SILENT_RESET {
+            self.silent_resets = 0;
+            return Ok(());
+        }
+        let doubled = SILENT_RESET.saturating_mul(1 << self.silent_resets.min(8));
+        if opened.elapsed() < doubled.min(LONGEST_SILENT_RESET) {
+            return Ok(());
+        }
+        self.silent_resets += 1;
+        Err(PeerError::Silent)
+    }
+
+    /// Waits before the next attempt. Requests that come meanwhile fail at once.
+    async fn pause(&mut self) {
+        let random = (self.context.random)();
+        let pause = self.backoff.fail(random);
+        let end = sleep(Duration::from_millis(pause.0));
+        tokio::pin!(end);
+        loop {
+            tokio::select! {
+                () = self.context.stop.cancelled() => return,
+                () = &mut end => return,
+                // Dropping the request tells its caller.
+                Some(request) = self.requests.recv() => drop(request),
+            }
+        }
+    }
+
+    /// Logs the first of several failures in a row as a warning.
+    fn log_failure(&self, error: &PeerError) {
+        let logger = &self.context.logger;
+        let peer = &self.peer;
+        if self.backoff.failures() == 0 {
+            warn!(logger, "peer: lost connection to {peer}: {error}");
+        } else {
+            debug!(logger, "peer: no connection to {peer}: {error}");
+        }
+    }
+}
+
+fn receive(session: &mut Session, frame: Frame) -> Result<(), PeerError> {
+    let name = frame.name();
+    let pending = session.pending.take();
+    let pending = pending.ok_or(WireError::Unexpected(name))?;
+    session.pending = pending.receive(frame)?;
+    Ok(())
+}
+
+/// Sends a frame and returns its size on the wire in bytes.
+async fn send(frames: &mut FrameStream<impl PeerStream>, frame: Frame) -> Result<usize, PeerError> {
+    let bytes = frame.encode();
+    let size = bytes.len() + FRAME_HEAD_BYTES;
+    let sent = timeout(SEND_TIMEOUT, frames.send(bytes)).await;
+    sent.map_err(|_| PeerError::TimedOut("sending"))??;
+    Ok(size)
+}
--- /dev/null
+++ b/crates/peers/src/mesh/peer_request.rs
@@ -0,0 +1,94 @@
+use {
+    super::PeerError,
+    crate::wire::{EntriesAnswer, FetchEntries, Frame, StateAssembler, StateImage, WireError},
+    tokio::{
+        sync::oneshot,
+        time::{Duration, Instant},
+    },
+};
+
+/// Longest time without a part of the answer. The peer may have to encode a state of tens of MB first.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A request to a peer and where its answer goes.
+#[derive(Debug)]
+pub(super) enum PeerRequest {
+    Entries {
+        fetch: FetchEntries,
+        reply: oneshot::Sender<Result<EntriesAnswer, PeerError>>,
+    },
+    State {
+        reply: oneshot::Sender<Result<StateImage, PeerError>>,
+    },
+}
+
+impl PeerRequest {
+    pub(super) fn frame(&self) -> Frame {
+        match self {
+            Self::Entries { fetch, .. } => Frame::FetchEntries(*fetch),
+            Self::State { .. } => Frame::FetchState,
+        }
+    }
+}
+
+/// A request whose answer is due. Dropping it tells the caller that the peer is not reachable.
+#[derive(Debug)]
+pub(super) struct PendingRequest {
+    assembler: StateAssembler,
+    deadline: Instant,
+    request: PeerRequest,
+}
+
+impl PendingRequest {
+    pub(super) fn new(request: PeerRequest) -> Self {
+        Self {
+            assembler: StateAssembler::default(),
+            deadline: Instant::now() + ANSWER_TIMEOUT,
+            request,
+        }
+    }
+
+    pub(super) fn is_late(&self) -> bool {
+        Instant::now() >= self.deadline
+    }
+
+    /// Takes a frame of the answer and returns the request again when more of it is due.
+    pub(super) fn receive(mut self, frame: Frame) -> Result<Option<Self>, PeerError> {
+        match (self.request, frame) {
+            (PeerRequest::Entries { fetch, reply }, Frame::Entries(answer)) => {
+                check_entries(fetch, &answer)?;
+                let _ = reply.send(Ok(answer));
+                Ok(None)
+            }
+            (PeerRequest::State { reply }, Frame::State(None)) => {
+                let _ = reply.send(Err(PeerError::NoState));
+                Ok(None)
+            }
+            (PeerRequest::State { reply }, Frame::State(Some(chunk))) => {
+                if let Some(image) = self.assembler.add(chunk)? {
+                    let _ = reply.send(Ok(image));
+                    return Ok(None);
+                }
+                self.request = PeerRequest::State { reply };
+                self.deadline = Instant::now() + ANSWER_TIMEOUT;
+                Ok(Some(self))
+            }
+            (_, frame) => Err(WireError::Unexpected(frame.name()).into()),
+        }
+    }
+}
+
+/// Checks that an answer starts where it was asked to, so that no entry is passed over.
+fn check_entries(fetch: FetchEntries, answer: &EntriesAnswer) -> Result<(), WireError> {
+    let EntriesAnswer::Entries { entries, log } = answer else {
+        return Ok(());
+    };
+    let starts_well = entries
+        .first()
+        .is_none_or(|entry| entry.offset == fetch.from);
+    if *log == fetch.log && starts_well {
+        return Ok(());
+    }
+    let problem = "entries that were not asked for";
+    Err(WireError::Malformed(problem.to_owned()))
+}
--- /dev/null
+++ b/crates/peers/src/wire/digest_decoder.rs
@@ -0,0 +1,151 @@
+use {
+    super::{
+        Digest, DigestContent, Hello, LeavingMark, LogPosition, RawDigest, ServiceDemand, WireError,
+    },
+    goldcreststall_core::{
+        collections::SortedMap,
+        ids::{EntryId, HostName, ServiceName},
+        ledger::{LogIdentity, LogOffset},
+    },
+};
+
+/// Most service names that one connection may number. It bounds the memory a faulty peer can take.
+const MAX_SERVICES: usize = 4096;
+/// Most leaving marks that one connection may hold.
+const MAX_MARKS: usize = 65_536;
+
+/// Rebuilds the full digests of one connection from their changes.
+#[derive(Debug)]
+pub struct DigestDecoder {
+    demand: SortedMap<ServiceName, u32>,
+    draining: bool,
+    first_sequence: u64,
+    from: EntryId,
+    leaving: SortedMap<HostName, LeavingMark>,
+    next_number: u64,
+    position: Option<LogPosition>,
+    services: Vec<ServiceName>,
+}
+
+impl DigestDecoder {
+    /// Creates the decoder of a connection that was opened with `hello`.
+    pub fn new(hello: &Hello) -> Self {
+        Self {
+            demand: SortedMap::default(),
+            draining: false,
+            first_sequence: hello.first_sequence,
+            from: hello.from.clone(),
+            leaving: SortedMap::default(),
+            next_number: 0,
+            position: None,
+            services: Vec::new(),
+        }
+    }
+
+    /// Applies a digest and returns what the sender says now.
+    ///
+    /// # Errors
+    /// `WireError` when a digest is missing before this one or a field is not valid. The decoder must
+    /// not be used after an error.
+    pub fn decode(&mut self, raw: RawDigest) -> Result<Digest, WireError> {
+        if raw.number != self.next_number {
+            return Err(WireError::DigestGap {
+                expected: self.next_number,
+                found: raw.number,
+            });
+        }
+        self.next_number += 1;
+        self.take_position(&raw)?;
+        self.take_services(&raw.services)?;
+        self.take_demand(&raw.demand)?;
+        self.take_marks(raw.leaving, raw.cleared)?;
+        self.draining = raw.draining.unwrap_or(self.draining);
+        Ok(Digest {
+            content: self.content(),
+            from: self.from.clone(),
+            sequence: self.first_sequence.saturating_add(raw.number),
+        })
+    }
+
+    fn content(&self) -> DigestContent {
+        let demand = self.demand.iter().map(|(service, requests)| ServiceDemand {
+            requests: *requests,
+            service: service.clone(),
+        });
+        let leaving = self.leaving.values().cloned();
+        DigestContent::new(
+            self.position,
+            demand.collect(),
+            leaving.collect(),
+            self.draining,
+        )
+    }
+
+    fn take_position(&mut self, raw: &RawDigest) -> Result<(), WireError> {
+        let log = raw.log.map(LogIdentity);
+        let log = log.or(self.position.map(|position| position.log));
+        match (log, raw.next) {
+            (Some(log), Some(next)) => {
+                let next = LogOffset(next);
+                self.position = Some(LogPosition { log, next });
+                Ok(())
+            }
+            (None, Some(_)) => Err(WireError::Malformed("an offset without a log".to_owned())),
+            (_, None) if raw.log.is_some() => {
+                Err(WireError::Malformed("a log without an offset".to_owned()))
+            }
+            (_, None) => Ok(()),
+        }
+    }
+
+    fn take_services(&mut self, names: &[String]) -> Result<(), WireError> {
+        check_count("services", self.services.len() + names.len(), MAX_SERVICES)?;
+        for name in names {
+            self.services.push(ServiceName::try_from(name.as_str())?);
+        }
+        Ok(())
+    }
+
+    fn take_demand(&mut self, pairs: &[u32]) -> Result<(), WireError> {
+        let (pairs, rest) = pairs.as_chunks::<2>();
+        if !rest.is_empty() {
+            return Err(WireError::Malformed("a service without demand".to_owned()));
+        }
+        for [number, requests] in pairs {
+            let service = self.services.get(*number as usize);
+            let service = service.ok_or(WireError::OutOfRange {
+                field: "demand",
+                value: u64::from(*number),
+            })?;
+            match requests {
+                0 => self.demand.remove(service),
+                _ => self.demand.insert(service.clone(), *requests),
+            };
+        }
+        Ok(())
+    }
+
+    fn take_marks(
+        &mut self,
+        leaving: Vec<super::RawMark>,
+        cleared: Vec<String>,
+    ) -> Result<(), WireError> {
+        check_count("leaving", self.leaving.len() + leaving.len(), MAX_MARKS)?;
+        for raw in leaving {
+            let mark = LeavingMark::try_from(raw)?;
+            self.leaving.insert(mark.host.clone(), mark);
+        }
+        for host in cleared {
+            self.leaving.remove(&HostName::try_from(host)?);
+        }
+        Ok(())
+    }
+}
+
+fn check_count(field: &'static str, count: usize, limit: usize) -> Result<(), WireError> {
+    if count <= limit {
+        return Ok(());
+    }
+    let value = count as u64;
+    Err(WireError::OutOfRange { field, value })
+}
--- /dev/null
+++ b/crates/peers/src/wire/mod.rs
@@ -0,0 +1,27 @@
+//! Messages between entry hosts and their encoding.
+
+mod digest;
+mod digest_decoder;
+mod digest_encoder;
+mod frame;
+mod raw_messages;
+mod state_assembler;
+mod transfer;
+mod wire_error;
+
+pub use {
+    digest::{Digest, DigestContent, LeavingMark, LogPosition, ServiceDemand},
+    digest_decoder::DigestDecoder,
+    digest_encoder::{DigestChange, DigestEncoder},
+    frame::{FRAME_HEAD_BYTES, Frame, Hello, MAX_FRAME_BYTES, PROTOCOL_VERSION, frame_codec},
+    raw_messages::{
+        RawDigest, RawEntries, RawEntry, RawFetchEntries, RawFetchState, RawFrame, RawHello,
+        RawMark, RawState, raw_frame,
+    },
+    state_assembler::{MAX_STATE_BYTES, StateAssembler, StateImage},
+    transfer::{
+        EntriesAnswer, FetchEntries, MAX_ENTRY_BYTES, RelayEntry, STATE_CHUNK_BYTES, StateChunk,
+        StateChunks,
+    },
+    wire_error::WireError,
+};
--- /dev/null
+++ b/crates/peers/src/wire/raw_messages.rs
@@ -0,0 +1,167 @@
+use bytes::Bytes;
+
+/// A frame as it is on the wire.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RawFrame {
+    /// The message in the frame.
+    #[prost(oneof = "raw_frame::Body", tags = "1, 2, 3, 4, 5, 6")]
+    pub body: Option<raw_frame::Body>,
+}
+
+/// The kinds of messages.
+pub mod raw_frame {
+    /// The message in a frame.
+    #[derive(Clone, PartialEq, prost::Oneof)]
+    pub enum Body {
+        /// First message of a connection.
+        #[prost(message, tag = "1")]
+        Hello(super::RawHello),
+        /// Changes since the digest before.
+        #[prost(message, tag = "2")]
+        Digest(super::RawDigest),
+        /// Asks for log entries.
+        #[prost(message, tag = "3")]
+        FetchEntries(super::RawFetchEntries),
+        /// Answers `FetchEntries`.
+        #[prost(message, tag = "4")]
+        Entries(super::RawEntries),
+        /// Asks for the state.
+        #[prost(message, tag = "5")]
+        FetchState(super::RawFetchState),
+        /// One chunk of the answer to `FetchState`.
+        #[prost(message, tag = "6")]
+        State(super::RawState),
+    }
+}
+
+/// Names both ends of a connection, so that the digests need not.
+#[derive(Clone, Eq, Hash, PartialEq, prost::Message)]
+pub struct RawHello {
+    /// Version of the protocol.
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    /// Name of the sender.
+    #[prost(string, tag = "2")]
+    pub entry: String,
+    /// Incarnation of the sender.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+    /// Name of the entry host that the sender means to reach.
+    #[prost(string, tag = "4")]
+    pub to: String,
+    /// Sequence number of the first digest on this connection.
+    #[prost(uint64, tag = "5")]
+    pub first_sequence: u64,
+}
+
+/// A leaving mark.
+#[derive(Clone, Eq, Hash, PartialEq, prost::Message)]
+pub struct RawMark {
+    /// Name of the host.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Incarnation of the host.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Ledger offset up to which the observer had read.
+    #[prost(uint64, tag = "3")]
+    pub basis: u64,
+}
+
+/// What changed since the digest before on the same connection.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RawDigest {
+    /// Counts the digests of the connection from 0.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Offset of the first ledger entry that the sender has not applied.
+    #[prost(uint64, optional, tag = "2")]
+    pub next: Option<u64>,
+    /// Identity of the log.
+    #[prost(fixed64, optional, tag = "3")]
+    pub log: Option<u64>,
+    /// Service names that get the next free numbers of this connection.
+    #[prost(string, repeated, tag = "4")]
+    pub services: Vec<String>,
+    /// Pairs of service number and demand; a demand of 0 removes the service.
+    #[prost(uint32, repeated, tag = "5")]
+    pub demand: Vec<u32>,
+    /// Marks that are new or changed.
+    #[prost(message, repeated, tag = "6")]
+    pub leaving: Vec<RawMark>,
+    /// Hosts whose marks are gone.
+    #[prost(string, repeated, tag = "7")]
+    pub cleared: Vec<String>,
+    /// Whether the sender is shutting down.
+    #[prost(bool, optional, tag = "8")]
+    pub draining: Option<bool>,
+}
+
+/// Asks for log entries from an offset on.
+#[derive(Clone, Copy, Eq, Hash, PartialEq, prost::Message)]
+pub struct RawFetchEntries {
+    /// Identity of the log.
+    #[prost(fixed64, tag = "1")]
+    pub log: u64,
+    /// Offset of the first entry that is wanted.
+    #[prost(uint64, tag = "2")]
+    pub from: u64,
+}
+
+/// A log entry.
+#[derive(Clone, Eq, Hash, PartialEq, prost::Message)]
+pub struct RawEntry {
+    /// Time stamped by the log, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "1")]
+    pub time: u64,
+    /// Bytes of the entry.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub bytes: Bytes,
+}
+
+/// Log entries with consecutive offsets, or the reason why there are none.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RawEntries {
+    /// Identity of the log of the sender.
+    #[prost(fixed64, tag = "1")]
+    pub log: u64,
+    /// Offset of the first entry, or the first offset that is kept when `gone` is set.
+    #[prost(uint64, tag = "2")]
+    pub first: u64,
+    /// The entries.
+    #[prost(message, repeated, tag = "3")]
+    pub entries: Vec<RawEntry>,
+    /// The offset that was asked for is no longer kept.
+    #[prost(bool, tag = "4")]
+    pub gone: bool,
+    /// The sender has no log or another one.
+    #[prost(bool, tag = "5")]
+    pub other_log: bool,
+}
+
+/// Asks for the state.
+#[derive(Clone, Copy, Eq, Hash, PartialEq, prost::Message)]
+pub struct RawFetchState {}
+
+/// One chunk of a state.
+#[derive(Clone, Eq, Hash, PartialEq, prost::Message)]
+pub struct RawState {
+    /// Identity of the log.
+    #[prost(fixed64, tag = "1")]
+    pub log: u64,
+    /// Offset of the first ledger entry that the state does not contain.
+    #[prost(uint64, tag = "2")]
+    pub next: u64,
+    /// Size of the whole state in bytes.
+    #[prost(uint64, tag = "3")]
+    pub total: u64,
+    /// Place of this chunk in the state, in bytes.
+    #[prost(uint64, tag = "4")]
+    pub place: u64,
+    /// Bytes of this chunk.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub bytes: Bytes,
+    /// The sender has no state.
+    #[prost(bool, tag = "6")]
+    pub none: bool,
+}
--- /dev/null
+++ b/crates/peers/tests/state_transfer.rs
@@ -0,0 +1,92 @@
+//! Guards against a state that is taken in part or put together from two transfers.
+
+mod support;
+
+use {
+    bytes::Bytes,
+    goldcreststall_peers::{
+        mesh::PeerError,
+        wire::{STATE_CHUNK_BYTES, StateAssembler, StateChunks, StateImage, WireError},
+    },
+    std::time::Duration,
+    support::{LinkFault, Network, at, entry, start_hosts},
+    tokio::time::sleep,
+};
+
+fn image(next: u64, size: usize) -> StateImage {
+    let bytes: Vec<u8> = (0..size).map(|place| (place % 251) as u8).collect();
+    StateImage {
+        bytes: Bytes::from(bytes),
+        position: at(next),
+    }
+}
+
+/// A state larger than any frame must arrive whole.
+#[tokio::test(start_paused = true)]
+async fn large_state() {
+    let network = Network::new(1);
+    let hosts = start_hosts(&network, 2);
+    let image = image(9, 20_000_000);
+    hosts[1].handler.memory.lock().unwrap().image = Some(image.clone());
+    sleep(Duration::from_secs(1)).await;
+    let fetched = hosts[0].mesh.fetch_state(&entry("e2")).await.unwrap();
+    assert!(fetched == image, "the state differs");
+}
+
+/// A transfer that is cut must yield an error, not a part, and the next attempt must yield the whole.
+#[tokio::test(start_paused = true)]
+async fn cut_transfer() {
+    let network = Network::new(2);
+    network.set_fault("e2", LinkFault::CutAnswer(700_000));
+    let hosts = start_hosts(&network, 2);
+    let image = image(9, 2_000_000);
+    hosts[1].handler.memory.lock().unwrap().image = Some(image.clone());
+    sleep(Duration::from_secs(1)).await;
+    let cut = hosts[0].mesh.fetch_state(&entry("e2")).await;
+    assert!(
+        matches!(cut, Err(PeerError::Unreachable)),
+        "{:?}",
+        cut.err()
+    );
+    network.set_fault("e2", LinkFault::None);
+    sleep(Duration::from_secs(2)).await;
+    let fetched = hosts[0].mesh.fetch_state(&entry("e2")).await.unwrap();
+    assert!(fetched == image, "the state differs");
+}
+
+/// A peer without a state must say so instead of leaving the asker waiting.
+#[tokio::test(start_paused = true)]
+async fn no_state() {
+    let network = Network::new(3);
+    let hosts = start_hosts(&network, 2);
+    sleep(Duration::from_secs(1)).await;
+    let answer = hosts[0].mesh.fetch_state(&entry("e2")).await;
+    assert!(matches!(answer, Err(PeerError::NoState)), "{answer:?}");
+}
+
+/// Chunks of two states of the same size must not be mixed.
+#[test]
+fn mixed_chunks() {
+    let size = 2 * STATE_CHUNK_BYTES;
+    let first = StateChunks::new(image(9, size)).next().unwrap();
+    let second = StateChunks::new(image(10, size)).nth(1).unwrap();
+    let mut assembler = StateAssembler::default();
+    assert_eq!(assembler.add(first), Ok(None));
+    let mixed = assembler.add(second);
+    assert!(matches!(mixed, Err(WireError::Malformed(_))), "{mixed:?}");
+}
+
+/// A chunk that is missing or repeated must not shift the rest.
+#[test]
+fn missing_chunk() {
+    let chunks: Vec<_> = StateChunks::new(image(9, 3 * STATE_CHUNK_BYTES)).collect();
+    for wrong in [0, 2] {
+        let mut assembler = StateAssembler::default();
+        assert_eq!(assembler.add(chunks[0].clone()), Ok(None));
+        let result = assembler.add(chunks[wrong].clone());
+        assert!(
+            matches!(result, Err(WireError::OutOfRange { .. })),
+            "{result:?}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/peers/tests/support/mod.rs
@@ -0,0 +1,329 @@
+//! A mesh of entry hosts over in-memory streams, whose links can lose frames or be cut.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use {
+    async_trait::async_trait,
+    bytes::Bytes,
+    futures_util::{SinkExt, StreamExt},
+    goldcreststall_core::{
+        collections::SortedMap,
+        ids::{EntryId, EntryName, HostName, Incarnation, LocalTime, LogTime, ServiceName},
+        ledger::{LogIdentity, LogOffset},
+    },
+    goldcreststall_peers::{
+        decisions::{EntryRelay, LeavingMarks, PeerTable},
+        mesh::{MeshSettings, PeerAddress, PeerDialer, PeerHandler, PeerMesh, PeerStream},
+        wire::{
+            Digest, DigestContent, EntriesAnswer, FetchEntries, LeavingMark, LogPosition,
+            RelayEntry, ServiceDemand, StateImage, frame_codec,
+        },
+    },
+    proptest::{prelude::ProptestConfig, test_runner::RngSeed},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    slog::{Discard, Logger, o},
+    std::{
+        io,
+        sync::{Arc, Mutex},
+    },
+    tokio::{
+        io::{DuplexStream, duplex},
+        time::Instant,
+    },
+    tokio_util::{codec::Framed, sync::CancellationToken},
+};
+
+pub const LOG: LogIdentity = LogIdentity(7);
+
+pub fn config(cases: u32, seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..ProptestConfig::default()
+    }
+}
+
+pub fn entry(name: &str) -> EntryName {
+    EntryName::try_from(name).unwrap()
+}
+
+pub fn run_of(name: &str, incarnation: u64) -> EntryId {
+    EntryId {
+        incarnation: Incarnation(incarnation),
+        name: entry(name),
+    }
+}
+
+pub fn host(name: &str) -> HostName {
+    HostName::try_from(name).unwrap()
+}
+
+pub fn demand(service: &str, requests: u32) -> ServiceDemand {
+    ServiceDemand {
+        requests,
+        service: ServiceName::try_from(service).unwrap(),
+    }
+}
+
+pub fn mark(name: &str, incarnation: u64, basis: u64) -> LeavingMark {
+    LeavingMark {
+        basis: LogOffset(basis),
+        host: host(name),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+pub fn at(next: u64) -> LogPosition {
+    LogPosition {
+        log: LOG,
+        next: LogOffset(next),
+    }
+}
+
+pub fn log_entry(offset: u64, size: usize) -> RelayEntry {
+    RelayEntry {
+        bytes: Bytes::from(vec![offset as u8; size]),
+        offset: LogOffset(offset),
+        time: LogTime(offset),
+    }
+}
+
+pub fn quiet_logger() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+/// What an entry host knows, behind the handler of its mesh.
+pub struct HostMemory {
+    pub demand: Vec<ServiceDemand>,
+    pub draining: bool,
+    pub image: Option<StateImage>,
+    pub marks: LeavingMarks,
+    pub position: Option<LogPosition>,
+    pub received: Vec<Digest>,
+    pub relay: EntryRelay,
+    pub table: PeerTable,
+}
+
+pub struct TestHandler {
+    epoch: Instant,
+    pub memory: Mutex<HostMemory>,
+}
+
+impl TestHandler {
+    pub fn new() -> Arc<Self> {
+        let memory = HostMemory {
+            demand: Vec::new(),
+            draining: false,
+            image: None,
+            marks: LeavingMarks::default(),
+            position: Some(at(0)),
+            received: Vec::new(),
+            relay: EntryRelay::new(LOG, LogOffset(0)),
+            table: PeerTable::default(),
+        };
+        Arc::new(Self {
+            epoch: Instant::now(),
+            memory: Mutex::new(memory),
+        })
+    }
+
+    pub fn now(&self) -> LocalTime {
+        LocalTime(self.epoch.elapsed().as_millis() as u64)
+    }
+
+    pub fn hears(&self, name: &str) -> bool {
+        let memory = self.memory.lock().unwrap();
+        memory.table.is_live(self.now(), &entry(name))
+    }
+}
+
+#[async_trait]
+impl PeerHandler for TestHandler {
+    fn receive(&self, digest: Digest) {
+        let now = self.now();
+        let mut memory = self.memory.lock().unwrap();
+        for mark in digest.content.leaving() {
+            memory.marks.mark(mark.clone());
+        }
+        memory.table.receive(now, digest.clone());
+        memory.received.push(digest);
+    }
+
+    fn digest(&self, _peer: &EntryName) -> Arc<DigestContent> {
+        let memory = self.memory.lock().unwrap();
+        let marks = memory.marks.marks();
+        let demand = memory.demand.clone();
+        let content = DigestContent::new(memory.position, demand, marks, memory.draining);
+        Arc::new(content)
+    }
+
+    async fn serve_entries(&self, fetch: FetchEntries) -> EntriesAnswer {
+        self.memory.lock().unwrap().relay.answer(fetch)
+    }
+
+    async fn serve_state(&self) -> Option<StateImage> {
+        self.memory.lock().unwrap().image.clone()
+    }
+}
+
+/// How a link treats what is sent over it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkFault {
+    /// Passes everything on.
+    None,
+    /// Drops each frame from the dialling side with this chance in 100.
+    LoseFrames(u32),
+    /// Ends the connection after this many bytes from the accepting side.
+    CutAnswer(usize),
+    /// Takes everything and answers nothing.
+    Freeze,
+    /// Refuses to connect.
+    Refuse,
+}
+
+/// Dials the meshes of a test by name.
+pub struct Network {
+    faults: Mutex<SortedMap<EntryName, LinkFault>>,
+    frozen: Mutex<Vec<DuplexStream>>,
+    meshes: Mutex<SortedMap<EntryName, Arc<PeerMesh>>>,
+    random: Mutex<StdRng>,
+}
+
+impl Network {
+    pub fn new(seed: u64) -> Arc<Self> {
+        Arc::new(Self {
+            faults: Mutex::default(),
+            frozen: Mutex::default(),
+            meshes: Mutex::default(),
+            random: Mutex::new(StdRng::seed_from_u64(seed)),
+        })
+    }
+
+    /// Sets the fault of later connections to `name`.
+    pub fn set_fault(&self, name: &str, fault: LinkFault) {
+        self.faults.lock().unwrap().insert(entry(name), fault);
+    }
+
+    pub fn add(&self, name: &str, mesh: Arc<PeerMesh>) {
+        self.meshes.lock().unwrap().insert(entry(name), mesh);
+    }
+
+    pub fn mesh(&self, name: &str) -> Arc<PeerMesh> {
+        self.meshes
+            .lock()
+            .unwrap()
+            .get(&entry(name))
+            .unwrap()
+            .clone()
+    }
+
+    fn seed(&self) -> u64 {
+        self.random.lock().unwrap().random()
+    }
+}
+
+#[async_trait]
+impl PeerDialer for Network {
+    async fn dial(&self, peer: &PeerAddress) -> io::Result<Box<dyn PeerStream>> {
+        let fault = self.faults.lock().unwrap().get(&peer.name).copied();
+        let fault = fault.unwrap_or(LinkFault::None);
+        let mesh = self.meshes.lock().unwrap().get(&peer.name).cloned();
+        let Some(mesh) = mesh.filter(|_| fault != LinkFault::Refuse) else {
+            return Err(io::ErrorKind::ConnectionRefused.into());
+        };
+        let (near, far) = duplex(1024 * 1024);
+        match fault {
+            LinkFault::LoseFrames(chance) => {
+                let (inner, accepted) = duplex(1024 * 1024);
+                mesh.accept(accepted);
+                tokio::spawn(lose_frames(far, inner, chance, self.seed()));
+            }
+            LinkFault::CutAnswer(limit) => {
+                let (inner, accepted) = duplex(1024 * 1024);
+                mesh.accept(accepted);
+                tokio::spawn(cut_answer(far, inner, limit));
+            }
+            LinkFault::Freeze => self.frozen.lock().unwrap().push(far),
+            LinkFault::None | LinkFault::Refuse => mesh.accept(far),
+        }
+        Ok(Box::new(near))
+    }
+}
+
+async fn lose_frames(dialler: DuplexStream, accepter: DuplexStream, chance: u32, seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut dialler = Framed::new(dialler, frame_codec());
+    let mut accepter = Framed::new(accepter, frame_codec());
+    loop {
+        tokio::select! {
+            Some(Ok(frame)) = dialler.next() => {
+                let is_lost = random.random_range(0..100) < chance;
+                if !is_lost && accepter.send(frame.freeze()).await.is_err() {
+                    return;
+                }
+            }
+            Some(Ok(frame)) = accepter.next() => {
+                let _ = dialler.send(frame.freeze()).await;
+            }
+            else => return,
+        }
+    }
+}
+
+async fn cut_answer(dialler: DuplexStream, accepter: DuplexStream, limit: usize) {
+    use tokio::io::{AsyncReadExt, copy, split};
+    let (mut dialler_read, mut dialler_write) = split(dialler);
+    let (accepter_read, mut accepter_write) = split(accepter);
+    let mut answer = accepter_read.take(limit as u64);
+    tokio::select! {
+        _ = copy(&mut dialler_read, &mut accepter_write) => {}
+        _ = copy(&mut answer, &mut dialler_write) => {}
+    }
+}
+
+/// An entry host of a test.
+pub struct TestHost {
+    pub handler: Arc<TestHandler>,
+    pub mesh: Arc<PeerMesh>,
+    pub stop: CancellationToken,
+}
+
+/// Starts an entry host whose peers are `names`.
+pub fn start_host(network: &Arc<Network>, id: EntryId, names: &[String]) -> TestHost {
+    let peers = names.iter().map(|name| PeerAddress {
+        address: "127.0.0.1:1".parse().unwrap(),
+        name: entry(name),
+    });
+    let settings = MeshSettings::new(id.clone(), peers.collect()).unwrap();
+    let handler = TestHandler::new();
+    let stop = CancellationToken::new();
+    let mesh = Arc::new(PeerMesh::start(
+        settings,
+        Arc::clone(network) as Arc<dyn PeerDialer>,
+        Arc::clone(&handler) as Arc<dyn PeerHandler>,
+        Arc::new({
+            let network = Arc::clone(network);
+            move || network.seed()
+        }),
+        quiet_logger(),
+        stop.clone(),
+    ));
+    network.add(id.name.as_str(), Arc::clone(&mesh));
+    TestHost {
+        handler,
+        mesh,
+        stop,
+    }
+}
+
+pub fn host_names(count: usize) -> Vec<String> {
+    (1..=count).map(|number| format!("e{number}")).collect()
+}
+
+/// Starts `count` entry hosts that know each other.
+pub fn start_hosts(network: &Arc<Network>, count: usize) -> Vec<TestHost> {
+    let names = host_names(count);
+    let start = |name: &String| start_host(network, run_of(name, 1), &names);
+    names.iter().map(start).collect()
+}
