--- a/crates/core/src/ledger/wire_format.rs
+++ b/crates/core/src/ledger/wire_format.rs
@@ -40,12 +40,12 @@
     decode(bytes)
 }
 
-fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
+pub(super) fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
     // Encoding to memory fails only for types without a known length, which none of ours is.
     postcard::to_extend(value, vec![FORMAT_VERSION]).expect("types have a known length")
 }
 
-fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, FormatError> {
+pub(super) fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, FormatError> {
     match bytes.split_first() {
         Some((&FORMAT_VERSION, body)) => {
             postcard::from_bytes(body).map_err(|error| FormatError::Corrupt(error.to_string()))
