Fold hosts, moves, drains, planned stops and waves

Cause: the fold knew only that a host was added; budgets, waves and moves had no records. Ruled out: a version per host name, because a host that is removed and added again would repeat it; waves that compare maintenance times, because two records can have the same log time. A publication that removes a pool in use is rejected instead of moving its hosts, which would bypass the budget. Change: sixteen membership records with the versions their authors saw, PoolBudget with the survive rule, the age check of the host list, wave status and the hosts each wave has maintained. Conclusion: the order of the log decides races; planned changes never break a budget.

--- a/crates/core/src/config/config_ledger.rs
+++ b/crates/core/src/config/config_ledger.rs
@@ -1,6 +1,6 @@
 use {
     super::FleetConfig,
-    crate::ledger::Rejection,
+    crate::{ledger::Rejection, membership::MembershipLedger},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
@@ -47,15 +47,28 @@
 
     /// Applies a change.
     ///
+    /// A host belongs to exactly one configured pool, so a pool in use cannot be removed.
+    ///
     /// # Errors
-    /// `StaleVersion` when another publication came first, `InvalidConfig` when the document is not valid.
-    pub fn apply(&mut self, record: &ConfigRecord) -> Result<(), Rejection> {
+    /// `StaleVersion` when another publication came first, `InvalidConfig` when the document is not valid,
+    /// `PoolInUse` when it lacks a pool that `membership` refers to.
+    pub fn apply(
+        &mut self,
+        membership: &MembershipLedger,
+        record: &ConfigRecord,
+    ) -> Result<(), Rejection> {
         let ConfigRecord::Publish { base, document } = record;
         if *base != self.version {
             return Err(Rejection::StaleVersion);
         }
         let fleet =
             FleetConfig::try_from(document.as_str()).map_err(|_| Rejection::InvalidConfig)?;
+        if membership
+            .pools_in_use()
+            .any(|pool| fleet.pool(pool).is_none())
+        {
+            return Err(Rejection::PoolInUse);
+        }
         self.document = document.clone();
         self.fleet = Arc::new(fleet);
         self.version = ConfigVersion(self.version.0 + 1);
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -10,6 +10,7 @@
     entry_id::{EntryId, Incarnation},
     names::{
         DataCentre, EntryName, HostName, NameError, PoolName, RackName, ServiceName, TenantName,
+        WaveName,
     },
     record_id::RecordId,
     request_key::{KeyError, RequestKey},
--- a/crates/core/src/ids/names.rs
+++ b/crates/core/src/ids/names.rs
@@ -115,3 +115,8 @@
     TenantName,
     "tenant"
 );
+checked_name!(
+    /// Name of a maintenance wave.
+    WaveName,
+    "wave"
+);
--- a/crates/core/src/ledger/fleet_state.rs
+++ b/crates/core/src/ledger/fleet_state.rs
@@ -102,8 +102,11 @@
     fn apply_body(&mut self, body: &RecordBody) -> Result<(), Rejection> {
         match body {
             RecordBody::Claim(record) => self.claims.apply(self.time, record),
-            RecordBody::Config(record) => self.config.apply(record),
-            RecordBody::Membership(record) => self.membership.apply(self.config.fleet(), record),
+            RecordBody::Config(record) => self.config.apply(&self.membership, record),
+            RecordBody::Membership(record) => {
+                self.membership
+                    .apply(self.time, self.config.fleet(), record)
+            }
         }
     }
 }
--- a/crates/core/src/ledger/rejection.rs
+++ b/crates/core/src/ledger/rejection.rs
@@ -38,4 +38,34 @@
     /// The record names a pool that is not configured.
     #[error("the pool is not known")]
     UnknownPool,
+    /// The pool would have fewer available hosts than its budget asks for.
+    #[error("the availability budget of the pool is spent")]
+    BudgetSpent,
+    /// The host is available; only a host that takes no work can be removed.
+    #[error("the host is available and has to be drained first")]
+    HostAvailable,
+    /// A host of this name is in the fleet.
+    #[error("a host of this name exists")]
+    HostExists,
+    /// The configuration lacks a pool that has hosts, moves, lent hosts or open waves.
+    #[error("a pool that is in use cannot be removed")]
+    PoolInUse,
+    /// The host is in the pool that it should move to.
+    #[error("the host is in this pool already")]
+    SamePool,
+    /// The host list behind the decision is too old.
+    #[error("the host list behind the decision is too old")]
+    StaleView,
+    /// The record names a wave that is not remembered.
+    #[error("the wave is not known")]
+    UnknownWave,
+    /// A wave of this name is remembered.
+    #[error("a wave of this name exists")]
+    WaveExists,
+    /// Hosts of the wave are not maintained yet.
+    #[error("the wave has hosts that are not maintained yet")]
+    WaveUnfinished,
+    /// The host or wave is not in a state in which the change is possible.
+    #[error("the host or wave is not in a state that allows the change")]
+    WrongState,
 }
--- /dev/null
+++ b/crates/core/src/membership/membership_record.rs
@@ -0,0 +1,152 @@
+use {
+    super::{HostVersion, WaveSeen, WaveVersion},
+    crate::ids::{
+        DataCentre, HostName, Incarnation, LogTime, Millis, PoolName, RackName, WaveName,
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// Reboot limit of a planned stop that belongs to no wave.
+pub const DEFAULT_REBOOT_LIMIT: Millis = Millis(15 * 60 * 1000);
+
+/// A change of hosts, moves, drains, stops or waves.
+///
+/// The encoding numbers the variants and fields, so new ones are added at the end only. `seen` is the
+/// version that the author saw. `list_time` is the log time of the host list behind the decision.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum MembershipRecord {
+    /// Adds a host to a pool.
+    HostAdd {
+        /// Data centre of the host.
+        data_centre: DataCentre,
+        /// Name of the host.
+        host: HostName,
+        /// The run of the host.
+        incarnation: Incarnation,
+        /// The pool that the host joins.
+        pool: PoolName,
+        /// Rack of the host within its data centre.
+        rack: RackName,
+    },
+    /// Removes a host that takes no work.
+    HostRemove {
+        /// Name of the host.
+        host: HostName,
+        /// Version of the host.
+        seen: HostVersion,
+    },
+    /// Reports an unplanned failure, or a host that did not come back in time.
+    HostDown {
+        /// Name of the host.
+        host: HostName,
+        /// Version of the host.
+        seen: HostVersion,
+    },
+    /// Reports a host that came back, or that was replaced. A newer run ends a planned stop.
+    HostUp {
+        /// Name of the host.
+        host: HostName,
+        /// The run that is up.
+        incarnation: Incarnation,
+        /// Version of the host.
+        seen: HostVersion,
+    },
+    /// Begins to drain a host that is to change its pool.
+    MoveStart {
+        /// Name of the host.
+        host: HostName,
+        /// Whether the host is lent and has to be given back.
+        lend: bool,
+        /// Log time of the host list.
+        list_time: LogTime,
+        /// Version of the host.
+        seen: HostVersion,
+        /// The new pool.
+        to: PoolName,
+    },
+    /// Changes the pool of a host that has drained.
+    MoveFinish {
+        /// Name of the host.
+        host: HostName,
+        /// Version of the host.
+        seen: HostVersion,
+    },
+    /// Leaves a moving host in its old pool.
+    MoveCancel {
+        /// Name of the host.
+        host: HostName,
+        /// Version of the host.
+        seen: HostVersion,
+    },
+    /// Takes a host out of service for an operator.
+    DrainStart {
+        /// Name of the host.
+        host: HostName,
+        /// Log time of the host list.
+        list_time: LogTime,
+        /// Version of the host.
+        seen: HostVersion,
+    },
+    /// Puts a host back into service.
+    DrainEnd {
+        /// Name of the host.
+        host: HostName,
+        /// Version of the host.
+        seen: HostVersion,
+    },
+    /// Begins to drain a host that is to be rebooted.
+    StopStart {
+        /// Name of the host.
+        host: HostName,
+        /// Log time of the host list.
+        list_time: LogTime,
+        /// Version of the host.
+        seen: HostVersion,
+        /// The wave that stops the host, if any.
+        wave: Option<WaveSeen>,
+    },
+    /// Reports that a host has no more work, so that it may be rebooted.
+    StopDrained {
+        /// Name of the host.
+        host: HostName,
+        /// Version of the host.
+        seen: HostVersion,
+    },
+    /// Starts a wave over a pool.
+    WaveStart {
+        /// The pool whose hosts are maintained.
+        pool: PoolName,
+        /// Longest time from drained to up.
+        reboot_limit: Millis,
+        /// Name of the wave.
+        wave: WaveName,
+    },
+    /// Pauses a wave; stops in progress go on.
+    WavePause {
+        /// Version of the wave.
+        seen: WaveVersion,
+        /// Name of the wave.
+        wave: WaveName,
+    },
+    /// Resumes a paused wave.
+    WaveResume {
+        /// Version of the wave.
+        seen: WaveVersion,
+        /// Name of the wave.
+        wave: WaveName,
+    },
+    /// Gives a wave up. Hosts that still drain serve again; drained hosts are rebooted.
+    WaveCancel {
+        /// Version of the wave.
+        seen: WaveVersion,
+        /// Name of the wave.
+        wave: WaveName,
+    },
+    /// Ends a wave whose hosts are all maintained.
+    WaveFinish {
+        /// Version of the wave.
+        seen: WaveVersion,
+        /// Name of the wave.
+        wave: WaveName,
+    },
+}
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -1,5 +1,15 @@
-//! Hosts, the pools they belong to, and the changes of both.
+//! Hosts, the pools they belong to, moves, planned stops, waves, and the availability budget of a pool.
 
+mod host_state;
 mod membership_ledger;
+mod membership_record;
+mod pool_budget;
+mod wave_state;
 
-pub use membership_ledger::{HostState, MembershipLedger, MembershipRecord};
+pub use {
+    host_state::{HostActivity, HostState, HostVersion, PlannedStop},
+    membership_ledger::{CLOSED_WAVES_KEPT, MOVE_RATE_WINDOW, MembershipLedger},
+    membership_record::{DEFAULT_REBOOT_LIMIT, MembershipRecord},
+    pool_budget::{LIST_MAX_AGE, LIST_MAX_LEAD, PoolBudget},
+    wave_state::{WaveSeen, WaveState, WaveStatus, WaveVersion},
+};
--- /dev/null
+++ b/crates/core/tests/fleet_model/fleet_walk.rs
@@ -0,0 +1,357 @@
+use {
+    super::{Observed, START, host, pool},
+    goldcreststall_core::{
+        config::ConfigRecord,
+        ids::{
+            DataCentre, HostName, Incarnation, LogTime, Millis, PoolName, RackName, RecordId,
+            WaveName,
+        },
+        ledger::{
+            Author, FleetState, LedgerRecord, LogEntry, LogIdentity, LogOffset, RecordBody,
+            Rejection, decode_state, encode_state,
+        },
+        membership::{HostState, MembershipRecord as Record, WaveSeen, WaveState},
+    },
+};
+
+/// Hosts of the fleet at the start of a walk.
+const HOSTS: usize = 18;
+/// Authors with a view of their own.
+const AUTHORS: usize = 3;
+const POOLS: [&str; 4] = ["plates", "proofs", "spare", "absent"];
+/// Records that may be sent again.
+const REPEATABLE: usize = 64;
+
+/// One random choice of a walk. The meaning of the numbers depends on `kind`.
+#[derive(Clone, Copy, Debug)]
+pub struct Step {
+    /// Selects the kind of the step.
+    pub kind: u8,
+    /// The author whose view the step is decided on.
+    pub author: u8,
+    /// Selects a host, wave, rack or record.
+    pub pick: u8,
+    /// Selects the details.
+    pub extra: u16,
+}
+
+/// Returns the configuration number `number` of the walk; some lack a pool and some are not valid.
+pub fn document(number: u16) -> String {
+    let survive = ["none", "rack", "data_centre"];
+    let pool = |name: &str, least: u16, rule: u16| {
+        let rule = survive[usize::from(rule % 3)];
+        format!("[[pools]]\nname = \"{name}\"\nmin_available = {least}\nsurvive = \"{rule}\"\n")
+    };
+    let plates = pool("plates", 2 + number % 4, number / 4);
+    let proofs = pool("proofs", 1 + number % 3, number / 3);
+    let spare = pool("spare", 0, 0);
+    match number % 7 {
+        5 => format!("{plates}{spare}"),
+        6 => format!("{plates}{plates}"),
+        _ => format!("{plates}{proofs}{spare}"),
+    }
+}
+
+/// The log, the state that is folded from it, and the authors.
+pub struct FleetWalk {
+    /// Entries that were applied.
+    pub log: Vec<LogEntry>,
+    /// The state after all entries.
+    pub state: FleetState,
+    /// The number of accepted records.
+    pub accepted: u64,
+    /// The number of ignored records.
+    pub ignored: u64,
+    now: LogTime,
+    sent: Vec<LedgerRecord>,
+    serial: u128,
+    views: Vec<FleetState>,
+}
+
+impl FleetWalk {
+    /// Creates the fleet: 18 hosts over 3 data centres with 2 racks each, most of them in `plates`.
+    pub fn new() -> Self {
+        let state = FleetState::new(LogIdentity(7));
+        let mut walk = Self {
+            log: Vec::new(),
+            views: vec![state.clone(); AUTHORS],
+            state,
+            accepted: 0,
+            ignored: 0,
+            now: START,
+            sent: Vec::new(),
+            serial: 0,
+        };
+        walk.set_up().unwrap();
+        walk
+    }
+
+    fn set_up(&mut self) -> Result<(), String> {
+        let publish = ConfigRecord::Publish {
+            base: self.state.config.version(),
+            document: document(0),
+        };
+        self.append(vec![RecordBody::Config(publish)], None)?;
+        for index in 0..HOSTS {
+            let pool = POOLS[[0, 0, 0, 1, 1, 2][index % 6]];
+            let add = add_host(&host_name(index), index, 1, &super::pool(pool));
+            self.append(vec![RecordBody::Membership(add)], None)?;
+        }
+        let state = self.state.clone();
+        self.views.fill(state);
+        Ok(())
+    }
+
+    /// Takes a step.
+    ///
+    /// # Errors
+    /// The property that does not hold.
+    pub fn step(&mut self, step: Step) -> Result<(), String> {
+        let author = usize::from(step.author) % AUTHORS;
+        match step.kind % 32 {
+            0..=4 => self.views[author] = self.state.clone(),
+            5 => self.now = self.now + Millis(u64::from(step.extra) % 25_000),
+            6 => self.now = self.now - Millis(u64::from(step.extra) % 3_000),
+            7 => return self.repeat(step),
+            8 => return self.restore(),
+            9 => return self.lose_domain(step),
+            _ => {}
+        }
+        let view = self.views[author].clone();
+        let record = match step.kind % 32 {
+            0..=9 => return Ok(()),
+            10 => Some(publish(&view, step)),
+            11..=15 => wave_record(&view, step).map(RecordBody::Membership),
+            _ => host_record(&view, step).map(RecordBody::Membership),
+        };
+        match record {
+            Some(record) => self.append(vec![record], Some(view)).map(|_| ()),
+            None => Ok(()),
+        }
+    }
+
+    /// Checks that a fold of the whole log from the start reaches the same state.
+    ///
+    /// # Errors
+    /// The offset at the end of the log.
+    pub fn check_replay(&self) -> Result<(), String> {
+        let mut state = FleetState::new(self.state.log());
+        for entry in &self.log {
+            state.apply(entry);
+        }
+        if state != self.state {
+            return Err(format!(
+                "the fold from the start differs at {:?}",
+                self.state.next()
+            ));
+        }
+        Ok(())
+    }
+
+    /// Appends records in one entry and checks the properties.
+    ///
+    /// # Errors
+    /// The property that does not hold.
+    pub fn append(
+        &mut self,
+        bodies: Vec<RecordBody>,
+        view: Option<FleetState>,
+    ) -> Result<Vec<Result<(), Rejection>>, String> {
+        let records: Vec<LedgerRecord> = bodies.into_iter().map(|body| self.record(body)).collect();
+        self.sent.extend(records.iter().cloned());
+        let surplus = self.sent.len().saturating_sub(REPEATABLE);
+        self.sent.drain(..surplus);
+        self.apply(records, view, false)
+    }
+
+    fn record(&mut self, body: RecordBody) -> LedgerRecord {
+        self.serial += 1;
+        LedgerRecord {
+            author: Author("walk".to_owned()),
+            body,
+            id: RecordId::at(self.now, self.serial),
+        }
+    }
+
+    fn apply(
+        &mut self,
+        records: Vec<LedgerRecord>,
+        view: Option<FleetState>,
+        repeated: bool,
+    ) -> Result<Vec<Result<(), Rejection>>, String> {
+        let before = Observed::before(&self.state);
+        let entry = LogEntry {
+            offset: LogOffset(self.log.len() as u64),
+            records,
+            time: self.now,
+        };
+        let results = self.state.apply(&entry);
+        let accepted = results.iter().filter(|result| result.is_ok()).count() as u64;
+        self.accepted += accepted;
+        self.ignored += results.len() as u64 - accepted;
+        before.check(
+            &self.state,
+            &entry.records,
+            &results,
+            view.as_ref(),
+            repeated,
+        )?;
+        self.log.push(entry);
+        Ok(results)
+    }
+
+    /// Sends a record again whose response was lost.
+    fn repeat(&mut self, step: Step) -> Result<(), String> {
+        let record = pick(&self.sent, step.pick).cloned();
+        match record {
+            Some(record) => self.apply(vec![record], None, true).map(|_| ()),
+            None => Ok(()),
+        }
+    }
+
+    /// Goes on with the state as read from a snapshot.
+    fn restore(&mut self) -> Result<(), String> {
+        let restored =
+            decode_state(&encode_state(&self.state)).map_err(|error| error.to_string())?;
+        if restored != self.state {
+            return Err("a snapshot does not restore its state".to_owned());
+        }
+        self.state = restored;
+        Ok(())
+    }
+
+    /// Reports all hosts of a rack or data centre as down.
+    fn lose_domain(&mut self, step: Step) -> Result<(), String> {
+        let hosts: Vec<(&HostName, &HostState)> = self.state.membership.hosts().iter().collect();
+        let Some((_, first)) = pick(&hosts, step.pick) else {
+            return Ok(());
+        };
+        let whole = step.extra.is_multiple_of(4);
+        let lost = hosts.iter().filter(|(_, host)| {
+            let rack = whole || host.rack == first.rack;
+            host.data_centre == first.data_centre && rack && host.down.is_none()
+        });
+        let records = lost.map(|(name, host)| {
+            RecordBody::Membership(Record::HostDown {
+                host: (*name).clone(),
+                seen: host.version,
+            })
+        });
+        let records = records.collect();
+        self.append(records, None).map(|_| ())
+    }
+}
+
+fn pick<T>(list: &[T], number: u8) -> Option<&T> {
+    list.get(usize::from(number) % list.len().max(1))
+}
+
+fn host_name(index: usize) -> HostName {
+    host(&format!("h{index:02}"))
+}
+
+fn wave_name(number: u16) -> WaveName {
+    WaveName::try_from(format!("w{}", number % 4).as_str()).unwrap()
+}
+
+fn add_host(name: &HostName, index: usize, incarnation: u64, pool: &PoolName) -> Record {
+    let data_centre = format!("dc{}", index % 3);
+    let rack = format!("r{}", index / 3 % 2);
+    Record::HostAdd {
+        data_centre: DataCentre::try_from(data_centre.as_str()).unwrap(),
+        host: name.clone(),
+        incarnation: Incarnation(incarnation),
+        pool: pool.clone(),
+        rack: RackName::try_from(rack.as_str()).unwrap(),
+    }
+}
+
+fn publish(view: &FleetState, step: Step) -> RecordBody {
+    RecordBody::Config(ConfigRecord::Publish {
+        base: view.config.version(),
+        document: document(step.extra),
+    })
+}
+
+fn wave_record(view: &FleetState, step: Step) -> Option<Record> {
+    let waves: Vec<(&WaveName, &WaveState)> = view.membership.waves().iter().collect();
+    let chosen = pick(&waves, step.pick).map(|(name, wave)| ((*name).clone(), wave.version));
+    let kind = step.kind % 32;
+    match (kind, chosen) {
+        (12, Some((wave, seen))) => Some(match step.extra % 4 {
+            0 => Record::WavePause { seen, wave },
+            1 | 2 => Record::WaveResume { seen, wave },
+            _ => Record::WaveCancel { seen, wave },
+        }),
+        (13, Some((wave, seen))) => Some(Record::WaveFinish { seen, wave }),
+        (14 | 15, _) => None,
+        _ => Some(Record::WaveStart {
+            pool: pool(POOLS[usize::from(step.extra) % POOLS.len()]),
+            reboot_limit: Millis(60_000),
+            wave: wave_name(step.extra),
+        }),
+    }
+}
+
+fn host_record(view: &FleetState, step: Step) -> Option<Record> {
+    let hosts: Vec<(&HostName, &HostState)> = view.membership.hosts().iter().collect();
+    let (name, state) = *pick(&hosts, step.pick)?;
+    let (host, seen) = (name.clone(), state.version);
+    let list_time = match step.extra % 8 {
+        0 => view.time() - Millis(9_000),
+        1 => view.time() + Millis(u64::from(step.extra) % 2_000),
+        _ => view.time(),
+    };
+    let to = pool(POOLS[usize::from(step.extra / 8) % POOLS.len()]);
+    Some(match step.kind % 32 {
+        16 => Record::HostDown { host, seen },
+        17..=19 => {
+            let incarnation = seen.incarnation.0 + u64::from(step.extra % 4) / 2;
+            let incarnation = Incarnation(incarnation);
+            Record::HostUp {
+                host,
+                incarnation,
+                seen,
+            }
+        }
+        20 | 21 => {
+            let lend = step.extra.is_multiple_of(2);
+            Record::MoveStart {
+                host,
+                lend,
+                list_time,
+                seen,
+                to,
+            }
+        }
+        22 | 23 => Record::MoveFinish { host, seen },
+        24 => Record::MoveCancel { host, seen },
+        25 => Record::DrainStart {
+            host,
+            list_time,
+            seen,
+        },
+        26 => Record::DrainEnd { host, seen },
+        27 | 28 => {
+            let waves: Vec<(&WaveName, &WaveState)> = view.membership.waves().iter().collect();
+            let wave =
+                pick(&waves, (step.extra / 16) as u8).filter(|_| !step.extra.is_multiple_of(5));
+            let wave = wave.map(|(name, wave)| WaveSeen {
+                seen: wave.version,
+                wave: (*name).clone(),
+            });
+            Record::StopStart {
+                host,
+                list_time,
+                seen,
+                wave,
+            }
+        }
+        29 | 30 => Record::StopDrained { host, seen },
+        _ if step.extra.is_multiple_of(2) => Record::HostRemove { host, seen },
+        _ => {
+            let index = usize::from(step.pick) % HOSTS;
+            add_host(&host_name(index), index, u64::from(step.extra) % 3, &to)
+        }
+    })
+}
