Add durable jobs, placement and duty choice

Cause: jobs are acknowledged and placed by the log, and no module keeps them yet. Ruled out: ending leases as time passes in the fold. After an outage of the log every lease would end at once, although the workers still run the tasks; a Lapse record lets the holder hear the workers first. Change: jobs (fold and planner), duties (rendezvous choice), RecordBody::Job, serde for Urgency. Conclusion: the interfaces stand for the daemon; behaviour is not shown yet.

--- /dev/null
+++ b/crates/core/src/jobs/mod.rs
@@ -0,0 +1,42 @@
+//! Durable jobs: submission, leases, results, quarantine, the health of workers, and placement.
+
+mod fair_queue;
+mod job_ids;
+mod job_ledger;
+mod job_record;
+mod job_size;
+mod job_spec;
+mod job_state;
+mod placement_plan;
+mod placement_planner;
+mod pool_members;
+mod size_estimates;
+mod task_review;
+mod tenant_quota;
+mod urgent_relief;
+mod worker_health;
+mod worker_shelf;
+mod worker_view;
+
+pub use {
+    job_ids::{GrantNumber, JobId, JobVersion, WorkerId},
+    job_ledger::{
+        JOB_ID_MAX_AGE, JOB_ID_MAX_LEAD, JobContext, JobCounts, JobLedger, LEASE_TIME,
+        MAX_ATTENTION_AGE, MAX_DONE_AGE, MAX_FAILURES, MAX_JOBS, MAX_LAPSES,
+    },
+    job_record::{
+        FailItem, FinishItem, GrantItem, JobRecord, LeaseRef, MAX_BATCH, MarkItem, ReleaseItem,
+    },
+    job_size::JobSize,
+    job_spec::{JobSpec, MAX_PAYLOAD_BYTES},
+    job_state::{Job, JobState, Lease, QuarantineReason},
+    placement_plan::{
+        PlacementDecision, PlacementPlan, PlacementReason, TaskAction, TaskCommand, WaitingCounts,
+    },
+    placement_planner::{PlacementInput, plan_placement},
+    pool_members::PoolMembers,
+    size_estimates::{SizeEstimate, SizeEstimates, TaskUsage},
+    tenant_quota::MAX_UNFINISHED,
+    worker_health::{Exclusion, FAILURES_TO_EXCLUDE, WorkerHealth, WorkerHealths},
+    worker_view::{REPORT_MAX_AGE, TaskState, TaskView, WorkerReport, WorkerView},
+};
--- /dev/null
+++ b/crates/core/src/jobs/size_estimates.rs
@@ -0,0 +1,143 @@
+use {
+    super::{JobSize, JobSpec},
+    crate::{
+        collections::SortedMap,
+        ids::{LogTime, Millis, ServiceName, TenantName},
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// Most pairs of service and tenant that are remembered.
+const MAX_ESTIMATES: usize = 4096;
+/// Tasks that must have ended before their usage replaces the declared size.
+const MIN_SAMPLES: u32 = 3;
+/// Weight of the newest sample is 1 / `DECAY`.
+const DECAY: u64 = 8;
+/// Margin above the estimate, in percent.
+const MARGIN_PERCENT: u64 = 25;
+
+/// What a task used.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TaskUsage {
+    /// Mean processor time in thousandths of a core, and peak memory in MiB.
+    pub size: JobSize,
+    /// How long the task ran.
+    pub run_time: Millis,
+}
+
+/// What the tasks of one service and tenant use.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SizeEstimate {
+    /// Decaying mean of processor time in thousandths of a core.
+    pub cores_milli: u32,
+    /// Decaying maximum of memory in MiB. A maximum, because too little memory ends a task.
+    pub memory_mib: u32,
+    /// Decaying mean of the run time.
+    pub run_time: Millis,
+    /// Number of tasks seen.
+    pub samples: u32,
+    /// Log time of the newest sample.
+    pub updated: LogTime,
+}
+
+/// Estimates by service and tenant, which correct declared sizes.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SizeEstimates {
+    rows: SortedMap<(ServiceName, TenantName), SizeEstimate>,
+}
+
+impl SizeEstimates {
+    /// Returns the estimate that applies to a job.
+    pub fn get(&self, spec: &JobSpec) -> Option<&SizeEstimate> {
+        // Keys are owned names, so a search needs clones; the planner asks once per job.
+        self.rows.get(&(spec.service.clone(), spec.tenant.clone()))
+    }
+
+    /// Returns the size to reserve for a job.
+    pub fn size(&self, spec: &JobSpec) -> JobSize {
+        self.get(spec)
+            .map_or(spec.size, |estimate| estimate.correct(&spec.size))
+    }
+
+    /// Returns the run time to expect of a job.
+    pub fn run_time(&self, spec: &JobSpec) -> Millis {
+        match self.get(spec) {
+            Some(estimate) if estimate.samples >= MIN_SAMPLES => estimate.run_time,
+            _ => spec.run_time,
+        }
+    }
+
+    /// Takes the usage of a task that ended into account.
+    pub(super) fn observe(&mut self, now: LogTime, spec: &JobSpec, usage: &TaskUsage) {
+        // A worker that reports usage late may end a task without any.
+        if usage.size.cores_milli == 0 || usage.size.memory_mib == 0 {
+            return;
+        }
+        let key = (spec.service.clone(), spec.tenant.clone());
+        if let Some(estimate) = self.rows.get_mut(&key) {
+            estimate.observe(now, usage);
+            return;
+        }
+        if self.rows.len() >= MAX_ESTIMATES {
+            self.drop_oldest();
+        }
+        let mut estimate = SizeEstimate::default();
+        estimate.observe(now, usage);
+        self.rows.insert(key, estimate);
+    }
+
+    /// Raises the memory estimate to what a failed task used. The other figures of a failed task say
+    /// little: a worker that fails everything at once reports next to no usage.
+    pub(super) fn raise_memory(&mut self, key: (ServiceName, TenantName), usage: &TaskUsage) {
+        if let Some(estimate) = self.rows.get_mut(&key) {
+            estimate.memory_mib = estimate.memory_mib.max(usage.size.memory_mib);
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let oldest = self.rows.iter().min_by_key(|(_, row)| row.updated);
+        if let Some(key) = oldest.map(|(key, _)| key.clone()) {
+            self.rows.remove(&key);
+        }
+    }
+}
+
+impl SizeEstimate {
+    /// Returns the size to reserve for a job that declares `declared`.
+    pub fn correct(&self, declared: &JobSize) -> JobSize {
+        if self.samples < MIN_SAMPLES {
+            return *declared;
+        }
+        JobSize {
+            // Accelerators are handed out whole and cannot be overused.
+            accelerators: declared.accelerators,
+            cores_milli: with_margin(self.cores_milli),
+            memory_mib: with_margin(self.memory_mib),
+        }
+    }
+
+    fn observe(&mut self, now: LogTime, usage: &TaskUsage) {
+        let first = self.samples == 0;
+        let mean = |old: u64, new: u64| {
+            if first {
+                return new;
+            }
+            (old * (DECAY - 1) + new) / DECAY
+        };
+        let cores = mean(self.cores_milli.into(), usage.size.cores_milli.into());
+        let memory = mean(self.memory_mib.into(), usage.size.memory_mib.into());
+        self.cores_milli = saturate(cores);
+        self.memory_mib = saturate(memory).max(usage.size.memory_mib);
+        self.run_time = Millis(mean(self.run_time.0, usage.run_time.0));
+        self.samples = self.samples.saturating_add(1);
+        self.updated = now;
+    }
+}
+
+fn with_margin(value: u32) -> u32 {
+    saturate(u64::from(value) * (100 + MARGIN_PERCENT) / 100).max(1)
+}
+
+fn saturate(value: u64) -> u32 {
+    u32::try_from(value).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/core/src/jobs/worker_shelf.rs
@@ -0,0 +1,189 @@
+use {
+    super::{JobSize, WorkerView},
+    crate::{
+        collections::SortedMap,
+        ids::{DataCentre, HostName, RackName},
+    },
+    std::collections::BTreeSet,
+};
+
+/// Part of a worker that overnight jobs leave free, as one in so many. An urgent job then starts
+/// without waiting for a checkpoint.
+const HEADROOM_PART: u32 = 8;
+
+/// Key of a worker in a [`WorkerShelf`].
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct WorkerKey(pub usize);
+
+/// A worker that may get jobs.
+#[derive(Debug)]
+pub(super) struct ShelfRow<'a> {
+    /// What leases and reported usage take.
+    pub demand: JobSize,
+    /// The worker.
+    pub view: &'a WorkerView,
+    rack: usize,
+}
+
+impl ShelfRow<'_> {
+    pub(super) fn room(&self) -> JobSize {
+        self.view.capacity.minus(&self.demand)
+    }
+
+    fn load(&self) -> u64 {
+        self.demand.share_of(&self.view.capacity)
+    }
+}
+
+#[derive(Debug)]
+struct RackRow {
+    load: u64,
+    /// At least the room of each worker of the rack, field by field.
+    room: JobSize,
+    workers: Vec<usize>,
+}
+
+impl RackRow {
+    fn mean_load(&self) -> u64 {
+        self.load / self.workers.len().max(1) as u64
+    }
+}
+
+/// The workers of a pool that may get jobs, with what is free, ordered by the load of their racks.
+#[derive(Debug)]
+pub(super) struct WorkerShelf<'a> {
+    order: BTreeSet<(u64, usize)>,
+    racks: Vec<RackRow>,
+    rows: Vec<ShelfRow<'a>>,
+    /// Sizes that fitted nowhere. Room only shrinks during a plan, so larger ones do not fit either.
+    unfit: Vec<JobSize>,
+}
+
+/// What a job asks of the shelf.
+pub(super) struct ShelfRequest<'a> {
+    /// Workers on which the job failed.
+    pub avoid: Vec<&'a HostName>,
+    /// Whether the job leaves room for urgent jobs.
+    pub keeps_headroom: bool,
+    /// What the job needs.
+    pub size: JobSize,
+}
+
+impl<'a> WorkerShelf<'a> {
+    /// Builds the shelf from workers and the demand on each.
+    pub(super) fn new(workers: impl Iterator<Item = (&'a WorkerView, JobSize)>) -> Self {
+        let mut shelf = Self {
+            order: BTreeSet::new(),
+            racks: Vec::new(),
+            rows: Vec::new(),
+            unfit: Vec::new(),
+        };
+        let mut keys: SortedMap<(&DataCentre, &RackName), usize> = SortedMap::default();
+        for (view, demand) in workers {
+            let next = shelf.racks.len();
+            let key = (&view.data_centre, &view.rack);
+            let rack = keys.get(&key).copied().unwrap_or(next);
+            if rack == next {
+                keys.insert(key, rack);
+                shelf.racks.push(RackRow {
+                    load: 0,
+                    room: JobSize::default(),
+                    workers: Vec::new(),
+                });
+            }
+            let row = ShelfRow { demand, rack, view };
+            let place = &mut shelf.racks[rack];
+            place.load += row.load();
+            place.room = place.room.max(&row.room());
+            place.workers.push(shelf.rows.len());
+            shelf.rows.push(row);
+        }
+        let racks = shelf.racks.iter().enumerate();
+        shelf.order = racks
+            .map(|(index, rack)| (rack.mean_load(), index))
+            .collect();
+        shelf
+    }
+
+    pub(super) fn rows(&self) -> &[ShelfRow<'a>] {
+        &self.rows
+    }
+
+    /// Chooses a worker and takes the room; none when no worker has room.
+    pub(super) fn take(&mut self, request: &ShelfRequest) -> Option<WorkerKey> {
+        if self.unfit.iter().any(|unfit| unfit.fits(&request.size)) {
+            return None;
+        }
+        let found = self.find(request);
+        match found {
+            Some(key) => self.reserve(key, &request.size),
+            None if request.avoid.is_empty() => self.unfit.push(request.size),
+            None => {}
+        }
+        found
+    }
+
+    fn find(&self, request: &ShelfRequest) -> Option<WorkerKey> {
+        // A retry goes to another rack first, because failures are correlated within a rack.
+        let failed = self.failed_racks(request);
+        let away = self.find_outside(request, &failed);
+        if failed.is_empty() {
+            return away;
+        }
+        away.or_else(|| self.find_outside(request, &[]))
+    }
+
+    fn find_outside(&self, request: &ShelfRequest, racks: &[usize]) -> Option<WorkerKey> {
+        let order = self.order.iter().map(|(_, rack)| *rack);
+        let mut order = order.filter(|rack| !racks.contains(rack));
+        order.find_map(|rack| self.find_in(&self.racks[rack], request))
+    }
+
+    /// Chooses the worker of a rack that is left with the least room, so that large jobs find room.
+    fn find_in(&self, rack: &RackRow, request: &ShelfRequest) -> Option<WorkerKey> {
+        if !request.size.fits(&rack.room) {
+            return None;
+        }
+        let fits = rack.workers.iter().filter(|index| {
+            let row = &self.rows[**index];
+            has_room(row, request) && !request.avoid.contains(&&row.view.id.host)
+        });
+        let best = fits.max_by_key(|index| (self.rows[**index].load(), std::cmp::Reverse(**index)));
+        best.map(|index| WorkerKey(*index))
+    }
+
+    fn failed_racks(&self, request: &ShelfRequest) -> Vec<usize> {
+        if request.avoid.is_empty() {
+            return Vec::new();
+        }
+        let failed = self
+            .rows
+            .iter()
+            .filter(|row| request.avoid.contains(&&row.view.id.host));
+        failed.map(|row| row.rack).collect()
+    }
+
+    fn reserve(&mut self, key: WorkerKey, size: &JobSize) {
+        let row = &mut self.rows[key.0];
+        let before = row.load();
+        row.demand = row.demand.plus(size);
+        let rack = &mut self.racks[row.rack];
+        self.order.remove(&(rack.mean_load(), row.rack));
+        rack.load = rack.load - before + row.load();
+        self.order.insert((rack.mean_load(), row.rack));
+        let rows = &self.rows;
+        let rooms = rack.workers.iter().map(|index| rows[*index].room());
+        rack.room = rooms.fold(JobSize::default(), |room, other| room.max(&other));
+    }
+}
+
+fn has_room(row: &ShelfRow, request: &ShelfRequest) -> bool {
+    let room = row.room();
+    if !request.size.fits(&room) {
+        return false;
+    }
+    // A job that needs most of a worker takes an empty one without headroom.
+    let whole = row.demand == JobSize::default();
+    let headroom = row.view.capacity.cores_milli / HEADROOM_PART;
+    !request.keeps_headroom || whole || room.cores_milli - request.size.cores_milli >= headroom
+}
--- a/crates/core/src/ledger/fleet_state.rs
+++ b/crates/core/src/ledger/fleet_state.rs
@@ -1,7 +1,11 @@
 use {
     super::{LedgerRecord, RecordBody, Rejection, recent_ids::RecentIds},
     crate::{
-        claims::ClaimLedger, collections::SortedMap, config::ConfigLedger, ids::LogTime,
+        claims::ClaimLedger,
+        collections::SortedMap,
+        config::ConfigLedger,
+        ids::LogTime,
+        jobs::{JobContext, JobLedger},
         membership::MembershipLedger,
     },
     serde::{Deserialize, Serialize},
@@ -42,6 +46,8 @@
     recent: RecentIds,
     rejected: SortedMap<Rejection, u64>,
     time: LogTime,
+    /// Durable jobs.
+    pub jobs: JobLedger,
 }
 
 impl FleetState {
@@ -104,6 +110,14 @@
             RecordBody::Claim(record) => self.claims.apply(self.time, record),
             RecordBody::Config(record) => self.config.apply(record),
             RecordBody::Membership(record) => self.membership.apply(self.config.fleet(), record),
+            RecordBody::Job(record) => {
+                let context = JobContext {
+                    config: self.config.fleet(),
+                    now: self.time,
+                    pools: &self.membership,
+                };
+                self.jobs.apply(&context, record)
+            }
         }
     }
 }
--- a/crates/core/src/ledger/ledger_record.rs
+++ b/crates/core/src/ledger/ledger_record.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
-        claims::ClaimRecord, config::ConfigRecord, ids::RecordId, membership::MembershipRecord,
+        claims::ClaimRecord, config::ConfigRecord, ids::RecordId, jobs::JobRecord,
+        membership::MembershipRecord,
     },
     serde::{Deserialize, Serialize},
 };
@@ -31,4 +32,6 @@
     Config(ConfigRecord),
     /// A change of hosts, moves, stops or waves.
     Membership(MembershipRecord),
+    /// A change of the durable jobs.
+    Job(JobRecord),
 }
--- a/crates/core/src/ledger/rejection.rs
+++ b/crates/core/src/ledger/rejection.rs
@@ -38,4 +38,31 @@
     /// The record names a pool that is not configured.
     #[error("the pool is not known")]
     UnknownPool,
+    /// The job is malformed: it asks for nothing, or its payload is too long.
+    #[error("the job is malformed")]
+    InvalidJob,
+    /// The job id was used for a job with other content.
+    #[error("the job id was used for another job")]
+    JobConflict,
+    /// The state of the job does not allow the change.
+    #[error("the state of the job does not allow the change")]
+    JobState,
+    /// The lease has not expired.
+    #[error("the lease has not expired")]
+    LeaseValid,
+    /// The tenant has as many unfinished jobs as its quota allows.
+    #[error("the tenant is over its quota of unfinished jobs")]
+    QuotaExceeded,
+    /// The ledger holds as many jobs as it may.
+    #[error("there are too many jobs")]
+    TooManyJobs,
+    /// The record names a job that is not remembered.
+    #[error("the job is not known")]
+    UnknownJob,
+    /// The record names a tenant that is not configured.
+    #[error("the tenant is not known")]
+    UnknownTenant,
+    /// The worker is excluded because it failed job after job.
+    #[error("the worker is excluded")]
+    WorkerExcluded,
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod claims;
 pub mod collections;
 pub mod config;
+pub mod duties;
 pub mod error;
 pub mod ids;
+pub mod jobs;
 pub mod ledger;
 pub mod membership;
 pub mod traffic;
--- a/crates/core/src/traffic/traffic_policy.rs
+++ b/crates/core/src/traffic/traffic_policy.rs
@@ -4,11 +4,12 @@
         error::ErrorKind,
         ids::{HostName, LocalTime, Millis},
     },
+    serde::{Deserialize, Serialize},
     std::{collections::VecDeque, sync::Arc},
 };
 
 /// How soon a caller needs its answer; the most urgent class is the smallest.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Urgency {
     /// Somebody waits for the answer.
     Urgent,
