--- a/crates/core/src/ledger/fleet_state.rs
+++ b/crates/core/src/ledger/fleet_state.rs
@@ -1,7 +1,11 @@
 use {
     super::{LedgerRecord, RecordBody, Rejection, recent_ids::RecentIds},
     crate::{
-        claims::ClaimLedger, collections::SortedMap, config::ConfigLedger, ids::LogTime,
+        claims::ClaimLedger,
+        collections::SortedMap,
+        config::ConfigLedger,
+        ids::LogTime,
+        jobs::{JobContext, JobLedger},
         membership::MembershipLedger,
     },
     serde::{Deserialize, Serialize},
@@ -42,6 +46,8 @@
     recent: RecentIds,
     rejected: SortedMap<Rejection, u64>,
     time: LogTime,
+    /// Durable jobs.
+    pub jobs: JobLedger,
 }
 
 impl FleetState {
@@ -75,9 +81,10 @@
 
     /// Applies an entry and returns what became of each record.
     ///
-    /// Entries before [`FleetState::next`] were applied already; they change nothing and yield no results.
+    /// Only the entry at [`FleetState::next`] is applied. An earlier one was applied already, and a later
+    /// one would skip entries; both change nothing and yield no results.
     pub fn apply(&mut self, entry: &LogEntry) -> Vec<Result<(), Rejection>> {
-        if entry.offset < self.next {
+        if entry.offset != self.next {
             return Vec::new();
         }
         self.next = LogOffset(entry.offset.0 + 1);
@@ -107,6 +114,14 @@
                 self.membership
                     .apply(self.time, self.config.fleet(), record)
             }
+            RecordBody::Job(record) => {
+                let context = JobContext {
+                    config: self.config.fleet(),
+                    now: self.time,
+                    pools: &self.membership,
+                };
+                self.jobs.apply(&context, record)
+            }
         }
     }
 }
