Add the operators' calls, their border trait, server and client

Cause: operators have no way to reach an entry host, and the daemon needs a trait to implement. Ruled out: one call with a variant per change, because a schema with one call per change documents and restricts each of them; protoc, because a build then needs a program that cargo does not fetch; error details in an own message, because google.rpc.ErrorInfo and BadRequest are what other clients read; the mistakes of a configuration in the status, because it travels in a header that peers limit to 16 KiB. Change: operators.proto with 24 calls; crates/generate, scripts/generate and its check; OperatorBackend with checked types, implemented by the daemon and by OperatorClient; one table from error kind to gRPC code.

--- /dev/null
+++ b/crates/operators/src/backend/mod.rs
@@ -0,0 +1,5 @@
+//! The border between the remote procedure calls and the daemon.
+
+mod operator_backend;
+
+pub use operator_backend::OperatorBackend;
--- /dev/null
+++ b/crates/operators/src/changes/job_spec.rs
@@ -0,0 +1,86 @@
+use {
+    crate::{Urgency, generated::v1 as raw, wire::FieldCheck},
+    goldcreststall_core::ids::{LogTime, PoolName, ServiceName, TenantName},
+    serde::Serialize,
+};
+
+/// Most cores that a job may ask for.
+const MAX_CORES: u32 = 4_096;
+/// Most memory that a job may ask for, in MiB.
+const MAX_MEMORY_MIB: u32 = 64 * 1024 * 1024;
+/// Most accelerators that a job may ask for.
+const MAX_ACCELERATORS: u32 = 1_024;
+
+/// What a durable job needs and where it may run.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct JobSpec {
+    /// Accelerators.
+    pub accelerators: u32,
+    /// Processor cores.
+    pub cores: u32,
+    /// Latest end.
+    pub deadline: LogTime,
+    /// Whether the job may run more than once.
+    pub idempotent: bool,
+    /// Memory in MiB.
+    pub memory_mib: u32,
+    /// The pool whose workers may run the job.
+    pub pool: PoolName,
+    /// The service that the job belongs to.
+    pub service: ServiceName,
+    /// The tenant that the job is counted to.
+    pub tenant: TenantName,
+    /// How soon the result is needed.
+    pub urgency: Urgency,
+}
+
+impl JobSpec {
+    /// Checks a raw message; `field` is the path of the message.
+    pub(crate) fn check(check: &mut FieldCheck, field: &str, raw: &raw::JobSpec) -> Option<Self> {
+        let path = |name: &str| format!("{field}.{name}");
+        let service = check.name(&path("service"), &raw.service);
+        let tenant = check.name(&path("tenant"), &raw.tenant);
+        let pool = check.name(&path("pool"), &raw.pool);
+        let urgency = Urgency::from_wire(raw.urgency);
+        let allowed = Urgency::allowed();
+        let urgency = check.choice(&path("urgency"), raw.urgency, urgency, &allowed);
+        let cores = check.range(&path("cores"), raw.cores, 1, MAX_CORES);
+        let memory = check.range(&path("memory_mib"), raw.memory_mib, 1, MAX_MEMORY_MIB);
+        let accelerators = raw.accelerators;
+        let accelerators = check.range(&path("accelerators"), accelerators, 0, MAX_ACCELERATORS);
+        if raw.deadline_ms == 0 {
+            check.reject(
+                &path("deadline_ms"),
+                "0",
+                "milliseconds since the Unix epoch",
+            );
+        }
+        Some(Self {
+            accelerators: accelerators?,
+            cores: cores?,
+            deadline: LogTime(raw.deadline_ms),
+            idempotent: raw.idempotent,
+            memory_mib: memory?,
+            pool: pool?,
+            service: service?,
+            tenant: tenant?,
+            urgency: urgency?,
+        })
+    }
+}
+
+impl From<JobSpec> for raw::JobSpec {
+    fn from(spec: JobSpec) -> Self {
+        Self {
+            accelerators: spec.accelerators,
+            cores: spec.cores,
+            deadline_ms: spec.deadline.0,
+            idempotent: spec.idempotent,
+            memory_mib: spec.memory_mib,
+            pool: spec.pool.into(),
+            service: spec.service.into(),
+            tenant: spec.tenant.into(),
+            urgency: spec.urgency.to_wire(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/operators/src/changes/operator_change.rs
@@ -0,0 +1,141 @@
+use {
+    super::JobSpec,
+    crate::generated::v1 as raw,
+    goldcreststall_core::{
+        config::ConfigVersion,
+        ids::{DataCentre, HostName, Incarnation, PoolName, RackName, RecordId},
+    },
+    serde::Serialize,
+    std::fmt,
+};
+
+/// The version of a host that an operator saw.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct SeenHost {
+    /// Run of the host.
+    pub incarnation: Incarnation,
+    /// Counts the changes of the host.
+    pub number: u64,
+}
+
+impl fmt::Display for SeenHost {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}.{}", self.incarnation, self.number)
+    }
+}
+
+impl From<raw::HostVersion> for SeenHost {
+    fn from(raw: raw::HostVersion) -> Self {
+        Self {
+            incarnation: Incarnation(raw.incarnation),
+            number: raw.number,
+        }
+    }
+}
+
+impl From<SeenHost> for raw::HostVersion {
+    fn from(seen: SeenHost) -> Self {
+        Self {
+            incarnation: seen.incarnation.0,
+            number: seen.number,
+        }
+    }
+}
+
+/// A change that an operator asks for.
+///
+/// Where `seen` is `None`, the entry host uses the version in its own state.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OperatorChange {
+    /// Replaces the configuration.
+    PublishConfig {
+        /// The version that the document was derived from.
+        base: ConfigVersion,
+        /// The document in TOML. It is checked by the backend.
+        document: String,
+    },
+    /// Adds a host to a pool.
+    AddHost {
+        /// Data centre of the host.
+        data_centre: DataCentre,
+        /// Name of the host.
+        host: HostName,
+        /// Pool that the host joins.
+        pool: PoolName,
+        /// Rack of the host.
+        rack: RackName,
+    },
+    /// Removes a host for good.
+    RemoveHost {
+        /// Name of the host.
+        host: HostName,
+        /// The version that the operator saw.
+        seen: Option<SeenHost>,
+    },
+    /// Takes a host out of service.
+    DrainHost {
+        /// Name of the host.
+        host: HostName,
+        /// The version that the operator saw.
+        seen: Option<SeenHost>,
+    },
+    /// Takes a drained host back into service.
+    UndrainHost {
+        /// Name of the host.
+        host: HostName,
+        /// The version that the operator saw.
+        seen: Option<SeenHost>,
+    },
+    /// Moves a host to another pool.
+    MoveHost {
+        /// Name of the host.
+        host: HostName,
+        /// Pool that the host goes to.
+        pool: PoolName,
+        /// The version that the operator saw.
+        seen: Option<SeenHost>,
+    },
+    /// Starts a wave, whose id is the id of the order.
+    StartWave {
+        /// Most hosts to stop at once; `None` leaves it to the budget.
+        max_stopping: Option<u32>,
+        /// Pool to maintain.
+        pool: PoolName,
+    },
+    /// Lets a wave stop no further hosts.
+    PauseWave {
+        /// The version that the operator saw.
+        seen: Option<u64>,
+        /// Id of the wave.
+        wave: RecordId,
+    },
+    /// Continues a paused wave.
+    ResumeWave {
+        /// The version that the operator saw.
+        seen: Option<u64>,
+        /// Id of the wave.
+        wave: RecordId,
+    },
+    /// Ends a wave.
+    CancelWave {
+        /// The version that the operator saw.
+        seen: Option<u64>,
+        /// Id of the wave.
+        wave: RecordId,
+    },
+    /// Submits a durable job, whose id is the id of the order.
+    SubmitJob {
+        /// The job.
+        spec: JobSpec,
+    },
+    /// Cancels a durable job.
+    CancelJob {
+        /// Id of the job.
+        job: RecordId,
+    },
+    /// Lets an excluded worker run jobs again.
+    ReadmitWorker {
+        /// Name of the worker.
+        worker: HostName,
+    },
+}
--- /dev/null
+++ b/crates/operators/src/client/mod.rs
@@ -0,0 +1,5 @@
+//! The gRPC client.
+
+mod operator_client;
+
+pub use operator_client::OperatorClient;
--- /dev/null
+++ b/crates/operators/src/client/operator_client.rs
@@ -0,0 +1,252 @@
+use {
+    crate::{
+        AuditPage, AuditQuery, AuditSubject, ChangeOrder, ChangeOutcome, ConfigReport, HostQuery,
+        HostReport, JobPage, JobQuery, JobReport, OperatorBackend, OperatorChange, OperatorError,
+        OperatorErrorKind, PoolReport, SeenHost, StatusReport, WaveQuery, WaveReport,
+        generated::v1::{self as raw, operators_client::OperatorsClient},
+        wire::config_mistake,
+    },
+    async_trait::async_trait,
+    goldcreststall_core::{config::ConfigMistake, ids::RecordId},
+    std::{net::SocketAddr, time::Duration},
+    tonic::transport::{Channel, Endpoint},
+};
+
+/// Calls one entry host.
+///
+/// It is a backend itself, so that code can be written against the trait and run on either side.
+#[derive(Clone, Debug)]
+pub struct OperatorClient {
+    raw: OperatorsClient<Channel>,
+}
+
+impl OperatorClient {
+    /// Connects to an entry host. `limit` bounds the connection attempt and, separately, each call.
+    ///
+    /// # Errors
+    /// `Unreachable` when no connection can be opened; nothing was sent then.
+    pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Self, OperatorError> {
+        let unreachable = |error: tonic::transport::Error| unreachable(address, &error);
+        let endpoint = Endpoint::from_shared(format!("http://{address}"))
+            .map_err(unreachable)?
+            .connect_timeout(limit)
+            .timeout(limit);
+        let channel = endpoint.connect().await.map_err(unreachable)?;
+        Ok(Self {
+            raw: OperatorsClient::new(channel),
+        })
+    }
+}
+
+fn unreachable(address: SocketAddr, error: &tonic::transport::Error) -> OperatorError {
+    let mut cause: &dyn std::error::Error = error;
+    while let Some(source) = cause.source() {
+        cause = source;
+    }
+    OperatorError::new(
+        OperatorErrorKind::Unreachable,
+        format!("no connection to {address}: {cause}"),
+    )
+}
+
+/// Converts every row of a reply.
+fn rows<R, T: TryFrom<R, Error = OperatorError>>(raw: Vec<R>) -> Result<Vec<T>, OperatorError> {
+    raw.into_iter().map(T::try_from).collect()
+}
+
+fn seen_host(seen: Option<SeenHost>) -> Option<raw::HostVersion> {
+    seen.map(raw::HostVersion::from)
+}
+
+#[async_trait]
+impl OperatorBackend for OperatorClient {
+    async fn change(&self, order: ChangeOrder) -> Result<ChangeOutcome, OperatorError> {
+        let mut client = self.raw.clone();
+        let head = Some(raw::ChangeHead {
+            operator: order.operator.as_str().to_owned(),
+            request_id: order.request.to_string(),
+        });
+        let wave_request = |head, wave: RecordId, seen| raw::WaveRequest {
+            head,
+            seen,
+            wave: wave.to_string(),
+        };
+        let reply = match order.change {
+            OperatorChange::PublishConfig { base, document } => {
+                let request = raw::PublishConfigRequest {
+                    base_version: base.0,
+                    document,
+                    head,
+                };
+                client.publish_config(request).await?
+            }
+            OperatorChange::AddHost {
+                data_centre,
+                host,
+                pool,
+                rack,
+            } => {
+                let request = raw::AddHostRequest {
+                    data_centre: data_centre.into(),
+                    head,
+                    host: host.into(),
+                    pool: pool.into(),
+                    rack: rack.into(),
+                };
+                client.add_host(request).await?
+            }
+            OperatorChange::RemoveHost { host, seen } => {
+                let request = raw::RemoveHostRequest {
+                    head,
+                    host: host.into(),
+                    seen: seen_host(seen),
+                };
+                client.remove_host(request).await?
+            }
+            OperatorChange::DrainHost { host, seen } => {
+                let request = raw::DrainHostRequest {
+                    head,
+                    host: host.into(),
+                    seen: seen_host(seen),
+                };
+                client.drain_host(request).await?
+            }
+            OperatorChange::UndrainHost { host, seen } => {
+                let request = raw::UndrainHostRequest {
+                    head,
+                    host: host.into(),
+                    seen: seen_host(seen),
+                };
+                client.undrain_host(request).await?
+            }
+            OperatorChange::MoveHost { host, pool, seen } => {
+                let request = raw::MoveHostRequest {
+                    head,
+                    host: host.into(),
+                    pool: pool.into(),
+                    seen: seen_host(seen),
+                };
+                client.move_host(request).await?
+            }
+            OperatorChange::StartWave { max_stopping, pool } => {
+                let request = raw::StartWaveRequest {
+                    head,
+                    max_stopping,
+                    pool: pool.into(),
+                };
+                client.start_wave(request).await?
+            }
+            OperatorChange::PauseWave { seen, wave } => {
+                client.pause_wave(wave_request(head, wave, seen)).await?
+            }
+            OperatorChange::ResumeWave { seen, wave } => {
+                client.resume_wave(wave_request(head, wave, seen)).await?
+            }
+            OperatorChange::CancelWave { seen, wave } => {
+                client.cancel_wave(wave_request(head, wave, seen)).await?
+            }
+            OperatorChange::SubmitJob { spec } => {
+                let spec = Some(spec.into());
+                client
+                    .submit_job(raw::SubmitJobRequest { head, spec })
+                    .await?
+            }
+            OperatorChange::CancelJob { job } => {
+                let job = job.to_string();
+                client
+                    .cancel_job(raw::CancelJobRequest { head, job })
+                    .await?
+            }
+            OperatorChange::ReadmitWorker { worker } => {
+                let worker = worker.into();
+                let request = raw::ReadmitWorkerRequest { head, worker };
+                client.readmit_worker(request).await?
+            }
+        };
+        reply.into_inner().try_into()
+    }
+
+    async fn validate_config(&self, document: String) -> Result<Vec<ConfigMistake>, OperatorError> {
+        let request = raw::ValidateConfigRequest { document };
+        let reply = self.raw.clone().validate_config(request).await?;
+        let mistakes = reply.into_inner().mistakes.into_iter();
+        Ok(mistakes.map(config_mistake).collect())
+    }
+
+    async fn config(&self) -> Result<ConfigReport, OperatorError> {
+        let reply = self
+            .raw
+            .clone()
+            .get_config(raw::GetConfigRequest {})
+            .await?;
+        Ok(reply.into_inner().into())
+    }
+
+    async fn pools(&self) -> Result<Vec<PoolReport>, OperatorError> {
+        let reply = self
+            .raw
+            .clone()
+            .list_pools(raw::ListPoolsRequest {})
+            .await?;
+        rows(reply.into_inner().pools)
+    }
+
+    async fn hosts(&self, query: HostQuery) -> Result<Vec<HostReport>, OperatorError> {
+        let request = raw::ListHostsRequest::from(query);
+        let reply = self.raw.clone().list_hosts(request).await?;
+        rows(reply.into_inner().hosts)
+    }
+
+    async fn waves(&self, query: WaveQuery) -> Result<Vec<WaveReport>, OperatorError> {
+        let request = raw::ListWavesRequest::from(query);
+        let reply = self.raw.clone().list_waves(request).await?;
+        rows(reply.into_inner().waves)
+    }
+
+    async fn jobs(&self, query: JobQuery) -> Result<JobPage, OperatorError> {
+        let request = raw::ListJobsRequest::from(query);
+        let reply = self.raw.clone().list_jobs(request).await?;
+        reply.into_inner().try_into()
+    }
+
+    async fn job(&self, id: RecordId) -> Result<JobReport, OperatorError> {
+        let request = raw::GetJobRequest { id: id.to_string() };
+        let reply = self.raw.clone().get_job(request).await?;
+        reply.into_inner().job.unwrap_or_default().try_into()
+    }
+
+    async fn audit(&self, query: AuditQuery) -> Result<AuditPage, OperatorError> {
+        let mut client = self.raw.clone();
+        let range = Some(query.range.into());
+        let reply = match query.subject {
+            AuditSubject::Host(host) => {
+                let host = host.into();
+                client
+                    .audit_host(raw::AuditHostRequest { host, range })
+                    .await?
+            }
+            AuditSubject::Wave(wave) => {
+                let wave = wave.to_string();
+                client
+                    .audit_wave(raw::AuditWaveRequest { range, wave })
+                    .await?
+            }
+            AuditSubject::Config(version) => {
+                let version = version.map(|version| version.0);
+                client
+                    .audit_config(raw::AuditConfigRequest { range, version })
+                    .await?
+            }
+        };
+        reply.into_inner().try_into()
+    }
+
+    async fn status(&self) -> Result<StatusReport, OperatorError> {
+        let reply = self
+            .raw
+            .clone()
+            .get_status(raw::GetStatusRequest {})
+            .await?;
+        reply.into_inner().try_into()
+    }
+}
--- /dev/null
+++ b/crates/operators/src/error/mod.rs
@@ -0,0 +1,12 @@
+//! The error of a call, and the table that maps each kind to a gRPC code.
+
+mod error_kind;
+mod field_mistake;
+mod operator_error;
+mod status;
+
+pub use {
+    error_kind::{KindRow, OperatorErrorKind},
+    field_mistake::FieldMistake,
+    operator_error::OperatorError,
+};
--- /dev/null
+++ b/crates/operators/src/error/operator_error.rs
@@ -0,0 +1,38 @@
+use {
+    super::{FieldMistake, OperatorErrorKind},
+    std::fmt,
+};
+
+/// Why a call failed, with every mistake of its fields.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OperatorError {
+    /// The kind, which decides the gRPC code.
+    pub kind: OperatorErrorKind,
+    /// One sentence for the operator.
+    pub message: String,
+    /// The mistakes of an invalid request or answer.
+    pub mistakes: Vec<FieldMistake>,
+}
+
+impl OperatorError {
+    /// Creates an error without mistakes of fields.
+    pub fn new(kind: OperatorErrorKind, message: impl Into<String>) -> Self {
+        Self {
+            kind,
+            message: message.into(),
+            mistakes: Vec::new(),
+        }
+    }
+}
+
+impl fmt::Display for OperatorError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.message)?;
+        for mistake in &self.mistakes {
+            write!(formatter, "\n{mistake}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for OperatorError {}
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -1,1 +1,32 @@
-//! Filled in by the next commits.
+//! The remote procedure calls by which operators control a fleet.
+//!
+//! [`OperatorBackend`] is the border: the daemon implements it, [`OperatorServer`] offers it over gRPC, and
+//! [`OperatorClient`] implements it by calling a server. The types of the border are checked; the raw
+//! messages of the schema stay inside this package.
+
+mod backend;
+mod changes;
+mod client;
+mod error;
+mod queries;
+mod reports;
+mod server;
+mod wire;
+
+/// The raw messages and the generated client and server.
+pub mod generated;
+
+pub use {
+    backend::OperatorBackend,
+    changes::{ChangeOrder, ChangeOutcome, JobSpec, OperatorChange, OperatorName, SeenHost},
+    client::OperatorClient,
+    error::{FieldMistake, KindRow, OperatorError, OperatorErrorKind},
+    queries::{AuditQuery, AuditRange, AuditSubject, HostQuery, JobQuery, PageLimit, WaveQuery},
+    reports::{
+        AuditPage, AuditReport, ConfigReport, DutyReport, HostCondition, HostReport, JobPage,
+        JobReport, JobState, PeerReport, PoolReport, RejectionReport, StatusReport, WaveReport,
+        WaveState,
+    },
+    server::OperatorServer,
+    wire::{Survive, Urgency},
+};
--- /dev/null
+++ b/crates/operators/src/reports/host_report.rs
@@ -0,0 +1,94 @@
+use {
+    crate::{
+        OperatorError, SeenHost,
+        generated::v1 as raw,
+        wire::{FieldCheck, wire_enum},
+    },
+    goldcreststall_core::ids::{DataCentre, HostName, LogTime, PoolName, RackName},
+    serde::Serialize,
+};
+
+wire_enum!(
+    /// What a host does at the moment.
+    HostCondition, crate::generated::v1::HostCondition {
+        /// It takes work.
+        Active = "active",
+        /// An operator drained it.
+        Drained = "drained",
+        /// A wave has stopped it.
+        Stopping = "stopping",
+        /// It failed or did not return from a planned stop in time.
+        Down = "down",
+        /// It finishes its work before it moves to another pool.
+        Moving = "moving",
+    }
+);
+
+/// A host and the one pool that it belongs to.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct HostReport {
+    /// What the host does.
+    pub condition: HostCondition,
+    /// Data centre of the host.
+    pub data_centre: DataCentre,
+    /// Whether the worker gets no jobs because it failed several in a row.
+    pub excluded: bool,
+    /// End of the last maintenance.
+    pub maintained: Option<LogTime>,
+    /// The pool that a moving host goes to.
+    pub moving_to: Option<PoolName>,
+    /// Name of the host.
+    pub name: HostName,
+    /// Pool of the host.
+    pub pool: PoolName,
+    /// Rack of the host.
+    pub rack: RackName,
+    /// Version of the host.
+    pub version: SeenHost,
+}
+
+impl From<HostReport> for raw::Host {
+    fn from(report: HostReport) -> Self {
+        Self {
+            condition: report.condition.to_wire(),
+            data_centre: report.data_centre.into(),
+            excluded: report.excluded,
+            maintained_ms: report.maintained.map(|time| time.0),
+            moving_to: report.moving_to.map(String::from),
+            name: report.name.into(),
+            pool: report.pool.into(),
+            rack: report.rack.into(),
+            version: Some(report.version.into()),
+        }
+    }
+}
+
+impl TryFrom<raw::Host> for HostReport {
+    type Error = OperatorError;
+
+    fn try_from(raw: raw::Host) -> Result<Self, OperatorError> {
+        let mut check = FieldCheck::default();
+        let name = check.name("name", &raw.name);
+        let pool = check.name("pool", &raw.pool);
+        let data_centre = check.name("data_centre", &raw.data_centre);
+        let rack = check.name("rack", &raw.rack);
+        let moving_to = check.optional_name("moving_to", raw.moving_to.as_deref());
+        let condition = HostCondition::from_wire(raw.condition);
+        let allowed = HostCondition::allowed();
+        let condition = check.choice("condition", raw.condition, condition, &allowed);
+        let version = check.required("version", raw.version);
+        check.reply(|| {
+            Some(Self {
+                condition: condition?,
+                data_centre: data_centre?,
+                excluded: raw.excluded,
+                maintained: raw.maintained_ms.map(LogTime),
+                moving_to: moving_to?,
+                name: name?,
+                pool: pool?,
+                rack: rack?,
+                version: version?.into(),
+            })
+        })
+    }
+}
--- /dev/null
+++ b/crates/operators/src/reports/job_report.rs
@@ -0,0 +1,119 @@
+use {
+    crate::{
+        JobSpec, OperatorError,
+        generated::v1 as raw,
+        wire::{FieldCheck, id_text, wire_enum},
+    },
+    goldcreststall_core::ids::{HostName, LogTime, RecordId},
+    serde::Serialize,
+};
+
+wire_enum!(
+    /// State of a durable job.
+    JobState, crate::generated::v1::JobState {
+        /// It waits for a worker.
+        Queued = "queued",
+        /// A worker holds a lease for it.
+        Leased = "leased",
+        /// It ended.
+        Done = "done",
+        /// It failed on several workers and is not tried again.
+        Quarantined = "quarantined",
+        /// It is not idempotent and its lease lapsed; it is never run again.
+        Unknown = "unknown",
+        /// It was cancelled.
+        Cancelled = "cancelled",
+    }
+);
+
+/// A durable job.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct JobReport {
+    /// Attempts so far.
+    pub attempts: u32,
+    /// Id of the job.
+    #[serde(serialize_with = "id_text")]
+    pub id: RecordId,
+    /// End of the lease.
+    pub lease_until: Option<LogTime>,
+    /// What the job needs.
+    pub spec: JobSpec,
+    /// State of the job.
+    pub state: JobState,
+    /// Time of submission.
+    pub submitted: LogTime,
+    /// Whether no host of the pool can hold the job.
+    pub unplaceable: bool,
+    /// The worker that holds the lease or ran the last attempt.
+    pub worker: Option<HostName>,
+}
+
+/// A page of jobs in order of id.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct JobPage {
+    /// The jobs.
+    pub jobs: Vec<JobReport>,
+    /// Whether there are more after the last one.
+    pub more: bool,
+}
+
+impl From<JobReport> for raw::Job {
+    fn from(report: JobReport) -> Self {
+        Self {
+            attempts: report.attempts,
+            id: report.id.to_string(),
+            lease_until_ms: report.lease_until.map(|time| time.0),
+            spec: Some(report.spec.into()),
+            state: report.state.to_wire(),
+            submitted_ms: report.submitted.0,
+            unplaceable: report.unplaceable,
+            worker: report.worker.map(String::from),
+        }
+    }
+}
+
+impl TryFrom<raw::Job> for JobReport {
+    type Error = OperatorError;
+
+    fn try_from(raw: raw::Job) -> Result<Self, OperatorError> {
+        let mut check = FieldCheck::default();
+        let id = check.id("id", &raw.id);
+        let spec = JobSpec::check(&mut check, "spec", &raw.spec.unwrap_or_default());
+        let state = JobState::from_wire(raw.state);
+        let state = check.choice("state", raw.state, state, &JobState::allowed());
+        let worker = check.optional_name("worker", raw.worker.as_deref());
+        check.reply(|| {
+            Some(Self {
+                attempts: raw.attempts,
+                id: id?,
+                lease_until: raw.lease_until_ms.map(LogTime),
+                spec: spec?,
+                state: state?,
+                submitted: LogTime(raw.submitted_ms),
+                unplaceable: raw.unplaceable,
+                worker: worker?,
+            })
+        })
+    }
+}
+
+impl From<JobPage> for raw::ListJobsReply {
+    fn from(page: JobPage) -> Self {
+        Self {
+            jobs: page.jobs.into_iter().map(raw::Job::from).collect(),
+            more: page.more,
+        }
+    }
+}
+
+impl TryFrom<raw::ListJobsReply> for JobPage {
+    type Error = OperatorError;
+
+    fn try_from(raw: raw::ListJobsReply) -> Result<Self, OperatorError> {
+        let jobs: Result<_, _> = raw.jobs.into_iter().map(JobReport::try_from).collect();
+        Ok(Self {
+            jobs: jobs?,
+            more: raw.more,
+        })
+    }
+}
--- /dev/null
+++ b/crates/operators/src/reports/pool_report.rs
@@ -0,0 +1,72 @@
+use {
+    crate::{OperatorError, Survive, generated::v1 as raw, wire::FieldCheck},
+    goldcreststall_core::ids::PoolName,
+    serde::Serialize,
+};
+
+/// A pool and the state of its budget. All counts are hosts.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct PoolReport {
+    /// Members that are neither down, stopping nor moving out.
+    pub available: u32,
+    /// Members that failed or did not return in time.
+    pub down: u32,
+    /// Members of the pool.
+    pub members: u32,
+    /// Fewest hosts that must be available.
+    pub min_available: u32,
+    /// Members that move to another pool.
+    pub moving: u32,
+    /// Name of the pool.
+    pub name: PoolName,
+    /// Whether the pool lends hosts.
+    pub spare: bool,
+    /// Planned stops or moves that the budget allows now; negative when failures used up more.
+    pub spare_units: i32,
+    /// Members in a planned stop.
+    pub stopping: u32,
+    /// Failure domain whose loss the budget survives.
+    pub survive: Survive,
+}
+
+impl From<PoolReport> for raw::Pool {
+    fn from(report: PoolReport) -> Self {
+        Self {
+            available: report.available,
+            down: report.down,
+            members: report.members,
+            min_available: report.min_available,
+            moving: report.moving,
+            name: report.name.into(),
+            spare: report.spare,
+            spare_units: report.spare_units,
+            stopping: report.stopping,
+            survive: report.survive.to_wire(),
+        }
+    }
+}
+
+impl TryFrom<raw::Pool> for PoolReport {
+    type Error = OperatorError;
+
+    fn try_from(raw: raw::Pool) -> Result<Self, OperatorError> {
+        let mut check = FieldCheck::default();
+        let name = check.name("name", &raw.name);
+        let survive = Survive::from_wire(raw.survive);
+        let survive = check.choice("survive", raw.survive, survive, &Survive::allowed());
+        check.reply(|| {
+            Some(Self {
+                available: raw.available,
+                down: raw.down,
+                members: raw.members,
+                min_available: raw.min_available,
+                moving: raw.moving,
+                name: name?,
+                spare: raw.spare,
+                spare_units: raw.spare_units,
+                stopping: raw.stopping,
+                survive: survive?,
+            })
+        })
+    }
+}
--- /dev/null
+++ b/crates/operators/src/server/operator_server.rs
@@ -0,0 +1,135 @@
+use {
+    crate::{
+        AuditQuery, ChangeOrder, HostQuery, JobQuery, OperatorBackend, OperatorError, WaveQuery,
+        changes::WaveAction,
+        generated::v1::{
+            self as raw,
+            operators_server::{Operators, OperatorsServer},
+        },
+        wire::{FieldCheck, raw_mistake},
+    },
+    std::sync::Arc,
+    tonic::{Request, Response, Status, async_trait},
+};
+
+/// Offers a backend over gRPC.
+pub struct OperatorServer {
+    backend: Arc<dyn OperatorBackend>,
+}
+
+type Reply<T> = Result<Response<T>, Status>;
+
+impl OperatorServer {
+    /// Creates the service that is added to a tonic server.
+    pub fn service(backend: Arc<dyn OperatorBackend>) -> OperatorsServer<Self> {
+        OperatorsServer::new(Self { backend })
+    }
+
+    async fn change(&self, order: Result<ChangeOrder, OperatorError>) -> Reply<raw::ChangeReply> {
+        let outcome = self.backend.change(order?).await?;
+        Ok(Response::new(outcome.into()))
+    }
+
+    async fn audit(&self, query: Result<AuditQuery, OperatorError>) -> Reply<raw::AuditReply> {
+        let page = self.backend.audit(query?).await?;
+        Ok(Response::new(page.into()))
+    }
+}
+
+/// Implements the calls that only check a request and hand it to `change`, next to the methods in `$rest`.
+macro_rules! operators {
+    (changes { $($change:ident($change_request:ident),)+ } waves { $($wave:ident = $action:ident,)+ } audits { $($audit:ident($audit_request:ident),)+ } $($rest:item)+) => {
+        #[async_trait]
+        impl Operators for OperatorServer {
+            $(async fn $change(&self, request: Request<raw::$change_request>) -> Reply<raw::ChangeReply> {
+                self.change(request.into_inner().try_into()).await
+            })+
+
+            $(async fn $wave(&self, request: Request<raw::WaveRequest>) -> Reply<raw::ChangeReply> {
+                self.change(ChangeOrder::wave(request.into_inner(), WaveAction::$action)).await
+            })+
+
+            $(async fn $audit(&self, request: Request<raw::$audit_request>) -> Reply<raw::AuditReply> {
+                self.audit(request.into_inner().try_into()).await
+            })+
+
+            $($rest)+
+        }
+    };
+}
+
+operators! {
+    changes {
+        publish_config(PublishConfigRequest),
+        add_host(AddHostRequest),
+        remove_host(RemoveHostRequest),
+        drain_host(DrainHostRequest),
+        undrain_host(UndrainHostRequest),
+        move_host(MoveHostRequest),
+        start_wave(StartWaveRequest),
+        submit_job(SubmitJobRequest),
+        cancel_job(CancelJobRequest),
+        readmit_worker(ReadmitWorkerRequest),
+    }
+    waves {
+        pause_wave = Pause,
+        resume_wave = Resume,
+        cancel_wave = Cancel,
+    }
+    audits {
+        audit_host(AuditHostRequest),
+        audit_wave(AuditWaveRequest),
+        audit_config(AuditConfigRequest),
+    }
+
+    async fn validate_config(
+        &self,
+        request: Request<raw::ValidateConfigRequest>,
+    ) -> Reply<raw::ValidateConfigReply> {
+        let document = request.into_inner().document;
+        let mistakes = self.backend.validate_config(document).await?;
+        let mistakes = mistakes.into_iter().map(raw_mistake).collect();
+        Ok(Response::new(raw::ValidateConfigReply { mistakes }))
+    }
+
+    async fn get_config(&self, _: Request<raw::GetConfigRequest>) -> Reply<raw::GetConfigReply> {
+        Ok(Response::new(self.backend.config().await?.into()))
+    }
+
+    async fn list_pools(&self, _: Request<raw::ListPoolsRequest>) -> Reply<raw::ListPoolsReply> {
+        let pools = self.backend.pools().await?;
+        let pools = pools.into_iter().map(raw::Pool::from).collect();
+        Ok(Response::new(raw::ListPoolsReply { pools }))
+    }
+
+    async fn list_hosts(&self, request: Request<raw::ListHostsRequest>) -> Reply<raw::ListHostsReply> {
+        let query = HostQuery::try_from(request.into_inner())?;
+        let hosts = self.backend.hosts(query).await?;
+        let hosts = hosts.into_iter().map(raw::Host::from).collect();
+        Ok(Response::new(raw::ListHostsReply { hosts }))
+    }
+
+    async fn list_waves(&self, request: Request<raw::ListWavesRequest>) -> Reply<raw::ListWavesReply> {
+        let query = WaveQuery::try_from(request.into_inner())?;
+        let waves = self.backend.waves(query).await?;
+        let waves = waves.into_iter().map(raw::Wave::from).collect();
+        Ok(Response::new(raw::ListWavesReply { waves }))
+    }
+
+    async fn list_jobs(&self, request: Request<raw::ListJobsRequest>) -> Reply<raw::ListJobsReply> {
+        let query = JobQuery::try_from(request.into_inner())?;
+        Ok(Response::new(self.backend.jobs(query).await?.into()))
+    }
+
+    async fn get_job(&self, request: Request<raw::GetJobRequest>) -> Reply<raw::GetJobReply> {
+        let mut check = FieldCheck::default();
+        let id = check.id("id", &request.into_inner().id);
+        let id = check.request(|| id)?;
+        let job = self.backend.job(id).await?;
+        Ok(Response::new(raw::GetJobReply { job: Some(job.into()) }))
+    }
+
+    async fn get_status(&self, _: Request<raw::GetStatusRequest>) -> Reply<raw::GetStatusReply> {
+        Ok(Response::new(self.backend.status().await?.into()))
+    }
+}
