--- a/crates/entry/src/control/control_actor.rs
+++ b/crates/entry/src/control/control_actor.rs
@@ -2,21 +2,28 @@
     super::{
         append_queue::QueuedRecord,
         control_messages::{
-            AbandonRecord, ApplyEntries, AskPosition, CaughtUp, FoldPosition, LoadState,
-            ProposeRecord, ReadState, UpdateHosts,
+            AbandonRecord, ApplyEntries, AskPosition, CaughtUp, EntriesReply, FetchLedger,
+            FoldPosition, ImageReply, LoadState, ProposeRecord, ReadState, StateOrigin, TakeImage,
+            UpdateHosts,
         },
         view_builder::build_view,
     },
-    crate::clock::BootClock,
+    crate::{clock::BootClock, peering::PeerBoard},
+    bytes::Bytes,
     goldcreststall_core::{
         claims::{CLAIM_MAX_AGE, ClaimRecord},
         collections::SortedMap,
         ids::{DataCentre, EntryId, LogTime, RecordId},
         ledger::{
-            Author, FleetState, LedgerRecord, LogEntry, RecordBody, Rejection, decode_records,
+            Author, FleetState, LedgerRecord, LogEntry, LogIdentity, LogOffset, RecordBody,
+            Rejection, decode_records, encode_state,
         },
         traffic::RoutingView,
     },
+    goldcreststall_peers::{
+        decisions::EntryRelay,
+        wire::{RelayEntry, StateImage},
+    },
     goldcreststall_platform::{hosts::HostsReply, log::RawEntry},
     kameo::{
         Actor,
@@ -34,6 +41,8 @@
 pub struct ControlArgs {
     /// Records to append.
     pub(super) appends: mpsc::UnboundedSender<QueuedRecord>,
+    /// What the peers are told.
+    pub board: Arc<PeerBoard>,
     /// Data centre of this entry host.
     pub data_centre: DataCentre,
     /// This run of the entry host.
@@ -52,7 +61,10 @@
     args: ControlArgs,
     clock: BootClock,
     hosts: HostsReply,
+    /// Whether there is any state: the log was reached once, or a state was loaded.
+    known: bool,
     ready: bool,
+    relay: EntryRelay,
     /// Whether the log holds entries that this version cannot read.
     stuck: bool,
     state: FleetState,
@@ -69,7 +81,9 @@
             args,
             clock: BootClock,
             hosts: HostsReply::default(),
+            known: false,
             ready: false,
+            relay: EntryRelay::new(LogIdentity(0), LogOffset(0)),
             state: FleetState::default(),
             stuck: false,
             waiters: SortedMap::default(),
@@ -79,7 +93,8 @@
 
 impl ControlActor {
     fn apply_raw(&mut self, raw: RawEntry) {
-        if self.stuck {
+        // The log and a peer may deliver the same entries.
+        if self.stuck || raw.offset != self.state.next() {
             return;
         }
         let records = match decode_records(&raw.payload) {
@@ -96,6 +111,12 @@
             records,
             time: raw.time,
         };
+        let relayed = RelayEntry {
+            bytes: Bytes::from(raw.payload),
+            offset: raw.offset,
+            time: raw.time,
+        };
+        self.relay.push(self.state.log(), relayed);
         let results = self.state.apply(&entry);
         for (record, result) in entry.records.iter().zip(results) {
             self.settle(entry.offset.0, record, result);
@@ -152,7 +173,8 @@
         if !self.ready {
             return;
         }
-        let view = build_view(&self.state, &self.hosts, &self.args);
+        let previous = self.args.view.borrow().clone().unwrap_or_default();
+        let view = build_view(&previous, &self.state, &self.hosts, &self.args);
         let view = Arc::new(view);
         self.args.view.send_if_modified(|published| {
             let changed = published.as_ref() != Some(&view);
@@ -169,10 +191,18 @@
 
     fn position(&self) -> FoldPosition {
         FoldPosition {
+            known: self.known,
             log: self.state.log(),
             next: self.state.next(),
         }
     }
+
+    /// Tells the peers how far this entry host has come.
+    fn show_position(&self) {
+        if self.known {
+            self.args.board.set_position(self.position().position());
+        }
+    }
 }
 
 impl Message<ApplyEntries> for ControlActor {
@@ -183,8 +213,9 @@
         message: ApplyEntries,
         _context: &mut Context<Self, FoldPosition>,
     ) -> FoldPosition {
-        if self.state.log() != message.log && self.state.next().0 == 0 {
+        if !self.known {
             self.state = FleetState::new(message.log);
+            self.known = true;
         }
         if self.state.log() != message.log {
             error!(self.args.logger, "ledger: the log is another one; its entries are ignored"; "log" => message.log.0);
@@ -200,6 +231,7 @@
         }
         self.forget_abandoned(self.state.time());
         self.publish();
+        self.show_position();
         self.position()
     }
 }
@@ -224,13 +256,17 @@
         message: LoadState,
         _context: &mut Context<Self, FoldPosition>,
     ) -> FoldPosition {
-        let fresh = self.state.next().0 == 0;
+        let fresh = !self.known;
         let same_log = self.state.log() == message.state.log();
         // A state with a lower offset would revert what is in force.
         if fresh || (same_log && message.state.next() > self.state.next()) {
             info!(self.args.logger, "ledger: a state was loaded"; "offset" => message.state.next().0);
             self.state = *message.state;
+            self.known = true;
+            // A peer's state is in force there, so requests are served by it until the log is back.
+            self.ready |= message.origin == StateOrigin::Peer;
             self.publish();
+            self.show_position();
         } else {
             warn!(self.args.logger, "ledger: an older state was not loaded"; "offset" => message.state.next().0);
         }
@@ -291,3 +327,33 @@
         self.position()
     }
 }
+
+impl Message<FetchLedger> for ControlActor {
+    type Reply = EntriesReply;
+
+    async fn handle(
+        &mut self,
+        message: FetchLedger,
+        _context: &mut Context<Self, EntriesReply>,
+    ) -> EntriesReply {
+        EntriesReply(self.relay.answer(message.fetch))
+    }
+}
+
+impl Message<TakeImage> for ControlActor {
+    type Reply = Option<ImageReply>;
+
+    async fn handle(
+        &mut self,
+        _message: TakeImage,
+        _context: &mut Context<Self, Option<ImageReply>>,
+    ) -> Option<ImageReply> {
+        let position = self.position().position();
+        self.known.then(|| {
+            ImageReply(StateImage {
+                bytes: Bytes::from(encode_state(&self.state)),
+                position,
+            })
+        })
+    }
+}
--- a/crates/entry/src/control/control_handle.rs
+++ b/crates/entry/src/control/control_handle.rs
@@ -3,7 +3,7 @@
         ControlActor,
         control_messages::{AbandonRecord, ProposeRecord, ReadState},
     },
-    crate::clock::BootClock,
+    crate::{clock::BootClock, peering::PeerBoard},
     goldcreststall_core::{
         ids::{EntryId, LocalTime, RecordId},
         ledger::{Author, FleetState, LedgerRecord, RecordBody, Rejection},
@@ -30,6 +30,7 @@
 #[derive(Clone)]
 pub struct ControlHandle {
     pub(super) actor: ActorRef<ControlActor>,
+    pub(super) board: Arc<PeerBoard>,
     pub(super) clock: BootClock,
     pub(super) entry: EntryId,
     pub(super) view: watch::Receiver<Option<Arc<RoutingView>>>,
@@ -41,6 +42,16 @@
         &self.entry
     }
 
+    /// Returns what the peers tell and are told.
+    pub fn board(&self) -> &Arc<PeerBoard> {
+        &self.board
+    }
+
+    /// Tells whether the log was read lately, so that a record can be expected to be confirmed.
+    pub fn log_is_up(&self) -> bool {
+        self.board.reads_log()
+    }
+
     /// Returns the routing view in force; `None` before the first configuration is known.
     pub fn view(&self) -> Option<Arc<RoutingView>> {
         self.view.borrow().clone()
--- a/crates/entry/src/control/control_messages.rs
+++ b/crates/entry/src/control/control_messages.rs
@@ -3,22 +3,33 @@
         ids::{LocalTime, RecordId},
         ledger::{FleetState, LedgerRecord, LogIdentity, LogOffset, Rejection},
     },
+    goldcreststall_peers::wire::{EntriesAnswer, FetchEntries, LogPosition, StateImage},
     goldcreststall_platform::{hosts::HostsReply, log::RawEntry},
     tokio::sync::oneshot,
 };
 
-/// Entries read from the log, in order.
-pub(super) struct ApplyEntries {
-    pub(super) entries: Vec<RawEntry>,
-    pub(super) log: LogIdentity,
+/// Entries read from the log or from a peer, in order.
+pub(crate) struct ApplyEntries {
+    pub(crate) entries: Vec<RawEntry>,
+    pub(crate) log: LogIdentity,
 }
 
 /// The log was read to its end at least once.
 pub(super) struct CaughtUp;
 
+/// Where a state comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum StateOrigin {
+    /// A peer; the log may be ahead.
+    Peer,
+    /// A snapshot; the log is read next.
+    Snapshot,
+}
+
 /// A state that was loaded from a snapshot or taken from a peer.
-pub(super) struct LoadState {
-    pub(super) state: Box<FleetState>,
+pub(crate) struct LoadState {
+    pub(crate) origin: StateOrigin,
+    pub(crate) state: Box<FleetState>,
 }
 
 /// The list of hosts was read.
@@ -45,10 +56,37 @@
 
 /// How far the state has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, kameo::Reply)]
-pub(super) struct FoldPosition {
-    pub(super) log: LogIdentity,
-    pub(super) next: LogOffset,
+pub(crate) struct FoldPosition {
+    /// Whether there is any state.
+    pub(crate) known: bool,
+    pub(crate) log: LogIdentity,
+    pub(crate) next: LogOffset,
+}
+
+impl FoldPosition {
+    pub(crate) fn position(self) -> LogPosition {
+        LogPosition {
+            log: self.log,
+            next: self.next,
+        }
+    }
 }
 
 /// Asks for the position of the fold.
-pub(super) struct AskPosition;
+pub(crate) struct AskPosition;
+
+/// A peer that lags asks for entries.
+pub(crate) struct FetchLedger {
+    pub(crate) fetch: FetchEntries,
+}
+
+/// Asks for the encoded state.
+pub(crate) struct TakeImage;
+
+/// The answer to [`FetchLedger`].
+#[derive(kameo::Reply)]
+pub(crate) struct EntriesReply(pub(crate) EntriesAnswer);
+
+/// The answer to [`TakeImage`].
+#[derive(kameo::Reply)]
+pub(crate) struct ImageReply(pub(crate) StateImage);
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -3,14 +3,20 @@
         ControlActor, ControlArgs, ControlHandle, append_queue::AppendQueue,
         hosts_poll::poll_hosts, log_tail::LogTail,
     },
-    crate::clock::BootClock,
+    crate::{
+        clock::BootClock,
+        peering::{CatchUpTask, PeerBoard, PeerGateway},
+    },
     anyhow::Context,
-    goldcreststall_core::ids::{DataCentre, EntryId, Millis},
+    goldcreststall_core::ids::{DataCentre, Millis},
+    goldcreststall_peers::mesh::{MeshSettings, PeerMesh, TcpDialer},
     goldcreststall_platform::{hosts::HostList, log::LogService},
-    kameo::actor::Spawn,
+    kameo::actor::{ActorRef, Spawn},
+    rand::{Rng, SeedableRng, rngs::StdRng},
     slog::Logger,
-    std::{sync::Arc, thread},
+    std::{net, sync::Arc, thread},
     tokio::{
+        net::TcpListener,
         runtime::Builder,
         sync::{mpsc, oneshot, watch},
     },
@@ -22,13 +28,20 @@
 /// The part of an entry host is rounded down to a multiple of this.
 const APPEND_STEP: u64 = 10;
 
-/// What the control thread talks to.
-#[derive(Clone)]
-pub struct ControlPorts {
+/// What the control thread is started with.
+pub struct ControlSetup {
+    /// Data centre of this entry host.
+    pub data_centre: DataCentre,
     /// The list of hosts.
     pub hosts: Arc<dyn HostList>,
+    /// Where peers are served; bound already.
+    pub listener: net::TcpListener,
     /// The log service.
     pub log: Arc<dyn LogService>,
+    /// Logger.
+    pub logger: Logger,
+    /// This run of the entry host and its peers.
+    pub mesh: MeshSettings,
 }
 
 /// The thread that owns the control state.
@@ -43,13 +56,7 @@
     ///
     /// # Errors
     /// When the operating system gives no thread or runtime.
-    pub fn start(
-        entry: EntryId,
-        data_centre: DataCentre,
-        entry_count: u32,
-        ports: ControlPorts,
-        logger: Logger,
-    ) -> anyhow::Result<Self> {
+    pub fn start(setup: ControlSetup) -> anyhow::Result<Self> {
         let runtime = Builder::new_current_thread()
             .enable_all()
             .build()
@@ -59,8 +66,8 @@
         let stopped = stop.clone();
         let run = move || {
             runtime.block_on(async move {
-                let handle = spawn_parts(entry, data_centre, entry_count, ports, logger);
-                let _ = started.send(handle);
+                // The receiver is gone only when the caller has given up.
+                let _ = started.send(spawn_parts(setup, &stopped));
                 stopped.cancelled().await;
             });
         };
@@ -70,7 +77,7 @@
             .context("the control thread was not started")?;
         let handle = handle.blocking_recv().context("the control thread ended")?;
         Ok(Self {
-            handle,
+            handle: handle?,
             stop,
             thread: Some(thread),
         })
@@ -92,36 +99,82 @@
     }
 }
 
-fn spawn_parts(
-    entry: EntryId,
-    data_centre: DataCentre,
-    entry_count: u32,
-    ports: ControlPorts,
-    logger: Logger,
-) -> ControlHandle {
+fn spawn_parts(setup: ControlSetup, stop: &CancellationToken) -> anyhow::Result<ControlHandle> {
+    let entry = setup.mesh.local.clone();
+    let peers = setup.mesh.peers().len();
+    let entry_count = u32::try_from(peers + 1).unwrap_or(u32::MAX);
+    let board = Arc::new(PeerBoard::new(entry.clone()));
     let (appends, records) = mpsc::unbounded_channel();
     let (view, views) = watch::channel(None);
-    let args = ControlArgs {
+    let actor = ControlActor::spawn(ControlArgs {
         appends,
-        data_centre,
+        board: Arc::clone(&board),
+        data_centre: setup.data_centre.clone(),
         entry: entry.clone(),
         entry_count,
-        logger: logger.clone(),
+        logger: setup.logger.clone(),
         view,
-    };
-    let actor = ControlActor::spawn(args);
+    });
+    let logger = &setup.logger;
     let interval = append_interval(entry_count);
-    let queue = AppendQueue::new(Arc::clone(&ports.log), records, interval, logger.clone());
+    let queue = AppendQueue::new(Arc::clone(&setup.log), records, interval, logger.clone());
     tokio::spawn(queue.run());
-    let tail = LogTail::new(actor.clone(), ports.log, logger.clone());
+    let tail = LogTail::new(
+        actor.clone(),
+        Arc::clone(&board),
+        Arc::clone(&setup.log),
+        logger.clone(),
+    );
     tokio::spawn(tail.run());
-    tokio::spawn(poll_hosts(ports.hosts, actor.clone(), logger));
-    ControlHandle {
+    let polled = poll_hosts(Arc::clone(&setup.hosts), actor.clone(), logger.clone());
+    tokio::spawn(polled);
+    start_peers(setup, &actor, &board, stop)?;
+    Ok(ControlHandle {
         actor,
+        board,
         clock: BootClock,
         entry,
         view: views,
-    }
+    })
+}
+
+fn start_peers(
+    setup: ControlSetup,
+    actor: &ActorRef<ControlActor>,
+    board: &Arc<PeerBoard>,
+    stop: &CancellationToken,
+) -> anyhow::Result<()> {
+    setup.listener.set_nonblocking(true)?;
+    let listener = TcpListener::from_std(setup.listener)?;
+    let peers = setup.mesh.peers().len();
+    let random = random_source(setup.mesh.local.incarnation.0);
+    let gateway = PeerGateway::new(actor.clone(), Arc::clone(board));
+    let mesh = Arc::new(PeerMesh::start(
+        setup.mesh,
+        Arc::new(TcpDialer),
+        Arc::new(gateway),
+        Arc::clone(&random),
+        setup.logger.clone(),
+        stop.clone(),
+    ));
+    let listening = Arc::clone(&mesh);
+    tokio::spawn(async move { listening.listen(listener).await });
+    let catch_up = CatchUpTask::new(
+        actor.clone(),
+        Arc::clone(board),
+        mesh,
+        peers,
+        random,
+        setup.logger,
+    );
+    tokio::spawn(catch_up.run());
+    Ok(())
+}
+
+/// Returns a source of random numbers that spread attempts in time.
+fn random_source(seed: u64) -> Arc<dyn Fn() -> u64 + Send + Sync> {
+    let random = parking_lot::Mutex::new(StdRng::seed_from_u64(seed));
+    Arc::new(move || random.lock().next_u64())
 }
 
 /// Returns the shortest time between two appends of one entry host.
--- a/crates/entry/src/control/log_tail.rs
+++ b/crates/entry/src/control/log_tail.rs
@@ -1,10 +1,14 @@
 use {
     super::{
         ControlActor,
-        control_messages::{ApplyEntries, AskPosition, CaughtUp, FoldPosition},
+        control_messages::{
+            ApplyEntries, AskPosition, CaughtUp, FoldPosition, LoadState, StateOrigin,
+        },
+        snapshot_reader::SnapshotReader,
     },
+    crate::{clock::BootClock, peering::PeerBoard},
     goldcreststall_core::{
-        ids::Millis,
+        ids::{LocalTime, Millis},
         ledger::{LogIdentity, LogOffset},
     },
     goldcreststall_platform::log::{LogBounds, LogError, LogService, LogStream},
@@ -21,49 +25,89 @@
 /// Reads the log from where the fold stands.
 pub(super) struct LogTail {
     actor: ActorRef<ControlActor>,
+    board: Arc<PeerBoard>,
+    clock: BootClock,
     log: Arc<dyn LogService>,
     logger: Logger,
+    snapshots: SnapshotReader,
 }
 
 impl LogTail {
     pub(super) fn new(
         actor: ActorRef<ControlActor>,
+        board: Arc<PeerBoard>,
         log: Arc<dyn LogService>,
         logger: Logger,
     ) -> Self {
-        Self { actor, log, logger }
+        let snapshots = SnapshotReader::new(Arc::clone(&log), logger.clone());
+        Self {
+            actor,
+            board,
+            clock: BootClock,
+            log,
+            logger,
+            snapshots,
+        }
     }
 
     /// Runs until the actor ends.
     pub(super) async fn run(self) {
-        let mut bounds = self.first_bounds().await;
-        while let Ok(position) = self.actor.ask(AskPosition).await {
-            match self.step(bounds.identity, position).await {
-                Ok(next) if next >= bounds.next => {
-                    if self.actor.tell(CaughtUp).await.is_err() {
-                        return;
-                    }
-                }
-                Ok(_) => {}
+        loop {
+            match self.follow().await {
+                Ok(()) => return,
                 Err(error) => {
                     warn!(self.logger, "ledger: the log was not read"; "error" => %error);
-                    tokio::time::sleep(Duration::from_millis(RETRY_PAUSE.0)).await;
-                    bounds = self.first_bounds().await;
                 }
             }
+            tokio::time::sleep(Duration::from_millis(RETRY_PAUSE.0)).await;
         }
     }
 
-    async fn first_bounds(&self) -> LogBounds {
-        loop {
-            match self.log.bounds(LogStream::Ledger).await {
-                Ok(bounds) => return bounds,
-                Err(error) => {
-                    warn!(self.logger, "ledger: the log cannot be reached"; "error" => %error);
-                    tokio::time::sleep(Duration::from_millis(RETRY_PAUSE.0)).await;
+    /// Reads until the actor ends or a call fails.
+    async fn follow(&self) -> Result<(), LogError> {
+        let bounds = self.log.bounds(LogStream::Ledger).await?;
+        while let Ok(position) = self.actor.ask(AskPosition).await {
+            let expired = position.next < bounds.first;
+            let position = if !position.known || expired {
+                self.load_snapshot(position).await?
+            } else {
+                position
+            };
+            let sent = self.clock.now();
+            match self.step(bounds.identity, position).await {
+                Ok(next) => self.note_end(&bounds, next, sent).await,
+                // The entries expired while this host was away; the snapshot has what they did.
+                Err(LogError::OffsetGone { .. }) => {
+                    self.load_snapshot(position).await?;
+                    return Err(LogError::OffsetGone {
+                        first: bounds.first,
+                    });
                 }
+                Err(error) => return Err(error),
             }
         }
+        Ok(())
+    }
+
+    async fn load_snapshot(&self, position: FoldPosition) -> Result<FoldPosition, LogError> {
+        let Some(state) = self.snapshots.latest().await? else {
+            return Ok(position);
+        };
+        let message = LoadState {
+            origin: StateOrigin::Snapshot,
+            state: Box::new(state),
+        };
+        let loaded = self.actor.ask(message).await;
+        Ok(loaded.unwrap_or(position))
+    }
+
+    /// Notes that the read reached the end that the log had when reading began.
+    async fn note_end(&self, bounds: &LogBounds, next: LogOffset, sent: LocalTime) {
+        if next >= bounds.next {
+            self.board.log_read(sent);
+            // The actor ends only at shutdown.
+            let _ = self.actor.tell(CaughtUp).await;
+        }
     }
 
     async fn step(&self, log: LogIdentity, position: FoldPosition) -> Result<LogOffset, LogError> {
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -7,10 +7,14 @@
 mod control_thread;
 mod hosts_poll;
 mod log_tail;
+mod snapshot_reader;
 mod view_builder;
 
+pub(crate) use control_messages::{
+    ApplyEntries, AskPosition, FetchLedger, LoadState, StateOrigin, TakeImage,
+};
 pub use {
     control_actor::{ControlActor, ControlArgs},
     control_handle::{ControlHandle, ProposeError},
-    control_thread::{ControlPorts, ControlThread},
+    control_thread::{ControlSetup, ControlThread},
 };
--- a/crates/entry/src/control/view_builder.rs
+++ b/crates/entry/src/control/view_builder.rs
@@ -1,73 +1,48 @@
 use {
     super::ControlArgs,
     goldcreststall_core::{
-        ids::ServiceName,
         ledger::FleetState,
-        traffic::{RoutingView, ServiceKey, ServiceView, TargetView, TenantView},
+        traffic::{PlatformHost, PoolMember, RoutingView, ViewInput},
     },
     goldcreststall_platform::hosts::{HostRow, HostStatus, HostsReply},
 };
 
-/// Builds the routing view from the folded state and the list of hosts.
+/// Builds the routing view that follows `previous` from the folded state and the list of hosts.
 pub(super) fn build_view(
+    previous: &RoutingView,
     state: &FleetState,
-    hosts: &HostsReply,
+    list: &HostsReply,
     args: &ControlArgs,
 ) -> RoutingView {
-    let fleet = state.config.fleet();
-    let services: Vec<ServiceView> = fleet
-        .services
-        .iter()
-        .map(|service| ServiceView {
-            max_queue: service.max_queue,
-            name: service.name.clone(),
+    let hosts: Vec<PlatformHost> = list.hosts.iter().map(platform_host).collect();
+    let members = state.membership.hosts().iter();
+    let members: Vec<PoolMember> = members
+        .map(|(name, host)| PoolMember {
+            // The version grows with each change of the host, so it grows when the host becomes active.
+            activation: host.version.change,
+            active: host.available(),
+            host: name.clone(),
+            pool: host.pool.clone(),
         })
         .collect();
-    let tenants = fleet.tenants.iter().map(|tenant| TenantView {
-        name: tenant.name.clone(),
-        weight: tenant.weight,
-    });
-    let mut targets: Vec<TargetView> = hosts
-        .hosts
-        .iter()
-        .filter_map(|row| target(state, row, args, &services))
-        .collect();
-    targets.sort_by(|left, right| left.name.cmp(&right.name));
-    RoutingView {
-        data_centre: Some(args.data_centre.clone()),
-        tenants: tenants.collect(),
-        targets,
-        services,
-    }
+    previous.next(&ViewInput {
+        config: state.config.fleet(),
+        data_centre: &args.data_centre,
+        entry_hosts: args.entry_count,
+        hosts: &hosts,
+        members: &members,
+    })
 }
 
-fn target(
-    state: &FleetState,
-    row: &HostRow,
-    args: &ControlArgs,
-    services: &[ServiceView],
-) -> Option<TargetView> {
-    let host = state.membership.hosts().get(&row.name)?;
-    let fleet = state.config.fleet();
-    let service = fleet
-        .services
-        .iter()
-        .find(|service| service.pool == host.pool)?;
-    Some(TargetView {
+fn platform_host(row: &HostRow) -> PlatformHost {
+    PlatformHost {
         address: row.address.to_string(),
-        connections: (row.connections / args.entry_count.max(1)).max(1),
+        connections: row.connections,
         data_centre: row.data_centre.clone(),
         incarnation: row.incarnation,
         leaving: row.status == HostStatus::Leaving,
         name: row.name.clone(),
-        service: service_key(services, &service.name)?,
+        rack: row.rack.clone(),
         slots: row.slots,
-    })
-}
-
-fn service_key(services: &[ServiceView], name: &ServiceName) -> Option<ServiceKey> {
-    let index = services
-        .binary_search_by(|service| service.name.cmp(name))
-        .ok()?;
-    Some(ServiceKey(u16::try_from(index).ok()?))
+    }
 }
--- a/crates/entry/src/daemon/entry_daemon.rs
+++ b/crates/entry/src/daemon/entry_daemon.rs
@@ -1,8 +1,9 @@
 use {
     crate::{
         clock::wall_time,
-        control::{ControlHandle, ControlPorts, ControlThread},
+        control::{ControlHandle, ControlSetup, ControlThread},
         metrics::EntryMetrics,
+        peering::PeerFeed,
         settings::EntrySettings,
         traffic::{PolicyGate, RequestRouter},
     },
@@ -10,8 +11,9 @@
     goldcreststall_callers::server::{CallerServer, ServerLimits},
     goldcreststall_core::{
         ids::{EntryId, Incarnation, Millis},
-        traffic::QueuePolicy,
+        traffic::FairPolicy,
     },
+    goldcreststall_peers::mesh::MeshSettings,
     goldcreststall_platform::{hosts::HttpHosts, log::HttpLog},
     goldcreststall_targets::pool::PooledTransport,
     slog::{Logger, info},
@@ -36,18 +38,16 @@
         incarnation: Incarnation(wall_time().0),
         name: settings.name.clone(),
     };
-    let ports = ControlPorts {
+    let listener = std::net::TcpListener::bind(settings.listen_peers)
+        .with_context(|| format!("--listen-peers: {} cannot be bound", settings.listen_peers))?;
+    let control = ControlThread::start(ControlSetup {
+        data_centre: settings.data_centre.clone(),
         hosts: Arc::new(HttpHosts::new(settings.hosts)),
+        listener,
         log: Arc::new(HttpLog::new(settings.log)),
-    };
-    let entry_count = u32::try_from(settings.peers.len() + 1).unwrap_or(u32::MAX);
-    let control = ControlThread::start(
-        entry,
-        settings.data_centre.clone(),
-        entry_count,
-        ports,
-        logger.clone(),
-    )?;
+        logger: logger.clone(),
+        mesh: MeshSettings::new(entry, settings.peers.clone())?,
+    })?;
     let runtime = Builder::new_multi_thread()
         .enable_all()
         .thread_name("traffic")
@@ -65,9 +65,13 @@
     let listener = TcpListener::bind(settings.callers)
         .await
         .with_context(|| format!("--callers: {} cannot be bound", settings.callers))?;
-    let gate = PolicyGate::new(Box::<QueuePolicy>::default(), control.entry().incarnation.0);
+    let policy = FairPolicy::new(control.entry().name.clone());
+    let gate = PolicyGate::new(Box::new(policy), control.entry().incarnation.0);
     tokio::spawn(PolicyGate::run_expiry(Arc::downgrade(&gate)));
     tokio::spawn(follow_view(control.clone(), Arc::clone(&gate)));
+    let board = Arc::clone(control.board());
+    let feed = PeerFeed::new(Arc::clone(&board), control.clone(), Arc::clone(&gate));
+    tokio::spawn(feed.run());
     let router = Arc::new(RequestRouter::new(
         control,
         gate,
@@ -85,6 +89,7 @@
     info!(logger, "drain: the entry host serves callers"; "address" => %settings.callers);
     wait_for_signal().await?;
     info!(logger, "drain: the entry host is told to stop");
+    board.drain();
     router.start_drain();
     tokio::time::sleep(Duration::from_millis(settings.lame_duck.0)).await;
     stop.cancel();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod daemon;
 pub mod logging;
 pub mod metrics;
+pub mod peering;
 pub mod settings;
 pub mod traffic;
--- /dev/null
+++ b/crates/entry/src/peering/catch_up_task.rs
@@ -0,0 +1,155 @@
+use {
+    super::PeerBoard,
+    crate::{
+        clock::BootClock,
+        control::{ApplyEntries, AskPosition, ControlActor, LoadState, StateOrigin},
+    },
+    goldcreststall_core::{
+        ids::{EntryName, Millis},
+        ledger::{FleetState, decode_state},
+    },
+    goldcreststall_peers::{
+        decisions::{CatchUp, CatchUpStep, PeerOffer, StartChoice, StartStep},
+        mesh::PeerMesh,
+        wire::{EntriesAnswer, FetchEntries, LogPosition, RelayEntry},
+    },
+    goldcreststall_platform::log::RawEntry,
+    kameo::actor::ActorRef,
+    slog::{Logger, info, warn},
+    std::{sync::Arc, time::Duration},
+};
+
+/// Time between two decisions.
+const STEP_INTERVAL: Millis = Millis(200);
+
+/// Takes entries and states from peers while the log does not deliver them.
+pub(crate) struct CatchUpTask {
+    actor: ActorRef<ControlActor>,
+    board: Arc<PeerBoard>,
+    catch_up: CatchUp,
+    clock: BootClock,
+    logger: Logger,
+    mesh: Arc<PeerMesh>,
+    random: Arc<dyn Fn() -> u64 + Send + Sync>,
+    start: StartChoice,
+}
+
+impl CatchUpTask {
+    pub(crate) fn new(
+        actor: ActorRef<ControlActor>,
+        board: Arc<PeerBoard>,
+        mesh: Arc<PeerMesh>,
+        peers: usize,
+        random: Arc<dyn Fn() -> u64 + Send + Sync>,
+        logger: Logger,
+    ) -> Self {
+        let clock = BootClock;
+        Self {
+            actor,
+            board,
+            catch_up: CatchUp::default(),
+            clock,
+            logger,
+            mesh,
+            random,
+            start: StartChoice::new(clock.now(), peers),
+        }
+    }
+
+    /// Runs until the actor ends.
+    pub(crate) async fn run(mut self) {
+        while let Ok(position) = self.actor.ask(AskPosition).await {
+            if position.known {
+                self.follow(position.position()).await;
+            } else {
+                self.begin().await;
+            }
+            tokio::time::sleep(Duration::from_millis(STEP_INTERVAL.0)).await;
+        }
+    }
+
+    /// Without any state: chooses whose state to take.
+    async fn begin(&mut self) {
+        for (peer, position) in self.board.positions() {
+            self.start.offer(peer, PeerOffer::State(position));
+        }
+        if let StartStep::Fetch { peer, position } = self.start.next_step(self.clock.now()) {
+            info!(self.logger, "peer: the state of a peer is fetched"; "peer" => %peer, "offset" => position.next.0);
+            match self.fetch_state(&peer).await {
+                Some(state) => self.take(&peer, state).await,
+                None => self.start.withdraw(&peer),
+            }
+        }
+    }
+
+    async fn take(&mut self, peer: &EntryName, state: FleetState) {
+        let position = LogPosition {
+            log: state.log(),
+            next: state.next(),
+        };
+        match self.start.take(peer, position) {
+            Ok(()) => self.load(state).await,
+            Err(refusal) => {
+                warn!(self.logger, "peer: a state is not taken"; "peer" => %peer, "reason" => %refusal);
+            }
+        }
+    }
+
+    /// With a state: fetches what is missing when the log stands still.
+    async fn follow(&mut self, own: LogPosition) {
+        let peers = self.board.positions();
+        let random = (self.random)();
+        match self.catch_up.plan(self.clock.now(), own, &peers, random) {
+            CatchUpStep::Wait => {}
+            CatchUpStep::Fetch { fetch, peer } => self.fetch(fetch, &peer).await,
+            CatchUpStep::TakeState { peer } => {
+                if let Some(state) = self.fetch_state(&peer).await {
+                    self.load(state).await;
+                }
+            }
+        }
+    }
+
+    async fn fetch(&mut self, fetch: FetchEntries, peer: &EntryName) {
+        let answer = self.mesh.fetch_entries(peer, fetch).await.ok();
+        self.catch_up
+            .answered(self.clock.now(), peer, answer.as_ref());
+        let Some(EntriesAnswer::Entries { entries, log }) = answer else {
+            return;
+        };
+        info!(self.logger, "peer: entries were fetched"; "peer" => %peer, "entries" => entries.len());
+        let entries = entries.into_iter().map(raw_entry).collect();
+        if let Ok(position) = self.actor.ask(ApplyEntries { entries, log }).await {
+            self.catch_up.fetched(position.position());
+        }
+    }
+
+    async fn fetch_state(&self, peer: &EntryName) -> Option<FleetState> {
+        let image = self.mesh.fetch_state(peer).await;
+        let image = image.map_err(|error| error.to_string());
+        let state =
+            image.and_then(|image| decode_state(&image.bytes).map_err(|error| error.to_string()));
+        state
+            .inspect_err(|reason| {
+                warn!(self.logger, "peer: no state was fetched"; "peer" => %peer, "reason" => reason);
+            })
+            .ok()
+    }
+
+    async fn load(&self, state: FleetState) {
+        let message = LoadState {
+            origin: StateOrigin::Peer,
+            state: Box::new(state),
+        };
+        // The actor ends only at shutdown.
+        let _ = self.actor.ask(message).await;
+    }
+}
+
+fn raw_entry(entry: RelayEntry) -> RawEntry {
+    RawEntry {
+        offset: entry.offset,
+        payload: entry.bytes.to_vec(),
+        time: entry.time,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peering/peer_board.rs
@@ -0,0 +1,202 @@
+use {
+    crate::clock::BootClock,
+    goldcreststall_core::{
+        collections::SortedMap,
+        duties::{Duty, DutyRoster},
+        ids::{EntryId, EntryName, LocalTime, Millis, ServiceName},
+        traffic::{LeavingMark, PeerDemand, ServiceDemand},
+    },
+    goldcreststall_peers::{
+        decisions::{PeerTable, Receipt},
+        wire::{self, Digest, DigestContent, LogPosition},
+    },
+    parking_lot::Mutex,
+    std::sync::Arc,
+};
+
+/// Time without a read after which the log counts as out of reach. A read may wait 1 s for entries, and a
+/// slow log answers later still.
+const LOG_SILENCE: Millis = Millis(4_000);
+
+#[derive(Debug)]
+struct BoardState {
+    content: Arc<DigestContent>,
+    demand: Vec<wire::ServiceDemand>,
+    draining: bool,
+    /// When the last read that reached the end of the log was sent.
+    log_read: Option<LocalTime>,
+    marks: Vec<LeavingMark>,
+    position: Option<LogPosition>,
+    roster: DutyRoster,
+    table: PeerTable,
+}
+
+/// What this entry host tells its peers, and what they told last.
+#[derive(Debug)]
+pub struct PeerBoard {
+    clock: BootClock,
+    state: Mutex<BoardState>,
+}
+
+impl PeerBoard {
+    /// Creates the board of an entry host that has heard nobody.
+    pub fn new(entry: EntryId) -> Self {
+        let state = BoardState {
+            content: Arc::default(),
+            demand: Vec::new(),
+            draining: false,
+            log_read: None,
+            marks: Vec::new(),
+            position: None,
+            roster: DutyRoster::new(entry),
+            table: PeerTable::default(),
+        };
+        Self {
+            clock: BootClock,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Returns what the peers are told.
+    pub fn content(&self) -> Arc<DigestContent> {
+        Arc::clone(&self.state.lock().content)
+    }
+
+    /// Takes a digest of a peer.
+    pub fn receive(&self, digest: Digest) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        let eligible = !digest.content.draining() && digest.content.position().is_some();
+        let from = digest.from.clone();
+        if state.table.receive(now, digest) != Receipt::Stale {
+            state.roster.hear(now, &from, eligible);
+        }
+    }
+
+    /// Sets how far the log was applied.
+    pub fn set_position(&self, position: LogPosition) {
+        let mut state = self.state.lock();
+        state.position = Some(position);
+        state.rebuild(self.clock.now());
+    }
+
+    /// Sets the demand of the services and the leaving marks.
+    pub fn set_traffic(&self, demand: Vec<wire::ServiceDemand>, marks: Vec<LeavingMark>) {
+        let mut state = self.state.lock();
+        state.demand = demand;
+        state.marks = marks;
+        state.rebuild(self.clock.now());
+    }
+
+    /// Notes that this entry host is shutting down.
+    pub fn drain(&self) {
+        let mut state = self.state.lock();
+        state.draining = true;
+        state.roster.drain();
+        state.rebuild(self.clock.now());
+    }
+
+    /// Notes that a read of the log, sent at `sent`, reached its end.
+    pub fn log_read(&self, sent: LocalTime) {
+        let mut state = self.state.lock();
+        state.roster.tail_read(sent);
+        state.log_read = Some(sent);
+        state.rebuild(self.clock.now());
+    }
+
+    /// Tells whether the log was read lately, so that a record can be expected to be confirmed.
+    pub fn reads_log(&self) -> bool {
+        let read = self.state.lock().log_read;
+        read.is_some_and(|read| self.clock.now().since(read) < LOG_SILENCE)
+    }
+
+    /// Tells whether this entry host is to perform `duty` now.
+    pub fn holds(&self, duty: &Duty) -> bool {
+        self.state.lock().roster.holds(self.clock.now(), duty)
+    }
+
+    /// Returns the positions of the live peers.
+    pub fn positions(&self) -> Vec<(EntryName, LogPosition)> {
+        self.state.lock().table.positions(self.clock.now())
+    }
+
+    /// Returns the live peers.
+    pub fn live_peers(&self) -> Vec<EntryId> {
+        let state = self.state.lock();
+        state.table.live(self.clock.now()).cloned().collect()
+    }
+
+    /// Returns the leaving marks that the live peers told.
+    pub fn peer_marks(&self) -> Vec<LeavingMark> {
+        let state = self.state.lock();
+        let digests = state.table.live_digests(self.clock.now());
+        let marks = digests.flat_map(|digest| digest.content.leaving());
+        marks
+            .map(|mark| LeavingMark {
+                activation: mark.basis.0,
+                host: mark.host.clone(),
+                incarnation: mark.incarnation,
+            })
+            .collect()
+    }
+
+    /// Returns the demand of the live peers and of this entry host as last told.
+    pub fn demand(&self, own: &EntryName) -> Vec<PeerDemand> {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let mut entries: SortedMap<EntryName, Vec<ServiceDemand>> = SortedMap::default();
+        for (service, rows) in state.table.demand_by_service(now).iter() {
+            for row in rows {
+                add_demand(&mut entries, &row.entry, service, row.requests);
+            }
+        }
+        for row in state.content.demand() {
+            add_demand(&mut entries, own, &row.service, row.requests);
+        }
+        let entries = entries.iter().map(|(entry, services)| PeerDemand {
+            entry: entry.clone(),
+            heard: now,
+            services: services.clone(),
+        });
+        entries.collect()
+    }
+}
+
+impl BoardState {
+    fn rebuild(&mut self, now: LocalTime) {
+        let marks = self.marks.iter().map(|mark| wire::LeavingMark {
+            basis: goldcreststall_core::ledger::LogOffset(mark.activation),
+            host: mark.host.clone(),
+            incarnation: mark.incarnation,
+        });
+        // A peer that cannot read the log must not be chosen for duties.
+        let abstains = self.draining || !self.roster.is_eligible(now);
+        let content = DigestContent::new(
+            self.position,
+            self.demand.clone(),
+            marks.collect(),
+            abstains,
+        );
+        if *self.content != content {
+            self.content = Arc::new(content);
+        }
+    }
+}
+
+fn add_demand(
+    entries: &mut SortedMap<EntryName, Vec<ServiceDemand>>,
+    entry: &EntryName,
+    service: &ServiceName,
+    requests: u32,
+) {
+    let demand = ServiceDemand {
+        requests,
+        service: service.clone(),
+    };
+    match entries.get_mut(entry) {
+        Some(services) => services.push(demand),
+        None => {
+            entries.insert(entry.clone(), vec![demand]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peering/peer_feed.rs
@@ -0,0 +1,58 @@
+use {
+    super::PeerBoard,
+    crate::{control::ControlHandle, traffic::PolicyGate},
+    goldcreststall_core::ids::Millis,
+    goldcreststall_peers::wire::ServiceDemand,
+    std::{sync::Arc, time::Duration},
+};
+
+/// Time between two exchanges with the board; the interval of the digests.
+const FEED_INTERVAL: Millis = Millis(200);
+
+/// Carries demand and leaving marks between the traffic policy and the board.
+pub struct PeerFeed {
+    board: Arc<PeerBoard>,
+    control: ControlHandle,
+    gate: Arc<PolicyGate>,
+}
+
+impl PeerFeed {
+    /// Creates a feed.
+    pub fn new(board: Arc<PeerBoard>, control: ControlHandle, gate: Arc<PolicyGate>) -> Self {
+        Self {
+            board,
+            control,
+            gate,
+        }
+    }
+
+    /// Runs until the task is dropped.
+    pub async fn run(self) {
+        loop {
+            self.exchange();
+            tokio::time::sleep(Duration::from_millis(FEED_INTERVAL.0)).await;
+        }
+    }
+
+    fn exchange(&self) {
+        for mark in self.board.peer_marks() {
+            self.gate.mark_leaving(&mark);
+        }
+        self.board
+            .set_traffic(self.demand(), self.gate.leaving_marks());
+        let demand = self.board.demand(&self.control.entry().name);
+        self.gate.update_peers(&demand);
+    }
+
+    fn demand(&self) -> Vec<ServiceDemand> {
+        let Some(view) = self.control.view() else {
+            return Vec::new();
+        };
+        let rows = view.services.iter().zip(self.gate.demand());
+        rows.map(|(service, requests)| ServiceDemand {
+            requests,
+            service: service.name.clone(),
+        })
+        .collect()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peering/peer_gateway.rs
@@ -0,0 +1,44 @@
+use {
+    super::PeerBoard,
+    crate::control::{ControlActor, FetchLedger, TakeImage},
+    goldcreststall_core::ids::EntryName,
+    goldcreststall_peers::{
+        mesh::PeerHandler,
+        wire::{Digest, DigestContent, EntriesAnswer, FetchEntries, StateImage},
+    },
+    kameo::actor::ActorRef,
+    std::sync::Arc,
+};
+
+/// Answers the peers from the board and the control state.
+pub(crate) struct PeerGateway {
+    actor: ActorRef<ControlActor>,
+    board: Arc<PeerBoard>,
+}
+
+impl PeerGateway {
+    pub(crate) fn new(actor: ActorRef<ControlActor>, board: Arc<PeerBoard>) -> Self {
+        Self { actor, board }
+    }
+}
+
+#[async_trait::async_trait]
+impl PeerHandler for PeerGateway {
+    fn receive(&self, digest: Digest) {
+        self.board.receive(digest);
+    }
+
+    fn digest(&self, _peer: &EntryName) -> Arc<DigestContent> {
+        self.board.content()
+    }
+
+    async fn serve_entries(&self, fetch: FetchEntries) -> EntriesAnswer {
+        let answer = self.actor.ask(FetchLedger { fetch }).await;
+        answer.map_or(EntriesAnswer::OtherLog, |reply| reply.0)
+    }
+
+    async fn serve_state(&self) -> Option<StateImage> {
+        let image = self.actor.ask(TakeImage).await.ok().flatten();
+        image.map(|reply| reply.0)
+    }
+}
--- a/crates/entry/src/settings/entry_settings.rs
+++ b/crates/entry/src/settings/entry_settings.rs
@@ -2,19 +2,11 @@
     super::setting_rows::{ROWS, SettingRow},
     crate::logging::LogFormat,
     goldcreststall_core::ids::{DataCentre, EntryName, Millis},
+    goldcreststall_peers::mesh::PeerAddress,
     slog::Level,
     std::{ffi::OsString, fmt::Write, io::IsTerminal, net::SocketAddr, str::FromStr},
 };
 
-/// Name and address of another entry host.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct PeerAddress {
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Its name.
-    pub name: EntryName,
-}
-
 /// The checked settings of an entry host.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EntrySettings {
@@ -217,9 +209,9 @@
         let value = self.value("peers")?;
         let mut peers = Vec::new();
         for part in value.split(',').filter(|part| !part.is_empty()) {
-            match parse_peer(part) {
-                Some(peer) => peers.push(peer),
-                None => self.reject("peers", part, "NAME=IP:PORT"),
+            match PeerAddress::try_from(part) {
+                Ok(peer) => peers.push(peer),
+                Err(_) => self.reject("peers", part, "NAME=IP:PORT"),
             }
         }
         Some(peers)
@@ -253,14 +245,6 @@
     }
 }
 
-fn parse_peer(text: &str) -> Option<PeerAddress> {
-    let (name, address) = text.split_once('=')?;
-    Some(PeerAddress {
-        address: address.parse().ok()?,
-        name: EntryName::try_from(name).ok()?,
-    })
-}
-
 fn help() -> String {
     let mut text =
         "goldcreststall-entry: one entry host\n\nSettings, by flag or environment:\n".to_owned();
--- a/crates/entry/src/settings/mod.rs
+++ b/crates/entry/src/settings/mod.rs
@@ -3,4 +3,4 @@
 mod entry_settings;
 mod setting_rows;
 
-pub use entry_settings::{EntrySettings, PeerAddress, SettingsError};
+pub use entry_settings::{EntrySettings, SettingsError};
--- a/crates/entry/src/traffic/counted_body.rs
+++ b/crates/entry/src/traffic/counted_body.rs
@@ -4,6 +4,7 @@
     bytes::Bytes,
     goldcreststall_core::{ids::LocalTime, traffic::SendOutcome},
     goldcreststall_targets::transport::AnswerBody,
+    http::StatusCode,
     http_body::{Body, Frame, SizeHint},
     std::{
         error::Error,
@@ -18,28 +19,44 @@
     clock: BootClock,
     sent: LocalTime,
     slot: Option<AssignedSlot>,
+    status: StatusCode,
 }
 
 impl CountedBody {
-    pub(super) fn new(body: AnswerBody, slot: AssignedSlot, sent: LocalTime) -> Self {
+    pub(super) fn new(
+        body: AnswerBody,
+        slot: AssignedSlot,
+        sent: LocalTime,
+        status: StatusCode,
+    ) -> Self {
         let mut body = Self {
             body,
             clock: BootClock,
             sent,
             slot: Some(slot),
+            status,
         };
         body.finish_at_end();
         body
     }
 
     fn finish_at_end(&mut self) {
-        if self.body.is_end_stream()
-            && let Some(slot) = self.slot.take()
-        {
-            let took = self.clock.now().since(self.sent);
-            slot.finish(SendOutcome::Answered { took });
+        if self.body.is_end_stream() {
+            self.finish();
         }
     }
+
+    fn finish(&mut self) {
+        let Some(slot) = self.slot.take() else {
+            return;
+        };
+        let took = self.clock.now().since(self.sent);
+        slot.finish(if self.status.is_server_error() {
+            SendOutcome::Failed { took }
+        } else {
+            SendOutcome::Answered { took }
+        });
+    }
 }
 
 impl Body for CountedBody {
@@ -54,12 +71,7 @@
         match &frame {
             // Dropping the slot reports an unknown outcome.
             Poll::Ready(Some(Err(_))) => self.slot = None,
-            Poll::Ready(None) => {
-                if let Some(slot) = self.slot.take() {
-                    let took = self.clock.now().since(self.sent);
-                    slot.finish(SendOutcome::Answered { took });
-                }
-            }
+            Poll::Ready(None) => self.finish(),
             Poll::Ready(Some(Ok(_))) => self.finish_at_end(),
             Poll::Pending => {}
         }
--- a/crates/entry/src/traffic/policy_gate.rs
+++ b/crates/entry/src/traffic/policy_gate.rs
@@ -3,8 +3,11 @@
     goldcreststall_core::{
         collections::SortedMap,
         error::ErrorKind,
-        ids::{HostName, Millis},
-        traffic::{Assignment, RequestSpec, RoutingView, SendOutcome, Ticket, TrafficPolicy},
+        ids::Millis,
+        traffic::{
+            Assignment, LeavingMark, PeerDemand, Refusal, RequestSpec, RoutingView, SendOutcome,
+            Ticket, TrafficPolicy,
+        },
     },
     parking_lot::Mutex,
     rand::{Rng, SeedableRng, rngs::StdRng},
@@ -104,10 +107,22 @@
         self.pump(&mut state);
     }
 
-    /// Marks a target as leaving.
-    pub fn mark_leaving(&self, host: &HostName) {
+    /// Marks a run of a host as leaving.
+    pub fn mark_leaving(&self, mark: &LeavingMark) {
+        let mut state = self.state.lock();
+        state.policy.mark_leaving(self.clock.now(), mark);
+    }
+
+    /// Returns the leaving marks in force.
+    pub fn leaving_marks(&self) -> Vec<LeavingMark> {
+        self.state.lock().policy.leaving_marks()
+    }
+
+    /// Replaces the demand of the entry hosts.
+    pub fn update_peers(self: &Arc<Self>, peers: &[PeerDemand]) {
         let mut state = self.state.lock();
-        state.policy.mark_leaving(self.clock.now(), host);
+        state.policy.update_peers(self.clock.now(), peers);
+        self.pump(&mut state);
     }
 
     /// Decides whether a request may be sent again.
@@ -116,17 +131,11 @@
         state.policy.allow_retry(self.clock.now(), spec, attempts)
     }
 
-    /// Refuses all queued requests as not run.
-    pub fn refuse_queued(&self) {
+    /// Refuses all queued requests as not run; later ones are admitted only when a slot is free.
+    pub fn drain(&self) {
         let mut state = self.state.lock();
-        let now = self.clock.now();
-        let waiters = std::mem::take(&mut state.waiters);
-        for (ticket, _) in waiters.iter() {
-            state.policy.cancel(now, *ticket);
-        }
-        // Dropping the waiters answers them with `Draining`.
-        drop(state);
-        drop(waiters);
+        let refusals = state.policy.drain(self.clock.now());
+        refuse(&mut state, refusals);
     }
 
     /// Returns the demand of each service.
@@ -150,11 +159,8 @@
     /// Hands out what the policy decides. A request that no longer waits gives its place back.
     fn pump(self: &Arc<Self>, state: &mut GateState) {
         let now = self.clock.now();
-        for refusal in state.policy.expire(now) {
-            if let Some(waiter) = state.waiters.remove(&refusal.ticket) {
-                let _ = waiter.send(Err(refusal.kind));
-            }
-        }
+        let refusals = state.policy.expire(now);
+        refuse(state, refusals);
         let random = state.random.next_u64();
         for assignment in state.policy.assign(now, random) {
             let slot = AssignedSlot {
@@ -182,6 +188,16 @@
     }
 }
 
+/// Tells the waiting requests that they are refused.
+fn refuse(state: &mut GateState, refusals: Vec<Refusal>) {
+    for refusal in refusals {
+        if let Some(waiter) = state.waiters.remove(&refusal.ticket) {
+            // A caller that is gone needs no answer.
+            let _ = waiter.send(Err(refusal.kind));
+        }
+    }
+}
+
 impl AssignedSlot {
     /// Reports how the exchange ended.
     pub fn finish(mut self, outcome: SendOutcome) {
--- a/crates/entry/src/traffic/request_router.rs
+++ b/crates/entry/src/traffic/request_router.rs
@@ -15,7 +15,7 @@
     goldcreststall_core::{
         claims::{ClaimRecord, IssuedKeys, KeyUse},
         error::{ErrorKind, OutcomeClass},
-        ids::{HostName, LocalTime, RequestKey},
+        ids::{LocalTime, Millis, RequestKey},
         ledger::{RecordBody, Rejection},
         traffic::{RequestSpec, RoutingView, SendOutcome, TargetKey},
     },
@@ -34,6 +34,9 @@
     },
 };
 
+/// Longest wait for a claim to be read back from the log.
+const CLAIM_WAIT: Millis = Millis(3_000);
+
 /// Takes each request from its arrival to its answer.
 pub struct RequestRouter {
     clock: BootClock,
@@ -82,7 +85,7 @@
     /// Refuses queued requests, and tells the balancer to send no more.
     pub fn start_drain(&self) {
         self.draining.store(true, Ordering::Release);
-        self.gate.refuse_queued();
+        self.gate.drain();
     }
 
     async fn route(&self, request: CallerRequest) -> Result<CallerAnswer, RequestError> {
@@ -123,6 +126,11 @@
     }
 
     async fn claim_in_log(&self, key: u128, deadline: LocalTime) -> Result<(), RequestError> {
+        if !self.control.log_is_up() {
+            return Err(ErrorKind::StoreUnavailable.into());
+        }
+        // Waiting longer would leave the caller no time to go elsewhere.
+        let deadline = deadline.min(self.clock.now() + CLAIM_WAIT);
         let take = ClaimRecord::Take {
             holder: self.control.entry().clone(),
             key,
@@ -198,7 +206,8 @@
     ) -> Result<CallerAnswer, RequestError> {
         let slot = self.gate.wait_for_slot(routed.spec).await?;
         let view = self.control.view().ok_or(ErrorKind::NotReady)?;
-        let endpoint = endpoint(&view, slot.assignment.target).ok_or(ErrorKind::NoTarget)?;
+        let target = slot.assignment.target;
+        let endpoint = endpoint(&view, target).ok_or(ErrorKind::NoTarget)?;
         info!(self.logger, "route: a request goes to a target"; "service" => &routed.service, "tenant" => &routed.tenant, "target" => %endpoint.host, "key" => routed.key.as_ref().map(ToString::to_string));
         let sent = self.clock.now();
         // A process that was frozen since the claim or the choice of target finds its deadline passed.
@@ -215,8 +224,14 @@
         let left = Duration::from_millis(routed.spec.deadline.since(sent).0);
         let exchange = self.transport.send(&endpoint, request);
         match tokio::time::timeout(left, exchange).await {
-            Ok(Ok(answer)) => Ok(self.pass_on(answer, slot, &endpoint.host, sent)),
-            Ok(Err(error)) => Err(self.fail(error, slot, &endpoint.host)),
+            Ok(Ok(answer)) => {
+                self.note_leaving(answer.leaving, &view, target);
+                Ok(pass_on(answer, slot, &endpoint, sent))
+            }
+            Ok(Err(error)) => {
+                self.note_leaving(error.leaving, &view, target);
+                Err(self.fail(error, slot, &endpoint))
+            }
             Err(_) => {
                 slot.finish(SendOutcome::Unknown);
                 Err(ErrorKind::DeadlineAfterSend.into())
@@ -224,39 +239,27 @@
         }
     }
 
-    fn pass_on(
-        &self,
-        answer: TargetAnswer,
-        slot: AssignedSlot,
-        host: &HostName,
-        sent: LocalTime,
-    ) -> CallerAnswer {
-        if answer.leaving {
-            self.gate.mark_leaving(host);
-        }
-        let mut headers = answer.headers;
-        strip_connection_headers(&mut headers);
-        if let Ok(value) = host.as_str().parse() {
-            headers.insert(TARGET, value);
-        }
-        CallerAnswer {
-            body: Box::pin(CountedBody::new(answer.body, slot, sent)),
-            headers,
-            status: answer.status,
+    fn note_leaving(&self, leaving: bool, view: &RoutingView, target: TargetKey) {
+        let mark = leaving.then(|| view.leaving_mark(target)).flatten();
+        if let Some(mark) = mark {
+            info!(self.logger, "route: a target says that it is leaving"; "target" => %mark.host);
+            self.gate.mark_leaving(&mark);
         }
     }
 
-    fn fail(&self, error: SendError, slot: AssignedSlot, host: &HostName) -> RequestError {
+    fn fail(
+        &self,
+        error: SendError,
+        slot: AssignedSlot,
+        endpoint: &TargetEndpoint,
+    ) -> RequestError {
         let not_run = error.kind.answer().class == OutcomeClass::NotRun;
         slot.finish(if not_run {
             SendOutcome::NotRun
         } else {
             SendOutcome::Unknown
         });
-        if error.leaving {
-            self.gate.mark_leaving(host);
-        }
-        info!(self.logger, "route: a target gave no answer"; "target" => %host, "reason" => %error.kind, "detail" => &error.reason);
+        info!(self.logger, "route: a target gave no answer"; "target" => %endpoint.host, "reason" => %error.kind, "detail" => &error.reason);
         RequestError::new(error.kind, error.reason)
     }
 }
@@ -301,6 +304,24 @@
     }
 }
 
+fn pass_on(
+    answer: TargetAnswer,
+    slot: AssignedSlot,
+    endpoint: &TargetEndpoint,
+    sent: LocalTime,
+) -> CallerAnswer {
+    let mut headers = answer.headers;
+    strip_connection_headers(&mut headers);
+    if let Ok(value) = endpoint.host.as_str().parse() {
+        headers.insert(TARGET, value);
+    }
+    CallerAnswer {
+        body: Box::pin(CountedBody::new(answer.body, slot, sent, answer.status)),
+        headers,
+        status: answer.status,
+    }
+}
+
 fn spec(
     view: &RoutingView,
     request: &CallerRequest,
@@ -341,7 +362,7 @@
 }
 
 fn endpoint(view: &RoutingView, target: TargetKey) -> Option<TargetEndpoint> {
-    let target = view.targets.get(target.0 as usize)?;
+    let target = view.target_at(target)?;
     Some(TargetEndpoint {
         address: target.address.parse().ok()?,
         connections: target.connections,
--- a/crates/peers/src/decisions/peer_table.rs
+++ b/crates/peers/src/decisions/peer_table.rs
@@ -124,7 +124,8 @@
         services
     }
 
-    fn live_digests(&self, now: LocalTime) -> impl Iterator<Item = &Digest> {
+    /// Returns the latest digests of the live peers.
+    pub fn live_digests(&self, now: LocalTime) -> impl Iterator<Item = &Digest> {
         let rows = self.rows.values().filter(move |row| row.is_live(now));
         rows.map(|row| &row.digest)
     }
--- a/crates/standins/src/bin/demo.rs
+++ b/crates/standins/src/bin/demo.rs
@@ -88,8 +88,11 @@
     for row in &fleet.targets {
         let pool = row.name.as_str().split('-').next().unwrap_or_default();
         records.push(record(RecordBody::Membership(MembershipRecord::HostAdd {
+            data_centre: row.data_centre.clone(),
             host: row.name.clone(),
+            incarnation: row.incarnation,
             pool: PoolName::try_from(pool)?,
+            rack: row.rack.clone(),
         })));
     }
     let payload = encode_records(&records).into();
