--- /dev/null
+++ b/crates/core/tests/lend_hosts.rs
@@ -0,0 +1,181 @@
+//! Guards against moves that follow floods, moves back and forth, and lending beyond the budget of the lender.
+
+mod fleet_model;
+
+use {
+    fleet_model::{SmallFleet, one_pool, pool},
+    goldcreststall_core::{
+        capacity::{LendInput, LendPolicy, LendSettings, PoolNeed},
+        ids::Millis,
+        membership::{HostActivity, MembershipRecord as Record},
+    },
+};
+
+const SECOND: Millis = Millis(1_000);
+const HOUR_SECONDS: u64 = 3_600;
+
+struct Lending {
+    fleet: SmallFleet,
+    moves: Vec<(u64, String)>,
+    policy: LendPolicy,
+    seconds: u64,
+}
+
+impl Lending {
+    /// Six hosts in `proofs`, six in `plates`, eight in `spare`, of which two have to stay.
+    fn new() -> Self {
+        let document: String = [("plates", 2), ("proofs", 2), ("spare", 2)]
+            .map(|(name, least)| one_pool(name, least, "none"))
+            .concat();
+        let mut fleet = SmallFleet::new(&document);
+        fleet.add_hosts("f", 6, "proofs");
+        fleet.add_hosts("l", 6, "plates");
+        fleet.add_hosts("s", 8, "spare");
+        Self {
+            fleet,
+            moves: Vec::new(),
+            policy: LendPolicy::new(LendSettings::new(pool("spare"))),
+            seconds: 0,
+        }
+    }
+
+    /// Runs for `seconds`; moving hosts drain in an instant. `need` gives the need of `proofs`.
+    fn run(&mut self, seconds: u64, need: impl Fn(u64) -> f64) {
+        for _ in 0..seconds {
+            self.fleet.now = self.fleet.now + SECOND;
+            self.seconds += 1;
+            self.observe("proofs", need(self.seconds));
+            self.observe("plates", 3.0);
+            let records = self.policy.plan(self.input());
+            for record in records {
+                if let Record::MoveStart { to, .. } = &record {
+                    self.moves.push((self.seconds, to.to_string()));
+                }
+                self.fleet.apply(record).unwrap();
+            }
+            self.finish_moves();
+        }
+    }
+
+    fn finish_moves(&mut self) {
+        let hosts = self.fleet.state.membership.hosts().iter();
+        let moving = hosts.filter(|(_, host)| matches!(host.activity, HostActivity::Moving { .. }));
+        let names: Vec<String> = moving.map(|(name, _)| name.to_string()).collect();
+        for name in names {
+            self.fleet.finish_move(&name).unwrap();
+        }
+    }
+
+    fn observe(&mut self, name: &str, hosts: f64) {
+        let capacity = self.input().capacity(&pool(name));
+        let need = PoolNeed {
+            hosts,
+            pool: pool(name),
+        };
+        self.policy.observe(self.fleet.now, &need, capacity);
+    }
+
+    fn input(&self) -> LendInput<'_> {
+        LendInput {
+            config: self.fleet.state.config.fleet(),
+            list_time: self.fleet.now,
+            membership: &self.fleet.state.membership,
+            now: self.fleet.now,
+        }
+    }
+
+    fn moved_to(&self, name: &str) -> usize {
+        self.moves.iter().filter(|(_, to)| to == name).count()
+    }
+}
+
+/// Ten seconds of five times the mean need, every 50 s, and a twentieth in between: no move in four hours.
+#[test]
+fn flood_lasts() {
+    let mut lending = Lending::new();
+    lending.run(
+        4 * HOUR_SECONDS,
+        |second| if second % 50 < 10 { 15.0 } else { 0.15 },
+    );
+    assert_eq!(lending.moves, []);
+}
+
+/// The first sample of a new duty holder may be taken in a flood and says nothing about the smoothed need.
+#[test]
+fn first_sample() {
+    let mut lending = Lending::new();
+    lending.run(30, |_| 15.0);
+    lending.run(HOUR_SECONDS, |_| 3.0);
+    assert_eq!(lending.moves, []);
+}
+
+/// A need that lasts gets as many hosts as it lacks, and they go back once when it has ended.
+#[test]
+fn lasting_need() {
+    let mut lending = Lending::new();
+    lending.run(2 * HOUR_SECONDS, |_| 8.5);
+    assert_eq!(lending.moved_to("proofs"), 3);
+    assert_eq!(lending.moved_to("spare"), 0);
+    lending.run(4 * HOUR_SECONDS, |_| 3.0);
+    assert_eq!(lending.moved_to("spare"), 3);
+    assert_eq!(lending.moves.len(), 6);
+}
+
+/// A need that moves around the capacity by half a host for hours does not move hosts back and forth.
+#[test]
+fn near_capacity() {
+    let mut lending = Lending::new();
+    lending.run(8 * HOUR_SECONDS, |second| {
+        if second / 1_800 % 2 == 0 { 6.4 } else { 5.6 }
+    });
+    assert!(lending.moves.len() <= 1, "{:?}", lending.moves);
+}
+
+/// The lender keeps its own budget and its own need, however much is missing elsewhere.
+#[test]
+fn lender_budget() {
+    let mut lending = Lending::new();
+    lending.run(6 * HOUR_SECONDS, |_| 40.0);
+    let left = lending
+        .fleet
+        .state
+        .membership
+        .members(&pool("spare"))
+        .count();
+    assert_eq!((lending.moved_to("proofs"), left), (6, 2));
+}
+
+/// The bound on moves per hour counts every move in the log, so that it holds for a new duty holder too.
+#[test]
+fn move_bound() {
+    let mut lending = Lending::new();
+    let bound = LendSettings::new(pool("spare")).max_moves_per_hour;
+    for index in 0..bound - 1 {
+        let name = format!("l{}", index % 2);
+        let to = ["proofs", "plates"][index / 2 % 2];
+        lending.fleet.start_move(&name, to).unwrap();
+        lending.fleet.finish_move(&name).unwrap();
+    }
+    lending.run(HOUR_SECONDS - 60, |_| 40.0);
+    assert_eq!(lending.moves.len(), 1);
+    lending.run(HOUR_SECONDS, |_| 40.0);
+    assert!(lending.moves.len() > 1);
+}
+
+/// No host is moved on an old host list.
+#[test]
+fn old_list() {
+    let mut lending = Lending::new();
+    lending.run(600, |_| 3.0);
+    for _ in 0..HOUR_SECONDS {
+        lending.fleet.now = lending.fleet.now + SECOND;
+        lending.observe("proofs", 9.0);
+    }
+    let fresh = lending.input();
+    assert!(!lending.policy.plan(fresh).is_empty());
+    let stale = LendInput {
+        list_time: fresh.now - Millis(10_001),
+        ..fresh
+    };
+    assert_eq!(lending.policy.plan(stale), []);
+}
