Let an unproven wave stop half of the pool

Cause: the limit of a quarter of the pool binds below the budget of pools with much slack, for no gain in safety: the budget already holds when no stopped host comes back. Ruled out: no limit, because a pool with a budget of zero would stop all its hosts at once. Change: UNPROVEN_DIVISOR is 2. Conclusion: the limit binds only where the budget allows more than half of the pool.

--- a/crates/core/src/rollout/wave_step.rs
+++ b/crates/core/src/rollout/wave_step.rs
@@ -13,7 +13,7 @@
 const AGE_BUCKET: Millis = Millis(24 * 60 * 60 * 1000);
 /// Until its first host came back, a wave stops at most one host in so many, in case its maintenance
 /// prevents hosts from starting.
-const UNPROVEN_DIVISOR: u32 = 4;
+const UNPROVEN_DIVISOR: u32 = 2;
 
 /// A host that a wave may stop.
 #[derive(Clone, Copy, Debug)]
