Measure roll-outs, moves and buffers in virtual time

Cause: the goals for roll-outs, moves and buffers had no figures. Ruled out: the bound work / (hosts - min_available), which the survive rule makes unreachable: with it at most hosts - hosts in d - min_available hosts outside a domain d are stopped at the same time.

--- /dev/null
+++ b/crates/measures/src/buffer/buffer_table.rs
@@ -0,0 +1,72 @@
+use {
+    super::buffer_run::{BufferRun, buffer_input},
+    crate::simulation::{DEPLOYMENTS, Deployment, PoolSpec, SEEDS, SeedSpread},
+    goldcreststall_core::capacity::{BufferPlan, summed_buffer},
+    std::io::{self, Write},
+};
+
+/// Prints the buffers of each deployment and how well they do in two weeks with one rack and one
+/// data-centre loss.
+///
+/// # Errors
+/// Errors of `output`.
+pub fn print_buffer(output: &mut impl Write) -> io::Result<()> {
+    writeln!(
+        output,
+        "Buffers over two weeks with a lost rack and a lost data centre, {} seeds, median (range)",
+        SEEDS.count()
+    )?;
+    writeln!(
+        output,
+        "{:<10} {:<8} {:>7} {:>7} {:>10} {:>26} {:>8} {:>11}",
+        "fleet",
+        "buffer",
+        "needed",
+        "hosts",
+        "below sum",
+        "short, % of the time",
+        "broken",
+        "unfinished"
+    )?;
+    DEPLOYMENTS
+        .iter()
+        .try_for_each(|deployment| print_rows(output, deployment))
+}
+
+fn print_rows(output: &mut impl Write, deployment: &Deployment) -> io::Result<()> {
+    let joint = |pool: &PoolSpec| BufferPlan::joint(&buffer_input(pool)).hosts;
+    let summed = |pool: &PoolSpec| summed_buffer(&buffer_input(pool));
+    let total: u32 = deployment.working().iter().map(summed).sum();
+    print_row(output, deployment, "joint", total, joint)?;
+    print_row(output, deployment, "summed", total, summed)
+}
+
+fn print_row(
+    output: &mut impl Write,
+    deployment: &Deployment,
+    name: &str,
+    summed: u32,
+    buffer: impl Fn(&PoolSpec) -> u32,
+) -> io::Result<()> {
+    let pools = deployment.working().iter().map(|pool| PoolSpec {
+        hosts: (pool.min_available + buffer(pool)) as usize,
+        survive: "data_centre",
+        ..*pool
+    });
+    let pools: Vec<PoolSpec> = pools.collect();
+    let needed: u32 = pools.iter().map(|pool| pool.min_available).sum();
+    let hosts = pools.iter().map(|pool| pool.hosts as u32).sum::<u32>() - needed;
+    let (mut short, mut broken, mut unfinished) = (SeedSpread::default(), 0, 0);
+    for seed in SEEDS {
+        let result = BufferRun::new(pools.clone(), seed).run();
+        short.add(result.short * 100.0);
+        broken += result.broken;
+        unfinished += result.unfinished;
+    }
+    let saved = 100.0 * (1.0 - f64::from(hosts) / f64::from(summed));
+    writeln!(
+        output,
+        "{:<10} {name:<8} {needed:>7} {hosts:>7} {saved:>9.0}% {short:>26.3} {broken:>8} {unfinished:>11}",
+        deployment.name
+    )
+}
--- /dev/null
+++ b/crates/measures/src/buffer/mod.rs
@@ -0,0 +1,6 @@
+//! Size of the capacity buffer against the sum of separate buffers.
+
+mod buffer_run;
+mod buffer_table;
+
+pub use buffer_table::print_buffer;
--- /dev/null
+++ b/crates/measures/src/rollout/rollout_table.rs
@@ -0,0 +1,98 @@
+use {
+    super::rollout_run::{PoolResult, RolloutResult, RolloutRun, StopRule},
+    crate::simulation::{DEPLOYMENTS, Deployment, SEEDS, SeedSpread},
+    goldcreststall_core::ids::Millis,
+    std::io::{self, Write},
+};
+
+/// Durations of one pool or one fleet over the seeds.
+#[derive(Debug, Default)]
+struct RolloutRow {
+    bound: SeedSpread,
+    planned: SeedSpread,
+    planned_ratio: SeedSpread,
+    single: SeedSpread,
+    single_ratio: SeedSpread,
+}
+
+impl RolloutRow {
+    fn add(&mut self, planned: PoolResult, single: PoolResult) {
+        let minutes = |time: Millis| time.0 as f64 / 60_000.0;
+        let bound = minutes(planned.lower_bound);
+        self.bound.add(bound);
+        self.planned.add(minutes(planned.duration));
+        self.planned_ratio.add(minutes(planned.duration) / bound);
+        self.single.add(minutes(single.duration));
+        self.single_ratio.add(minutes(single.duration) / bound);
+    }
+
+    fn print(&self, output: &mut impl Write, name: &str) -> io::Result<()> {
+        writeln!(
+            output,
+            "{name:<24} {:>21.1} {:>21.1} {:>23.1} {:>20.2} {:>20.2}",
+            self.bound, self.planned, self.single, self.planned_ratio, self.single_ratio
+        )
+    }
+}
+
+/// Prints the duration of a roll-out over all pools of each deployment.
+///
+/// # Errors
+/// Errors of `output`.
+pub fn print_rollout(output: &mut impl Write) -> io::Result<()> {
+    writeln!(
+        output,
+        "Roll-out over all pools, {} seeds, median (range)",
+        SEEDS.count()
+    )?;
+    writeln!(
+        output,
+        "{:<24} {:>21} {:>21} {:>23} {:>20} {:>20}",
+        "pool",
+        "lower bound, min",
+        "planned, min",
+        "one at a time, min",
+        "planned/bound",
+        "one/bound"
+    )?;
+    DEPLOYMENTS
+        .iter()
+        .try_for_each(|deployment| print_rows(output, deployment))
+}
+
+fn print_rows(output: &mut impl Write, deployment: &Deployment) -> io::Result<()> {
+    let mut rows: Vec<RolloutRow> = Vec::new();
+    rows.resize_with(deployment.pools.len(), RolloutRow::default);
+    let mut fleet = RolloutRow::default();
+    let mut broken = 0;
+    for seed in SEEDS {
+        let run = |rule| RolloutRun::new(deployment, rule, seed).run(deployment);
+        let (planned, single) = (run(StopRule::Planned), run(StopRule::OneAtATime));
+        for (index, row) in rows.iter_mut().enumerate() {
+            row.add(planned.pools[index], single.pools[index]);
+        }
+        fleet.add(longest(&planned), longest(&single));
+        broken += planned.broken;
+    }
+    for (row, pool) in rows.iter().zip(deployment.pools) {
+        row.print(output, &format!("{} {}", deployment.name, pool.name))?;
+    }
+    fleet.print(output, &format!("{}, all pools", deployment.name))?;
+    writeln!(
+        output,
+        "{}: {broken} planned stops left a pool with less than its budget",
+        deployment.name
+    )
+}
+
+/// Returns the results of the fleet, whose pools are maintained at the same time.
+fn longest(result: &RolloutResult) -> PoolResult {
+    let of = |time: fn(&PoolResult) -> Millis| {
+        let times = result.pools.iter().map(time);
+        times.max().unwrap_or_default()
+    };
+    PoolResult {
+        duration: of(|pool| pool.duration),
+        lower_bound: of(|pool| pool.lower_bound),
+    }
+}
--- /dev/null
+++ b/crates/measures/src/simulation/seed_spread.rs
@@ -0,0 +1,42 @@
+use std::fmt;
+
+/// Results of several seeds, printed as median and range.
+#[derive(Clone, Debug, Default)]
+pub struct SeedSpread {
+    values: Vec<f64>,
+}
+
+impl SeedSpread {
+    /// Adds the result of a seed.
+    pub fn add(&mut self, value: f64) {
+        let place = self.values.partition_point(|other| *other < value);
+        self.values.insert(place, value);
+    }
+
+    /// Returns the median, or zero without results.
+    pub fn median(&self) -> f64 {
+        self.values
+            .get(self.values.len() / 2)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Returns the largest result, or zero without results.
+    pub fn max(&self) -> f64 {
+        self.values.last().copied().unwrap_or_default()
+    }
+}
+
+impl fmt::Display for SeedSpread {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let digits = formatter.precision().unwrap_or(2);
+        let low = self.values.first().copied().unwrap_or_default();
+        let text = format!(
+            "{:.digits$} ({low:.digits$} to {:.digits$})",
+            self.median(),
+            self.max()
+        );
+        let width = formatter.width().unwrap_or_default();
+        write!(formatter, "{text:>width$}")
+    }
+}
