Keep an audit trail of membership, waves and configuration

Cause: each change has to be accounted for, with its author, time and effect, also when it was ignored. Ruled out: entries with their own text, because author, pool and host names repeat in nearly all of them; a trail without a bound, because ignored records can repeat for hours. A record that was sent again is not listed. Conclusion: every state of a host in the walk is explained by the trail.

--- a/crates/core/examples/fold_walk.rs
+++ b/crates/core/examples/fold_walk.rs
@@ -65,6 +65,7 @@
             totals.steps += 1;
         }
         fleet.check_replay()?;
+        fleet.check_trail()?;
         totals.accepted += fleet.accepted;
         totals.ignored += fleet.ignored;
         totals.fleets += 1;
--- a/crates/core/src/ledger/fleet_state.rs
+++ b/crates/core/src/ledger/fleet_state.rs
@@ -1,7 +1,11 @@
 use {
     super::{LedgerRecord, RecordBody, Rejection, recent_ids::RecentIds},
     crate::{
-        claims::ClaimLedger, collections::SortedMap, config::ConfigLedger, ids::LogTime,
+        audit::{AuditChange, AuditStamp, AuditTrail, AuditValue},
+        claims::ClaimLedger,
+        collections::SortedMap,
+        config::ConfigLedger,
+        ids::LogTime,
         membership::MembershipLedger,
     },
     serde::{Deserialize, Serialize},
@@ -31,6 +35,8 @@
 /// The state of the fleet after a prefix of the log.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct FleetState {
+    /// Accepted and ignored changes of membership, waves and configuration.
+    pub audit: AuditTrail,
     /// Claims of non-idempotent requests.
     pub claims: ClaimLedger,
     /// The configuration.
@@ -84,14 +90,20 @@
         // The clock of the log may step back; the clock of the fold must not.
         self.time = self.time.max(entry.time);
         let records = entry.records.iter();
-        records.map(|record| self.apply_record(record)).collect()
+        records
+            .map(|record| self.apply_record(entry.offset, record))
+            .collect()
     }
 
-    fn apply_record(&mut self, record: &LedgerRecord) -> Result<(), Rejection> {
-        let result = self
-            .recent
-            .admit(self.time, record.id)
-            .and_then(|()| self.apply_body(&record.body));
+    fn apply_record(&mut self, offset: LogOffset, record: &LedgerRecord) -> Result<(), Rejection> {
+        let result = match self.recent.admit(self.time, record.id) {
+            Ok(()) => self.apply_audited(offset, record),
+            Err(Rejection::Duplicate) => Err(Rejection::Duplicate),
+            Err(rejection) => {
+                self.audit_ignored(offset, record, rejection);
+                Err(rejection)
+            }
+        };
         if let Err(rejection) = result {
             let count = self.rejected.get(&rejection).copied().unwrap_or_default();
             self.rejected.insert(rejection, count + 1);
@@ -99,6 +111,37 @@
         result
     }
 
+    fn apply_audited(&mut self, offset: LogOffset, record: &LedgerRecord) -> Result<(), Rejection> {
+        let changes = AuditChange::all(self, &record.body);
+        let before: Vec<AuditValue> = changes.iter().map(|change| change.value(self)).collect();
+        let result = self.apply_body(&record.body);
+        // An ignored record has no changes that follow from it.
+        let count = if result.is_ok() { changes.len() } else { 1 };
+        for (change, from) in changes.iter().zip(before).take(count) {
+            let to = change.value(self);
+            let stamp = self.stamp(offset, record);
+            self.audit.record(stamp, change, from, to, result);
+        }
+        result
+    }
+
+    fn audit_ignored(&mut self, offset: LogOffset, record: &LedgerRecord, rejection: Rejection) {
+        if let Some(change) = AuditChange::all(self, &record.body).first() {
+            let value = change.value(self);
+            let stamp = self.stamp(offset, record);
+            self.audit
+                .record(stamp, change, value.clone(), value, Err(rejection));
+        }
+    }
+
+    fn stamp<'a>(&self, offset: LogOffset, record: &'a LedgerRecord) -> AuditStamp<'a> {
+        AuditStamp {
+            author: &record.author,
+            offset,
+            time: self.time,
+        }
+    }
+
     fn apply_body(&mut self, body: &RecordBody) -> Result<(), Rejection> {
         match body {
             RecordBody::Claim(record) => self.claims.apply(self.time, record),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O, reads a clock or draws random numbers. Time and randomness are arguments, so
 //! that every entry host that folds the same log reaches the same state.
 
+pub mod audit;
 pub mod capacity;
 pub mod claims;
 pub mod collections;
--- a/crates/core/tests/fleet_model/fleet_walk.rs
+++ b/crates/core/tests/fleet_model/fleet_walk.rs
@@ -1,7 +1,8 @@
 use {
     super::{Observed, START, host, pool},
     goldcreststall_core::{
-        config::ConfigRecord,
+        audit::{AuditSubject, AuditValue, HostSummary},
+        config::{ConfigRecord, ConfigVersion},
         ids::{
             DataCentre, HostName, Incarnation, LogTime, Millis, PoolName, RackName, RecordId,
             WaveName,
@@ -13,6 +14,7 @@
         membership::{HostState, MembershipRecord as Record, WaveSeen, WaveState},
         rollout::{RolloutInput, plan_waves},
     },
+    std::collections::BTreeMap,
 };
 
 /// Hosts of the fleet at the start of a walk.
@@ -150,6 +152,41 @@
         Ok(())
     }
 
+    /// Checks that the audit trail explains each state: the accepted changes of a subject follow each other
+    /// without a gap up to its present state.
+    ///
+    /// # Errors
+    /// The change before which one is missing.
+    pub fn check_trail(&self) -> Result<(), String> {
+        let mut last: BTreeMap<AuditSubject, AuditValue> = BTreeMap::new();
+        for line in self.state.audit.lines().filter(|line| line.result.is_ok()) {
+            let first = match line.subject {
+                AuditSubject::Config => AuditValue::Config(ConfigVersion(0)),
+                _ => AuditValue::Absent,
+            };
+            let before = last.get(&line.subject).unwrap_or(&first);
+            if *before != line.from {
+                return Err(format!(
+                    "a change is missing after {before:?} and before {line:?}"
+                ));
+            }
+            last.insert(line.subject, line.to);
+        }
+        for (name, host) in self.state.membership.hosts().iter() {
+            let now = AuditValue::Host(HostSummary {
+                condition: host.into(),
+                pool: host.pool.clone(),
+            });
+            let trail = last.get(&AuditSubject::Host(name.clone()));
+            if trail != Some(&now) {
+                return Err(format!(
+                    "{name} is {now:?}, but the trail ends with {trail:?}"
+                ));
+            }
+        }
+        Ok(())
+    }
+
     /// Appends records in one entry and checks the properties.
     ///
     /// # Errors
--- a/crates/core/tests/one_pool.rs
+++ b/crates/core/tests/one_pool.rs
@@ -36,7 +36,7 @@
 
     /// Moves, waves, operators and failures race on stale views, records are repeated, and the state is
     /// restored from snapshots in between. The properties in `fleet_model` hold after every entry, and a
-    /// fold from the start reaches the same state.
+    /// fold from the start reaches the same state. The audit trail explains every change.
     #[test]
     fn random_interleaving(steps in steps()) {
         let mut walk = FleetWalk::new();
@@ -46,5 +46,7 @@
         }
         let replay = walk.check_replay();
         prop_assert!(replay.is_ok(), "{}", replay.unwrap_err());
+        let trail = walk.check_trail();
+        prop_assert!(trail.is_ok(), "{}", trail.unwrap_err());
     }
 }
