--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,8 @@
 //! Nothing here does I/O, reads a clock or draws random numbers. Time and randomness are arguments, so
 //! that every entry host that folds the same log reaches the same state.
 
+pub mod audit;
+pub mod capacity;
 pub mod claims;
 pub mod collections;
 pub mod config;
@@ -12,4 +14,5 @@
 pub mod jobs;
 pub mod ledger;
 pub mod membership;
+pub mod rollout;
 pub mod traffic;
--- a/crates/core/tests/fleet_model/fleet_walk.rs
+++ b/crates/core/tests/fleet_model/fleet_walk.rs
@@ -1,7 +1,8 @@
 use {
     super::{Observed, START, host, pool},
     goldcreststall_core::{
-        config::ConfigRecord,
+        audit::{AuditSubject, AuditValue, HostSummary},
+        config::{ConfigRecord, ConfigVersion},
         ids::{
             DataCentre, HostName, Incarnation, LogTime, Millis, PoolName, RackName, RecordId,
             WaveName,
@@ -11,7 +12,9 @@
             Rejection, decode_state, encode_state,
         },
         membership::{HostState, MembershipRecord as Record, WaveSeen, WaveState},
+        rollout::{RolloutInput, plan_waves},
     },
+    std::collections::BTreeMap,
 };
 
 /// Hosts of the fleet at the start of a walk.
@@ -115,13 +118,14 @@
             7 => return self.repeat(step),
             8 => return self.restore(),
             9 => return self.lose_domain(step),
+            14 | 15 => return self.plan(author),
             _ => {}
         }
         let view = self.views[author].clone();
         let record = match step.kind % 32 {
             0..=9 => return Ok(()),
             10 => Some(publish(&view, step)),
-            11..=15 => wave_record(&view, step).map(RecordBody::Membership),
+            11..=13 => wave_record(&view, step).map(RecordBody::Membership),
             _ => host_record(&view, step).map(RecordBody::Membership),
         };
         match record {
@@ -148,6 +152,41 @@
         Ok(())
     }
 
+    /// Checks that the audit trail explains each state: the accepted changes of a subject follow each other
+    /// without a gap up to its present state.
+    ///
+    /// # Errors
+    /// The change before which one is missing.
+    pub fn check_trail(&self) -> Result<(), String> {
+        let mut last: BTreeMap<AuditSubject, AuditValue> = BTreeMap::new();
+        for line in self.state.audit.lines().filter(|line| line.result.is_ok()) {
+            let first = match line.subject {
+                AuditSubject::Config => AuditValue::Config(ConfigVersion(0)),
+                _ => AuditValue::Absent,
+            };
+            let before = last.get(&line.subject).unwrap_or(&first);
+            if *before != line.from {
+                return Err(format!(
+                    "a change is missing after {before:?} and before {line:?}"
+                ));
+            }
+            last.insert(line.subject, line.to);
+        }
+        for (name, host) in self.state.membership.hosts().iter() {
+            let now = AuditValue::Host(HostSummary {
+                condition: host.into(),
+                pool: host.pool.clone(),
+            });
+            let trail = last.get(&AuditSubject::Host(name.clone()));
+            if trail != Some(&now) {
+                return Err(format!(
+                    "{name} is {now:?}, but the trail ends with {trail:?}"
+                ));
+            }
+        }
+        Ok(())
+    }
+
     /// Appends records in one entry and checks the properties.
     ///
     /// # Errors
@@ -200,6 +239,19 @@
         Ok(results)
     }
 
+    /// Appends the plan that a duty holder makes on its view.
+    fn plan(&mut self, author: usize) -> Result<(), String> {
+        let view = &self.views[author];
+        let plan = plan_waves(RolloutInput {
+            config: view.config.fleet(),
+            list_time: view.time(),
+            membership: &view.membership,
+            now: view.time(),
+        });
+        let records = plan.records.into_iter().map(RecordBody::Membership);
+        self.append(records.collect(), None).map(|_| ())
+    }
+
     /// Sends a record again whose response was lost.
     fn repeat(&mut self, step: Step) -> Result<(), String> {
         let record = pick(&self.sent, step.pick).cloned();
@@ -284,7 +336,6 @@
             _ => Record::WaveCancel { seen, wave },
         }),
         (13, Some((wave, seen))) => Some(Record::WaveFinish { seen, wave }),
-        (14 | 15, _) => None,
         _ => Some(Record::WaveStart {
             pool: pool(POOLS[usize::from(step.extra) % POOLS.len()]),
             reboot_limit: Millis(60_000),
