--- /dev/null
+++ b/crates/core/tests/traffic/failing_target.rs
@@ -0,0 +1,81 @@
+//! Guards against a target that fails quickly and thereby attracts the work.
+
+use {
+    super::{
+        fleet::{Fleet, START, host, spec},
+        one_end::ticket,
+    },
+    goldcreststall_core::{
+        ids::Millis,
+        traffic::{SendOutcome, TrafficPolicy, Urgency},
+    },
+};
+
+/// One of four targets fails at once until 20 s have passed. It must get under 2% of the work while it
+/// fails, only idempotent requests after it was found out, and a fair part again 10 s after it is well.
+#[test]
+fn probed_only() {
+    let fleet = Fleet::new(1, 4, 1);
+    let (mut policy, view) = fleet.policy(0);
+    let failing = view.target(&host(0, 0)).unwrap();
+    let mut sent = Vec::new();
+    let mut while_failing = [0, 0];
+    let mut once_well = [0, 0];
+    for step in 0..50_000_u64 {
+        let now = START + Millis(step);
+        sent.retain(|(due, assignment)| {
+            let took = Millis(50);
+            if *due <= now {
+                policy.finish(now, *assignment, SendOutcome::Answered { took });
+            }
+            *due > now
+        });
+        if step % 5 == 0 {
+            let mut request = spec(&view, 0, Urgency::Normal, now + Millis(1_000));
+            request.idempotent = step % 10 == 0;
+            let _ = policy.offer(now, ticket(step as usize), request);
+        }
+        let random = step.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        for assignment in policy.assign(now, random) {
+            let hit = usize::from(assignment.target == failing);
+            if step >= 30_000 {
+                once_well[hit] += 1;
+            } else if step < 20_000 {
+                while_failing[hit] += 1;
+                if hit == 1 && step > 5_000 {
+                    assert_eq!(assignment.ticket.0 % 10, 0, "a probe must be idempotent");
+                }
+            }
+            if hit == 1 && step < 20_000 {
+                policy.finish(now, assignment, SendOutcome::Failed { took: Millis(1) });
+            } else {
+                sent.push((now + Millis(50), assignment));
+            }
+        }
+        policy.expire(now);
+    }
+    assert!(
+        while_failing[1] * 50 < while_failing[0],
+        "{while_failing:?}"
+    );
+    assert!(while_failing[1] >= 3, "{while_failing:?}");
+    assert!(once_well[1] * 8 > once_well[0], "{once_well:?}");
+}
+
+/// Failures of all targets at once must not close the service.
+#[test]
+fn all_fail() {
+    let fleet = Fleet::new(1, 2, 1);
+    let (mut policy, view) = fleet.policy(0);
+    let mut assigned = 0;
+    for step in 0..2_000 {
+        let now = START + Millis(step);
+        let request = spec(&view, 0, Urgency::Normal, now + Millis(1_000));
+        let _ = policy.offer(now, ticket(step as usize), request);
+        for assignment in policy.assign(now, step) {
+            assigned += 1;
+            policy.finish(now, assignment, SendOutcome::Unknown);
+        }
+    }
+    assert!(assigned > 1_000, "{assigned}");
+}
--- /dev/null
+++ b/crates/core/tests/traffic/fair_tenants.rs
@@ -0,0 +1,81 @@
+//! Guards against one tenant that takes the share of the others.
+
+use {
+    super::{
+        fleet::{Answers, Fleet, START, spec},
+        one_end::ticket,
+    },
+    goldcreststall_core::{
+        ids::Millis,
+        traffic::{TrafficPolicy, Urgency},
+    },
+};
+
+/// Runs one target of 8 slots and 80 ms per request for 20 s, that is 100 requests/s. Tenant 0 asks
+/// for 500/s, tenants 1 and 2 for 25/s each. Returns the completed requests of each tenant.
+fn run_flood(flood: Urgency, others: Urgency) -> [usize; 3] {
+    let fleet = Fleet::new(1, 1, 3);
+    let (mut policy, view) = fleet.policy(0);
+    let mut answers = Answers::default();
+    let mut owners = Vec::new();
+    let mut done = [0; 3];
+    for step in 0..20_000 {
+        let now = START + Millis(step);
+        let mut offers = Vec::new();
+        if step % 2 == 0 {
+            offers.push((0, flood));
+        }
+        if step % 40 == 1 {
+            offers.extend([(1, others), (2, others)]);
+        }
+        for (tenant, urgency) in offers {
+            let request = spec(&view, tenant, urgency, now + Millis(2_000));
+            let _ = policy.offer(now, ticket(owners.len()), request);
+            owners.push(tenant);
+        }
+        for ended in answers.end_due(&mut policy, now, Millis(80)) {
+            done[owners[ended.0 as usize]] += 1;
+        }
+        let assigned = policy.assign(now, step);
+        answers
+            .sent
+            .extend(assigned.into_iter().map(|sent| (now, sent)));
+        policy.expire(now);
+    }
+    done
+}
+
+/// A flood in the same class must leave the others 95% of their 500 requests.
+#[test]
+fn same_class() {
+    let done = run_flood(Urgency::Normal, Urgency::Normal);
+    assert!(done[1] >= 475 && done[2] >= 475, "{done:?}");
+    assert!(done.iter().sum::<usize>() >= 1_900, "{done:?}");
+}
+
+/// A flood of urgent work must not displace the normal work of tenants inside their quota.
+#[test]
+fn urgent_flood() {
+    let done = run_flood(Urgency::Urgent, Urgency::Normal);
+    assert!(done[1] >= 475 && done[2] >= 475, "{done:?}");
+}
+
+/// A flood of overnight work must leave the urgent work of the others alone.
+#[test]
+fn overnight_flood() {
+    let done = run_flood(Urgency::Overnight, Urgency::Urgent);
+    assert!(done[1] >= 490 && done[2] >= 490, "{done:?}");
+}
+
+/// One tenant must not fill the queue of a class, so that the others are still admitted.
+#[test]
+fn queue_room() {
+    let fleet = Fleet::new(1, 1, 2);
+    let (mut policy, view) = fleet.policy(0);
+    for number in 0..1_000 {
+        let request = spec(&view, 0, Urgency::Normal, START + Millis(60_000));
+        let _ = policy.offer(START, ticket(number), request);
+    }
+    let request = spec(&view, 1, Urgency::Normal, START + Millis(60_000));
+    assert_eq!(policy.offer(START, ticket(1_000), request), Ok(()));
+}
--- /dev/null
+++ b/crates/core/tests/traffic/fleet.rs
@@ -0,0 +1,172 @@
+use {
+    goldcreststall_core::{
+        config::FleetConfig,
+        ids::{
+            DataCentre, EntryName, HostName, Incarnation, LocalTime, Millis, PoolName, RackName,
+            ServiceName, TenantName,
+        },
+        traffic::{
+            Assignment, FairPolicy, PeerDemand, PlatformHost, PoolMember, RequestSpec, RoutingView,
+            SendOutcome, ServiceDemand, ServiceKey, TenantKey, Ticket, TrafficPolicy, Urgency,
+            ViewInput,
+        },
+    },
+    proptest::{prelude::ProptestConfig, test_runner::RngSeed},
+    std::{fmt::Write, sync::Arc},
+};
+
+pub const START: LocalTime = LocalTime(1_000_000);
+
+/// Inputs of a routing view that a test may change between two views.
+pub struct Fleet {
+    pub config: FleetConfig,
+    pub hosts: Vec<PlatformHost>,
+    pub members: Vec<PoolMember>,
+}
+
+impl Fleet {
+    /// Every service has a pool of `targets` hosts with 8 slots; weights of tenants are one.
+    pub fn new(services: usize, targets: usize, tenants: usize) -> Self {
+        let mut fleet = Self {
+            config: config(services, tenants),
+            hosts: Vec::new(),
+            members: Vec::new(),
+        };
+        for service in 0..services {
+            for target in 0..targets {
+                fleet.add_host(service, target);
+            }
+        }
+        fleet
+    }
+
+    pub fn add_host(&mut self, service: usize, target: usize) {
+        let name = host(service, target);
+        self.hosts.push(PlatformHost {
+            address: format!("10.0.{service}.{target}:80"),
+            connections: 64,
+            data_centre: centre(target % 3),
+            incarnation: Incarnation(1),
+            leaving: false,
+            name: name.clone(),
+            rack: RackName::try_from("r1").unwrap(),
+            slots: 8,
+        });
+        self.members.push(PoolMember {
+            activation: 1,
+            active: true,
+            host: name,
+            pool: PoolName::try_from(format!("p{service}")).unwrap(),
+        });
+    }
+
+    pub fn view(&self, previous: &RoutingView) -> Arc<RoutingView> {
+        Arc::new(previous.next(&ViewInput {
+            config: &self.config,
+            data_centre: &centre(0),
+            entry_hosts: 7,
+            hosts: &self.hosts,
+            members: &self.members,
+        }))
+    }
+
+    pub fn policy(&self, entry: usize) -> (FairPolicy, Arc<RoutingView>) {
+        let view = self.view(&RoutingView::default());
+        let mut policy = FairPolicy::new(entry_name(entry));
+        policy.update_view(START, Arc::clone(&view));
+        (policy, view)
+    }
+}
+
+pub fn config(services: usize, tenants: usize) -> FleetConfig {
+    let mut text = String::new();
+    for service in 0..services {
+        writeln!(text, "[[pools]]\nname = \"p{service}\"\nmin_available = 1").unwrap();
+        writeln!(
+            text,
+            "[[services]]\nname = \"s{service}\"\npool = \"p{service}\""
+        )
+        .unwrap();
+    }
+    for tenant in 0..tenants {
+        writeln!(text, "[[tenants]]\nname = \"t{tenant}\"").unwrap();
+    }
+    FleetConfig::try_from(text.as_str()).unwrap()
+}
+
+pub fn centre(number: usize) -> DataCentre {
+    DataCentre::try_from(format!("dc{number}")).unwrap()
+}
+
+pub fn entry_name(number: usize) -> EntryName {
+    EntryName::try_from(format!("e{number}")).unwrap()
+}
+
+pub fn host(service: usize, target: usize) -> HostName {
+    HostName::try_from(format!("h{service}-{target}")).unwrap()
+}
+
+/// Digests of `count` entry hosts with the same demand for service `s0`.
+pub fn equal_digests(now: LocalTime, count: usize, requests: u32) -> Vec<PeerDemand> {
+    let digests = (0..count).map(|entry| PeerDemand {
+        entry: entry_name(entry),
+        heard: now,
+        services: vec![ServiceDemand {
+            requests,
+            service: ServiceName::try_from("s0").unwrap(),
+        }],
+    });
+    digests.collect()
+}
+
+pub fn spec(
+    view: &RoutingView,
+    tenant: usize,
+    urgency: Urgency,
+    deadline: LocalTime,
+) -> RequestSpec {
+    let service = ServiceName::try_from("s0").unwrap();
+    let tenant = TenantName::try_from(format!("t{tenant}")).unwrap();
+    RequestSpec {
+        deadline,
+        idempotent: true,
+        service: view.service(&service).unwrap_or(ServiceKey(0)),
+        tenant: view.tenant(&tenant).unwrap_or(TenantKey(0)),
+        urgency,
+    }
+}
+
+/// Answers requests after a fixed time.
+#[derive(Default)]
+pub struct Answers {
+    pub sent: Vec<(LocalTime, Assignment)>,
+}
+
+impl Answers {
+    pub fn end_due(
+        &mut self,
+        policy: &mut FairPolicy,
+        now: LocalTime,
+        took: Millis,
+    ) -> Vec<Ticket> {
+        let mut ended = Vec::new();
+        self.sent.retain(|(sent, assignment)| {
+            let due = now.since(*sent) >= took;
+            if due {
+                policy.finish(now, *assignment, SendOutcome::Answered { took });
+                ended.push(assignment.ticket);
+            }
+            !due
+        });
+        ended
+    }
+}
+
+pub fn cases(cases: u32, seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..ProptestConfig::default()
+    }
+}
--- /dev/null
+++ b/crates/core/tests/traffic/main.rs
@@ -0,0 +1,11 @@
+//! Guards the traffic policy; each module covers one feature.
+
+mod class_floor;
+mod failing_target;
+mod fair_tenants;
+mod fleet;
+mod leaving_marks;
+mod one_end;
+mod retry_bound;
+mod slot_bounds;
+mod view_change;
--- /dev/null
+++ b/crates/core/tests/traffic/one_end.rs
@@ -0,0 +1,132 @@
+//! Guards against requests that vanish, end twice, or run although they were refused.
+
+use {
+    super::fleet::{Fleet, START, cases, equal_digests, spec},
+    goldcreststall_core::{
+        error::OutcomeClass,
+        ids::{Incarnation, Millis},
+        traffic::{Refusal, SendOutcome, Ticket, TrafficPolicy, Urgency},
+    },
+    proptest::prelude::*,
+};
+
+pub fn ticket(number: usize) -> Ticket {
+    Ticket(number as u64)
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    Assigned,
+    Cancelled,
+    Queued,
+    Refused,
+}
+
+/// Ends of all offered tickets; a second end is a failure.
+#[derive(Default)]
+struct Ends(Vec<End>);
+
+impl Ends {
+    fn end(&mut self, ticket: Ticket, end: End) -> Result<(), TestCaseError> {
+        let known = &mut self.0[ticket.0 as usize];
+        prop_assert_eq!(*known, End::Queued, "{:?} after {:?}", end, ticket);
+        *known = end;
+        Ok(())
+    }
+
+    fn refuse(&mut self, refusals: Vec<Refusal>) -> Result<(), TestCaseError> {
+        for refusal in refusals {
+            let class = refusal.kind.answer().class;
+            prop_assert_eq!(class, OutcomeClass::NotRun);
+            self.end(refusal.ticket, End::Refused)?;
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(cases(512, 12))]
+
+    /// Every offered ticket gets exactly one end, and refusals are of the class not run.
+    #[test]
+    fn every_ticket(steps in prop::collection::vec((0..12_u8, any::<u64>()), 1..300)) {
+        let mut fleet = Fleet::new(1, 3, 4);
+        fleet.config.services[0].max_queue = 40;
+        let (mut policy, mut view) = fleet.policy(0);
+        let mut ends = Ends::default();
+        let mut sent = Vec::new();
+        let mut now = START;
+        for (kind, random) in steps {
+            now = now + Millis(random % 60);
+            match kind {
+                0..=5 => {
+                    let urgency = match random % 3 {
+                        0 => Urgency::Urgent,
+                        1 => Urgency::Normal,
+                        _ => Urgency::Overnight,
+                    };
+                    let deadline = now + Millis(random % 3_000);
+                    let request = spec(&view, random as usize % 4, urgency, deadline);
+                    let ticket = ticket(ends.0.len());
+                    ends.0.push(End::Queued);
+                    if let Err(kind) = policy.offer(now, ticket, request) {
+                        prop_assert_eq!(kind.answer().class, OutcomeClass::NotRun);
+                        ends.end(ticket, End::Refused)?;
+                    }
+                }
+                6 => ends.refuse(policy.expire(now))?,
+                7 | 8 => {
+                    for assignment in policy.assign(now, random) {
+                        ends.end(assignment.ticket, End::Assigned)?;
+                        sent.push(assignment);
+                    }
+                }
+                9 if !sent.is_empty() => {
+                    let assignment = sent.swap_remove(random as usize % sent.len());
+                    let outcome = match random % 4 {
+                        0 => SendOutcome::Unknown,
+                        1 => SendOutcome::NotRun,
+                        _ => SendOutcome::Answered { took: Millis(random % 500) },
+                    };
+                    policy.finish(now, assignment, outcome);
+                }
+                10 if !ends.0.is_empty() => {
+                    let ticket = ticket(random as usize % ends.0.len());
+                    if policy.cancel(now, ticket) {
+                        ends.end(ticket, End::Cancelled)?;
+                    }
+                }
+                _ => {
+                    let host = &mut fleet.hosts[random as usize % 3];
+                    host.leaving = random & 8 > 0;
+                    host.incarnation = Incarnation(host.incarnation.0 + random / 16 % 2);
+                    view = fleet.view(&view);
+                    policy.update_view(now, view.clone());
+                    policy.update_peers(now, &equal_digests(now, 1 + random as usize % 3, 9));
+                }
+            }
+        }
+        ends.refuse(policy.drain(now))?;
+        for (number, end) in ends.0.iter().enumerate() {
+            prop_assert_ne!(*end, End::Queued, "ticket {} vanished", number);
+        }
+        prop_assert_eq!(policy.assign(now, 1), vec![]);
+    }
+}
+
+/// A request whose deadline passed in the queue must not be sent.
+#[test]
+fn late_request() {
+    let fleet = Fleet::new(1, 1, 1);
+    let (mut policy, view) = fleet.policy(0);
+    for number in 0..9 {
+        let request = spec(&view, 0, Urgency::Normal, START + Millis(1_000));
+        policy.offer(START, ticket(number), request).unwrap();
+    }
+    let sent = policy.assign(START, 1);
+    assert_eq!(sent.len(), 8);
+    let late = START + Millis(1_000);
+    policy.finish(late, sent[0], SendOutcome::Unknown);
+    assert_eq!(policy.assign(late, 1), vec![]);
+    assert_eq!(policy.expire(late).len(), 1);
+}
--- /dev/null
+++ b/crates/core/tests/traffic/retry_bound.rs
@@ -0,0 +1,82 @@
+//! Guards against retries that multiply the load of a service in trouble.
+
+use {
+    super::{
+        fleet::{Fleet, START, cases, spec},
+        one_end::ticket,
+    },
+    goldcreststall_core::{
+        ids::{LocalTime, Millis},
+        traffic::{FairPolicy, SendOutcome, TrafficPolicy, Urgency},
+    },
+    proptest::prelude::*,
+};
+
+proptest! {
+    #![proptest_config(cases(64, 14))]
+
+    /// Whatever the number of entry hosts, all retries together stay within a tenth of the first
+    /// requests, and at each retry those of its entry host within a tenth of its last 10 s, although
+    /// every request fails and every retry is asked for.
+    #[test]
+    fn fleet_bound(
+        entries in 1..8_usize,
+        arrivals in prop::collection::vec((0..8_usize, 0..400_u64), 50..400),
+    ) {
+        let fleet = Fleet::new(1, 4, 1);
+        let mut policies: Vec<FairPolicy> =
+            (0..entries).map(|entry| fleet.policy(entry).0).collect();
+        let view = fleet.policy(0).1;
+        let mut now = START;
+        let mut firsts = vec![Vec::new(); entries];
+        let mut retries = vec![Vec::new(); entries];
+        for (number, (entry, wait)) in arrivals.into_iter().enumerate() {
+            now = now + Millis(wait);
+            let entry = entry % entries;
+            let policy = &mut policies[entry];
+            let request = spec(&view, 0, Urgency::Normal, now + Millis(1_000));
+            if policy.offer(now, ticket(number), request).is_err() {
+                continue;
+            }
+            firsts[entry].push(now);
+            let mut attempts = 0;
+            loop {
+                attempts += 1;
+                for assignment in policy.assign(now, number as u64) {
+                    policy.finish(now, assignment, SendOutcome::Unknown);
+                }
+                if !policy.allow_retry(now, &request, attempts) {
+                    break;
+                }
+                retries[entry].push(now);
+                let recent = |times: &[LocalTime]| {
+                    let times = times.iter();
+                    times.filter(|at| now.since(**at) < Millis(10_000)).count()
+                };
+                prop_assert!(recent(&retries[entry]) * 10 <= recent(&firsts[entry]));
+                policy.offer(now, ticket(number), request).unwrap();
+            }
+            prop_assert!(attempts <= 3);
+        }
+        let count = |times: &[Vec<LocalTime>]| times.iter().map(Vec::len).sum::<usize>();
+        prop_assert!(count(&retries) * 10 <= count(&firsts));
+    }
+}
+
+/// A non-idempotent request must never be sent again, and no request more than twice more.
+#[test]
+fn never_twice() {
+    let fleet = Fleet::new(1, 1, 1);
+    let (mut policy, view) = fleet.policy(0);
+    let mut request = spec(&view, 0, Urgency::Normal, START + Millis(1_000));
+    for number in 0..100 {
+        let _ = policy.offer(START, ticket(number), request);
+        for assignment in policy.assign(START, 1) {
+            policy.finish(START, assignment, SendOutcome::Unknown);
+        }
+    }
+    assert!(!policy.allow_retry(START, &request, 3));
+    assert!(policy.allow_retry(START, &request, 2));
+    request.idempotent = false;
+    assert!(!policy.allow_retry(START, &request, 1));
+}
--- /dev/null
+++ b/crates/core/tests/traffic/slot_bounds.rs
@@ -0,0 +1,119 @@
+//! Guards against targets that get more requests at once than they have slots.
+
+use {
+    super::fleet::{Fleet, START, cases, equal_digests, spec},
+    goldcreststall_core::{
+        ids::{Incarnation, Millis},
+        traffic::{SendOutcome, SlotSplit, TrafficPolicy, Urgency},
+    },
+    proptest::prelude::*,
+};
+
+proptest! {
+    #![proptest_config(cases(256, 11))]
+
+    /// One entry host never has more requests in flight at a target than the target has slots,
+    /// whatever the digests, answers and views in between.
+    #[test]
+    fn one_entry(steps in prop::collection::vec((0..5_u8, any::<u64>()), 1..200)) {
+        let mut fleet = Fleet::new(1, 4, 2);
+        let (mut policy, mut view) = fleet.policy(0);
+        let mut now = START;
+        let mut sent = Vec::new();
+        for (number, (kind, random)) in steps.into_iter().enumerate() {
+            now = now + Millis(random % 50);
+            match kind {
+                0 | 1 => {
+                    for copy in 0..8 {
+                        let ticket = super::one_end::ticket(number * 8 + copy);
+                        let request = spec(&view, 0, Urgency::Normal, now + Millis(60_000));
+                        let _ = policy.offer(now, ticket, request);
+                    }
+                    sent.extend(policy.assign(now, random));
+                }
+                2 if !sent.is_empty() => {
+                    let assignment = sent.swap_remove(random as usize % sent.len());
+                    let took = Millis(random % 1_000);
+                    policy.finish(now, assignment, SendOutcome::Answered { took });
+                }
+                3 => {
+                    let digests = equal_digests(now, 1 + random as usize % 9, random as u32 % 40);
+                    policy.update_peers(now, &digests);
+                }
+                _ => {
+                    let host = &mut fleet.hosts[random as usize % 4];
+                    host.incarnation = Incarnation(host.incarnation.0 + random % 2);
+                    view = fleet.view(&view);
+                    policy.update_view(now, view.clone());
+                }
+            }
+            for (index, target) in view.targets.iter().enumerate() {
+                let busy = sent.iter().filter(|busy| {
+                    busy.target.index as usize == index
+                        && busy.target.generation == target.generation
+                });
+                prop_assert!(busy.count() <= target.slots as usize);
+            }
+        }
+    }
+
+    /// The shares of all entry hosts sum up to the slots of each target, and each entry host with
+    /// demand has a slot where there are enough.
+    #[test]
+    fn split_sums(
+        demands in prop::collection::vec(0..1_000_u32, 1..12),
+        slots in prop::collection::vec(0..40_u32, 1..30),
+    ) {
+        let mut split = SlotSplit::new(&demands);
+        let asking = demands.iter().filter(|demand| **demand > 0).count();
+        for slots in slots {
+            let shares = split.next_target(slots);
+            let expected = if asking > 0 { slots } else { 0 };
+            prop_assert_eq!(shares.iter().sum::<u32>(), expected);
+            if asking as u32 <= slots {
+                for (share, demand) in shares.iter().zip(&demands) {
+                    prop_assert!(*share >= u32::from(*demand > 0));
+                }
+            }
+        }
+    }
+
+    /// Entry hosts with equal digests and full queues never exceed the slots of a target together.
+    #[test]
+    fn all_entries(count in 2..9_usize, demand in 1..50_u32, random in any::<u64>()) {
+        let fleet = Fleet::new(1, 5, 1);
+        let digests = equal_digests(START, count, demand);
+        let mut busy = vec![0; 5];
+        for entry in 0..count {
+            let (mut policy, view) = fleet.policy(entry);
+            policy.update_peers(START, &digests);
+            for number in 0..60 {
+                let request = spec(&view, 0, Urgency::Urgent, START + Millis(60_000));
+                let _ = policy.offer(START, super::one_end::ticket(number), request);
+            }
+            for assignment in policy.assign(START, random) {
+                busy[assignment.target.index as usize] += 1;
+            }
+        }
+        prop_assert!(busy.iter().all(|count| *count <= 8), "{:?}", busy);
+        prop_assert_eq!(busy.iter().sum::<i32>(), 40);
+    }
+}
+
+/// A peer that fell silent must not keep its slots.
+#[test]
+fn silent_peer() {
+    let fleet = Fleet::new(1, 1, 1);
+    let (mut policy, view) = fleet.policy(0);
+    let mut digests = equal_digests(START, 2, 10);
+    let later = START + Millis(2_001);
+    digests[0].heard = later;
+    policy.update_peers(later, &digests);
+    for number in 0..20 {
+        let request = spec(&view, 0, Urgency::Urgent, later + Millis(60_000));
+        policy
+            .offer(later, super::one_end::ticket(number), request)
+            .unwrap();
+    }
+    assert_eq!(policy.assign(later, 1).len(), 8);
+}
--- /dev/null
+++ b/crates/core/tests/traffic/view_change.rs
@@ -0,0 +1,133 @@
+//! Guards against requests that are accounted to another target, service or tenant after the view
+//! changed.
+
+use {
+    super::{
+        fleet::{Fleet, START, cases, config, host, spec},
+        one_end::ticket,
+    },
+    goldcreststall_core::{
+        error::ErrorKind,
+        ids::{Incarnation, Millis, PoolName},
+        traffic::{RoutingView, SendOutcome, TrafficPolicy, Urgency},
+    },
+    proptest::prelude::*,
+};
+
+proptest! {
+    #![proptest_config(cases(128, 15))]
+
+    /// A key keeps its host name and incarnation in all later views, or is known to be used up.
+    #[test]
+    fn stable_keys(steps in prop::collection::vec((0..4_u8, 0..6_usize), 1..60)) {
+        let mut fleet = Fleet::new(2, 3, 3);
+        let mut view = fleet.view(&RoutingView::default());
+        let mut known = Vec::new();
+        for (kind, choice) in steps {
+            let count = fleet.hosts.len();
+            match kind {
+                0 if count > 0 => {
+                    fleet.hosts.remove(choice % count);
+                }
+                1 if count > 0 => {
+                    let host = &mut fleet.hosts[choice % count];
+                    host.incarnation = Incarnation(host.incarnation.0 + 1);
+                }
+                2 => {
+                    if fleet.hosts.iter().all(|known| known.name != host(choice % 2, choice / 2)) {
+                        fleet.add_host(choice % 2, choice / 2);
+                    }
+                }
+                _ => fleet.config = config(1 + choice % 2, 1 + choice % 3),
+            }
+            view = fleet.view(&view);
+            for host in &fleet.hosts {
+                for key in view.targets_of(&host.name) {
+                    known.push((key, host.name.clone(), host.incarnation));
+                }
+            }
+            for (key, name, incarnation) in &known {
+                if let Some(target) = view.target_at(*key) {
+                    prop_assert_eq!((&target.name, target.incarnation), (name, *incarnation));
+                }
+            }
+            for (index, service) in view.services.iter().enumerate() {
+                if !service.retired {
+                    prop_assert_eq!(view.service(&service.name).map(|key| key.0 as usize), Some(index));
+                }
+            }
+        }
+    }
+}
+
+/// Only hosts of the service's pool are targets.
+#[test]
+fn other_pool() {
+    let mut fleet = Fleet::new(2, 2, 1);
+    fleet.members[0].pool = PoolName::try_from("p1").unwrap();
+    let view = fleet.view(&RoutingView::default());
+    let key = view.target(&host(0, 0)).unwrap();
+    assert_eq!(view.target_at(key).unwrap().service.0, 1);
+}
+
+/// A host that drops out of a lagging list and returns must keep the count of its requests.
+#[test]
+fn host_returns() {
+    let mut fleet = Fleet::new(1, 1, 1);
+    let (mut policy, view) = fleet.policy(0);
+    let request = spec(&view, 0, Urgency::Urgent, START + Millis(60_000));
+    for number in 0..12 {
+        policy.offer(START, ticket(number), request).unwrap();
+    }
+    let sent = policy.assign(START, 1);
+    assert_eq!(sent.len(), 8);
+    let host = fleet.hosts.pop().unwrap();
+    let view = fleet.view(&view);
+    policy.update_view(START, view.clone());
+    assert_eq!(policy.assign(START, 1), vec![]);
+    fleet.hosts.push(host);
+    let view = fleet.view(&view);
+    policy.update_view(START, view.clone());
+    assert_eq!(policy.assign(START, 1), vec![]);
+    let took = Millis(10);
+    policy.finish(START, sent[0], SendOutcome::Answered { took });
+    assert_eq!(policy.assign(START, 1).len(), 1);
+}
+
+/// The end of a request at a replaced host must not free a slot of its successor.
+#[test]
+fn replaced_host() {
+    let mut fleet = Fleet::new(1, 1, 1);
+    let (mut policy, view) = fleet.policy(0);
+    let request = spec(&view, 0, Urgency::Urgent, START + Millis(60_000));
+    for number in 0..20 {
+        policy.offer(START, ticket(number), request).unwrap();
+    }
+    let old = policy.assign(START, 1);
+    fleet.hosts[0].incarnation = Incarnation(2);
+    let view = fleet.view(&view);
+    policy.update_view(START, view);
+    assert_eq!(policy.assign(START, 1).len(), 8);
+    for assignment in old {
+        let took = Millis(10);
+        policy.finish(START, assignment, SendOutcome::Answered { took });
+    }
+    assert_eq!(policy.assign(START, 1), vec![]);
+}
+
+/// Queued requests of a service that is no longer configured must be refused and not be forgotten.
+#[test]
+fn retired_service() {
+    let mut fleet = Fleet::new(1, 1, 1);
+    let (mut policy, view) = fleet.policy(0);
+    let request = spec(&view, 0, Urgency::Urgent, START + Millis(60_000));
+    policy.offer(START, ticket(1), request).unwrap();
+    fleet.config = config(0, 1);
+    policy.update_view(START, fleet.view(&view));
+    let refusals = policy.expire(START);
+    assert_eq!(refusals[0].kind, ErrorKind::UnknownService);
+    assert_eq!(
+        policy.offer(START, ticket(2), request),
+        Err(ErrorKind::UnknownService)
+    );
+}
