--- a/crates/core/src/traffic/queue_policy.rs
+++ b/crates/core/src/traffic/queue_policy.rs
@@ -11,7 +11,8 @@
 #[derive(Debug, Default)]
 pub struct QueuePolicy {
     in_flight: Vec<u32>,
-    queue: VecDeque<(Ticket, RequestSpec)>,
+    /// One queue for each service, so that a busy service does not delay the others.
+    queues: Vec<VecDeque<(Ticket, RequestSpec)>>,
     view: Arc<RoutingView>,
 }
 
@@ -35,6 +36,7 @@
 impl TrafficPolicy for QueuePolicy {
     fn update_view(&mut self, _now: LocalTime, view: Arc<RoutingView>) {
         self.in_flight.resize(view.targets.len(), 0);
+        self.queues.resize_with(view.services.len(), VecDeque::new);
         self.view = view;
     }
 
@@ -47,26 +49,31 @@
         if spec.deadline <= now {
             return Err(ErrorKind::DeadlineUnreachable);
         }
-        self.queue.push_back((ticket, spec));
+        let queue = self.queues.get_mut(usize::from(spec.service.0));
+        let queue = queue.ok_or(ErrorKind::UnknownService)?;
+        queue.push_back((ticket, spec));
         Ok(())
     }
 
     fn cancel(&mut self, _now: LocalTime, ticket: Ticket) -> bool {
-        let before = self.queue.len();
-        self.queue.retain(|(queued, _)| *queued != ticket);
-        self.queue.len() < before
+        let mut queues = self.queues.iter_mut();
+        queues.any(|queue| {
+            let before = queue.len();
+            queue.retain(|(queued, _)| *queued != ticket);
+            queue.len() < before
+        })
     }
 
     fn assign(&mut self, _now: LocalTime, random: u64) -> Vec<Assignment> {
         let mut assignments = Vec::new();
-        let queued = std::mem::take(&mut self.queue);
-        for (ticket, spec) in queued {
-            match self.choose(spec.service, random) {
-                Some(target) => {
-                    self.in_flight[target.index as usize] += 1;
-                    assignments.push(Assignment { target, ticket });
-                }
-                None => self.queue.push_back((ticket, spec)),
+        for index in 0..self.queues.len() {
+            while let Some((ticket, spec)) = self.queues[index].front().copied() {
+                let Some(target) = self.choose(spec.service, random) else {
+                    break;
+                };
+                self.queues[index].pop_front();
+                self.in_flight[target.index as usize] += 1;
+                assignments.push(Assignment { target, ticket });
             }
         }
         assignments
@@ -74,16 +81,18 @@
 
     fn expire(&mut self, now: LocalTime) -> Vec<Refusal> {
         let mut refusals = Vec::new();
-        self.queue.retain(|(ticket, spec)| {
-            let live = spec.deadline > now;
-            if !live {
-                refusals.push(Refusal {
-                    kind: ErrorKind::DeadlineUnreachable,
-                    ticket: *ticket,
-                });
-            }
-            live
-        });
+        for queue in &mut self.queues {
+            queue.retain(|(ticket, spec)| {
+                let live = spec.deadline > now;
+                if !live {
+                    refusals.push(Refusal {
+                        kind: ErrorKind::DeadlineUnreachable,
+                        ticket: *ticket,
+                    });
+                }
+                live
+            });
+        }
         refusals
     }
 
@@ -106,7 +115,7 @@
     fn update_peers(&mut self, _now: LocalTime, _peers: &[PeerDemand]) {}
 
     fn drain(&mut self, _now: LocalTime) -> Vec<Refusal> {
-        let queued = self.queue.drain(..);
+        let queued = self.queues.iter_mut().flat_map(|queue| queue.drain(..));
         queued
             .map(|(ticket, _)| Refusal {
                 kind: ErrorKind::Draining,
--- /dev/null
+++ b/crates/measures/src/main.rs
@@ -0,0 +1,5 @@
+//! Prints the policy tables and the benchmarks of the decision code.
+
+fn main() -> anyhow::Result<()> {
+    goldcreststall_measures::run(lexopt::Parser::from_env())
+}
--- /dev/null
+++ b/crates/measures/src/overload/entry_host.rs
@@ -0,0 +1,73 @@
+use {
+    super::deployment::Deployment,
+    goldcreststall_core::{
+        ids::{EntryName, LocalTime},
+        traffic::{FairPolicy, PeerDemand, QueuePolicy, RoutingView, ServiceDemand, TrafficPolicy},
+    },
+    std::sync::Arc,
+};
+
+/// The policy that is measured.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PolicyKind {
+    /// First come, first served, to a random target.
+    Baseline,
+    /// The policy of the daemon.
+    Ours,
+}
+
+/// An entry host with its policy and the digests it heard.
+pub struct EntryHost {
+    /// Latest digest of each entry host.
+    pub heard: Vec<PeerDemand>,
+    /// The policy.
+    pub policy: Box<dyn TrafficPolicy>,
+    name: EntryName,
+    view: Arc<RoutingView>,
+}
+
+impl EntryHost {
+    /// Starts an entry host.
+    pub fn new(
+        deployment: &Deployment,
+        kind: PolicyKind,
+        number: usize,
+        now: LocalTime,
+    ) -> anyhow::Result<Self> {
+        let name = EntryName::try_from(format!("entry-{number}"))?;
+        let view = Arc::new(deployment.view(number)?);
+        let mut policy: Box<dyn TrafficPolicy> = match kind {
+            PolicyKind::Baseline => Box::new(QueuePolicy::default()),
+            PolicyKind::Ours => Box::new(FairPolicy::new(name.clone())),
+        };
+        policy.update_view(now, Arc::clone(&view));
+        Ok(Self {
+            heard: Vec::new(),
+            name,
+            policy,
+            view,
+        })
+    }
+
+    /// Returns the digest that the entry host sends.
+    pub fn digest(&self, now: LocalTime) -> PeerDemand {
+        let demands = self.policy.demand();
+        let services = self.view.services.iter().zip(demands);
+        PeerDemand {
+            entry: self.name.clone(),
+            heard: now,
+            services: services
+                .map(|(service, requests)| ServiceDemand {
+                    requests,
+                    service: service.name.clone(),
+                })
+                .collect(),
+        }
+    }
+
+    /// Takes over a digest.
+    pub fn hear(&mut self, digest: PeerDemand) {
+        self.heard.retain(|known| known.entry != digest.entry);
+        self.heard.push(digest);
+    }
+}
--- /dev/null
+++ b/crates/measures/src/slopes/mod.rs
@@ -0,0 +1,5 @@
+//! Growth of the cost of decisions with the size of the fleet.
+
+mod decision_bench;
+
+pub use decision_bench::print_decisions;
