Split slots by demand in halves of the mean

Entry hosts with nearly equal demand swapped the remainders with every digest, and as they hold digests of different age, some slots were claimed twice and others by nobody.

Change: SlotSplit counts demand in halves of the mean demand, so that equal loads give exactly equal shares whatever the age of the digests.

--- a/crates/core/src/traffic/slot_split.rs
+++ b/crates/core/src/traffic/slot_split.rs
@@ -1,6 +1,6 @@
 /// Splits the slots of a service's targets between entry hosts in proportion to their demand.
 ///
-/// It is a largest-remainder split with at least one slot for each entry host that has demand, where
+/// Demand counts in halves of the mean demand. It is a largest-remainder split with at least one slot for each entry host that has demand, where
 /// the slots allow it. What an entry host gets too little or too much at one target is carried to
 /// the next, so that the same entry host does not lose the rounding at every target. All entry
 /// hosts that hold the same digests and go through the targets in the same order get the same split.
@@ -8,6 +8,7 @@
 pub struct SlotSplit {
     /// Owed slots of each entry host, in units of one slot divided by the total demand.
     carry: Vec<i64>,
+    /// Demand of each entry host in halves of the mean.
     demands: Vec<i64>,
     shares: Vec<u32>,
     total: i64,
@@ -16,11 +17,20 @@
 impl SlotSplit {
     /// Starts a split; `demands` lists the entry hosts in an order that all of them agree on.
     pub fn new(demands: &[u32]) -> Self {
+        let sum: u64 = demands.iter().map(|demand| u64::from(*demand)).sum();
+        let asking = demands.iter().filter(|demand| **demand > 0).count() as u64;
+        // Entry hosts with nearly equal demand would otherwise swap the remainders with every digest,
+        // and hosts that hold different digests would both claim a slot or both leave it idle.
+        let halves = |demand: u32| match u64::from(demand) {
+            0 => 0,
+            demand => ((4 * demand * asking + sum) / (2 * sum)).max(1) as i64,
+        };
+        let demands: Vec<i64> = demands.iter().map(|demand| halves(*demand)).collect();
         Self {
             carry: vec![0; demands.len()],
-            demands: demands.iter().map(|demand| i64::from(*demand)).collect(),
             shares: vec![0; demands.len()],
-            total: demands.iter().map(|demand| i64::from(*demand)).sum(),
+            total: demands.iter().sum(),
+            demands,
         }
     }
 
