--- a/crates/measures/src/overload/tables.rs
+++ b/crates/measures/src/overload/tables.rs
@@ -117,6 +117,7 @@
                     run.overnight_kept()
                 }),
                 ("sent and not answered in time, %", &|run, _| run.wasted()),
+                ("refused after admission, %", &|run, _| run.refused_late()),
                 ("requests without an end", &|run, _| run.vanished()),
             ],
         )?;
@@ -130,25 +131,26 @@
 /// A deployment whose configuration is not valid.
 pub fn print_floods() -> anyhow::Result<()> {
     const FLOOD: (f64, f64) = (5.0, 15.0);
-    let floods = [
-        (
-            Urgency::Overnight,
-            "flood of overnight work, five times the pool",
-        ),
-        (Urgency::Urgent, "flood of urgent work, five times the pool"),
+    let first = (Urgency::Overnight, FLOOD.0, FLOOD.1);
+    let second = (Urgency::Urgent, FLOOD.0, FLOOD.1);
+    let in_turn = [(first.0, 5.0, 10.0), (second.0, 10.0, 15.0)];
+    let floods: [(&str, &[(Urgency, f64, f64)]); 3] = [
+        ("flood of overnight work, five times the pool", &[first]),
+        ("flood of urgent work, five times the pool", &[second]),
+        ("flood of overnight work, then of urgent work", &in_turn),
     ];
     for deployment in &DEPLOYMENTS {
-        for (urgency, title) in floods {
+        for (title, parts) in floods {
             let mut streams = mixed(0, POOL * 0.6, (0.0, 25.0), deployment.tenants);
-            streams.push(Stream {
-                end: FLOOD.1,
+            streams.extend(parts.iter().map(|(urgency, start, end)| Stream {
+                end: *end,
                 flood: true,
                 load: POOL * 5.0,
                 service: 0,
-                start: FLOOD.0,
+                start: *start,
                 tenants: (0, deployment.tenants),
-                urgency,
-            });
+                urgency: *urgency,
+            }));
             let keep = |class: Urgency| {
                 move |run: &Run, quiet: &Run| {
                     let other = |request: &super::workload::Request| {
@@ -175,6 +177,7 @@
                         run.overnight_kept()
                     }),
                     ("sent and not answered in time, %", &|run, _| run.wasted()),
+                    ("refused after admission, %", &|run, _| run.refused_late()),
                     ("requests without an end", &|run, _| run.vanished()),
                 ],
             )?;
@@ -295,6 +298,7 @@
                     run.overnight_kept()
                 }),
                 ("sent and not answered in time, %", &|run, _| run.wasted()),
+                ("refused after admission, %", &|run, _| run.refused_late()),
                 ("requests without an end", &|run, _| run.vanished()),
             ],
         )?;
@@ -326,6 +330,7 @@
                     run.done_percent(is_urgent)
                 }),
                 ("sent and not answered in time, %", &|run, _| run.wasted()),
+                ("refused after admission, %", &|run, _| run.refused_late()),
                 ("requests without an end", &|run, _| run.vanished()),
             ],
         )?;
