Test the jobs in a virtual fleet and cut the cost of a plan

Ruled out: estimates under a pair of names (two clones a lookup); tenant and worker searches a grant.

--- a/crates/core/src/jobs/fair_queue.rs
+++ b/crates/core/src/jobs/fair_queue.rs
@@ -20,6 +20,10 @@
     pub urgency: Urgency,
 }
 
+/// Key of a tenant in a [`FairQueue`]; valid once the first job was taken.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct QueueKey(usize);
+
 /// Place of a tenant in the queue: the urgency class of its next job first, then the smallest held
 /// share for its weight, then the nearest deadline.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -84,18 +88,22 @@
 
     /// Counts `size` as held by `tenant`.
     pub(super) fn charge(&mut self, tenant: &TenantName, size: &JobSize) {
-        let whole = self.whole;
         if let Some(index) = self.tenant(tenant) {
-            self.tenants[index].held += size.share_of(&whole);
+            self.charge_key(QueueKey(index), size);
         }
     }
 
+    /// Counts `size` as held by the tenant of a job that was taken.
+    pub(super) fn charge_key(&mut self, key: QueueKey, size: &JobSize) {
+        self.tenants[key.0].held += size.share_of(&self.whole);
+    }
+
     pub(super) fn push(&mut self, job: QueuedJob<'a>) {
         self.pending.push(job);
     }
 
     /// Takes the next job. The caller charges its tenant when it places the job.
-    pub(super) fn pop(&mut self) -> Option<QueuedJob<'a>> {
+    pub(super) fn pop(&mut self) -> Option<(QueueKey, QueuedJob<'a>)> {
         self.sort_pending();
         while let Some(Reverse(rank)) = self.heap.pop() {
             let Some(current) = self.tenants[rank.index].rank(rank.index) else {
@@ -109,7 +117,7 @@
             let row = &mut self.tenants[rank.index];
             let job = row.queue.pop_front();
             self.heap.extend(row.rank(rank.index).map(Reverse));
-            return job;
+            return Some((QueueKey(rank.index), job?));
         }
         None
     }
--- a/crates/core/src/jobs/job_ledger.rs
+++ b/crates/core/src/jobs/job_ledger.rs
@@ -279,16 +279,16 @@
 
     fn fail(&mut self, context: &JobContext, item: &FailItem) -> Result<(), Rejection> {
         let id = item.lease.job;
-        let job = self.held(item.lease)?;
-        let worker = job.lease().ok_or(Rejection::NotHolder)?.worker.clone();
+        let job = self.jobs.get(&id).ok_or(Rejection::UnknownJob)?;
+        let lease = job.lease().filter(|lease| lease.grant == item.lease.grant);
+        let worker = lease.ok_or(Rejection::NotHolder)?.worker.clone();
         // A non-idempotent job that started may have had effects, so it must not run again.
         let runs_again = job.spec.idempotent || !item.started;
         let state = match runs_again {
             true => JobState::Queued,
             false => JobState::Quarantined(QuarantineReason::FailedAfterStart),
         };
-        let (service, tenant) = (job.spec.service.clone(), job.spec.tenant.clone());
-        self.estimates.raise_memory((service, tenant), &item.usage);
+        self.estimates.raise_memory(&job.spec, &item.usage);
         self.change(context.now, id, state);
         self.blame(context, id, &worker);
         Ok(())
--- a/crates/core/src/jobs/placement_planner.rs
+++ b/crates/core/src/jobs/placement_planner.rs
@@ -3,7 +3,7 @@
         GrantItem, Job, JobId, JobLedger, JobRecord, JobSize, JobState, LeaseRef, MarkItem,
         PlacementDecision, PlacementPlan, PlacementReason, TaskAction, TaskCommand, TaskState,
         WorkerView,
-        fair_queue::{FairQueue, QueuedJob},
+        fair_queue::{FairQueue, QueueKey, QueuedJob},
         task_review::{TaskReview, push_batches},
         urgent_relief::{UrgentRelief, throttled_size},
         worker_shelf::{ShelfRequest, WorkerShelf},
@@ -61,6 +61,8 @@
     /// Different capacities of the workers of the pool, whether or not they get jobs now.
     capacities: Vec<JobSize>,
     demands: Vec<WorkerDemand>,
+    /// Whether a worker gets a grant in this plan.
+    granted: Vec<bool>,
     grants: Vec<GrantItem>,
     /// Indexes of the workers in order of name.
     index: Vec<usize>,
@@ -88,6 +90,7 @@
         Self {
             capacities,
             demands: vec![WorkerDemand::default(); workers.len()],
+            granted: vec![false; workers.len()],
             grants: Vec::new(),
             index,
             input,
@@ -248,8 +251,8 @@
     /// Grants queued jobs to workers with room, in the order of the queue.
     fn place_jobs(&mut self) {
         let mut shelf = self.shelf();
-        while let Some(queued) = self.queue.pop() {
-            self.place_job(&mut shelf, &queued);
+        while let Some((tenant, queued)) = self.queue.pop() {
+            self.place_job(&mut shelf, tenant, &queued);
         }
         if !self.stranded.is_empty() {
             let mut relief = UrgentRelief::new(self.input.ledger, &shelf);
@@ -260,7 +263,7 @@
     fn shelf(&self) -> WorkerShelf<'a> {
         let workers = self.input.workers.iter().enumerate();
         let usable = workers.filter(|(_, worker)| self.is_usable(worker));
-        WorkerShelf::new(usable.map(|(index, worker)| (worker, self.demand(index))))
+        WorkerShelf::new(usable.map(|(index, worker)| (index, worker, self.demand(index))))
     }
 
     fn is_usable(&self, worker: &WorkerView) -> bool {
@@ -278,7 +281,7 @@
         demand.reserved.max(&usage.plus(&demand.unreported))
     }
 
-    fn place_job(&mut self, shelf: &mut WorkerShelf<'a>, queued: &QueuedJob<'a>) {
+    fn place_job(&mut self, shelf: &mut WorkerShelf<'a>, tenant: QueueKey, queued: &QueuedJob<'a>) {
         let mut avoid: Vec<_> = queued
             .job
             .failures
@@ -301,8 +304,10 @@
             }
             return;
         };
-        let worker = shelf.rows()[key.0].view.id.clone();
-        self.queue.charge(&queued.job.spec.tenant, &queued.size);
+        let row = &shelf.rows()[key.0];
+        let worker = row.view.id.clone();
+        self.granted[row.index] = true;
+        self.queue.charge_key(tenant, &queued.size);
         self.grants.push(GrantItem {
             job: queued.id,
             version: queued.job.version,
@@ -331,8 +336,7 @@
     }
 
     fn resume_on(&mut self, index: usize, worker: &WorkerView) {
-        let granted = self.grants.iter().any(|grant| grant.worker == worker.id);
-        let report = worker.fresh_report().filter(|_| !granted);
+        let report = worker.fresh_report().filter(|_| !self.granted[index]);
         let tasks = report.map_or(&[][..], |report| &report.tasks);
         let mut room = worker.capacity.minus(&self.demand(index));
         for task in tasks {
--- a/crates/core/src/jobs/size_estimates.rs
+++ b/crates/core/src/jobs/size_estimates.rs
@@ -43,14 +43,13 @@
 /// Estimates by service and tenant, which correct declared sizes.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SizeEstimates {
-    rows: SortedMap<(ServiceName, TenantName), SizeEstimate>,
+    rows: SortedMap<ServiceName, SortedMap<TenantName, SizeEstimate>>,
 }
 
 impl SizeEstimates {
     /// Returns the estimate that applies to a job.
     pub fn get(&self, spec: &JobSpec) -> Option<&SizeEstimate> {
-        // Keys are owned names, so a search needs clones; the planner asks once per job.
-        self.rows.get(&(spec.service.clone(), spec.tenant.clone()))
+        self.rows.get(&spec.service)?.get(&spec.tenant)
     }
 
     /// Returns the size to reserve for a job.
@@ -73,32 +72,46 @@
         if usage.size.cores_milli == 0 || usage.size.memory_mib == 0 {
             return;
         }
-        let key = (spec.service.clone(), spec.tenant.clone());
-        if let Some(estimate) = self.rows.get_mut(&key) {
+        if let Some(estimate) = self.get_mut(&spec.service, &spec.tenant) {
             estimate.observe(now, usage);
             return;
         }
-        if self.rows.len() >= MAX_ESTIMATES {
+        if self.rows.values().map(SortedMap::len).sum::<usize>() >= MAX_ESTIMATES {
             self.drop_oldest();
         }
         let mut estimate = SizeEstimate::default();
         estimate.observe(now, usage);
-        self.rows.insert(key, estimate);
+        if !self.rows.contains(&spec.service) {
+            self.rows.insert(spec.service.clone(), SortedMap::default());
+        }
+        if let Some(rows) = self.rows.get_mut(&spec.service) {
+            rows.insert(spec.tenant.clone(), estimate);
+        }
+    }
+
+    fn get_mut(&mut self, service: &ServiceName, tenant: &TenantName) -> Option<&mut SizeEstimate> {
+        self.rows.get_mut(service)?.get_mut(tenant)
     }
 
     /// Raises the memory estimate to what a failed task used. The other figures of a failed task say
     /// little: a worker that fails everything at once reports next to no usage.
-    pub(super) fn raise_memory(&mut self, key: (ServiceName, TenantName), usage: &TaskUsage) {
-        if let Some(estimate) = self.rows.get_mut(&key) {
+    pub(super) fn raise_memory(&mut self, spec: &JobSpec, usage: &TaskUsage) {
+        if let Some(estimate) = self.get_mut(&spec.service, &spec.tenant) {
             estimate.memory_mib = estimate.memory_mib.max(usage.size.memory_mib);
         }
     }
 
     fn drop_oldest(&mut self) {
-        let oldest = self.rows.iter().min_by_key(|(_, row)| row.updated);
-        if let Some(key) = oldest.map(|(key, _)| key.clone()) {
-            self.rows.remove(&key);
+        let rows = self.rows.iter();
+        let rows = rows.flat_map(|(service, rows)| rows.iter().map(move |row| (service, row)));
+        let oldest = rows.min_by_key(|(_, (_, row))| row.updated);
+        let oldest = oldest.map(|(service, (tenant, _))| (service.clone(), tenant.clone()));
+        if let Some((service, tenant)) = oldest
+            && let Some(rows) = self.rows.get_mut(&service)
+        {
+            rows.remove(&tenant);
         }
+        self.rows.retain(|_, rows| !rows.is_empty());
     }
 }
 
--- a/crates/core/src/jobs/worker_shelf.rs
+++ b/crates/core/src/jobs/worker_shelf.rs
@@ -20,6 +20,8 @@
 pub(super) struct ShelfRow<'a> {
     /// What leases and reported usage take.
     pub demand: JobSize,
+    /// Index of the worker in the input of the plan.
+    pub index: usize,
     /// The worker.
     pub view: &'a WorkerView,
     rack: usize,
@@ -70,8 +72,8 @@
 }
 
 impl<'a> WorkerShelf<'a> {
-    /// Builds the shelf from workers and the demand on each.
-    pub(super) fn new(workers: impl Iterator<Item = (&'a WorkerView, JobSize)>) -> Self {
+    /// Builds the shelf from workers with their indexes and the demand on each.
+    pub(super) fn new(workers: impl Iterator<Item = (usize, &'a WorkerView, JobSize)>) -> Self {
         let mut shelf = Self {
             order: BTreeSet::new(),
             racks: Vec::new(),
@@ -79,7 +81,7 @@
             unfit: Vec::new(),
         };
         let mut keys: SortedMap<(&DataCentre, &RackName), usize> = SortedMap::default();
-        for (view, demand) in workers {
+        for (index, view, demand) in workers {
             let next = shelf.racks.len();
             let key = (&view.data_centre, &view.rack);
             let rack = keys.get(&key).copied().unwrap_or(next);
@@ -91,7 +93,12 @@
                     workers: Vec::new(),
                 });
             }
-            let row = ShelfRow { demand, rack, view };
+            let row = ShelfRow {
+                demand,
+                index,
+                rack,
+                view,
+            };
             let place = &mut shelf.racks[rack];
             place.load += row.load();
             place.room = place.room.max(&row.room());
--- /dev/null
+++ b/crates/core/tests/duty_holder.rs
@@ -0,0 +1,130 @@
+//! Guards against duties that nobody performs, and against duties on entry hosts that are cut off.
+
+use {
+    goldcreststall_core::{
+        duties::{Duty, DutyRoster, PEER_SILENCE_LIMIT, TAIL_SILENCE_LIMIT},
+        ids::{EntryId, EntryName, Incarnation, LocalTime, Millis, PoolName},
+    },
+    std::collections::BTreeMap,
+};
+
+const NOW: LocalTime = LocalTime(1_000_000);
+
+fn entry(index: usize) -> EntryId {
+    EntryId {
+        incarnation: Incarnation(1),
+        name: EntryName::try_from(format!("e{index}")).unwrap(),
+    }
+}
+
+fn duties() -> Vec<Duty> {
+    let pools = (0..48).map(|index| PoolName::try_from(format!("p{index}")).unwrap());
+    pools
+        .flat_map(|pool| [Duty::Placement(pool.clone()), Duty::Waves(pool)])
+        .collect()
+}
+
+/// Entry host `own` of seven, which heard all others at `heard`.
+fn roster(own: usize, heard: LocalTime) -> DutyRoster {
+    let mut roster = DutyRoster::new(entry(own));
+    roster.tail_read(heard);
+    (0..7).for_each(|index| roster.hear(heard, &entry(index), true));
+    roster
+}
+
+/// Entry hosts that hear each other choose the same holder, and the duties are spread.
+#[test]
+fn same_holder() {
+    let rosters: Vec<_> = (0..7).map(|own| roster(own, NOW)).collect();
+    let mut load: BTreeMap<EntryName, usize> = BTreeMap::new();
+    for duty in duties() {
+        let holders: Vec<_> = rosters
+            .iter()
+            .map(|roster| roster.holder(NOW, &duty))
+            .collect();
+        assert!(
+            holders.windows(2).all(|pair| pair[0] == pair[1]),
+            "{duty}: {holders:?}"
+        );
+        let holding = rosters.iter().filter(|roster| roster.holds(NOW, &duty));
+        assert_eq!(holding.count(), 1, "{duty}");
+        *load.entry(holders[0].unwrap().clone()).or_default() += 1;
+    }
+    // 96 duties on 7 entry hosts are 14 on average.
+    assert_eq!(load.len(), 7);
+    assert!(
+        load.values().all(|count| (5..=25).contains(count)),
+        "{load:?}"
+    );
+}
+
+/// The duties of a silent entry host move after two seconds, and only its duties move.
+#[test]
+fn silent_peer() {
+    let mut roster = roster(0, NOW);
+    let before: Vec<_> = duties()
+        .iter()
+        .map(|duty| roster.holder(NOW, duty).cloned())
+        .collect();
+    let later = NOW + PEER_SILENCE_LIMIT;
+    roster.tail_read(later);
+    (0..6).for_each(|index| roster.hear(later, &entry(index), true));
+    let gone = Some(entry(6).name);
+    for (duty, before) in duties().iter().zip(before) {
+        let after = roster.holder(later, duty).cloned();
+        assert_ne!(after, gone);
+        assert!(
+            before == gone || before == after,
+            "{duty} moved without need"
+        );
+    }
+}
+
+/// An entry host that cannot read the log, or has just resumed from a freeze, performs no duty.
+#[test]
+fn cut_off() {
+    let fresh = DutyRoster::new(entry(0));
+    assert!(
+        duties()
+            .iter()
+            .all(|duty| fresh.holder(NOW, duty).is_none()),
+        "nothing was read yet"
+    );
+    let roster = roster(0, NOW);
+    let later = NOW + TAIL_SILENCE_LIMIT;
+    assert!(
+        duties()
+            .iter()
+            .any(|duty| roster.holds(later - Millis(1), duty))
+    );
+    assert!(duties().iter().all(|duty| !roster.holds(later, duty)));
+}
+
+/// A peer that is cut off from the log or shuts down is passed over although it is heard.
+#[test]
+fn ineligible_peer() {
+    let mut roster = roster(0, NOW);
+    (1..7).for_each(|index| roster.hear(NOW, &entry(index), false));
+    assert!(duties().iter().all(|duty| roster.holds(NOW, duty)));
+    roster.drain();
+    assert!(
+        duties()
+            .iter()
+            .all(|duty| roster.holder(NOW, duty).is_none())
+    );
+}
+
+/// A late message of an older run must not speak for the newer one.
+#[test]
+fn older_run() {
+    let mut roster = roster(0, NOW);
+    let newer = EntryId {
+        incarnation: Incarnation(2),
+        ..entry(1)
+    };
+    roster.hear(NOW, &newer, false);
+    roster.hear(NOW, &entry(1), true);
+    let holders = duties();
+    let mut holders = holders.iter().map(|duty| roster.holder(NOW, duty));
+    assert!(holders.all(|holder| holder != Some(&newer.name)));
+}
--- /dev/null
+++ b/crates/core/tests/job_submission.rs
@@ -0,0 +1,227 @@
+//! Guards against submissions that are lost, doubled, crowd out other tenants or fill the memory.
+
+mod job_fleet;
+
+use {
+    goldcreststall_core::{
+        config::ConfigRecord,
+        ids::{Millis, PoolName, RecordId, TenantName},
+        jobs::{
+            FinishItem, GrantItem, JobId, JobRecord, JobState, LeaseRef, MAX_BATCH, MAX_DONE_AGE,
+            MAX_JOBS, MAX_PAYLOAD_BYTES, MAX_UNFINISHED, TaskUsage, WorkerId,
+        },
+        ledger::{
+            Author, FleetState, LedgerRecord, LogEntry, LogOffset, RecordBody, Rejection,
+            decode_state, encode_state,
+        },
+        traffic::Urgency,
+    },
+    job_fleet::{FleetSim, START, spec},
+};
+
+fn submit(fleet: &mut FleetSim, job: JobId, tenant: &str) -> Result<(), Rejection> {
+    let spec = spec(tenant, Urgency::Normal);
+    fleet.apply(&JobRecord::Submit { job, spec })
+}
+
+/// Grants and finishes jobs without a worker.
+fn finish_all(fleet: &mut FleetSim) {
+    let worker: WorkerId = fleet.workers[0].view.id.clone();
+    let queued = fleet
+        .ledger
+        .jobs()
+        .iter()
+        .filter(|(_, job)| job.state == JobState::Queued);
+    let grants = queued.map(|(id, job)| GrantItem {
+        job: *id,
+        version: job.version,
+        worker: worker.clone(),
+    });
+    let grants: Vec<_> = grants.collect();
+    for batch in grants.chunks(MAX_BATCH) {
+        fleet
+            .apply(&JobRecord::Grant {
+                grants: batch.to_vec(),
+            })
+            .unwrap();
+    }
+    let leased = fleet.ledger.jobs().iter().filter_map(|(id, job)| {
+        let grant = job.lease()?.grant;
+        Some(FinishItem {
+            lease: LeaseRef { grant, job: *id },
+            usage: TaskUsage::default(),
+        })
+    });
+    let results: Vec<_> = leased.collect();
+    for batch in results.chunks(MAX_BATCH) {
+        fleet
+            .apply(&JobRecord::Finish {
+                results: batch.to_vec(),
+            })
+            .unwrap();
+    }
+}
+
+/// A submission whose answer was lost is repeated, before and after the job ran and was forgotten.
+#[test]
+fn repeated_submission() {
+    let mut fleet = FleetSim::new(1);
+    let job = JobId::at(START, 7);
+    assert_eq!(submit(&mut fleet, job, "t1"), Ok(()));
+    assert_eq!(submit(&mut fleet, job, "t1"), Ok(()));
+    assert_eq!(submit(&mut fleet, job, "t2"), Err(Rejection::JobConflict));
+    finish_all(&mut fleet);
+    assert_eq!(submit(&mut fleet, job, "t1"), Ok(()));
+    assert_eq!(*fleet.state(job), JobState::Done);
+    fleet.now = START + MAX_DONE_AGE + Millis(60_001);
+    assert_eq!(submit(&mut fleet, job, "t1"), Err(Rejection::KeyTooOld));
+    assert!(
+        fleet.ledger.jobs().is_empty(),
+        "jobs that are done are forgotten"
+    );
+}
+
+/// Whatever is not a job must not enter the ledger.
+#[test]
+fn malformed_job() {
+    let mut fleet = FleetSim::new(1);
+    let mut apply = |change: &dyn Fn(&mut goldcreststall_core::jobs::JobSpec)| {
+        let mut spec = spec("t1", Urgency::Normal);
+        change(&mut spec);
+        fleet.apply(&JobRecord::Submit {
+            job: JobId::at(START, 1),
+            spec,
+        })
+    };
+    let long = "x".repeat(MAX_PAYLOAD_BYTES + 1);
+    assert_eq!(
+        apply(&|spec| spec.payload = long.clone()),
+        Err(Rejection::InvalidJob)
+    );
+    assert_eq!(
+        apply(&|spec| spec.size.cores_milli = 0),
+        Err(Rejection::InvalidJob)
+    );
+    let tenant = TenantName::try_from("nobody").unwrap();
+    assert_eq!(
+        apply(&|spec| spec.tenant = tenant.clone()),
+        Err(Rejection::UnknownTenant)
+    );
+    let pool = PoolName::try_from("nowhere").unwrap();
+    assert_eq!(
+        apply(&|spec| spec.pool = pool.clone()),
+        Err(Rejection::UnknownPool)
+    );
+}
+
+/// A tenant that floods the ledger leaves the guaranteed share of the others free.
+#[test]
+fn tenant_quota() {
+    let mut fleet = FleetSim::new(1);
+    let mut number = 0;
+    let mut fill = |fleet: &mut FleetSim, tenant: &str| {
+        let mut accepted = 0;
+        loop {
+            number += 1;
+            match submit(fleet, JobId::at(START, number), tenant) {
+                Ok(()) => accepted += 1,
+                Err(rejection) => return (accepted, rejection),
+            }
+        }
+    };
+    // Half is guaranteed, by weights 1, 1 and 2; the other half is common.
+    let half = MAX_UNFINISHED / 2;
+    assert_eq!(
+        fill(&mut fleet, "t1"),
+        (half + half / 4, Rejection::QuotaExceeded)
+    );
+    assert_eq!(fill(&mut fleet, "t3"), (half / 2, Rejection::QuotaExceeded));
+    assert_eq!(fill(&mut fleet, "t2"), (half / 4, Rejection::QuotaExceeded));
+    finish_all(&mut fleet);
+    assert_eq!(
+        fill(&mut fleet, "t2").0,
+        half + half / 4,
+        "ended jobs give the quota back"
+    );
+}
+
+/// Memory stays bounded under steady load, and unfinished jobs are never dropped for it.
+#[test]
+fn bounded_memory() {
+    let mut fleet = FleetSim::new(1);
+    let kept = JobId::at(START, 0);
+    let mut kept_spec = spec("t2", Urgency::Overnight);
+    kept_spec.run_time = Millis(1);
+    let submission = JobRecord::Submit {
+        job: kept,
+        spec: kept_spec,
+    };
+    assert_eq!(fleet.apply(&submission), Ok(()));
+    for minute in 1..=40_u64 {
+        fleet.now = START + Millis(minute * 60_000);
+        for number in 0..1_000 {
+            let job = JobId::at(fleet.now, u128::from(minute * 1_000 + number));
+            let _ = submit(&mut fleet, job, "t1");
+        }
+        let queued = fleet.ledger.jobs().iter();
+        let others = queued.filter(|(id, job)| **id != kept && job.state.is_unfinished());
+        let jobs: Vec<_> = others.map(|(id, _)| *id).collect();
+        for batch in jobs.chunks(MAX_BATCH) {
+            let _ = fleet.apply(&JobRecord::Cancel {
+                jobs: batch.to_vec(),
+            });
+        }
+        assert!(fleet.ledger.jobs().len() <= MAX_JOBS);
+    }
+    assert!(
+        fleet.ledger.jobs().len() > MAX_JOBS / 2,
+        "the load should reach the early limit"
+    );
+    assert_eq!(*fleet.state(kept), JobState::Queued);
+    let recent = fleet
+        .ledger
+        .jobs()
+        .iter()
+        .filter(|(id, _)| id.time() == fleet.now);
+    assert_eq!(
+        recent.count(),
+        1_000,
+        "ids that can be submitted again are remembered"
+    );
+}
+
+fn entry(offset: u64, body: RecordBody) -> LogEntry {
+    let record = LedgerRecord {
+        author: Author("e1".to_owned()),
+        body,
+        id: RecordId::at(START, u128::from(offset)),
+    };
+    LogEntry {
+        offset: LogOffset(offset),
+        records: vec![record],
+        time: START,
+    }
+}
+
+/// Jobs are part of the snapshot that a starting entry host loads.
+#[test]
+fn snapshot_restores() {
+    let document =
+        "pools = [{ name = \"batch\", min_available = 0 }]\ntenants = [{ name = \"t1\" }]";
+    let publish = ConfigRecord::Publish {
+        base: Default::default(),
+        document: document.to_owned(),
+    };
+    let job = JobId::at(START, 1);
+    let spec = spec("t1", Urgency::Urgent);
+    let submission = RecordBody::Job(JobRecord::Submit { job, spec });
+    let mut state = FleetState::default();
+    assert_eq!(
+        state.apply(&entry(0, RecordBody::Config(publish))),
+        vec![Ok(())]
+    );
+    assert_eq!(state.apply(&entry(1, submission)), vec![Ok(())]);
+    let restored = decode_state(&encode_state(&state)).unwrap();
+    assert_eq!(restored, state);
+    assert_eq!(restored.jobs.job(job).unwrap().state, JobState::Queued);
+}
--- /dev/null
+++ b/crates/core/tests/placement_rules.rs
@@ -0,0 +1,396 @@
+//! Guards against placements that overfill a worker, starve a tenant, ignore urgency or use a worker
+//! that must get nothing.
+
+mod job_fleet;
+
+use {
+    goldcreststall_core::{
+        config::FleetConfig,
+        ids::{Millis, PoolName, TenantName},
+        jobs::{
+            GrantItem, JobId, JobRecord, JobSize, JobSpec, JobState, MAX_BATCH, PlacementPlan,
+            TaskAction, TaskState, WorkerId,
+        },
+        traffic::Urgency,
+    },
+    job_fleet::{FleetSim, START, size, spec},
+    proptest::{prelude::*, test_runner::RngSeed},
+    std::collections::BTreeMap,
+};
+
+const CASES: u32 = 128;
+const SEED: u64 = 97;
+
+fn grants(plan: &PlacementPlan) -> Vec<GrantItem> {
+    let records = plan.records.iter().filter_map(|record| match record {
+        JobRecord::Grant { grants } => Some(grants.clone()),
+        _ => None,
+    });
+    records.flatten().collect()
+}
+
+fn submit_many(fleet: &mut FleetSim, count: usize, spec: &JobSpec) -> Vec<JobId> {
+    (0..count).map(|_| fleet.submit(spec.clone())).collect()
+}
+
+fn plan(fleet: &mut FleetSim) -> PlacementPlan {
+    fleet.read(0);
+    fleet.observe(0);
+    fleet.plan(0)
+}
+
+fn actions(plan: &PlacementPlan, wanted: TaskAction) -> Vec<JobId> {
+    let commands = plan
+        .commands
+        .iter()
+        .filter(|command| command.action == wanted);
+    commands.map(|command| command.lease.job).collect()
+}
+
+/// Urgent jobs go first, then the nearest deadline, whatever the order of submission.
+#[test]
+fn urgent_first() {
+    let mut fleet = FleetSim::new(1);
+    let mut submit = |urgency, deadline| {
+        let mut spec = spec("t1", urgency);
+        spec.deadline = START + Millis(deadline);
+        spec.size = size(16, 4);
+        fleet.submit(spec)
+    };
+    let _overnight = submit(Urgency::Overnight, 3_600_000);
+    let late = submit(Urgency::Normal, 3_600_000);
+    let early = submit(Urgency::Normal, 1_800_000);
+    let urgent = submit(Urgency::Urgent, 7_200_000);
+    let granted: Vec<_> = grants(&plan(&mut fleet))
+        .iter()
+        .map(|grant| grant.job)
+        .collect();
+    assert_eq!(granted, vec![urgent, early]);
+    assert_eq!(*fleet.state(late), JobState::Queued);
+}
+
+/// A tenant with a thousand jobs gets its share and no more; weights count.
+#[test]
+fn fair_tenants() {
+    let mut fleet = FleetSim::new(8);
+    for _ in 0..1_000 {
+        fleet.submit(spec("t1", Urgency::Normal));
+    }
+    for tenant in ["t2", "t3"] {
+        submit_many(&mut fleet, 100, &spec(tenant, Urgency::Normal));
+    }
+    let mut counts: BTreeMap<TenantName, usize> = BTreeMap::new();
+    for grant in grants(&plan(&mut fleet)) {
+        let tenant = &fleet.ledger.job(grant.job).unwrap().spec.tenant;
+        *counts.entry(tenant.clone()).or_default() += 1;
+    }
+    // 8 workers hold 64 jobs of 4 cores; the weights are 1, 1 and 2.
+    assert_eq!(counts.into_values().collect::<Vec<_>>(), vec![16, 16, 32]);
+}
+
+/// What is running counts: a tenant that holds the pool waits when another one comes.
+#[test]
+fn fair_over_time() {
+    let mut fleet = FleetSim::new(2);
+    fleet.run_time = Millis(600_000);
+    submit_many(&mut fleet, 12, &spec("t1", Urgency::Normal));
+    fleet.rounds(2);
+    submit_many(&mut fleet, 12, &spec("t1", Urgency::Normal));
+    submit_many(&mut fleet, 12, &spec("t2", Urgency::Normal));
+    let t2 = TenantName::try_from("t2").unwrap();
+    let granted = grants(&plan(&mut fleet));
+    assert_eq!(granted.len(), 4);
+    let tenants = granted
+        .iter()
+        .map(|grant| &fleet.ledger.job(grant.job).unwrap().spec.tenant);
+    assert!(tenants.into_iter().all(|tenant| *tenant == t2));
+}
+
+/// The jobs of one moment are spread over the racks, so that a rack loss hits few of them.
+#[test]
+fn spread_racks() {
+    let mut fleet = FleetSim::new(16);
+    submit_many(&mut fleet, 16, &spec("t1", Urgency::Urgent));
+    let mut racks: BTreeMap<String, usize> = BTreeMap::new();
+    for grant in grants(&plan(&mut fleet)) {
+        let worker = fleet
+            .workers
+            .iter()
+            .find(|worker| worker.view.id == grant.worker)
+            .unwrap();
+        *racks.entry(worker.view.rack.to_string()).or_default() += 1;
+    }
+    assert_eq!(racks.into_values().collect::<Vec<_>>(), vec![4, 4, 4, 4]);
+}
+
+/// Draining workers, workers with an old report and workers of other pools get nothing.
+#[test]
+fn unusable_workers() {
+    let mut fleet = FleetSim::new(4);
+    fleet.observe(0);
+    fleet.workers[0].view.draining = true;
+    fleet.workers[1].paused_until = START + Millis(3_600_000);
+    fleet.workers[2].view.pool = PoolName::try_from("other").unwrap();
+    fleet.wait(11_000);
+    submit_many(&mut fleet, 100, &spec("t1", Urgency::Urgent));
+    let granted = grants(&plan(&mut fleet));
+    assert_eq!(granted.len(), 8);
+    assert!(
+        granted
+            .iter()
+            .all(|grant| grant.worker == fleet.workers[3].view.id)
+    );
+}
+
+/// The fold refuses a grant to a host that has moved to another pool since the author looked.
+#[test]
+fn moved_worker() {
+    let mut fleet = FleetSim::new(1);
+    let mut elsewhere = spec("t1", Urgency::Urgent);
+    elsewhere.pool = PoolName::try_from("other").unwrap();
+    fleet.config = FleetConfig::try_from(
+        "pools = [{ name = \"other\", min_available = 0 }]\ntenants = [{ name = \"t1\" }]",
+    )
+    .unwrap();
+    let job = fleet.submit(elsewhere);
+    let grant = GrantItem {
+        job,
+        version: fleet.ledger.job(job).unwrap().version,
+        worker: fleet.workers[0].view.id.clone(),
+    };
+    assert!(
+        fleet
+            .apply(&JobRecord::Grant {
+                grants: vec![grant]
+            })
+            .is_err()
+    );
+    assert_eq!(*fleet.state(job), JobState::Queued);
+}
+
+/// Declared sizes that are far too large are corrected by what tasks used, and so are run times.
+#[test]
+fn corrected_sizes() {
+    let mut fleet = FleetSim::new(1);
+    let mut large = spec("t1", Urgency::Normal);
+    large.size = size(32, 64);
+    submit_many(&mut fleet, 3, &large);
+    // Tasks report 4 cores and 4 GiB; the margin makes it 5 and 5.
+    fleet.rounds(60);
+    assert_eq!(fleet.ledger.counts().done, 3);
+    submit_many(&mut fleet, 20, &large);
+    assert_eq!(grants(&plan(&mut fleet)).len(), 6);
+}
+
+/// A job that uses more than it declares takes the room it needs, and is never reported unplaceable.
+#[test]
+fn undeclared_use() {
+    let mut fleet = FleetSim::new(1);
+    let mut small = spec("t1", Urgency::Normal);
+    small.size = size(1, 1);
+    submit_many(&mut fleet, 3, &small);
+    fleet.rounds(20);
+    submit_many(&mut fleet, 20, &small);
+    assert_eq!(grants(&plan(&mut fleet)).len(), 6);
+    fleet.workers[0].view.capacity = size(4, 4);
+    let plan = plan(&mut fleet);
+    assert_eq!((grants(&plan).len(), plan.waiting.unplaceable), (1, 0));
+}
+
+/// Usage that a worker reports counts even when no lease explains it.
+#[test]
+fn reported_usage() {
+    let mut fleet = FleetSim::new(1);
+    let job = fleet.submit(spec("t1", Urgency::Normal));
+    fleet.rounds(2);
+    assert!(matches!(fleet.state(job), JobState::Leased(_)));
+    // One task of 4 cores is reported; the leases say 4 as well.
+    submit_many(&mut fleet, 20, &spec("t1", Urgency::Normal));
+    assert_eq!(grants(&plan(&mut fleet)).len(), 7);
+}
+
+fn fill_overnight(fleet: &mut FleetSim, checkpoints: bool, idempotent: bool) -> Vec<JobId> {
+    fleet.run_time = Millis(7_200_000);
+    let mut spec = spec("t1", Urgency::Overnight);
+    spec.checkpoints = checkpoints;
+    spec.deadline = START + Millis(24 * 3_600_000);
+    spec.idempotent = idempotent;
+    spec.size = size(7, 7);
+    let jobs = (0..4).map(|_| fleet.submit(spec.clone())).collect();
+    fleet.rounds(3);
+    jobs
+}
+
+/// An urgent job that finds no room gets it from an overnight task that can be saved.
+#[test]
+fn checkpoint_for_urgent() {
+    let mut fleet = FleetSim::new(1);
+    let overnight = fill_overnight(&mut fleet, true, true);
+    let mut urgent = spec("t2", Urgency::Urgent);
+    urgent.size = size(8, 8);
+    let urgent = fleet.submit(urgent);
+    let first = plan(&mut fleet);
+    let saved = actions(&first, TaskAction::Checkpoint);
+    assert_eq!(
+        saved.len(),
+        1,
+        "one task makes enough room: {:?}",
+        first.decisions
+    );
+    assert!(overnight.contains(&saved[0]));
+    fleet.rounds(4);
+    assert!(matches!(fleet.state(urgent), JobState::Leased(_)));
+    let progress = fleet.ledger.job(saved[0]).unwrap().checkpoint.clone();
+    assert_eq!(progress.as_deref(), Some("half"));
+}
+
+/// A non-idempotent task is slowed, never stopped half way, and runs at full speed again later.
+#[test]
+fn throttle_for_urgent() {
+    let mut fleet = FleetSim::new(1);
+    fill_overnight(&mut fleet, true, false);
+    let mut urgent = spec("t2", Urgency::Urgent);
+    urgent.size = size(8, 8);
+    let urgent = fleet.submit(urgent);
+    let first = plan(&mut fleet);
+    assert!(actions(&first, TaskAction::Checkpoint).is_empty());
+    assert_eq!(
+        actions(&first, TaskAction::Throttle(25)).len(),
+        1,
+        "{:?}",
+        first.decisions
+    );
+    fleet.run_time = Millis(5_000);
+    fleet.rounds(4);
+    assert!(matches!(fleet.state(urgent), JobState::Leased(_)));
+    fleet.rounds(20);
+    assert_eq!(*fleet.state(urgent), JobState::Done);
+    let mut tasks = fleet.workers[0].tasks.iter();
+    assert!(
+        tasks.all(|task| task.throttle_percent == 100),
+        "the throttle is lifted"
+    );
+}
+
+/// Room that a checkpoint in progress will leave must not be made twice.
+#[test]
+fn relief_once() {
+    let mut fleet = FleetSim::new(1);
+    let overnight = fill_overnight(&mut fleet, true, true);
+    let mut urgent = spec("t2", Urgency::Urgent);
+    urgent.size = size(8, 8);
+    fleet.submit(urgent);
+    let task = fleet.workers[0]
+        .tasks
+        .iter_mut()
+        .find(|task| task.job == overnight[0])
+        .unwrap();
+    task.state = TaskState::Checkpointing;
+    assert!(actions(&plan(&mut fleet), TaskAction::Checkpoint).is_empty());
+}
+
+/// Overnight jobs leave headroom for urgent ones, until their own deadline comes near.
+#[test]
+fn overnight_headroom() {
+    let mut fleet = FleetSim::new(1);
+    let mut overnight = spec("t1", Urgency::Overnight);
+    overnight.deadline = START + Millis(24 * 3_600_000);
+    submit_many(&mut fleet, 20, &overnight);
+    assert_eq!(grants(&plan(&mut fleet)).len(), 7);
+    fleet.wait(24 * 3_600_000 - 600_000);
+    assert_eq!(grants(&plan(&mut fleet)).len(), 8);
+}
+
+fn proptest_config() -> ProptestConfig {
+    ProptestConfig {
+        cases: CASES,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..ProptestConfig::default()
+    }
+}
+
+fn job_sizes() -> impl Strategy<Value = Vec<(JobSize, u8, bool)>> {
+    let size = (1..40_000_u32, 1..80_000_u32, 0..3_u32);
+    let size = size.prop_map(|(cores_milli, memory_mib, accelerators)| JobSize {
+        accelerators,
+        cores_milli,
+        memory_mib,
+    });
+    prop::collection::vec((size, 0..3_u8, any::<bool>()), 1..200)
+}
+
+proptest! {
+    #![proptest_config(proptest_config())]
+
+    /// Whatever the sizes, no worker is granted more than it holds, no job is granted twice, and no
+    /// job waits for room that is there.
+    #[test]
+    fn never_overfull(jobs in job_sizes(), rounds in 1..4_usize) {
+        let mut fleet = FleetSim::new(9);
+        for worker in &mut fleet.workers {
+            worker.view.capacity.accelerators = 2;
+        }
+        fleet.run_time = Millis(60_000);
+        let mut held: BTreeMap<WorkerId, JobSize> = BTreeMap::new();
+        for chunk in jobs.chunks(jobs.len().div_ceil(rounds)) {
+            for (size, urgency, idempotent) in chunk {
+                let mut spec = spec("t1", Urgency::Normal);
+                spec.idempotent = *idempotent;
+                spec.size = *size;
+                spec.urgency = [Urgency::Urgent, Urgency::Normal, Urgency::Overnight][usize::from(*urgency)];
+                fleet.submit(spec);
+            }
+            let plan = fleet.round();
+            for grant in grants(&plan) {
+                let size = fleet.ledger.job(grant.job).unwrap().spec.size;
+                let sum = held.entry(grant.worker).or_default();
+                *sum = sum.plus(&size);
+            }
+            let room = |worker: &job_fleet::SimWorker| {
+                let held = held.get(&worker.view.id).copied().unwrap_or_default();
+                worker.view.capacity.minus(&held)
+            };
+            for worker in &fleet.workers {
+                let held = held.get(&worker.view.id).copied().unwrap_or_default();
+                prop_assert!(held.fits(&worker.view.capacity), "{} holds {held}", worker.view.id);
+            }
+            for job in fleet.ledger.jobs().values() {
+                let waits = job.state == JobState::Queued && job.spec.urgency != Urgency::Overnight;
+                let fits = fleet.workers.iter().any(|worker| job.spec.size.fits(&room(worker)));
+                prop_assert!(!waits || !fits, "{:?} waits although there is room", job.spec);
+            }
+        }
+    }
+}
+
+/// A plan never holds more items than the fold accepts from one record.
+#[test]
+fn batch_limit() {
+    let mut fleet = FleetSim::new(200);
+    submit_many(&mut fleet, 1_200, &spec("t1", Urgency::Normal));
+    let plan = plan(&mut fleet);
+    assert_eq!(grants(&plan).len(), 1_200);
+    for record in &plan.records {
+        let JobRecord::Grant { grants } = record else {
+            continue;
+        };
+        assert!(grants.len() <= MAX_BATCH);
+    }
+    fleet.append(0, false);
+    assert_eq!(fleet.ledger.counts().leased, 1_200);
+}
+
+/// Usage of tasks that failed at once must not shrink the estimates.
+#[test]
+fn failed_usage() {
+    let mut fleet = FleetSim::new(4);
+    submit_many(&mut fleet, 6, &spec("t1", Urgency::Normal));
+    fleet.rounds(20);
+    let sample = spec("t1", Urgency::Normal);
+    let before = fleet.ledger.estimates().size(&sample);
+    fleet.workers[0].broken = true;
+    submit_many(&mut fleet, 60, &spec("t1", Urgency::Normal));
+    fleet.rounds(20);
+    assert_eq!(fleet.ledger.estimates().size(&sample), before);
+}
--- /dev/null
+++ b/crates/core/tests/poison_jobs.rs
@@ -0,0 +1,137 @@
+//! Guards against jobs that can never run: they must be given up after a bounded number of tries and
+//! must neither delay other jobs nor get healthy workers excluded for good.
+
+mod job_fleet;
+
+use {
+    goldcreststall_core::{
+        jobs::{JobId, JobState, QuarantineReason},
+        traffic::Urgency,
+    },
+    job_fleet::{FleetSim, size, spec},
+};
+
+/// Three forgiven failures, then failures on three workers.
+const MAX_TRIES: u32 = 6;
+
+fn submit_poison(fleet: &mut FleetSim, count: usize) -> Vec<JobId> {
+    let jobs = (0..count).map(|_| fleet.submit(spec("t1", Urgency::Normal)));
+    let jobs: Vec<_> = jobs.collect();
+    fleet.poison.extend(jobs.iter().copied());
+    jobs
+}
+
+fn is_quarantined(fleet: &FleetSim, job: JobId) -> bool {
+    *fleet.state(job) == JobState::Quarantined(QuarantineReason::FailedTooOften)
+}
+
+/// One bad job is given up after failures on three different workers.
+#[test]
+fn single_job() {
+    let mut fleet = FleetSim::new(8);
+    let job = submit_poison(&mut fleet, 1)[0];
+    fleet.rounds(20);
+    assert!(is_quarantined(&fleet, job));
+    assert_eq!(fleet.runs[&job], 3);
+    let failures = &fleet.ledger.job(job).unwrap().failures;
+    let racks = failures.iter().map(|worker| worker.host.as_str() >= "w004");
+    assert!(
+        racks.clone().any(|second| second) && racks.clone().any(|second| !second),
+        "one rack"
+    );
+}
+
+/// A wave of bad jobs looks like workers that fail everything. It must not take the pool away.
+#[test]
+fn poison_wave() {
+    let mut fleet = FleetSim::new(12);
+    let bad = submit_poison(&mut fleet, 300);
+    let good: Vec<_> = (0..100)
+        .map(|_| fleet.submit(spec("t2", Urgency::Normal)))
+        .collect();
+    fleet.rounds(100);
+    for job in bad {
+        assert!(is_quarantined(&fleet, job), "{:?}", fleet.ledger.job(job));
+        assert!(fleet.runs[&job] <= MAX_TRIES, "{} tries", fleet.runs[&job]);
+    }
+    assert!(good.iter().all(|job| *fleet.state(*job) == JobState::Done));
+    let excluded = fleet
+        .workers
+        .iter()
+        .filter(|worker| fleet.ledger.healths().is_excluded(&worker.view.id));
+    assert_eq!(
+        excluded.count(),
+        0,
+        "exclusions that rest on bad jobs are taken back"
+    );
+}
+
+/// In a pool of one worker, three different workers are never reached.
+#[test]
+fn one_worker() {
+    let mut fleet = FleetSim::new(1);
+    let job = submit_poison(&mut fleet, 1)[0];
+    fleet.rounds(40);
+    assert!(is_quarantined(&fleet, job), "{:?}", fleet.ledger.job(job));
+    assert_eq!(fleet.runs[&job], 6);
+}
+
+/// A job that brings its workers down leaves no failure behind, only lapsed leases.
+#[test]
+fn worker_killer() {
+    let mut fleet = FleetSim::new(4);
+    let job = fleet.submit(spec("t1", Urgency::Normal));
+    for _ in 0..1_500 {
+        fleet.round();
+        let lease = fleet.ledger.job(job).unwrap().lease().cloned();
+        let running = |worker: &job_fleet::SimWorker| !worker.tasks.is_empty();
+        if let Some(index) = fleet
+            .workers
+            .iter()
+            .position(running)
+            .filter(|_| lease.is_some())
+        {
+            fleet.restart(index);
+        }
+    }
+    let reason = QuarantineReason::LapsedTooOften;
+    assert_eq!(*fleet.state(job), JobState::Quarantined(reason));
+}
+
+/// A job larger than every worker is reported, stays acknowledged, and delays nobody behind it.
+#[test]
+fn unplaceable_job() {
+    let mut fleet = FleetSim::new(4);
+    let mut large = spec("t1", Urgency::Urgent);
+    large.size = size(64, 4);
+    let large = fleet.submit(large);
+    let small = fleet.submit(spec("t1", Urgency::Overnight));
+    let plan = fleet.round();
+    assert_eq!(plan.waiting.unplaceable, 1);
+    let lines: Vec<_> = plan.decisions.iter().map(ToString::to_string).collect();
+    assert!(
+        lines.iter().any(|line| line.contains("unplaceable")),
+        "{lines:?}"
+    );
+    fleet.rounds(20);
+    assert!(fleet.ledger.job(large).unwrap().unplaceable);
+    assert_eq!(*fleet.state(small), JobState::Done);
+    for worker in &mut fleet.workers {
+        worker.view.capacity = size(64, 64);
+    }
+    fleet.rounds(20);
+    assert_eq!(*fleet.state(large), JobState::Done, "a larger worker came");
+}
+
+/// A job that is late is reported and still runs.
+#[test]
+fn overdue_job() {
+    let mut fleet = FleetSim::new(1);
+    fleet.workers[0].view.draining = true;
+    let job = fleet.submit(spec("t1", Urgency::Overnight));
+    fleet.wait(7_200_000);
+    assert_eq!(fleet.round().overdue, vec![job]);
+    fleet.workers[0].view.draining = false;
+    fleet.rounds(20);
+    assert_eq!(*fleet.state(job), JobState::Done);
+}
