Add the worker service, its client and a stand-in

Cause: grants have to reach workers, and no protocol for them is stated or can be tried. Ruled out: one request path a task with PUT and DELETE (a batch or another action would not fit); a lease as a log time (workers do not read the log); stopping tasks at the end of a lease (an outage would end all). Change: WorkerService, HttpWorkerService without its own retries, a stand-in with faults, PLATFORM-WORKERS.md, JobId from text, rustix for CLOCK_BOOTTIME in the stand-in (already in the lock file). Conclusion: the daemon can start, fence, stop, save and slow tasks; a lost answer is safe to repeat.

--- a/crates/core/src/jobs/job_ids.rs
+++ b/crates/core/src/jobs/job_ids.rs
@@ -2,6 +2,7 @@
     crate::ids::{HostName, Incarnation, LogTime, RecordId},
     serde::{Deserialize, Serialize},
     std::fmt,
+    uuid::Uuid,
 };
 
 /// Identity of a job: a UUIDv7 made by whoever submits it, so that a repeated submission is recognised.
@@ -20,6 +21,27 @@
     }
 }
 
+/// Text that is no job id.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("\"{value}\" is not a job id: allowed is a UUIDv7")]
+pub struct JobIdError {
+    /// The rejected text.
+    pub value: String,
+}
+
+impl TryFrom<&str> for JobId {
+    type Error = JobIdError;
+
+    fn try_from(value: &str) -> Result<Self, JobIdError> {
+        let uuid = Uuid::try_parse(value).ok();
+        let uuid = uuid.filter(|uuid| uuid.get_version_num() == 7);
+        uuid.map(|uuid| Self(uuid.as_u128()))
+            .ok_or_else(|| JobIdError {
+                value: value.to_owned(),
+            })
+    }
+}
+
 impl fmt::Display for JobId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         RecordId(self.0).fmt(formatter)
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -19,7 +19,7 @@
 mod worker_view;
 
 pub use {
-    job_ids::{GrantNumber, JobId, JobVersion, WorkerId},
+    job_ids::{GrantNumber, JobId, JobIdError, JobVersion, WorkerId},
     job_ledger::{
         JOB_ID_MAX_AGE, JOB_ID_MAX_LEAD, JobContext, JobCounts, JobLedger, LEASE_TIME,
         MAX_ATTENTION_AGE, MAX_DONE_AGE, MAX_FAILURES, MAX_JOBS, MAX_LAPSES,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,3 @@
-//! Filled in by the next commits.
+//! Traits and clients for the services of the platform.
+
+pub mod worker_service;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,3 @@
-//! Filled in by the next commits.
+//! Stand-ins for outside systems, for tests, the demo and measurements.
+
+pub mod worker;
--- /dev/null
+++ b/crates/standins/src/worker/boot_clock.rs
@@ -0,0 +1,12 @@
+use {
+    goldcreststall_core::ids::LocalTime,
+    rustix::time::{ClockId, clock_gettime},
+};
+
+/// Reads the clock that counts suspended time.
+pub fn boot_time() -> LocalTime {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or_default();
+    LocalTime(seconds * 1000 + nanos / 1_000_000)
+}
