--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,4 +1,4 @@
-//! The platform as the system sees it: the log service and the list of hosts.
+//! The platform as the system sees it: the log service, the list of hosts and the workers.
 //!
 //! `docs/PLATFORM.md` states what is assumed of each.
 
@@ -6,3 +6,4 @@
 
 pub mod hosts;
 pub mod log;
+pub mod worker_service;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod log;
 pub mod process;
 pub mod target;
+pub mod worker;
