Extend the fleet configuration and report all mistakes of a document

Cause: budgets, reboot limits, slots and quotas need fields, and a wrong type or an unknown field stopped the parser at the first mistake, without the other ones. Ruled out: serde's own errors, because the first one ends the parse; checking the fields around a broken line, because the recovered values are guesses and yield mistakes that are not in the file. Conclusion: ConfigLedger is unchanged.

--- a/crates/core/src/config/raw_config.rs
+++ b/crates/core/src/config/raw_config.rs
@@ -1,53 +1,84 @@
-use serde::{Deserialize, Serialize};
+use {
+    serde::{Deserialize, Serialize},
+    toml::{Table, Value},
+};
 
 /// A configuration file as written, before it is checked.
+///
+/// The fields have any type and unknown fields are kept, so that every mistake can be reported at once.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
 pub struct RawConfig {
+    /// The limits of the fleet.
+    pub limits: Option<Value>,
     /// The pools of hosts.
-    #[serde(default)]
-    pub pools: Vec<RawPool>,
+    pub pools: Option<Value>,
     /// The services that targets offer.
-    #[serde(default)]
-    pub services: Vec<RawService>,
+    pub services: Option<Value>,
     /// The tenants.
-    #[serde(default)]
-    pub tenants: Vec<RawTenant>,
+    pub tenants: Option<Value>,
+    /// Fields that do not exist.
+    #[serde(flatten)]
+    pub unknown: Table,
+}
+
+/// The limits of the fleet as written.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct RawLimits {
+    /// Most rows that each audit trail keeps.
+    pub audit_max_rows: Option<Value>,
+    /// Longest time that a host may take to drain, in seconds.
+    pub drain_limit_s: Option<Value>,
+    /// Fields that do not exist.
+    #[serde(flatten)]
+    pub unknown: Table,
 }
 
 /// A pool as written.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
 pub struct RawPool {
     /// Fewest hosts that must be available.
-    pub min_available: i64,
+    pub min_available: Option<Value>,
     /// Name of the pool.
-    pub name: String,
+    pub name: Option<Value>,
+    /// Longest time from the stop of a host to its return, in seconds.
+    pub reboot_limit_s: Option<Value>,
+    /// Whether the pool lends hosts to other pools.
+    pub spare: Option<Value>,
     /// Failure domain whose loss the budget must survive: `none`, `rack` or `data_centre`.
-    #[serde(default)]
-    pub survive: Option<String>,
+    pub survive: Option<Value>,
+    /// Fields that do not exist.
+    #[serde(flatten)]
+    pub unknown: Table,
 }
 
 /// A service as written.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
 pub struct RawService {
     /// Most requests that one entry host queues.
-    #[serde(default)]
-    pub max_queue: Option<i64>,
+    pub max_queue: Option<Value>,
     /// Name of the service.
-    pub name: String,
+    pub name: Option<Value>,
     /// Pool whose hosts are the targets of the service.
-    pub pool: String,
+    pub pool: Option<Value>,
+    /// Requests that a target handles at a time.
+    pub slots: Option<Value>,
+    /// Fields that do not exist.
+    #[serde(flatten)]
+    pub unknown: Table,
 }
 
 /// A tenant as written.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
 pub struct RawTenant {
+    /// Most requests in flight in the fleet.
+    pub max_in_flight: Option<Value>,
+    /// Most durable jobs that are queued or leased.
+    pub max_jobs: Option<Value>,
     /// Name of the tenant.
-    pub name: String,
+    pub name: Option<Value>,
     /// Share of the tenant relative to the others.
-    #[serde(default)]
-    pub weight: Option<i64>,
+    pub weight: Option<Value>,
+    /// Fields that do not exist.
+    #[serde(flatten)]
+    pub unknown: Table,
 }
--- /dev/null
+++ b/crates/core/tests/config_mistakes.rs
@@ -0,0 +1,105 @@
+//! Guards against a configuration that is half accepted or whose mistakes show up one at a time.
+
+use goldcreststall_core::config::{FleetConfig, MAX_DOCUMENT_BYTES};
+
+fn mistakes(text: &str) -> Vec<String> {
+    let error = FleetConfig::try_from(text).expect_err("the document is not valid");
+    error.mistakes.iter().map(ToString::to_string).collect()
+}
+
+/// Each line names the field, the value and what is allowed, whatever the type of the value.
+#[test]
+fn all_at_once() {
+    let text = r#"
+        speed = 3
+        [limits]
+        drain_limit_s = 0
+        [[pools]]
+        name = "Render"
+        min_available = -1
+        survive = "building"
+        spare = "yes"
+        [[pools]]
+        name = "spare"
+        min_available = 2.5
+        reboot_limit_s = 99999999
+        colour = "red"
+        [[pools]]
+        name = "spare"
+        [[services]]
+        name = "proof"
+        pool = "plates"
+        max_queue = 0
+        slots = [8]
+        [[tenants]]
+        weight = 0
+        max_in_flight = -3
+        max_jobs = true
+    "#;
+    let name = "text of 1 to 63 of a-z, 0-9, '-' and '.', starting with a letter or digit";
+    let budget = "a whole number from 0 to 100000";
+    let refused = "is not accepted; allowed:";
+    let expected = [
+        format!("limits.drain_limit_s: 0 {refused} a whole number from 1 to 86400"),
+        format!("pools[0].name: \"Render\" {refused} {name}"),
+        format!("pools[0].min_available: -1 {refused} {budget}"),
+        format!("pools[0].survive: \"building\" {refused} \"none\", \"rack\", \"data_centre\""),
+        format!("pools[0].spare: \"yes\" {refused} true, false"),
+        format!("pools[1].min_available: 2.5 {refused} {budget}"),
+        format!("pools[1].reboot_limit_s: 99999999 {refused} a whole number from 1 to 86400"),
+        format!(
+            "pools[1].colour: \"red\" {refused} the fields min_available, name, reboot_limit_s, spare, survive"
+        ),
+        format!("pools[2].name: \"spare\" {refused} a name that is used once"),
+        format!("pools[2].min_available: no value {refused} {budget}"),
+        format!("services[0].max_queue: 0 {refused} a whole number from 1 to 100000"),
+        format!("services[0].slots: a list {refused} a whole number from 1 to 1024"),
+        format!("tenants[0].name: no value {refused} {name}"),
+        format!("tenants[0].weight: 0 {refused} a whole number from 1 to 1000"),
+        format!("tenants[0].max_in_flight: -3 {refused} a whole number from 0 to 1000000"),
+        format!("tenants[0].max_jobs: true {refused} a whole number from 0 to 1000000"),
+        format!("services[0].pool: \"plates\" {refused} the name of a pool in this file"),
+        format!("speed: 3 {refused} the fields limits, pools, services, tenants"),
+    ];
+    assert_eq!(mistakes(text), expected);
+}
+
+/// A list or table of the wrong type must not count as an empty one.
+#[test]
+fn wrong_shape() {
+    let found = mistakes("pools = 3\nservices = [1]\nlimits = []\n[tenants]\nname = \"a\"");
+    let expected = [
+        "limits: a list is not accepted; allowed: a table",
+        "pools: 3 is not accepted; allowed: tables that start with [[pools]]",
+        "services[0]: 1 is not accepted; allowed: a table",
+        "tenants: a table is not accepted; allowed: tables that start with [[tenants]]",
+    ];
+    assert_eq!(found, expected);
+}
+
+/// A mistake in the syntax names its line, also when there are several.
+#[test]
+fn broken_syntax() {
+    let found = mistakes("[[pools]]\nname = \nmin_available == 3\n");
+    assert_eq!(found.len(), 2, "{found:?}");
+    assert!(found[0].starts_with("line 2: \"name =\" is not accepted; allowed: TOML ("));
+    assert!(found[1].starts_with("line 3: \"min_available == 3\" is not accepted"));
+}
+
+/// A document that no log entry holds must be refused before it is published.
+#[test]
+fn long_document() {
+    let text = "#".repeat(MAX_DOCUMENT_BYTES + 1);
+    let expected = "file: 262145 bytes is not accepted; allowed: at most 262144 bytes";
+    assert_eq!(mistakes(&text), [expected]);
+}
+
+/// A rejected value with line breaks must not spread over several lines.
+#[test]
+fn one_line() {
+    let text = format!("[[tenants]]\nname = \"\"\"a\nb{}\"\"\"", "c".repeat(500));
+    let found = mistakes(&text);
+    assert_eq!(found.len(), 1);
+    assert!(!found[0].contains('\n'));
+    assert!(found[0].len() < 300, "{}", found[0]);
+}
--- a/crates/operators/src/backend/operator_backend.rs
+++ b/crates/operators/src/backend/operator_backend.rs
@@ -5,7 +5,10 @@
         WaveReport,
     },
     async_trait::async_trait,
-    goldcreststall_core::{config::ConfigMistake, ids::RecordId},
+    goldcreststall_core::{
+        config::{ConfigMistake, FleetConfig},
+        ids::RecordId,
+    },
 };
 
 /// Answers the calls of operators.
@@ -26,7 +29,10 @@
     async fn change(&self, order: ChangeOrder) -> Result<ChangeOutcome, OperatorError>;
 
     /// Returns every mistake in a configuration.
-    async fn validate_config(&self, document: String) -> Result<Vec<ConfigMistake>, OperatorError>;
+    async fn validate_config(&self, document: String) -> Result<Vec<ConfigMistake>, OperatorError> {
+        let error = FleetConfig::try_from(document.as_str()).err();
+        Ok(error.map(|error| error.mistakes).unwrap_or_default())
+    }
 
     /// Returns the configuration in force.
     async fn config(&self) -> Result<ConfigReport, OperatorError>;
--- a/crates/operators/src/changes/change_outcome.rs
+++ b/crates/operators/src/changes/change_outcome.rs
@@ -2,7 +2,7 @@
     crate::{
         OperatorError,
         generated::v1::{self as raw, ChangeVerdict},
-        wire::{FieldCheck, config_mistake, raw_mistake},
+        wire::{FieldCheck, config_mistake, raw_mistakes},
     },
     goldcreststall_core::{config::ConfigMistake, ledger::LogOffset},
 };
@@ -43,7 +43,7 @@
                 ..reply(ChangeVerdict::Accepted, String::new())
             },
             ChangeOutcome::Rejected { mistakes, reason } => Self {
-                mistakes: mistakes.into_iter().map(raw_mistake).collect(),
+                mistakes: raw_mistakes(mistakes),
                 ..reply(ChangeVerdict::Rejected, reason)
             },
             ChangeOutcome::NotConfirmed { reason } => reply(ChangeVerdict::NotConfirmed, reason),
--- a/crates/operators/src/changes/operator_change.rs
+++ b/crates/operators/src/changes/operator_change.rs
@@ -51,7 +51,7 @@
     PublishConfig {
         /// The version that the document was derived from.
         base: ConfigVersion,
-        /// The document in TOML. It is checked by the backend.
+        /// The document in TOML. The server hands on valid documents only.
         document: String,
     },
     /// Adds a host to a pool.
--- a/crates/operators/src/server/operator_server.rs
+++ b/crates/operators/src/server/operator_server.rs
@@ -1,13 +1,15 @@
 use {
     crate::{
-        AuditQuery, ChangeOrder, HostQuery, JobQuery, OperatorBackend, OperatorError, WaveQuery,
+        AuditQuery, ChangeOrder, ChangeOutcome, HostQuery, JobQuery, OperatorBackend,
+        OperatorChange, OperatorError, WaveQuery,
         changes::WaveAction,
         generated::v1::{
             self as raw,
             operators_server::{Operators, OperatorsServer},
         },
-        wire::{FieldCheck, raw_mistake},
+        wire::{FieldCheck, raw_mistakes},
     },
+    goldcreststall_core::config::FleetConfig,
     std::sync::Arc,
     tonic::{Request, Response, Status, async_trait},
 };
@@ -26,7 +28,11 @@
     }
 
     async fn change(&self, order: Result<ChangeOrder, OperatorError>) -> Reply<raw::ChangeReply> {
-        let outcome = self.backend.change(order?).await?;
+        let order = order?;
+        let outcome = match rejected_config(&order.change) {
+            Some(rejected) => rejected,
+            None => self.backend.change(order).await?,
+        };
         Ok(Response::new(outcome.into()))
     }
 
@@ -36,6 +42,19 @@
     }
 }
 
+/// Rejects a configuration that is not valid. The check does not depend on the state, so it rejects the first
+/// and every repeated call alike.
+fn rejected_config(change: &OperatorChange) -> Option<ChangeOutcome> {
+    let OperatorChange::PublishConfig { document, .. } = change else {
+        return None;
+    };
+    let error = FleetConfig::try_from(document.as_str()).err()?;
+    Some(ChangeOutcome::Rejected {
+        mistakes: error.mistakes,
+        reason: "the configuration is not valid".to_owned(),
+    })
+}
+
 /// Implements the calls that only check a request and hand it to `change`, next to the methods in `$rest`.
 macro_rules! operators {
     (changes { $($change:ident($change_request:ident),)+ } waves { $($wave:ident = $action:ident,)+ } audits { $($audit:ident($audit_request:ident),)+ } $($rest:item)+) => {
@@ -88,7 +107,7 @@
     ) -> Reply<raw::ValidateConfigReply> {
         let document = request.into_inner().document;
         let mistakes = self.backend.validate_config(document).await?;
-        let mistakes = mistakes.into_iter().map(raw_mistake).collect();
+        let mistakes = raw_mistakes(mistakes);
         Ok(Response::new(raw::ValidateConfigReply { mistakes }))
     }
 
--- a/crates/operators/src/wire/mod.rs
+++ b/crates/operators/src/wire/mod.rs
@@ -7,6 +7,6 @@
 pub use wire_enum::{Survive, Urgency};
 pub(crate) use {
     field_check::FieldCheck,
-    text::{config_mistake, id_text, raw_mistake},
+    text::{config_mistake, id_text, raw_mistakes},
     wire_enum::wire_enum,
 };
--- a/crates/operators/src/wire/text.rs
+++ b/crates/operators/src/wire/text.rs
@@ -11,7 +11,26 @@
     serializer.collect_str(id)
 }
 
-pub(crate) fn raw_mistake(mistake: ConfigMistake) -> raw::ConfigMistake {
+/// Most mistakes that are sent. More do not fit the 4 MiB that clients accept by default, when a document
+/// consists of nothing else.
+const MAX_MISTAKES: usize = 1_000;
+
+/// Converts the mistakes of a configuration; the last row tells how many are left out.
+pub(crate) fn raw_mistakes(mistakes: Vec<ConfigMistake>) -> Vec<raw::ConfigMistake> {
+    let rest = mistakes.len().saturating_sub(MAX_MISTAKES);
+    let sent = mistakes.into_iter().take(MAX_MISTAKES);
+    let mut rows: Vec<raw::ConfigMistake> = sent.map(raw_mistake).collect();
+    if rest > 0 {
+        rows.push(raw::ConfigMistake {
+            allowed: "a file without the mistakes above".to_owned(),
+            field: "file".to_owned(),
+            value: format!("a file with {rest} further mistakes"),
+        });
+    }
+    rows
+}
+
+fn raw_mistake(mistake: ConfigMistake) -> raw::ConfigMistake {
     raw::ConfigMistake {
         allowed: mistake.allowed,
         field: mistake.field,
