Add the command line for operators, and tests of the calls

Cause: operators need a program for the calls, and nothing checked the conversions, codes and repeats. Ruled out: a parser generator for arguments, because its messages differ from those of the configuration and stop at the first mistake; ending the server's accept loop to test a lost answer, because open connections outlive it and the test then only waited 30 s for its time limit. Change: crates/cli with a table of commands from which parsing, checks and help follow; reads go to the next entry host, changes are sent again under the same request id while their outcome is open; comfy-table and humantime print tables and times.

--- /dev/null
+++ b/crates/cli/src/arguments/mod.rs
@@ -0,0 +1,16 @@
+//! The commands with their operands and options, and the first step of parsing.
+
+mod command_spec;
+mod command_table;
+mod help_text;
+mod parsed_words;
+
+pub use {
+    command_spec::{CommandNeed, CommandSpec, OperandSpec, OptionSpec},
+    command_table::COMMANDS,
+    help_text::help_text,
+};
+pub(crate) use {
+    command_table::{find_command, group_actions, groups},
+    parsed_words::{ParsedWords, WordsResult},
+};
--- /dev/null
+++ b/crates/cli/src/calls/entry_connector.rs
@@ -0,0 +1,35 @@
+use {
+    async_trait::async_trait,
+    goldcreststall_operators::{OperatorBackend, OperatorClient, OperatorError},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Opens connections to entry hosts.
+#[async_trait]
+pub trait EntryConnector: Send + Sync {
+    /// Connects to an entry host. `limit` bounds the attempt and, separately, each call.
+    ///
+    /// # Errors
+    /// `Unreachable` when nothing was sent.
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Box<dyn OperatorBackend>, OperatorError>;
+}
+
+/// Connects over gRPC.
+#[derive(Clone, Copy, Debug)]
+pub struct GrpcConnector;
+
+#[async_trait]
+impl EntryConnector for GrpcConnector {
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Box<dyn OperatorBackend>, OperatorError> {
+        let client = OperatorClient::connect(address, limit).await?;
+        Ok(Box::new(client))
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,10 @@
+//! The commands with checked values.
+
+mod command;
+mod from_words;
+mod value_check;
+
+pub(crate) use {
+    command::{Command, ReadCommand},
+    value_check::ValueCheck,
+};
--- /dev/null
+++ b/crates/cli/src/settings/mod.rs
@@ -0,0 +1,7 @@
+//! The settings of one run, from flags and the environment.
+
+mod entry_settings;
+mod invocation;
+
+pub(crate) use entry_settings::Settings;
+pub use invocation::{Invocation, Variables};
--- a/crates/operators/src/backend/operator_backend.rs
+++ b/crates/operators/src/backend/operator_backend.rs
@@ -21,7 +21,8 @@
     /// `order.request` is the id of the log record. When the log already holds a record with this id, the
     /// outcome of that record is returned and nothing is appended. A change that depends on the state must
     /// not be rejected from the state before its record was looked for: the state may have changed because
-    /// of the first attempt.
+    /// of the first attempt. An id that the log no longer recognises and whose record is not found is
+    /// answered with [`ChangeOutcome::NotConfirmed`], because an earlier attempt may have been accepted.
     ///
     /// # Errors
     /// `StoreUnavailable` and `Draining` only when this attempt appended nothing; otherwise the outcome is
--- a/crates/operators/src/changes/from_raw.rs
+++ b/crates/operators/src/changes/from_raw.rs
@@ -9,9 +9,6 @@
     },
 };
 
-/// Most hosts that a wave may stop at once.
-const MAX_STOPPING: u32 = 100_000;
-
 /// Checks the head of a request together with its other fields.
 struct OrderCheck {
     check: FieldCheck,
@@ -128,7 +125,9 @@
         let mut order = OrderCheck::new(raw.head);
         let pool = order.check.name("pool", &raw.pool);
         if let Some(count) = raw.max_stopping {
-            order.check.range("max_stopping", count, 1, MAX_STOPPING);
+            order
+                .check
+                .range("max_stopping", count, 1, OperatorChange::MAX_STOPPING);
         }
         order.finish(|| {
             Some(OperatorChange::StartWave {
--- a/crates/operators/src/changes/job_spec.rs
+++ b/crates/operators/src/changes/job_spec.rs
@@ -4,13 +4,6 @@
     serde::Serialize,
 };
 
-/// Most cores that a job may ask for.
-const MAX_CORES: u32 = 4_096;
-/// Most memory that a job may ask for, in MiB.
-const MAX_MEMORY_MIB: u32 = 64 * 1024 * 1024;
-/// Most accelerators that a job may ask for.
-const MAX_ACCELERATORS: u32 = 1_024;
-
 /// What a durable job needs and where it may run.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct JobSpec {
@@ -19,6 +12,7 @@
     /// Processor cores.
     pub cores: u32,
     /// Latest end.
+    #[serde(rename = "deadline_ms")]
     pub deadline: LogTime,
     /// Whether the job may run more than once.
     pub idempotent: bool,
@@ -35,6 +29,13 @@
 }
 
 impl JobSpec {
+    /// Most accelerators that a job may ask for.
+    pub const MAX_ACCELERATORS: u32 = 1_024;
+    /// Most cores that a job may ask for.
+    pub const MAX_CORES: u32 = 4_096;
+    /// Most memory that a job may ask for, in MiB.
+    pub const MAX_MEMORY_MIB: u32 = 64 * 1024 * 1024;
+
     /// Checks a raw message; `field` is the path of the message.
     pub(crate) fn check(check: &mut FieldCheck, field: &str, raw: &raw::JobSpec) -> Option<Self> {
         let path = |name: &str| format!("{field}.{name}");
@@ -44,10 +45,15 @@
         let urgency = Urgency::from_wire(raw.urgency);
         let allowed = Urgency::allowed();
         let urgency = check.choice(&path("urgency"), raw.urgency, urgency, &allowed);
-        let cores = check.range(&path("cores"), raw.cores, 1, MAX_CORES);
-        let memory = check.range(&path("memory_mib"), raw.memory_mib, 1, MAX_MEMORY_MIB);
+        let cores = check.range(&path("cores"), raw.cores, 1, Self::MAX_CORES);
+        let memory = check.range(&path("memory_mib"), raw.memory_mib, 1, Self::MAX_MEMORY_MIB);
         let accelerators = raw.accelerators;
-        let accelerators = check.range(&path("accelerators"), accelerators, 0, MAX_ACCELERATORS);
+        let accelerators = check.range(
+            &path("accelerators"),
+            accelerators,
+            0,
+            Self::MAX_ACCELERATORS,
+        );
         if raw.deadline_ms == 0 {
             check.reject(
                 &path("deadline_ms"),
--- a/crates/operators/src/changes/operator_change.rs
+++ b/crates/operators/src/changes/operator_change.rs
@@ -139,3 +139,8 @@
         worker: HostName,
     },
 }
+
+impl OperatorChange {
+    /// Most hosts that a wave may be told to stop at once.
+    pub const MAX_STOPPING: u32 = 100_000;
+}
--- a/crates/operators/src/error/field_mistake.rs
+++ b/crates/operators/src/error/field_mistake.rs
@@ -14,9 +14,12 @@
 }
 
 impl FieldMistake {
-    /// Reports that `value` is not accepted.
+    /// Reports that `value` is not accepted. An empty value is reported as a missing one.
     pub fn new(field: &str, value: &str, allowed: &str) -> Self {
-        let quoted = quote(value);
+        let quoted = match value {
+            "" => "no value".to_owned(),
+            value => quote(value),
+        };
         Self {
             description: format!("{quoted} is not accepted; allowed: {allowed}"),
             field: field.to_owned(),
--- a/crates/operators/src/reports/audit_report.rs
+++ b/crates/operators/src/reports/audit_report.rs
@@ -26,6 +26,7 @@
     /// Why the change was ignored; `None` when it was accepted.
     pub rejection: Option<String>,
     /// Time stamped by the log.
+    #[serde(rename = "time_ms")]
     pub time: LogTime,
 }
 
--- a/crates/operators/src/reports/host_report.rs
+++ b/crates/operators/src/reports/host_report.rs
@@ -34,6 +34,7 @@
     /// Whether the worker gets no jobs because it failed several in a row.
     pub excluded: bool,
     /// End of the last maintenance.
+    #[serde(rename = "maintained_ms")]
     pub maintained: Option<LogTime>,
     /// The pool that a moving host goes to.
     pub moving_to: Option<PoolName>,
--- a/crates/operators/src/reports/job_report.rs
+++ b/crates/operators/src/reports/job_report.rs
@@ -35,12 +35,14 @@
     #[serde(serialize_with = "id_text")]
     pub id: RecordId,
     /// End of the lease.
+    #[serde(rename = "lease_until_ms")]
     pub lease_until: Option<LogTime>,
     /// What the job needs.
     pub spec: JobSpec,
     /// State of the job.
     pub state: JobState,
     /// Time of submission.
+    #[serde(rename = "submitted_ms")]
     pub submitted: LogTime,
     /// Whether no host of the pool can hold the job.
     pub unplaceable: bool,
--- a/crates/operators/src/reports/status_report.rs
+++ b/crates/operators/src/reports/status_report.rs
@@ -22,6 +22,7 @@
     /// First log offset that the peer has not applied.
     pub next_offset: LogOffset,
     /// Time since its last digest.
+    #[serde(rename = "silent_ms")]
     pub silent: Millis,
 }
 
@@ -57,6 +58,7 @@
     /// Name of the entry host.
     pub entry: EntryName,
     /// Age of the host list.
+    #[serde(rename = "host_list_age_ms")]
     pub host_list_age: Option<Millis>,
     /// Run of the entry host.
     pub incarnation: Incarnation,
@@ -65,6 +67,7 @@
     /// Identity of the log.
     pub log: LogIdentity,
     /// Time since the last successful read of the log.
+    #[serde(rename = "log_silent_ms")]
     pub log_silent: Millis,
     /// First log offset that is not applied.
     pub next_offset: LogOffset,
--- a/crates/operators/src/reports/wave_report.rs
+++ b/crates/operators/src/reports/wave_report.rs
@@ -35,6 +35,7 @@
     /// Pool that is maintained.
     pub pool: PoolName,
     /// Start of the wave.
+    #[serde(rename = "started_ms")]
     pub started: LogTime,
     /// The operator who started the wave.
     pub started_by: OperatorName,
