--- a/crates/operators/src/backend/operator_backend.rs
+++ b/crates/operators/src/backend/operator_backend.rs
@@ -5,7 +5,10 @@
         WaveReport,
     },
     async_trait::async_trait,
-    goldcreststall_core::{config::ConfigMistake, ids::RecordId},
+    goldcreststall_core::{
+        config::{ConfigMistake, FleetConfig},
+        ids::RecordId,
+    },
 };
 
 /// Answers the calls of operators.
@@ -18,7 +21,8 @@
     /// `order.request` is the id of the log record. When the log already holds a record with this id, the
     /// outcome of that record is returned and nothing is appended. A change that depends on the state must
     /// not be rejected from the state before its record was looked for: the state may have changed because
-    /// of the first attempt.
+    /// of the first attempt. An id that the log no longer recognises and whose record is not found is
+    /// answered with [`ChangeOutcome::NotConfirmed`], because an earlier attempt may have been accepted.
     ///
     /// # Errors
     /// `StoreUnavailable` and `Draining` only when this attempt appended nothing; otherwise the outcome is
@@ -26,7 +30,10 @@
     async fn change(&self, order: ChangeOrder) -> Result<ChangeOutcome, OperatorError>;
 
     /// Returns every mistake in a configuration.
-    async fn validate_config(&self, document: String) -> Result<Vec<ConfigMistake>, OperatorError>;
+    async fn validate_config(&self, document: String) -> Result<Vec<ConfigMistake>, OperatorError> {
+        let error = FleetConfig::try_from(document.as_str()).err();
+        Ok(error.map(|error| error.mistakes).unwrap_or_default())
+    }
 
     /// Returns the configuration in force.
     async fn config(&self) -> Result<ConfigReport, OperatorError>;
--- a/crates/operators/src/changes/operator_change.rs
+++ b/crates/operators/src/changes/operator_change.rs
@@ -51,7 +51,7 @@
     PublishConfig {
         /// The version that the document was derived from.
         base: ConfigVersion,
-        /// The document in TOML. It is checked by the backend.
+        /// The document in TOML. The server hands on valid documents only.
         document: String,
     },
     /// Adds a host to a pool.
@@ -139,3 +139,8 @@
         worker: HostName,
     },
 }
+
+impl OperatorChange {
+    /// Most hosts that a wave may be told to stop at once.
+    pub const MAX_STOPPING: u32 = 100_000;
+}
