Leave jobs out of the audit trail of membership

Ruled out: audit lines for jobs, because the job ledger keeps the state and reason of each job itself. Change: one match arm.

--- a/crates/core/src/audit/audit_change.rs
+++ b/crates/core/src/audit/audit_change.rs
@@ -99,7 +99,7 @@
 
 impl AuditChange {
     /// Returns the changes that a record asks for: the one it names and those that follow from it. The trail
-    /// does not keep claims.
+    /// keeps neither claims nor jobs.
     pub(crate) fn all(state: &FleetState, body: &RecordBody) -> Vec<Self> {
         match body {
             RecordBody::Config(ConfigRecord::Publish { .. }) => vec![Self {
@@ -119,7 +119,7 @@
                 }
                 changes
             }
-            RecordBody::Claim(_) => Vec::new(),
+            RecordBody::Claim(_) | RecordBody::Job(_) => Vec::new(),
         }
     }
 
