Perform the control duties and answer operators in the entry daemon

Ruled out: a drain that ends after a fixed time, because a request may last ten minutes; a drain that trusts only the own count, because other entry hosts may still have requests there. Digests now carry the hosts that drain and are still busy, and every peer has to be heard and to have applied the drain.

--- a/crates/core/src/audit/audit_entry.rs
+++ b/crates/core/src/audit/audit_entry.rs
@@ -2,11 +2,12 @@
     super::{AuditAction, AuditSubject, HostCondition, name_table::NameKey},
     crate::{
         config::ConfigVersion,
-        ids::{LogTime, PoolName, WaveName},
+        ids::{LogTime, PoolName, RecordId, WaveName},
         ledger::{Author, LogOffset, Rejection},
         membership::WaveStatus,
     },
     serde::{Deserialize, Serialize},
+    std::fmt,
 };
 
 /// The pool and condition of a host.
@@ -40,6 +41,8 @@
     pub author: Author,
     /// The state before the change.
     pub from: AuditValue,
+    /// Identity of the record.
+    pub id: RecordId,
     /// Place of the log entry.
     pub offset: LogOffset,
     /// Accepted, or why the change was ignored.
@@ -54,6 +57,32 @@
     pub wave: Option<WaveName>,
 }
 
+impl fmt::Display for AuditValue {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Absent => formatter.write_str("absent"),
+            Self::Config(version) => write!(formatter, "version {}", version.0),
+            Self::Host(host) => write!(formatter, "{:?} in {}", host.condition, host.pool),
+            Self::Wave(status) => write!(formatter, "{status:?}"),
+        }
+    }
+}
+
+impl fmt::Display for AuditLine {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.subject {
+            AuditSubject::Config => write!(formatter, "configuration")?,
+            AuditSubject::Host(host) => write!(formatter, "host {host}")?,
+            AuditSubject::Wave(wave) => write!(formatter, "wave {wave}")?,
+        }
+        write!(formatter, ": {:?}", self.action)?;
+        if self.from == self.to {
+            return write!(formatter, ", unchanged {}", self.to);
+        }
+        write!(formatter, ", {} to {}", self.from, self.to)
+    }
+}
+
 /// A value with its names replaced by keys.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(super) enum StoredValue {
@@ -77,6 +106,7 @@
     pub(super) action: AuditAction,
     pub(super) author: NameKey,
     pub(super) from: StoredValue,
+    pub(super) id: RecordId,
     pub(super) offset: LogOffset,
     pub(super) rejection: Option<Rejection>,
     pub(super) subject: StoredSubject,
--- a/crates/core/src/audit/audit_trail.rs
+++ b/crates/core/src/audit/audit_trail.rs
@@ -6,14 +6,14 @@
     },
     crate::{
         config::ConfigVersion,
-        ids::{HostName, LogTime, PoolName, WaveName},
+        ids::{HostName, LogTime, PoolName, RecordId, WaveName},
         ledger::{Author, LogOffset, Rejection},
     },
     serde::{Deserialize, Serialize},
 };
 
 /// Most entries that are kept. At the design size of some 3,000 changes a day they cover about three weeks,
-/// and their encoding has some 2 MB.
+/// and their encoding has some 3 MB.
 pub const AUDIT_MAX_ENTRIES: usize = 65_536;
 /// Entries that are dropped at once when the trail is full, so that the names are rarely rebuilt.
 const DROP_ENTRIES: usize = AUDIT_MAX_ENTRIES / 8;
@@ -22,6 +22,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AuditStamp<'a> {
     pub(crate) author: &'a Author,
+    pub(crate) id: RecordId,
     pub(crate) offset: LogOffset,
     pub(crate) time: LogTime,
 }
@@ -92,6 +93,7 @@
             action: change.action,
             author: self.names.intern(&stamp.author.0),
             from: self.store(from),
+            id: stamp.id,
             offset: stamp.offset,
             rejection: result.err(),
             subject: match &change.subject {
@@ -134,6 +136,7 @@
             action: entry.action,
             author: Author(self.names.name(entry.author).to_owned()),
             from: self.value(entry.from)?,
+            id: entry.id,
             offset: entry.offset,
             result: entry.rejection.map_or(Ok(()), Err),
             subject: match entry.subject {
--- a/crates/core/src/ledger/fleet_state.rs
+++ b/crates/core/src/ledger/fleet_state.rs
@@ -1,11 +1,11 @@
 use {
-    super::{LedgerRecord, RecordBody, Rejection, recent_ids::RecentIds},
+    super::{LedgerRecord, RecordBody, RecordOutcome, Rejection, recent_ids::RecentIds},
     crate::{
         audit::{AuditChange, AuditStamp, AuditTrail, AuditValue},
         claims::ClaimLedger,
         collections::SortedMap,
         config::ConfigLedger,
-        ids::LogTime,
+        ids::{LogTime, RecordId},
         jobs::{JobContext, JobLedger},
         membership::MembershipLedger,
     },
@@ -77,6 +77,11 @@
         self.time
     }
 
+    /// Returns what became of a record of the last `DEDUP_WINDOW`.
+    pub fn outcome(&self, id: RecordId) -> Option<RecordOutcome> {
+        self.recent.outcome(id)
+    }
+
     /// Returns how many records were ignored, by reason.
     pub fn rejected(&self) -> &SortedMap<Rejection, u64> {
         &self.rejected
@@ -101,7 +106,12 @@
 
     fn apply_record(&mut self, offset: LogOffset, record: &LedgerRecord) -> Result<(), Rejection> {
         let result = match self.recent.admit(self.time, record.id) {
-            Ok(()) => self.apply_audited(offset, record),
+            Ok(()) => {
+                let result = self.apply_audited(offset, record);
+                let outcome = RecordOutcome { offset, result };
+                self.recent.remember(record.id, outcome);
+                result
+            }
             Err(Rejection::Duplicate) => Err(Rejection::Duplicate),
             Err(rejection) => {
                 self.audit_ignored(offset, record, rejection);
@@ -141,6 +151,7 @@
     fn stamp<'a>(&self, offset: LogOffset, record: &'a LedgerRecord) -> AuditStamp<'a> {
         AuditStamp {
             author: &record.author,
+            id: record.id,
             offset,
             time: self.time,
         }
--- a/crates/core/src/ledger/recent_ids.rs
+++ b/crates/core/src/ledger/recent_ids.rs
@@ -1,5 +1,5 @@
 use {
-    super::Rejection,
+    super::{LogOffset, Rejection},
     crate::{
         collections::SortedMap,
         ids::{LogTime, Millis, RecordId},
@@ -15,11 +15,20 @@
 /// The ids of recent records, by which a record that was sent twice is recognised.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub(super) struct RecentIds {
-    ids: SortedMap<RecordId, ()>,
+    ids: SortedMap<RecordId, RecordOutcome>,
+}
+
+/// What became of a record.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RecordOutcome {
+    /// Place of the entry that carried the first copy of the record.
+    pub offset: LogOffset,
+    /// Accepted, or why the record was ignored.
+    pub result: Result<(), Rejection>,
 }
 
 impl RecentIds {
-    /// Remembers `id`, or tells why its record must be ignored.
+    /// Checks `id`, or tells why its record must be ignored.
     pub(super) fn admit(&mut self, now: LogTime, id: RecordId) -> Result<(), Rejection> {
         let oldest = now - DEDUP_WINDOW;
         self.ids.remove_below(&RecordId(u128::from(oldest.0) << 80));
@@ -32,7 +41,16 @@
         if self.ids.contains(&id) {
             return Err(Rejection::Duplicate);
         }
-        self.ids.insert(id, ());
         Ok(())
     }
+
+    /// Remembers the outcome of a record that was admitted.
+    pub(super) fn remember(&mut self, id: RecordId, outcome: RecordOutcome) {
+        self.ids.insert(id, outcome);
+    }
+
+    /// Returns the outcome of a recent record.
+    pub(super) fn outcome(&self, id: RecordId) -> Option<RecordOutcome> {
+        self.ids.get(&id).copied()
+    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod jobs;
 pub mod ledger;
 pub mod membership;
+pub mod observation;
 pub mod rollout;
 pub mod traffic;
--- a/crates/entry/src/control/control_actor.rs
+++ b/crates/entry/src/control/control_actor.rs
@@ -2,18 +2,22 @@
     super::{
         append_queue::QueuedRecord,
         control_messages::{
-            AbandonRecord, ApplyEntries, AskPosition, CaughtUp, EntriesReply, FetchLedger,
-            FoldPosition, ImageReply, LoadState, ProposeRecord, ReadState, StateOrigin, TakeImage,
-            UpdateHosts,
+            AbandonRecord, ApplyEntries, AskPosition, CaughtUp, DutyRound, EntriesReply,
+            FetchLedger, FleetHosts, FoldPosition, ImageReply, LoadState, PlanDuties,
+            ProposeRecord, ReadHosts, ReadState, StateOrigin, TakeImage, UpdateHosts,
         },
         view_builder::build_view,
     },
-    crate::{clock::BootClock, peering::PeerBoard},
+    crate::{
+        clock::BootClock,
+        duty::{DutyInput, DutyPlan, DutyPlanner, WorkerWatch},
+        peering::PeerBoard,
+    },
     bytes::Bytes,
     goldcreststall_core::{
         claims::{CLAIM_MAX_AGE, ClaimRecord},
         collections::SortedMap,
-        ids::{DataCentre, EntryId, LogTime, RecordId},
+        ids::{DataCentre, EntryId, LocalTime, LogTime, Millis, RecordId},
         ledger::{
             Author, FleetState, LedgerRecord, LogEntry, LogIdentity, LogOffset, RecordBody,
             Rejection, decode_records, encode_state,
@@ -37,6 +41,9 @@
     uuid::Uuid,
 };
 
+/// How long the records of a plan are waited for before the duties are planned anew.
+const DUTY_RECORD_WAIT: Millis = Millis(3_000);
+
 /// What the actor is built from.
 pub struct ControlArgs {
     /// Records to append.
@@ -59,10 +66,15 @@
 pub struct ControlActor {
     abandoned: SortedMap<RecordId, ()>,
     args: ControlArgs,
+    /// When the last entry was applied.
+    applied: LocalTime,
     clock: BootClock,
+    /// Records of duties that were not read back yet.
+    duty_records: SortedMap<RecordId, LocalTime>,
     hosts: HostsReply,
     /// Whether there is any state: the log was reached once, or a state was loaded.
     known: bool,
+    planner: DutyPlanner,
     ready: bool,
     relay: EntryRelay,
     /// Whether the log holds entries that this version cannot read.
@@ -79,9 +91,12 @@
         Ok(Self {
             abandoned: SortedMap::default(),
             args,
+            applied: LocalTime(0),
             clock: BootClock,
+            duty_records: SortedMap::default(),
             hosts: HostsReply::default(),
             known: false,
+            planner: DutyPlanner::default(),
             ready: false,
             relay: EntryRelay::new(LogIdentity(0), LogOffset(0)),
             state: FleetState::default(),
@@ -117,6 +132,7 @@
             time: raw.time,
         };
         self.relay.push(self.state.log(), relayed);
+        self.applied = self.clock.now();
         let results = self.state.apply(&entry);
         for (record, result) in entry.records.iter().zip(results) {
             self.settle(entry.offset.0, record, result);
@@ -124,17 +140,18 @@
     }
 
     fn settle(&mut self, offset: u64, record: &LedgerRecord, result: Result<(), Rejection>) {
+        self.duty_records.remove(&record.id);
         if let Err(rejection) = result
             && rejection != Rejection::Duplicate
         {
             info!(self.args.logger, "ledger: a record was ignored"; "offset" => offset, "author" => &record.author.0, "reason" => %rejection);
         }
-        if result == Err(Rejection::Duplicate) {
-            // The first copy has told the proposer.
-            return;
-        }
+        // A proposer that sent the record again learns what became of the first copy.
+        let first = self.state.outcome(record.id);
+        let repeated = result == Err(Rejection::Duplicate);
+        let result = first.map_or(result, |outcome| outcome.result);
         if let Some(waiter) = self.waiters.remove(&record.id) {
-            if waiter.send(result).is_err() && result.is_ok() {
+            if waiter.send(result).is_err() && result.is_ok() && !repeated {
                 self.release(record);
             }
         } else if self.abandoned.remove(&record.id).is_some() && result.is_ok() {
@@ -152,21 +169,23 @@
             key: *key,
         };
         info!(self.args.logger, "claim: a late claim is released"; "key" => %Uuid::from_u128(*key));
-        self.append(RecordBody::Claim(release));
+        self.append(RecordBody::Claim(release), CLAIM_MAX_AGE);
     }
 
-    fn append(&mut self, body: RecordBody) {
+    fn append(&mut self, body: RecordBody, wait: Millis) -> RecordId {
         let record = LedgerRecord {
             author: Author(self.args.entry.to_string()),
             body,
             id: RecordId(Uuid::now_v7().as_u128()),
         };
         let queued = QueuedRecord {
-            give_up: self.clock.now() + CLAIM_MAX_AGE,
+            give_up: self.clock.now() + wait,
             record,
         };
+        let id = queued.record.id;
         // The queue ends only at shutdown.
         let _ = self.args.appends.send(queued);
+        id
     }
 
     fn publish(&mut self) {
@@ -189,6 +208,31 @@
         self.abandoned.remove_below(&limit);
     }
 
+    /// Plans the duties, unless records of an earlier plan are still on their way.
+    fn plan_duties(&mut self, watch: &WorkerWatch) -> DutyPlan {
+        let now = self.clock.now();
+        self.duty_records
+            .retain(|_, sent| now.since(*sent) < DUTY_RECORD_WAIT);
+        if !self.ready || !self.duty_records.is_empty() {
+            return DutyPlan::default();
+        }
+        let workers = watch.workers(&self.state, &self.hosts);
+        let mut plan = self.planner.plan(&DutyInput {
+            board: &self.args.board,
+            entry: &self.args.entry.name,
+            hosts: &self.hosts,
+            local_time: now,
+            log_time: self.state.time() + now.since(self.applied),
+            state: &self.state,
+            workers: &workers,
+        });
+        for body in std::mem::take(&mut plan.records) {
+            let id = self.append(body, DUTY_RECORD_WAIT);
+            self.duty_records.insert(id, now);
+        }
+        plan
+    }
+
     fn position(&self) -> FoldPosition {
         FoldPosition {
             known: self.known,
@@ -312,7 +356,7 @@
     type Reply = ();
 
     async fn handle(&mut self, message: ReadState, _context: &mut Context<Self, ()>) {
-        (message.read)(&self.state);
+        (message.read)(&self.state, &self.hosts);
     }
 }
 
@@ -357,3 +401,34 @@
         })
     }
 }
+
+impl Message<ReadHosts> for ControlActor {
+    type Reply = FleetHosts;
+
+    async fn handle(
+        &mut self,
+        _message: ReadHosts,
+        _context: &mut Context<Self, FleetHosts>,
+    ) -> FleetHosts {
+        let pools = self.state.config.fleet().pools.iter();
+        FleetHosts {
+            hosts: self.hosts.clone(),
+            pools: pools.map(|pool| pool.name.clone()).collect(),
+        }
+    }
+}
+
+impl Message<PlanDuties> for ControlActor {
+    type Reply = DutyRound;
+
+    async fn handle(
+        &mut self,
+        message: PlanDuties,
+        _context: &mut Context<Self, DutyRound>,
+    ) -> DutyRound {
+        DutyRound {
+            plan: self.plan_duties(&message.watch),
+            watch: message.watch,
+        }
+    }
+}
--- a/crates/entry/src/control/control_handle.rs
+++ b/crates/entry/src/control/control_handle.rs
@@ -9,6 +9,7 @@
         ledger::{Author, FleetState, LedgerRecord, RecordBody, Rejection},
         traffic::RoutingView,
     },
+    goldcreststall_platform::hosts::HostsReply,
     kameo::actor::ActorRef,
     std::{sync::Arc, time::Duration},
     tokio::sync::{oneshot, watch},
@@ -104,15 +105,15 @@
         }
     }
 
-    /// Reads a part of the state on the control thread; `None` at shutdown.
+    /// Reads a part of the state and the list of hosts on the control thread; `None` at shutdown.
     pub async fn read<T: Send + 'static>(
         &self,
-        read: impl FnOnce(&FleetState) -> T + Send + 'static,
+        read: impl FnOnce(&FleetState, &HostsReply) -> T + Send + 'static,
     ) -> Option<T> {
         let (sender, receiver) = oneshot::channel();
-        let read = Box::new(move |state: &FleetState| {
+        let read = Box::new(move |state: &FleetState, hosts: &HostsReply| {
             // The reader may be gone by now.
-            let _ = sender.send(read(state));
+            let _ = sender.send(read(state, hosts));
         });
         self.actor.tell(ReadState { read }).await.ok()?;
         receiver.await.ok()
--- a/crates/entry/src/control/control_messages.rs
+++ b/crates/entry/src/control/control_messages.rs
@@ -1,6 +1,7 @@
 use {
+    crate::duty::{DutyPlan, WorkerWatch},
     goldcreststall_core::{
-        ids::{LocalTime, RecordId},
+        ids::{LocalTime, PoolName, RecordId},
         ledger::{FleetState, LedgerRecord, LogIdentity, LogOffset, Rejection},
     },
     goldcreststall_peers::wire::{EntriesAnswer, FetchEntries, LogPosition, StateImage},
@@ -51,7 +52,7 @@
 
 /// Asks for a part of the state.
 pub(super) struct ReadState {
-    pub(super) read: Box<dyn FnOnce(&FleetState) + Send>,
+    pub(super) read: Box<dyn FnOnce(&FleetState, &HostsReply) + Send>,
 }
 
 /// How far the state has come.
@@ -90,3 +91,25 @@
 /// The answer to [`TakeImage`].
 #[derive(kameo::Reply)]
 pub(crate) struct ImageReply(pub(crate) StateImage);
+
+/// Asks for the list of hosts and the configured pools.
+pub(crate) struct ReadHosts;
+
+/// The answer to [`ReadHosts`].
+#[derive(kameo::Reply)]
+pub(crate) struct FleetHosts {
+    pub(crate) hosts: HostsReply,
+    pub(crate) pools: Vec<PoolName>,
+}
+
+/// Asks for a plan of the duties; lends what is known of the workers.
+pub(crate) struct PlanDuties {
+    pub(crate) watch: WorkerWatch,
+}
+
+/// The answer to [`PlanDuties`].
+#[derive(kameo::Reply)]
+pub(crate) struct DutyRound {
+    pub(crate) plan: DutyPlan,
+    pub(crate) watch: WorkerWatch,
+}
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -5,12 +5,17 @@
     },
     crate::{
         clock::BootClock,
+        duty::{DutyRunner, SnapshotWriter},
         peering::{CatchUpTask, PeerBoard, PeerGateway},
     },
     anyhow::Context,
     goldcreststall_core::ids::{DataCentre, Millis},
     goldcreststall_peers::mesh::{MeshSettings, PeerMesh, TcpDialer},
-    goldcreststall_platform::{hosts::HostList, log::LogService},
+    goldcreststall_platform::{
+        hosts::{HostControl, HostList},
+        log::LogService,
+        worker_service::WorkerService,
+    },
     kameo::actor::{ActorRef, Spawn},
     rand::{Rng, SeedableRng, rngs::StdRng},
     slog::Logger,
@@ -32,6 +37,8 @@
 pub struct ControlSetup {
     /// Data centre of this entry host.
     pub data_centre: DataCentre,
+    /// Reboots hosts.
+    pub host_control: Arc<dyn HostControl>,
     /// The list of hosts.
     pub hosts: Arc<dyn HostList>,
     /// Where peers are served; bound already.
@@ -42,6 +49,8 @@
     pub logger: Logger,
     /// This run of the entry host and its peers.
     pub mesh: MeshSettings,
+    /// The workers.
+    pub workers: Arc<dyn WorkerService>,
 }
 
 /// The thread that owns the control state.
@@ -103,7 +112,7 @@
     let entry = setup.mesh.local.clone();
     let peers = setup.mesh.peers().len();
     let entry_count = u32::try_from(peers + 1).unwrap_or(u32::MAX);
-    let board = Arc::new(PeerBoard::new(entry.clone()));
+    let board = Arc::new(PeerBoard::new(entry.clone(), peers));
     let (appends, records) = mpsc::unbounded_channel();
     let (view, views) = watch::channel(None);
     let actor = ControlActor::spawn(ControlArgs {
@@ -128,6 +137,21 @@
     tokio::spawn(tail.run());
     let polled = poll_hosts(Arc::clone(&setup.hosts), actor.clone(), logger.clone());
     tokio::spawn(polled);
+    let runner = DutyRunner::new(
+        actor.clone(),
+        Arc::clone(&board),
+        Arc::clone(&setup.host_control),
+        Arc::clone(&setup.workers),
+        logger.clone(),
+    );
+    tokio::spawn(runner.run());
+    let writer = SnapshotWriter::new(
+        actor.clone(),
+        Arc::clone(&board),
+        Arc::clone(&setup.log),
+        logger.clone(),
+    );
+    tokio::spawn(writer.run());
     start_peers(setup, &actor, &board, stop)?;
     Ok(ControlHandle {
         actor,
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -11,7 +11,8 @@
 mod view_builder;
 
 pub(crate) use control_messages::{
-    ApplyEntries, AskPosition, FetchLedger, LoadState, StateOrigin, TakeImage,
+    ApplyEntries, AskPosition, FetchLedger, LoadState, PlanDuties, ReadHosts, StateOrigin,
+    TakeImage,
 };
 pub use {
     control_actor::{ControlActor, ControlArgs},
--- a/crates/entry/src/daemon/entry_daemon.rs
+++ b/crates/entry/src/daemon/entry_daemon.rs
@@ -14,7 +14,7 @@
         traffic::FairPolicy,
     },
     goldcreststall_peers::mesh::MeshSettings,
-    goldcreststall_platform::{hosts::HttpHosts, log::HttpLog},
+    goldcreststall_platform::{hosts::HttpHosts, log::HttpLog, worker_service::HttpWorkerService},
     goldcreststall_targets::pool::PooledTransport,
     slog::{Logger, info},
     std::{sync::Arc, time::Duration},
@@ -42,11 +42,13 @@
         .with_context(|| format!("--listen-peers: {} cannot be bound", settings.listen_peers))?;
     let control = ControlThread::start(ControlSetup {
         data_centre: settings.data_centre.clone(),
+        host_control: Arc::new(HttpHosts::new(settings.hosts)),
         hosts: Arc::new(HttpHosts::new(settings.hosts)),
         listener,
         log: Arc::new(HttpLog::new(settings.log)),
         logger: logger.clone(),
         mesh: MeshSettings::new(entry, settings.peers.clone())?,
+        workers: Arc::new(HttpWorkerService::new()),
     })?;
     let runtime = Builder::new_multi_thread()
         .enable_all()
--- /dev/null
+++ b/crates/entry/src/duty/duty_runner.rs
@@ -0,0 +1,105 @@
+use {
+    super::{DutyCommand, WorkerWatch},
+    crate::{
+        control::{ControlActor, PlanDuties, ReadHosts},
+        peering::PeerBoard,
+    },
+    goldcreststall_core::{duties::Duty, ids::Millis},
+    goldcreststall_platform::{hosts::HostControl, worker_service::WorkerService},
+    kameo::actor::ActorRef,
+    slog::{Logger, info, warn},
+    std::{sync::Arc, time::Duration},
+    tokio::task::JoinSet,
+};
+
+/// Time between two rounds.
+const ROUND_INTERVAL: Millis = Millis(500);
+
+/// Plans the duties of this entry host in rounds and carries out their commands.
+pub(crate) struct DutyRunner {
+    actor: ActorRef<ControlActor>,
+    board: Arc<PeerBoard>,
+    control: Arc<dyn HostControl>,
+    logger: Logger,
+    service: Arc<dyn WorkerService>,
+    watch: WorkerWatch,
+}
+
+impl DutyRunner {
+    pub(crate) fn new(
+        actor: ActorRef<ControlActor>,
+        board: Arc<PeerBoard>,
+        control: Arc<dyn HostControl>,
+        service: Arc<dyn WorkerService>,
+        logger: Logger,
+    ) -> Self {
+        let watch = WorkerWatch::new(Arc::clone(&service));
+        Self {
+            actor,
+            board,
+            control,
+            logger,
+            service,
+            watch,
+        }
+    }
+
+    /// Runs until the actor ends.
+    pub(crate) async fn run(mut self) {
+        while let Ok(fleet) = self.actor.ask(ReadHosts).await {
+            let holds = |pool| self.board.holds(&Duty::Placement(pool));
+            if fleet.pools.into_iter().any(holds) {
+                self.watch.poll(&fleet.hosts).await;
+            } else {
+                self.watch.rest();
+            }
+            let watch =
+                std::mem::replace(&mut self.watch, WorkerWatch::new(Arc::clone(&self.service)));
+            let Ok(round) = self.actor.ask(PlanDuties { watch }).await else {
+                return;
+            };
+            self.watch = round.watch;
+            for line in &round.plan.lines {
+                info!(self.logger, "{}", line);
+            }
+            self.carry_out(round.plan.commands).await;
+            tokio::time::sleep(Duration::from_millis(ROUND_INTERVAL.0)).await;
+        }
+    }
+
+    async fn carry_out(&self, commands: Vec<DutyCommand>) {
+        let mut calls = JoinSet::new();
+        for command in commands {
+            let control = Arc::clone(&self.control);
+            let service = Arc::clone(&self.service);
+            let logger = self.logger.clone();
+            calls.spawn(async move {
+                if let Err(error) = carry_out(&*control, &*service, &command).await {
+                    // The command is planned again while it is still needed.
+                    warn!(logger, "place: a command was not carried out"; "command" => ?command, "error" => error);
+                }
+            });
+        }
+        calls.join_all().await;
+    }
+}
+
+async fn carry_out(
+    control: &dyn HostControl,
+    service: &dyn WorkerService,
+    command: &DutyCommand,
+) -> Result<(), String> {
+    let result = match command {
+        DutyCommand::Checkpoint(worker, task) => service.checkpoint(worker, task).await.err(),
+        DutyCommand::Fence(worker, task) => service.fence(worker, task).await.err(),
+        DutyCommand::Forget(worker, task) => service.forget(worker, task).await.err(),
+        DutyCommand::Reboot(host, incarnation) => {
+            let rebooted = control.reboot(host, *incarnation).await;
+            return rebooted.map_err(|error| error.to_string());
+        }
+        DutyCommand::Start(worker, request) => service.start(worker, request).await.err(),
+        DutyCommand::Stop(worker, task) => service.stop(worker, task).await.err(),
+        DutyCommand::Throttle(worker, request) => service.throttle(worker, request).await.err(),
+    };
+    result.map_or(Ok(()), |error| Err(error.to_string()))
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,8 +4,10 @@
 pub mod clock;
 pub mod control;
 pub mod daemon;
+mod duty;
 pub mod logging;
 pub mod metrics;
+pub mod operating;
 pub mod peering;
 pub mod settings;
 pub mod traffic;
--- /dev/null
+++ b/crates/entry/src/operating/job_reports.rs
@@ -0,0 +1,81 @@
+use {
+    super::change_record::not_found,
+    goldcreststall_core::{
+        ids::RecordId,
+        jobs::{Job, JobId, JobState},
+        ledger::FleetState,
+        traffic,
+    },
+    goldcreststall_operators::{self as operators, JobPage, JobQuery, JobReport, OperatorError},
+};
+
+/// Thousandths of a core in a core.
+const MILLI_PER_CORE: u32 = 1_000;
+
+/// Returns a page of jobs in order of id.
+pub(super) fn page(state: &FleetState, query: &JobQuery) -> JobPage {
+    let jobs = state.jobs.jobs().iter();
+    let reports = jobs
+        .filter(|(id, _)| query.after.is_none_or(|after| id.0 > after.0))
+        .map(|(id, job)| report(*id, job))
+        .filter(|report| matches(query, report));
+    let limit = query.limit.rows();
+    let mut jobs: Vec<JobReport> = reports.take(limit + 1).collect();
+    let more = jobs.len() > limit;
+    jobs.truncate(limit);
+    JobPage { jobs, more }
+}
+
+/// Returns one job.
+///
+/// # Errors
+/// `NotFound`.
+pub(super) fn one(state: &FleetState, id: RecordId) -> Result<JobReport, OperatorError> {
+    let job = state.jobs.job(JobId(id.0));
+    let job = job.ok_or_else(|| not_found("job", &id))?;
+    Ok(report(JobId(id.0), job))
+}
+
+fn matches(query: &JobQuery, report: &JobReport) -> bool {
+    let pool = query.pool.as_ref();
+    let tenant = query.tenant.as_ref();
+    pool.is_none_or(|pool| report.spec.pool == *pool)
+        && query.state.is_none_or(|state| report.state == state)
+        && tenant.is_none_or(|tenant| report.spec.tenant == *tenant)
+}
+
+fn report(id: JobId, job: &Job) -> JobReport {
+    let lease = job.lease();
+    let last = lease.or(job.lapsed.as_ref());
+    JobReport {
+        attempts: job.attempts,
+        id: RecordId(id.0),
+        lease_until: lease.map(|lease| lease.expiry),
+        spec: operators::JobSpec {
+            accelerators: job.spec.size.accelerators,
+            cores: job.spec.size.cores_milli.div_ceil(MILLI_PER_CORE),
+            deadline: job.spec.deadline,
+            idempotent: job.spec.idempotent,
+            memory_mib: job.spec.size.memory_mib,
+            pool: job.spec.pool.clone(),
+            service: job.spec.service.clone(),
+            tenant: job.spec.tenant.clone(),
+            urgency: match job.spec.urgency {
+                traffic::Urgency::Urgent => operators::Urgency::Urgent,
+                traffic::Urgency::Normal => operators::Urgency::Normal,
+                traffic::Urgency::Overnight => operators::Urgency::Overnight,
+            },
+        },
+        state: match &job.state {
+            JobState::Cancelled => operators::JobState::Cancelled,
+            JobState::Done => operators::JobState::Done,
+            JobState::Leased(_) => operators::JobState::Leased,
+            JobState::Queued => operators::JobState::Queued,
+            JobState::Quarantined(_) => operators::JobState::Quarantined,
+            JobState::Unknown => operators::JobState::Unknown,
+        },
+        submitted: job.submitted,
+        unplaceable: job.unplaceable,
+        worker: last.map(|lease| lease.worker.host.clone()),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/operating/status_reports.rs
@@ -0,0 +1,93 @@
+use {
+    crate::{clock::wall_time, peering::PeerBoard},
+    goldcreststall_core::{
+        duties::Duty,
+        ids::{DataCentre, EntryId, LogTime, Millis},
+        ledger::{FleetState, LogOffset},
+    },
+    goldcreststall_operators::{DutyReport, PeerReport, RejectionReport, StatusReport},
+    goldcreststall_peers::wire::Digest,
+    goldcreststall_platform::hosts::HostsReply,
+};
+
+/// Returns the state of this entry host.
+pub(super) fn status(
+    state: &FleetState,
+    hosts: &HostsReply,
+    board: &PeerBoard,
+    entry: &EntryId,
+    data_centre: DataCentre,
+    ready: bool,
+) -> StatusReport {
+    let digests = board.digests();
+    let rejections = state.rejected().iter();
+    StatusReport {
+        config: state.config.version(),
+        draining: board.is_draining(),
+        duties: duties(state, board),
+        entry: entry.name.clone(),
+        host_list_age: (hosts.observed > LogTime(0)).then(|| wall_time().since(hosts.observed)),
+        incarnation: entry.incarnation,
+        lag_entries: lag(state, &digests),
+        log: state.log(),
+        log_silent: board.log_silence().unwrap_or(Millis(u64::MAX)),
+        next_offset: state.next(),
+        peers: digests
+            .iter()
+            .map(|digest| peer(digest, &data_centre))
+            .collect(),
+        data_centre,
+        ready,
+        rejections: rejections
+            .map(|(rejection, count)| RejectionReport {
+                count: *count,
+                reason: rejection.to_string(),
+            })
+            .collect(),
+    }
+}
+
+/// Returns how many entries some peer has applied and this entry host has not.
+fn lag(state: &FleetState, digests: &[Digest]) -> u64 {
+    let positions = digests
+        .iter()
+        .filter_map(|digest| digest.content.position());
+    let same_log = positions.filter(|position| position.log == state.log());
+    let furthest = same_log.map(|position| position.next.0).max();
+    furthest.unwrap_or_default().saturating_sub(state.next().0)
+}
+
+fn peer(digest: &Digest, data_centre: &DataCentre) -> PeerReport {
+    let position = digest.content.position();
+    PeerReport {
+        data_centre: data_centre.clone(),
+        draining: digest.content.draining(),
+        incarnation: digest.from.incarnation,
+        name: digest.from.name.clone(),
+        next_offset: position.map_or(LogOffset(0), |position| position.next),
+        silent: Millis(0),
+    }
+}
+
+fn duties(state: &FleetState, board: &PeerBoard) -> Vec<DutyReport> {
+    let pools = state.config.fleet().pools.iter();
+    let of_pools = pools.flat_map(|pool| {
+        [
+            Duty::Placement(pool.name.clone()),
+            Duty::Waves(pool.name.clone()),
+        ]
+    });
+    let fixed = [Duty::HostObservation, Duty::Moves, Duty::Snapshots];
+    let mut duties: Vec<DutyReport> = fixed
+        .into_iter()
+        .chain(of_pools)
+        .filter_map(|duty| {
+            Some(DutyReport {
+                holder: board.holder(&duty)?,
+                name: duty.to_string(),
+            })
+        })
+        .collect();
+    duties.sort_by(|left, right| left.name.cmp(&right.name));
+    duties
+}
--- a/crates/entry/src/peering/peer_board.rs
+++ b/crates/entry/src/peering/peer_board.rs
@@ -3,7 +3,7 @@
     goldcreststall_core::{
         collections::SortedMap,
         duties::{Duty, DutyRoster},
-        ids::{EntryId, EntryName, LocalTime, Millis, ServiceName},
+        ids::{EntryId, EntryName, HostName, LocalTime, Millis, ServiceName},
         traffic::{LeavingMark, PeerDemand, ServiceDemand},
     },
     goldcreststall_peers::{
@@ -20,6 +20,7 @@
 
 #[derive(Debug)]
 struct BoardState {
+    busy: Vec<HostName>,
     content: Arc<DigestContent>,
     demand: Vec<wire::ServiceDemand>,
     draining: bool,
@@ -35,13 +36,16 @@
 #[derive(Debug)]
 pub struct PeerBoard {
     clock: BootClock,
+    /// Number of peers in the settings.
+    peers: usize,
     state: Mutex<BoardState>,
 }
 
 impl PeerBoard {
     /// Creates the board of an entry host that has heard nobody.
-    pub fn new(entry: EntryId) -> Self {
+    pub fn new(entry: EntryId, peers: usize) -> Self {
         let state = BoardState {
+            busy: Vec::new(),
             content: Arc::default(),
             demand: Vec::new(),
             draining: false,
@@ -53,6 +57,7 @@
         };
         Self {
             clock: BootClock,
+            peers,
             state: Mutex::new(state),
         }
     }
@@ -80,9 +85,16 @@
         state.rebuild(self.clock.now());
     }
 
-    /// Sets the demand of the services and the leaving marks.
-    pub fn set_traffic(&self, demand: Vec<wire::ServiceDemand>, marks: Vec<LeavingMark>) {
+    /// Sets the demand of the services, the leaving marks, and the hosts that take no new work and still
+    /// have requests in flight.
+    pub fn set_traffic(
+        &self,
+        demand: Vec<wire::ServiceDemand>,
+        marks: Vec<LeavingMark>,
+        busy: Vec<HostName>,
+    ) {
         let mut state = self.state.lock();
+        state.busy = busy;
         state.demand = demand;
         state.marks = marks;
         state.rebuild(self.clock.now());
@@ -115,11 +127,57 @@
         self.state.lock().roster.holds(self.clock.now(), duty)
     }
 
+    /// Tells whether no entry host has requests in flight on a host that takes no new work.
+    ///
+    /// Every peer has to be heard and to have applied the log up to `seen`, or it may not know yet that
+    /// the host takes no new work.
+    pub fn is_idle(&self, host: &HostName, seen: LogPosition) -> bool {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let digests: Vec<&Digest> = state.table.live_digests(now).collect();
+        let knows = |digest: &&Digest| {
+            let position = digest.content.position();
+            position.is_some_and(|position| position.log == seen.log && position.next >= seen.next)
+        };
+        let is_busy = |digest: &&Digest| digest.content.busy().binary_search(host).is_ok();
+        digests.len() >= self.peers
+            && digests.iter().all(knows)
+            && !digests.iter().any(is_busy)
+            && !state.busy.contains(host)
+    }
+
     /// Returns the positions of the live peers.
     pub fn positions(&self) -> Vec<(EntryName, LogPosition)> {
         self.state.lock().table.positions(self.clock.now())
     }
 
+    /// Returns what each live peer told last.
+    pub fn digests(&self) -> Vec<Digest> {
+        let state = self.state.lock();
+        state
+            .table
+            .live_digests(self.clock.now())
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the entry host that is to perform `duty`.
+    pub fn holder(&self, duty: &Duty) -> Option<EntryName> {
+        let state = self.state.lock();
+        state.roster.holder(self.clock.now(), duty).cloned()
+    }
+
+    /// Tells whether this entry host is shutting down.
+    pub fn is_draining(&self) -> bool {
+        self.state.lock().draining
+    }
+
+    /// Returns the time since the log was read to its end; `None` when it never was.
+    pub fn log_silence(&self) -> Option<Millis> {
+        let read = self.state.lock().log_read?;
+        Some(self.clock.now().since(read))
+    }
+
     /// Returns the live peers.
     pub fn live_peers(&self) -> Vec<EntryId> {
         let state = self.state.lock();
@@ -176,7 +234,8 @@
             self.demand.clone(),
             marks.collect(),
             abstains,
-        );
+        )
+        .with_busy(self.busy.clone());
         if *self.content != content {
             self.content = Arc::new(content);
         }
--- a/crates/entry/src/peering/peer_feed.rs
+++ b/crates/entry/src/peering/peer_feed.rs
@@ -38,8 +38,9 @@
         for mark in self.board.peer_marks() {
             self.gate.mark_leaving(&mark);
         }
-        self.board
-            .set_traffic(self.demand(), self.gate.leaving_marks());
+        let marks = self.gate.leaving_marks();
+        let busy = self.gate.busy_hosts();
+        self.board.set_traffic(self.demand(), marks, busy);
         let demand = self.board.demand(&self.control.entry().name);
         self.gate.update_peers(&demand);
     }
--- a/crates/entry/src/traffic/policy_gate.rs
+++ b/crates/entry/src/traffic/policy_gate.rs
@@ -3,10 +3,10 @@
     goldcreststall_core::{
         collections::SortedMap,
         error::ErrorKind,
-        ids::Millis,
+        ids::{HostName, Millis},
         traffic::{
             Assignment, LeavingMark, PeerDemand, Refusal, RequestSpec, RoutingView, SendOutcome,
-            Ticket, TrafficPolicy,
+            TargetKey, Ticket, TrafficPolicy,
         },
     },
     parking_lot::Mutex,
@@ -27,8 +27,11 @@
 type Waiter = oneshot::Sender<Result<AssignedSlot, ErrorKind>>;
 
 struct GateState {
+    /// Requests in flight by target.
+    in_flight: SortedMap<TargetKey, u32>,
     policy: Box<dyn TrafficPolicy>,
     random: StdRng,
+    view: Arc<RoutingView>,
     waiters: SortedMap<Ticket, Waiter>,
 }
 
@@ -57,8 +60,10 @@
     /// Creates a gate; `seed` decides between equal targets.
     pub fn new(policy: Box<dyn TrafficPolicy>, seed: u64) -> Arc<Self> {
         let state = GateState {
+            in_flight: SortedMap::default(),
             policy,
             random: StdRng::seed_from_u64(seed),
+            view: Arc::default(),
             waiters: SortedMap::default(),
         };
         Arc::new(Self {
@@ -103,6 +108,7 @@
     /// Replaces the routing view.
     pub fn update_view(self: &Arc<Self>, view: Arc<RoutingView>) {
         let mut state = self.state.lock();
+        state.view = Arc::clone(&view);
         state.policy.update_view(self.clock.now(), view);
         self.pump(&mut state);
     }
@@ -138,6 +144,15 @@
         refuse(&mut state, refusals);
     }
 
+    /// Returns the hosts that take no new work and still have requests in flight.
+    pub fn busy_hosts(&self) -> Vec<HostName> {
+        let state = self.state.lock();
+        let targets = state.in_flight.iter();
+        let targets = targets.filter_map(|(key, _)| state.view.target_at(*key));
+        let draining = targets.filter(|target| target.leaving || !target.present);
+        draining.map(|target| target.name.clone()).collect()
+    }
+
     /// Returns the demand of each service.
     pub fn demand(&self) -> Vec<u32> {
         self.state.lock().policy.demand()
@@ -163,6 +178,7 @@
         refuse(state, refusals);
         let random = state.random.next_u64();
         for assignment in state.policy.assign(now, random) {
+            state.add_in_flight(assignment.target);
             let slot = AssignedSlot {
                 assignment,
                 finished: false,
@@ -176,6 +192,7 @@
             if let Some(mut slot) = unsent {
                 // The lock is held here, so the slot must not report by itself.
                 slot.finished = true;
+                state.remove_in_flight(assignment.target);
                 state.policy.finish(now, assignment, SendOutcome::NotRun);
             }
         }
@@ -183,11 +200,33 @@
 
     fn finish(self: &Arc<Self>, assignment: Assignment, outcome: SendOutcome) {
         let mut state = self.state.lock();
+        state.remove_in_flight(assignment.target);
         state.policy.finish(self.clock.now(), assignment, outcome);
         self.pump(&mut state);
     }
 }
 
+impl GateState {
+    fn add_in_flight(&mut self, target: TargetKey) {
+        match self.in_flight.get_mut(&target) {
+            Some(count) => *count += 1,
+            None => {
+                self.in_flight.insert(target, 1);
+            }
+        }
+    }
+
+    fn remove_in_flight(&mut self, target: TargetKey) {
+        let Some(count) = self.in_flight.get_mut(&target) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.in_flight.remove(&target);
+        }
+    }
+}
+
 /// Tells the waiting requests that they are refused.
 fn refuse(state: &mut GateState, refusals: Vec<Refusal>) {
     for refusal in refusals {
--- a/crates/peers/src/wire/digest.rs
+++ b/crates/peers/src/wire/digest.rs
@@ -63,6 +63,7 @@
 /// What an entry host tells its peers.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct DigestContent {
+    busy: Vec<HostName>,
     demand: Vec<ServiceDemand>,
     draining: bool,
     leaving: Vec<LeavingMark>,
@@ -88,6 +89,7 @@
         leaving.dedup_by(|left, right| left.host == right.host);
         leaving.reverse();
         Self {
+            busy: Vec::new(),
             demand,
             draining,
             leaving,
@@ -95,12 +97,26 @@
         }
     }
 
+    /// Adds the hosts that take no new work and on which the sender has requests in flight.
+    #[must_use]
+    pub fn with_busy(mut self, mut busy: Vec<HostName>) -> Self {
+        busy.sort();
+        busy.dedup();
+        self.busy = busy;
+        self
+    }
+
+    /// Returns the hosts that take no new work and are busy with requests of the sender, sorted by name.
+    pub fn busy(&self) -> &[HostName] {
+        &self.busy
+    }
+
     /// Returns the services with demand, sorted by name.
     pub fn demand(&self) -> &[ServiceDemand] {
         &self.demand
     }
 
-    /// Tells whether the entry host is shutting down.
+    /// Tells whether the sender performs no control duties: it shuts down or cannot read the log.
     pub fn draining(&self) -> bool {
         self.draining
     }
--- a/crates/peers/src/wire/digest_decoder.rs
+++ b/crates/peers/src/wire/digest_decoder.rs
@@ -17,6 +17,7 @@
 /// Rebuilds the full digests of one connection from their changes.
 #[derive(Debug)]
 pub struct DigestDecoder {
+    busy: SortedMap<HostName, ()>,
     demand: SortedMap<ServiceName, u32>,
     draining: bool,
     first_sequence: u64,
@@ -31,6 +32,7 @@
     /// Creates the decoder of a connection that was opened with `hello`.
     pub fn new(hello: &Hello) -> Self {
         Self {
+            busy: SortedMap::default(),
             demand: SortedMap::default(),
             draining: false,
             first_sequence: hello.first_sequence,
@@ -59,6 +61,7 @@
         self.take_services(&raw.services)?;
         self.take_demand(&raw.demand)?;
         self.take_marks(raw.leaving, raw.cleared)?;
+        self.take_busy(raw.busy, raw.idle)?;
         self.draining = raw.draining.unwrap_or(self.draining);
         Ok(Digest {
             content: self.content(),
@@ -79,6 +82,7 @@
             leaving.collect(),
             self.draining,
         )
+        .with_busy(self.busy.iter().map(|(host, ())| host.clone()).collect())
     }
 
     fn take_position(&mut self, raw: &RawDigest) -> Result<(), WireError> {
@@ -142,6 +146,19 @@
     }
 }
 
+impl DigestDecoder {
+    fn take_busy(&mut self, busy: Vec<String>, idle: Vec<String>) -> Result<(), WireError> {
+        check_count("busy", self.busy.len() + busy.len(), MAX_MARKS)?;
+        for host in busy {
+            self.busy.insert(HostName::try_from(host)?, ());
+        }
+        for host in idle {
+            self.busy.remove(&HostName::try_from(host)?);
+        }
+        Ok(())
+    }
+}
+
 fn check_count(field: &'static str, count: usize, limit: usize) -> Result<(), WireError> {
     if count <= limit {
         return Ok(());
--- a/crates/peers/src/wire/digest_encoder.rs
+++ b/crates/peers/src/wire/digest_encoder.rs
@@ -20,7 +20,7 @@
     Minor,
     /// A demand changed notably.
     Demand,
-    /// A leaving mark, the draining flag or the identity of the log changed.
+    /// A leaving mark, a busy host, the draining flag or the identity of the log changed.
     Urgent,
 }
 
@@ -46,6 +46,7 @@
         let log = |position: Option<LogPosition>| position.map(|position| position.log);
         let told = &self.told;
         if content.leaving() != told.leaving()
+            || content.busy() != told.busy()
             || content.draining() != told.draining()
             || log(content.position()) != log(told.position())
         {
@@ -67,6 +68,8 @@
         self.next_number += 1;
         self.put_position(&content, &mut raw);
         self.put_marks(&content, &mut raw);
+        raw.busy = added_hosts(self.told.busy(), content.busy());
+        raw.idle = added_hosts(content.busy(), self.told.busy());
         if content.draining() != self.told.draining() {
             raw.draining = Some(content.draining());
         }
@@ -122,6 +125,14 @@
     }
 }
 
+/// Returns the names in `now` that are not in `before`; both are sorted.
+fn added_hosts(before: &[HostName], now: &[HostName]) -> Vec<String> {
+    let added = now
+        .iter()
+        .filter(|host| before.binary_search(host).is_err());
+    added.map(|host| host.as_str().to_owned()).collect()
+}
+
 struct DemandChange<'a> {
     before: u32,
     now: u32,
--- a/crates/peers/src/wire/raw_messages.rs
+++ b/crates/peers/src/wire/raw_messages.rs
@@ -92,9 +92,15 @@
     /// Hosts whose marks are gone.
     #[prost(string, repeated, tag = "7")]
     pub cleared: Vec<String>,
-    /// Whether the sender is shutting down.
+    /// Whether the sender performs no control duties: it shuts down or cannot read the log.
     #[prost(bool, optional, tag = "8")]
     pub draining: Option<bool>,
+    /// Hosts that take no new work and on which the sender now has requests in flight.
+    #[prost(string, repeated, tag = "9")]
+    pub busy: Vec<String>,
+    /// Hosts that are no longer busy.
+    #[prost(string, repeated, tag = "10")]
+    pub idle: Vec<String>,
 }
 
 /// Asks for log entries from an offset on.
--- a/crates/platform/src/hosts/host_list.rs
+++ b/crates/platform/src/hosts/host_list.rs
@@ -1,8 +1,8 @@
 use super::HostsReply;
 
-/// The list could not be read.
+/// The platform did not answer about its hosts.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
-#[error("the list of hosts cannot be read: {0}")]
+#[error("the platform did not answer about its hosts: {0}")]
 pub struct ListError(pub String);
 
 /// The lagging list of live and leaving hosts.
--- a/crates/platform/src/hosts/host_row.rs
+++ b/crates/platform/src/hosts/host_row.rs
@@ -33,7 +33,7 @@
     pub incarnation: Incarnation,
     /// Memory of the host in MiB.
     #[serde(default)]
-    pub memory_mib: u64,
+    pub memory_mib: u32,
     /// Name of the host.
     pub name: HostName,
     /// Rack of the host.
--- a/crates/platform/src/hosts/http_hosts.rs
+++ b/crates/platform/src/hosts/http_hosts.rs
@@ -1,8 +1,8 @@
 use {
-    super::{HostList, HostsReply, ListError},
-    crate::http::{CallFailure, HttpCaller},
+    super::{HostControl, HostList, HostsReply, ListError},
+    crate::http::{CallFailure, HttpCaller, HttpReply},
     bytes::Bytes,
-    goldcreststall_core::ids::Millis,
+    goldcreststall_core::ids::{HostName, Incarnation, Millis},
     http::{Method, StatusCode},
     std::net::SocketAddr,
 };
@@ -25,18 +25,31 @@
     }
 }
 
-#[async_trait::async_trait]
-impl HostList for HttpHosts {
-    async fn hosts(&self) -> Result<HostsReply, ListError> {
-        let reply = self
-            .caller
-            .call(Method::GET, "/hosts", Bytes::new(), LIST_TIMEOUT);
+impl HttpHosts {
+    async fn call(&self, method: Method, path: &str) -> Result<HttpReply, ListError> {
+        let reply = self.caller.call(method, path, Bytes::new(), LIST_TIMEOUT);
         let reply = reply.await.map_err(|failure| match failure {
             CallFailure::NotSent(reason) | CallFailure::Unconfirmed(reason) => ListError(reason),
         })?;
         if reply.status != StatusCode::OK {
             return Err(ListError(format!("status {}", reply.status.as_u16())));
         }
+        Ok(reply)
+    }
+}
+
+#[async_trait::async_trait]
+impl HostList for HttpHosts {
+    async fn hosts(&self) -> Result<HostsReply, ListError> {
+        let reply = self.call(Method::GET, "/hosts").await?;
         serde_json::from_slice(&reply.body).map_err(|error| ListError(error.to_string()))
     }
 }
+
+#[async_trait::async_trait]
+impl HostControl for HttpHosts {
+    async fn reboot(&self, host: &HostName, incarnation: Incarnation) -> Result<(), ListError> {
+        let path = format!("/hosts/{host}/reboot/{incarnation}");
+        self.call(Method::POST, &path).await.map(|_| ())
+    }
+}
--- a/crates/platform/src/hosts/mod.rs
+++ b/crates/platform/src/hosts/mod.rs
@@ -1,10 +1,12 @@
 //! The lagging list of live and leaving hosts.
 
+mod host_control;
 mod host_list;
 mod host_row;
 mod http_hosts;
 
 pub use {
+    host_control::HostControl,
     host_list::{HostList, ListError},
     host_row::{HostRow, HostStatus, HostsReply},
     http_hosts::HttpHosts,
--- a/crates/standins/src/hosts/hosts_handler.rs
+++ b/crates/standins/src/hosts/hosts_handler.rs
@@ -12,6 +12,9 @@
     std::time::Duration,
 };
 
+/// How long a reboot takes.
+const REBOOT_TIME: Millis = Millis(500);
+
 /// A state of the list and when it began.
 #[derive(Debug)]
 struct ListVersion {
@@ -74,6 +77,37 @@
         status(StatusCode::OK, "")
     }
 
+    /// Takes a host out of the list and puts it back later as a newer run.
+    fn reboot(&self, path: &str) -> Reply {
+        let mut parts = path.split('/').skip(2);
+        let (name, incarnation) = (parts.next(), parts.nth(1));
+        let incarnation: u64 = incarnation
+            .and_then(|text| text.parse().ok())
+            .unwrap_or_default();
+        let mut versions = self.versions.lock();
+        let mut hosts = versions
+            .last()
+            .map_or(Vec::new(), |last| last.hosts.clone());
+        let matches =
+            |host: &HostRow| Some(host.name.as_str()) == name && host.incarnation.0 == incarnation;
+        let Some(index) = hosts.iter().position(matches) else {
+            return status(StatusCode::OK, "another run");
+        };
+        let mut row = hosts.remove(index);
+        row.incarnation.0 += 1;
+        let now = crate::log::platform_time();
+        versions.push(ListVersion {
+            hosts: hosts.clone(),
+            since: now,
+        });
+        hosts.push(row);
+        versions.push(ListVersion {
+            hosts,
+            since: now + REBOOT_TIME,
+        });
+        status(StatusCode::OK, "")
+    }
+
     fn set_faults(&self, body: &[u8]) -> Reply {
         match serde_json::from_slice(body) {
             Ok(faults) => {
@@ -104,6 +138,7 @@
             (&Method::GET, "/hosts") => self.get().await,
             (&Method::POST, "/hosts") => self.put(&body),
             (&Method::POST, "/hosts/faults") => self.set_faults(&body),
+            (&Method::POST, _) => self.reboot(path),
             (&Method::DELETE, _) => {
                 let name = path.rsplit('/').next().unwrap_or_default();
                 self.change(|hosts| hosts.retain(|host| host.name.as_str() != name));
