Test and document the command line, and name missing values

Cause: the command line had no tests and no page; a missing value was reported as "no value is not accepted", an option without its value took the next option for it, and an integer beyond 64 bits hid the other mistakes of a configuration. Ruled out: reporting only the last entry host that failed, because the operator then cannot see why the first one was passed over; settling an open outcome by a later refusal, because that says nothing about the attempt whose answer was lost.

--- a/crates/cli/src/arguments/command_table.rs
+++ b/crates/cli/src/arguments/command_table.rs
@@ -80,18 +80,10 @@
     optional(
         "entry",
         "ADDRESS",
-        "IP address and port of an entry host; repeat it or separate several by commas. Environment: GOLDCRESTSTALL_ENTRY.",
-    ),
-    optional(
-        "operator",
-        "NAME",
-        "Your name in the audit trail. Environment: GOLDCRESTSTALL_OPERATOR.",
-    ),
-    optional(
-        "output",
-        "FORMAT",
-        "`table` (default) or `json`. Environment: GOLDCRESTSTALL_OUTPUT.",
+        "IP address and port of an entry host; several are separated by commas.",
     ),
+    optional("operator", "NAME", "Your name in the audit trail."),
+    optional("output", "FORMAT", "`table` (default) or `json`."),
     optional(
         "request-id",
         "UUID",
--- a/crates/cli/src/arguments/help_text.rs
+++ b/crates/cli/src/arguments/help_text.rs
@@ -5,8 +5,13 @@
 
 /// Name of the program.
 const PROGRAM: &str = "goldcreststall";
-/// What the exit codes mean.
-const EXIT_CODES: &str = "Exit codes:
+/// The environment and what the exit codes mean.
+const ENVIRONMENT: &str = "Environment, where an option is not given:
+  GOLDCRESTSTALL_ENTRY     --entry
+  GOLDCRESTSTALL_OPERATOR  --operator
+  GOLDCRESTSTALL_OUTPUT    --output
+
+Exit codes:
   0  done; a change is in force
   1  rejected: the change has no effect, or the configuration is not valid
   2  mistakes in arguments, settings or the request
@@ -33,7 +38,7 @@
 fn program_help() -> String {
     let specs: Vec<&CommandSpec> = COMMANDS.iter().collect();
     format!(
-        "Controls a fleet through its entry hosts.\n\nUsage: {PROGRAM} COMMAND [OPTIONS]\n\nCommands:\n{}\n{}\n{EXIT_CODES}",
+        "Controls a fleet through its entry hosts.\n\nUsage: {PROGRAM} COMMAND [OPTIONS]\n\nCommands:\n{}\n{}\n{ENVIRONMENT}",
         command_rows(&specs),
         option_rows("Options:", GLOBAL_OPTIONS),
     )
@@ -43,7 +48,7 @@
     let specs = COMMANDS.iter().filter(|spec| spec.group == group);
     let specs: Vec<&CommandSpec> = specs.collect();
     format!(
-        "Usage: {PROGRAM} {group} COMMAND [OPTIONS]\n\nCommands:\n{}\n{}\n{EXIT_CODES}",
+        "Usage: {PROGRAM} {group} COMMAND [OPTIONS]\n\nCommands:\n{}\n{}\n{ENVIRONMENT}",
         command_rows(&specs),
         option_rows("Options:", GLOBAL_OPTIONS),
     )
@@ -69,7 +74,7 @@
         );
     }
     text += &format!(
-        "\n{}\n{EXIT_CODES}",
+        "\n{}\n{ENVIRONMENT}",
         option_rows("Options:", GLOBAL_OPTIONS)
     );
     text
--- a/crates/cli/src/arguments/parsed_words.rs
+++ b/crates/cli/src/arguments/parsed_words.rs
@@ -5,7 +5,7 @@
     },
     goldcreststall_operators::FieldMistake,
     lexopt::{Arg, Parser},
-    std::ffi::OsString,
+    std::ffi::{OsStr, OsString},
 };
 
 /// The words of a command line, assigned to a command, before the values are checked.
@@ -98,7 +98,7 @@
             None => String::new(),
             // A value that is left out is reported as an empty one when the values are checked.
             Some(_) => {
-                let value = parser.value().unwrap_or_default();
+                let value = option_value(parser);
                 self.text(&field, value)
             }
         };
@@ -134,8 +134,7 @@
             return WordsResult::Unusable(self.mistakes);
         };
         let operands: Vec<String> = words.collect();
-        self.check_operands(spec, &operands);
-        self.check_options(spec);
+        self.check_extra(spec, &operands);
         let words = ParsedWords {
             operands,
             options: self.options,
@@ -144,33 +143,38 @@
         WordsResult::Command(words, self.mistakes)
     }
 
-    fn check_operands(&mut self, spec: &CommandSpec, operands: &[String]) {
-        for operand in spec.operands.iter().skip(operands.len()) {
-            if operand.required {
-                self.reject(operand.name, "", operand.help);
-            }
-        }
-        for extra in operands.iter().skip(spec.operands.len()) {
-            let allowed = format!("the operands in `{} --help`", spec.words());
-            self.reject("argument", extra, &allowed);
-        }
-    }
-
-    fn check_options(&mut self, spec: &CommandSpec) {
+    /// Rejects operands and options that the command does not take. Missing ones are reported when the
+    /// values are checked.
+    fn check_extra(&mut self, spec: &CommandSpec, operands: &[String]) {
         let known = |name: &str| {
             let mut options = spec.options.iter().chain(GLOBAL_OPTIONS);
             options.any(|option| option.name == name)
         };
+        for extra in operands.iter().skip(spec.operands.len()) {
+            let allowed = format!("the operands in `{} --help`", spec.words());
+            self.reject("argument", extra, &allowed);
+        }
         let given: Vec<&str> = self.options.iter().map(|(name, _)| *name).collect();
-        for name in given.iter().filter(|name| !known(name)) {
+        for name in given.into_iter().filter(|name| !known(name)) {
             let allowed = format!("the options in `{} --help`", spec.words());
             self.reject("option", &format!("--{name}"), &allowed);
         }
-        for option in spec.options.iter().filter(|option| option.required) {
-            if !given.contains(&option.name) {
-                self.reject(&format!("--{}", option.name), "", option.help);
-            }
-        }
+    }
+}
+
+/// Returns the value of an option, or an empty one when it is left out. No value starts with two dashes, so the
+/// name of the next option is not taken for a value.
+fn option_value(parser: &mut Parser) -> OsString {
+    if let Some(value) = parser.optional_value() {
+        return value;
+    }
+    let Some(mut words) = parser.try_raw_args() else {
+        return OsString::new();
+    };
+    let is_value = |word: &OsStr| !word.as_encoded_bytes().starts_with(b"--");
+    match words.peek() {
+        Some(word) if is_value(word) => words.next().unwrap_or_default(),
+        _ => OsString::new(),
     }
 }
 
--- a/crates/cli/src/calls/entry_calls.rs
+++ b/crates/cli/src/calls/entry_calls.rs
@@ -21,34 +21,45 @@
     pub(crate) limit: Duration,
 }
 
-/// What the attempts so far have told about a change.
+/// What the attempts so far have told.
 #[derive(Default)]
-struct ChangeAttempts {
-    /// The last error of an attempt that certainly made no change.
-    refused: Option<OperatorError>,
-    /// Why an attempt may have made the change. Once set, later refusals do not settle the outcome.
-    uncertain: Option<String>,
+struct Attempts {
+    /// The kind of the last failure.
+    kind: Option<OperatorErrorKind>,
+    /// Why each attempt failed.
+    lines: Vec<String>,
+    /// Whether an attempt may have made the change. Later refusals do not settle the outcome then.
+    uncertain: bool,
 }
 
-impl ChangeAttempts {
-    fn note(&mut self, error: OperatorError) {
-        match error.kind.row().not_done {
-            true => self.refused = Some(error),
-            false => self.uncertain = Some(error.to_string()),
-        }
+impl Attempts {
+    fn note(&mut self, address: SocketAddr, error: &OperatorError) {
+        self.note_line(address, &error.to_string());
+        self.kind = Some(error.kind);
+        self.uncertain |= !error.kind.row().not_done;
     }
 
-    fn finish(self) -> Result<ChangeOutcome, OperatorError> {
-        match (self.uncertain, self.refused) {
-            (Some(reason), _) => Ok(ChangeOutcome::NotConfirmed { reason }),
-            (None, Some(error)) => Err(error),
-            (None, None) => Err(no_entry()),
+    /// Notes a reason unless the same entry host gave it before.
+    fn note_line(&mut self, address: SocketAddr, reason: &str) {
+        let line = format!("{address}: {reason}");
+        if !self.lines.contains(&line) {
+            self.lines.push(line);
         }
     }
-}
 
-fn no_entry() -> OperatorError {
-    OperatorError::new(OperatorErrorKind::Unreachable, "no entry host is given")
+    fn error(self) -> OperatorError {
+        let kind = self.kind.unwrap_or(OperatorErrorKind::Unreachable);
+        OperatorError::new(kind, self.lines.join("\n"))
+    }
+
+    fn outcome(self) -> Result<ChangeOutcome, OperatorError> {
+        match self.uncertain {
+            true => Ok(ChangeOutcome::NotConfirmed {
+                reason: self.lines.join("\n"),
+            }),
+            false => Err(self.error()),
+        }
+    }
 }
 
 impl EntryCalls<'_> {
@@ -57,46 +68,46 @@
     where
         F: AsyncFn(&dyn OperatorBackend) -> Result<T, OperatorError>,
     {
-        let mut last = no_entry();
+        let mut attempts = Attempts::default();
         for address in self.entries {
             let result = match self.connector.connect(*address, self.limit).await {
                 Ok(backend) => call(backend.as_ref()).await,
                 Err(error) => Err(error),
             };
             match result {
-                Err(error) if error.kind.row().retryable => last = error,
+                Err(error) if error.kind.row().retryable => attempts.note(*address, &error),
                 result => return result,
             }
         }
-        Err(last)
+        Err(attempts.error())
     }
 
     /// Makes a change. As long as an attempt may have made it, the same order is sent again: with the same
     /// request id it has no second effect, and its answer settles the outcome.
     pub(crate) async fn change(&self, order: ChangeOrder) -> Result<ChangeOutcome, OperatorError> {
-        let mut attempts = ChangeAttempts::default();
+        let mut attempts = Attempts::default();
         for round in 0..CHANGE_ROUNDS {
-            if round > 0 {
-                tokio::time::sleep(ROUND_PAUSE * round).await;
-            }
+            tokio::time::sleep(ROUND_PAUSE * round).await;
             for address in self.entries {
                 match self.attempt(*address, order.clone()).await {
                     Ok(ChangeOutcome::NotConfirmed { reason }) => {
-                        attempts.uncertain = Some(reason);
+                        attempts.note_line(*address, &reason);
+                        attempts.uncertain = true;
                     }
                     Ok(outcome) => return Ok(outcome),
-                    Err(error) if error.kind.row().retryable => attempts.note(error),
-                    Err(error) => {
-                        attempts.note(error);
-                        return attempts.finish();
+                    Err(error) if error.kind.row().retryable => attempts.note(*address, &error),
+                    Err(error) if attempts.uncertain => {
+                        attempts.note(*address, &error);
+                        return attempts.outcome();
                     }
+                    Err(error) => return Err(error),
                 }
             }
-            if attempts.uncertain.is_none() {
+            if !attempts.uncertain {
                 break;
             }
         }
-        attempts.finish()
+        attempts.outcome()
     }
 
     async fn attempt(
--- a/crates/cli/src/commands/from_words.rs
+++ b/crates/cli/src/commands/from_words.rs
@@ -9,7 +9,6 @@
         AuditQuery, AuditRange, AuditSubject, HostQuery, JobQuery, JobSpec, JobState,
         OperatorChange, PageLimit, Urgency, WaveQuery,
     },
-    std::path::PathBuf,
 };
 
 /// Rows of a page when none are given.
@@ -23,7 +22,7 @@
         let (group, action) = check.command();
         match (group, action) {
             ("config", "validate") => {
-                let file = check.operand().map(PathBuf::from)?;
+                let file = check.operand_path()?;
                 Some(Self::ValidateConfig { file })
             }
             ("config", "publish") => publish(check),
@@ -60,10 +59,10 @@
 }
 
 fn publish(check: &mut ValueCheck) -> Option<Command> {
-    let file = check.operand().map(PathBuf::from);
-    let base = check.optional_number("base");
+    let file = check.operand_path();
+    let base = check.required_number("base");
     Some(Command::PublishConfig {
-        base: ConfigVersion(base??),
+        base: ConfigVersion(base?),
         file: file?,
     })
 }
--- a/crates/cli/src/commands/value_check.rs
+++ b/crates/cli/src/commands/value_check.rs
@@ -2,6 +2,7 @@
     crate::arguments::ParsedWords,
     goldcreststall_core::ids::{Incarnation, NameError, RecordId},
     goldcreststall_operators::{FieldMistake, SeenHost},
+    std::path::PathBuf,
     uuid::Uuid,
 };
 
@@ -12,8 +13,8 @@
 
 /// Checks the values of a command line and collects the mistakes, so that all are reported at once.
 ///
-/// The methods return `None` after they have recorded a mistake. Values that are left out although they are
-/// required were reported before and yield `None`, too.
+/// The methods return `None` after they have recorded a mistake. A required value that is left out is checked
+/// like an empty one.
 #[derive(Debug)]
 pub(crate) struct ValueCheck {
     mistakes: Vec<FieldMistake>,
@@ -59,24 +60,34 @@
     }
 
     /// Returns the first operand.
-    pub(crate) fn operand(&self) -> Option<String> {
+    fn operand(&self) -> Option<String> {
         self.words.operands.first().cloned()
     }
 
+    /// Returns the first operand as the path of a file.
+    pub(crate) fn operand_path(&mut self) -> Option<PathBuf> {
+        let path = self.operand().filter(|path| !path.is_empty());
+        if path.is_none() {
+            let field = self.operand_field();
+            self.reject(field, "", "the path of a file");
+        }
+        path.map(PathBuf::from)
+    }
+
     /// Returns the first operand as a name.
     pub(crate) fn operand_name<N>(&mut self) -> Option<N>
     where
         N: for<'a> TryFrom<&'a str, Error = NameError>,
     {
         let field = self.operand_field();
-        let value = self.operand()?;
+        let value = self.operand().unwrap_or_default();
         self.parse_name(field, &value)
     }
 
     /// Returns the first operand as an id.
     pub(crate) fn operand_id(&mut self) -> Option<RecordId> {
         let field = self.operand_field();
-        let value = self.operand()?;
+        let value = self.operand().unwrap_or_default();
         self.parse_id(field, &value)
     }
 
@@ -94,7 +105,7 @@
     where
         N: for<'a> TryFrom<&'a str, Error = NameError>,
     {
-        let value = self.option(option)?.to_owned();
+        let value = self.option(option).unwrap_or_default().to_owned();
         self.parse_name(&format!("--{option}"), &value)
     }
 
@@ -117,7 +128,7 @@
         self.parse_id(&format!("--{option}"), &value).map(Some)
     }
 
-    /// Returns an option as a number between `low` and `high`.
+    /// Returns an option as a number between `low` and `high`; without a default it must be given.
     pub(crate) fn number(
         &mut self,
         option: &str,
@@ -125,8 +136,9 @@
         low: u32,
         high: u32,
     ) -> Option<u32> {
-        let Some(value) = self.option(option).map(str::to_owned) else {
-            return default;
+        let value = match self.option(option) {
+            None if default.is_some() => return default,
+            value => value.unwrap_or_default().to_owned(),
         };
         let number = value
             .parse()
@@ -139,6 +151,12 @@
         number
     }
 
+    /// Returns an option as a number that must be given.
+    pub(crate) fn required_number(&mut self, option: &str) -> Option<u64> {
+        let value = self.option(option).unwrap_or_default().to_owned();
+        self.parse_number(&format!("--{option}"), &value)
+    }
+
     /// Returns an option as a number when it is given. The outer option is `None` after a mistake.
     pub(crate) fn optional_number(&mut self, option: &str) -> Option<Option<u64>> {
         let Some(value) = self.option(option).map(str::to_owned) else {
--- /dev/null
+++ b/crates/cli/tests/config_file.rs
@@ -0,0 +1,79 @@
+//! Guards against a configuration file that is checked only after it was sent.
+
+#[path = "../../operators/tests/fake/mod.rs"]
+mod fake;
+mod shell;
+
+use {
+    fake::FakeBackend,
+    goldcreststall_cli::ExitStatus,
+    goldcreststall_operators::OperatorChange,
+    shell::{FakeEntries, invocation, run_invocation, run_line},
+    std::fs,
+};
+
+/// The examples are valid, and no entry host is needed to see it.
+#[tokio::test]
+async fn examples() {
+    for name in ["ferrandi", "qasr"] {
+        let folder = env!("CARGO_MANIFEST_DIR");
+        let line = format!("config validate {folder}/../../docs/examples/{name}.toml");
+        let ended = run_invocation(invocation(&line), &FakeEntries(Vec::new())).await;
+        assert_eq!(ended.status, ExitStatus::Done, "{}", ended.errors);
+        assert!(
+            ended.output.starts_with("valid: 7 pools, 5 services,"),
+            "{}",
+            ended.output
+        );
+    }
+}
+
+/// All mistakes of a file are printed, one line each, and it is not published.
+#[tokio::test]
+async fn bad_file() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("fleet.toml");
+    fs::write(
+        &path,
+        "[[pools]]\nname = \"p\"\nmin_available = -1\nspare = 1\nfrob = 2\n",
+    )
+    .unwrap();
+    let expected = [
+        "pools[0].min_available: -1 is not accepted; allowed: a whole number from 0 to 100000",
+        "pools[0].spare: 1 is not accepted; allowed: true, false",
+        "pools[0].frob: 2 is not accepted; allowed: the fields min_available, name, reboot_limit_s, spare, survive",
+    ];
+    let backend = FakeBackend::default();
+    for command in ["validate", "publish --base 0"] {
+        let ended = run_line(&format!("config {command} {}", path.display()), &backend).await;
+        assert_eq!(ended.error_lines(), expected);
+        assert_eq!(
+            (ended.status, ended.output.as_str()),
+            (ExitStatus::Rejected, "")
+        );
+    }
+    assert_eq!(backend.arrived(), 0);
+}
+
+/// The document that is published is the file, byte for byte.
+#[tokio::test]
+async fn published_file() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("fleet.toml");
+    let text = "# Größe\n[[pools]]\nname = \"p\"\nmin_available = 1\n";
+    fs::write(&path, text).unwrap();
+    let backend = FakeBackend::default();
+    let ended = run_line(
+        &format!("config publish {} --base 0", path.display()),
+        &backend,
+    )
+    .await;
+    assert_eq!(ended.status, ExitStatus::Done, "{ended:?}");
+    let order = backend.fleet.lock().unwrap().effects.pop().unwrap();
+    let OperatorChange::PublishConfig { base, document } = order.change else {
+        panic!("{:?}", order.change);
+    };
+    assert_eq!((base.0, document.as_str()), (0, text));
+    let shown = run_line("config show", &backend).await;
+    assert_eq!(shown.output, format!("# version 1\n{text}"));
+}
--- /dev/null
+++ b/crates/cli/tests/exit_codes.rs
@@ -0,0 +1,101 @@
+//! Guards against an exit code that lets a script conclude too much.
+
+#[path = "../../operators/tests/fake/mod.rs"]
+mod fake;
+mod shell;
+
+use {
+    fake::{FakeBackend, Fault, id},
+    goldcreststall_cli::ExitStatus,
+    goldcreststall_operators::{OperatorError, OperatorErrorKind},
+    shell::{FakeEntries, invocation, run_invocation, run_line},
+    std::process::Command,
+};
+
+/// The codes are documented, so they are fixed.
+#[test]
+fn numbers() {
+    let codes = [
+        ExitStatus::Done,
+        ExitStatus::Rejected,
+        ExitStatus::Mistakes,
+        ExitStatus::NotFound,
+        ExitStatus::NotConfirmed,
+        ExitStatus::NotDone,
+        ExitStatus::Failed,
+    ];
+    assert_eq!(codes.map(|code| code as u8), [0, 1, 2, 3, 4, 5, 6]);
+}
+
+/// Each kind of error of a reading command yields its code.
+#[tokio::test]
+async fn failed_read() {
+    for (kind, status) in [
+        (OperatorErrorKind::AnswerLost, ExitStatus::NotDone),
+        (OperatorErrorKind::Draining, ExitStatus::NotDone),
+        (OperatorErrorKind::Incompatible, ExitStatus::Failed),
+        (OperatorErrorKind::Internal, ExitStatus::Failed),
+        (OperatorErrorKind::InvalidReply, ExitStatus::Failed),
+        (OperatorErrorKind::InvalidRequest, ExitStatus::Mistakes),
+        (OperatorErrorKind::NotFound, ExitStatus::NotFound),
+        (OperatorErrorKind::NotReady, ExitStatus::NotDone),
+        (OperatorErrorKind::StoreUnavailable, ExitStatus::NotDone),
+        (OperatorErrorKind::Unreachable, ExitStatus::NotDone),
+    ] {
+        let backend = FakeBackend::default();
+        backend.next_fault(Fault::Fails(OperatorError::new(kind, "as told")));
+        let ended = run_line("pool list", &backend).await;
+        assert_eq!(ended.status, status, "{kind:?}");
+        assert!(ended.errors.contains("as told"));
+    }
+}
+
+/// An id or name that does not exist has a code of its own.
+#[tokio::test]
+async fn not_found() {
+    let backend = FakeBackend::default();
+    for line in [
+        format!("job show {}", id(404)),
+        "audit host unknown".to_owned(),
+    ] {
+        assert_eq!(run_line(&line, &backend).await.status, ExitStatus::NotFound);
+    }
+}
+
+/// A change that was refused everywhere was certainly not made.
+#[tokio::test]
+async fn refused_change() {
+    let backend = FakeBackend::default();
+    let kind = OperatorErrorKind::StoreUnavailable;
+    backend.next_fault(Fault::Fails(OperatorError::new(kind, "the log is down")));
+    let entries = FakeEntries(vec![Some(backend.clone()), None]);
+    let line = "host drain h1 --operator kim --entry 10.0.0.1:1,10.0.0.2:1";
+    let ended = run_invocation(invocation(line), &entries).await;
+    assert_eq!(ended.status, ExitStatus::NotDone);
+    let expected = "not done: 10.0.0.1:1: the log is down\n10.0.0.2:1: no connection\n";
+    assert_eq!((ended.errors.as_str(), backend.effects()), (expected, 0));
+}
+
+/// The process reads its arguments and environment, and ends with the code of the run.
+#[test]
+fn whole_process() {
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/examples/qasr.toml");
+    let run = |format: &str| {
+        Command::new(env!("CARGO_BIN_EXE_goldcreststall"))
+            .args(["config", "validate", example])
+            .env_clear()
+            .env("GOLDCRESTSTALL_OUTPUT", format)
+            .output()
+            .unwrap()
+    };
+    let valid = run("json");
+    assert_eq!(valid.status.code(), Some(0));
+    assert!(valid.stdout.starts_with(b"{"));
+    let invalid = run("yaml");
+    assert_eq!(invalid.status.code(), Some(2));
+    assert!(
+        invalid
+            .stderr
+            .starts_with(b"GOLDCRESTSTALL_OUTPUT: \"yaml\"")
+    );
+}
--- a/crates/core/src/config/config_error.rs
+++ b/crates/core/src/config/config_error.rs
@@ -10,7 +10,8 @@
     pub allowed: String,
     /// Path of the field, for example `pools[2].min_available`, or a place such as `line 4`.
     pub field: String,
-    /// The rejected value as written in TOML; texts are quoted and long values are cut.
+    /// The rejected value as written in TOML; texts are quoted and long values are cut. Empty when a required
+    /// value is missing.
     pub value: String,
 }
 
@@ -44,7 +45,7 @@
         Self {
             allowed: allowed.to_owned(),
             field,
-            value: "no value".to_owned(),
+            value: String::new(),
         }
     }
 }
@@ -62,11 +63,18 @@
 
 impl fmt::Display for ConfigMistake {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            formatter,
-            "{}: {} is not accepted; allowed: {}",
-            self.field, self.value, self.allowed
-        )
+        let Self {
+            allowed,
+            field,
+            value,
+        } = self;
+        match value.as_str() {
+            "" => write!(formatter, "{field}: a value is missing; allowed: {allowed}"),
+            value => write!(
+                formatter,
+                "{field}: {value} is not accepted; allowed: {allowed}"
+            ),
+        }
     }
 }
 
--- a/crates/core/src/config/fleet_config.rs
+++ b/crates/core/src/config/fleet_config.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         ConfigError, ConfigMistake, LimitConfig, PoolConfig, RawConfig, ServiceConfig,
-        TenantConfig, config_check::ConfigCheck,
+        TenantConfig, config_check::ConfigCheck, long_integers::replace_long_integers,
     },
     crate::ids::{PoolName, ServiceName, TenantName},
     serde::{Deserialize, Serialize},
@@ -70,10 +70,11 @@
                 mistakes: vec![mistake],
             });
         }
-        let (table, errors) = DeTable::parse_recoverable(text);
+        let (mut table, errors) = DeTable::parse_recoverable(text);
         if !errors.is_empty() {
             return Err(syntax_error(text, &errors));
         }
+        replace_long_integers(table.get_mut());
         let raw = RawConfig::deserialize(Deserializer::from(table))
             .map_err(|error| syntax_error(text, &[error]))?;
         Self::try_from(raw)
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -5,6 +5,7 @@
 mod config_ledger;
 mod fleet_config;
 mod limit_config;
+mod long_integers;
 mod pool_config;
 mod raw_config;
 mod service_config;
--- a/crates/core/tests/config_mistakes.rs
+++ b/crates/core/tests/config_mistakes.rs
@@ -51,10 +51,10 @@
             "pools[1].colour: \"red\" {refused} the fields min_available, name, reboot_limit_s, spare, survive"
         ),
         format!("pools[2].name: \"spare\" {refused} a name that is used once"),
-        format!("pools[2].min_available: no value {refused} {budget}"),
+        format!("pools[2].min_available: a value is missing; allowed: {budget}"),
         format!("services[0].max_queue: 0 {refused} a whole number from 1 to 100000"),
         format!("services[0].slots: a list {refused} a whole number from 1 to 1024"),
-        format!("tenants[0].name: no value {refused} {name}"),
+        format!("tenants[0].name: a value is missing; allowed: {name}"),
         format!("tenants[0].weight: 0 {refused} a whole number from 1 to 1000"),
         format!("tenants[0].max_in_flight: -3 {refused} a whole number from 0 to 1000000"),
         format!("tenants[0].max_jobs: true {refused} a whole number from 0 to 1000000"),
@@ -103,3 +103,19 @@
     assert!(!found[0].contains('\n'));
     assert!(found[0].len() < 300, "{}", found[0]);
 }
+
+/// An integer that no number of the parser holds must not hide the other mistakes, nor pass as a name.
+#[test]
+fn long_integer() {
+    let long = "99999999999999999999";
+    let text = format!("[[tenants]]\nname = {long}\nweight = -{long}\nmax_jobs = -1");
+    let quota = "allowed: a whole number from 0 to 1000000";
+    let found = mistakes(&text);
+    assert_eq!(found.len(), 3, "{found:?}");
+    assert!(found[0].starts_with("tenants[0].name: \"99999999999999999999 (beyond 64 bits)\""));
+    assert!(found[1].starts_with("tenants[0].weight: \"-99999999999999999999 (beyond 64 bits)\""));
+    assert_eq!(
+        found[2],
+        format!("tenants[0].max_jobs: -1 is not accepted; {quota}")
+    );
+}
--- a/crates/operators/src/client/operator_client.rs
+++ b/crates/operators/src/client/operator_client.rs
@@ -26,7 +26,7 @@
     /// # Errors
     /// `Unreachable` when no connection can be opened; nothing was sent then.
     pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Self, OperatorError> {
-        let unreachable = |error: tonic::transport::Error| unreachable(address, &error);
+        let unreachable = |error: tonic::transport::Error| unreachable(&error);
         let endpoint = Endpoint::from_shared(format!("http://{address}"))
             .map_err(unreachable)?
             .connect_timeout(limit)
@@ -38,14 +38,14 @@
     }
 }
 
-fn unreachable(address: SocketAddr, error: &tonic::transport::Error) -> OperatorError {
+fn unreachable(error: &tonic::transport::Error) -> OperatorError {
     let mut cause: &dyn std::error::Error = error;
     while let Some(source) = cause.source() {
         cause = source;
     }
     OperatorError::new(
         OperatorErrorKind::Unreachable,
-        format!("no connection to {address}: {cause}"),
+        format!("no connection: {cause}"),
     )
 }
 
--- a/crates/operators/src/error/field_mistake.rs
+++ b/crates/operators/src/error/field_mistake.rs
@@ -16,12 +16,12 @@
 impl FieldMistake {
     /// Reports that `value` is not accepted. An empty value is reported as a missing one.
     pub fn new(field: &str, value: &str, allowed: &str) -> Self {
-        let quoted = match value {
-            "" => "no value".to_owned(),
-            value => quote(value),
+        let found = match value {
+            "" => "a value is missing".to_owned(),
+            value => format!("{} is not accepted", quote(value)),
         };
         Self {
-            description: format!("{quoted} is not accepted; allowed: {allowed}"),
+            description: format!("{found}; allowed: {allowed}"),
             field: field.to_owned(),
         }
     }
--- a/crates/operators/tests/field_mistakes.rs
+++ b/crates/operators/tests/field_mistakes.rs
@@ -27,9 +27,8 @@
     error.mistakes.iter().map(ToString::to_string).collect()
 }
 
-const NAME: &str =
-    "is not accepted; allowed: 1 to 63 of a-z, 0-9, '-' and '.', starting with a letter or digit";
-const ID: &str = "is not accepted; allowed: a UUID of version 7";
+const NAME: &str = "allowed: 1 to 63 of a-z, 0-9, '-' and '.', starting with a letter or digit";
+const ID: &str = "allowed: a UUID of version 7";
 
 /// A change without any field names each of them and does not reach the backend.
 #[tokio::test]
@@ -42,12 +41,12 @@
         .await
         .unwrap_err();
     let expected = [
-        "head.operator: no value is not accepted; allowed: 1 to 64 of a-z, A-Z, 0-9, '-', '.', '_' and '@', starting with a letter or digit".to_owned(),
-        format!("head.request_id: no value {ID}"),
-        format!("host: no value {NAME}"),
-        format!("pool: no value {NAME}"),
-        format!("data_centre: no value {NAME}"),
-        format!("rack: no value {NAME}"),
+        "head.operator: a value is missing; allowed: 1 to 64 of a-z, A-Z, 0-9, '-', '.', '_' and '@', starting with a letter or digit".to_owned(),
+        format!("head.request_id: a value is missing; {ID}"),
+        format!("host: a value is missing; {NAME}"),
+        format!("pool: a value is missing; {NAME}"),
+        format!("data_centre: a value is missing; {NAME}"),
+        format!("rack: a value is missing; {NAME}"),
     ];
     assert_eq!(lines(status), expected);
     assert_eq!(backend.arrived(), 0);
@@ -78,8 +77,8 @@
     };
     let status = client.submit_job(request).await.unwrap_err();
     let expected = [
-        format!("head.request_id: \"4c1c0a37-4c69-4f3f-a5a2-9a3a65a2a6b5\" {ID}"),
-        format!("spec.pool: \"Press\" {NAME}"),
+        format!("head.request_id: \"4c1c0a37-4c69-4f3f-a5a2-9a3a65a2a6b5\" is not accepted; {ID}"),
+        format!("spec.pool: \"Press\" is not accepted; {NAME}"),
         "spec.urgency: \"9\" is not accepted; allowed: urgent, normal, overnight".to_owned(),
         "spec.cores: \"0\" is not accepted; allowed: 1 to 4096".to_owned(),
         "spec.accelerators: \"5000\" is not accepted; allowed: 0 to 1024".to_owned(),
@@ -105,10 +104,10 @@
     };
     let status = client.list_jobs(request).await.unwrap_err();
     let expected = [
-        format!("pool: no value {NAME}"),
-        format!("tenant: \"A\" {NAME}"),
+        format!("pool: a value is missing; {NAME}"),
+        format!("tenant: \"A\" is not accepted; {NAME}"),
         "state: \"77\" is not accepted; allowed: queued, leased, done, quarantined, unknown, cancelled".to_owned(),
-        format!("after: \"x\" {ID}"),
+        format!("after: \"x\" is not accepted; {ID}"),
         "limit: \"1001\" is not accepted; allowed: 0 to 1000".to_owned(),
     ];
     assert_eq!(lines(status), expected);
