Split the sending of changes into short functions

Cause: the client's change method had more than a hundred lines. Ruled out: a macro over the requests, because their fields differ. Change: ChangeCall holds the client and the head of one call and has a function per request.

--- a/crates/operators/src/client/mod.rs
+++ b/crates/operators/src/client/mod.rs
@@ -1,5 +1,6 @@
 //! The gRPC client.
 
+mod change_call;
 mod operator_client;
 
 pub use operator_client::OperatorClient;
--- a/crates/operators/src/client/operator_client.rs
+++ b/crates/operators/src/client/operator_client.rs
@@ -1,8 +1,9 @@
 use {
+    super::change_call::ChangeCall,
     crate::{
         AuditPage, AuditQuery, AuditSubject, ChangeOrder, ChangeOutcome, ConfigReport, HostQuery,
-        HostReport, JobPage, JobQuery, JobReport, OperatorBackend, OperatorChange, OperatorError,
-        OperatorErrorKind, PoolReport, SeenHost, StatusReport, WaveQuery, WaveReport,
+        HostReport, JobPage, JobQuery, JobReport, OperatorBackend, OperatorError,
+        OperatorErrorKind, PoolReport, StatusReport, WaveQuery, WaveReport,
         generated::v1::{self as raw, operators_client::OperatorsClient},
         wire::config_mistake,
     },
@@ -54,115 +55,10 @@
     raw.into_iter().map(T::try_from).collect()
 }
 
-fn seen_host(seen: Option<SeenHost>) -> Option<raw::HostVersion> {
-    seen.map(raw::HostVersion::from)
-}
-
 #[async_trait]
 impl OperatorBackend for OperatorClient {
     async fn change(&self, order: ChangeOrder) -> Result<ChangeOutcome, OperatorError> {
-        let mut client = self.raw.clone();
-        let head = Some(raw::ChangeHead {
-            operator: order.operator.as_str().to_owned(),
-            request_id: order.request.to_string(),
-        });
-        let wave_request = |head, wave: RecordId, seen| raw::WaveRequest {
-            head,
-            seen,
-            wave: wave.to_string(),
-        };
-        let reply = match order.change {
-            OperatorChange::PublishConfig { base, document } => {
-                let request = raw::PublishConfigRequest {
-                    base_version: base.0,
-                    document,
-                    head,
-                };
-                client.publish_config(request).await?
-            }
-            OperatorChange::AddHost {
-                data_centre,
-                host,
-                pool,
-                rack,
-            } => {
-                let request = raw::AddHostRequest {
-                    data_centre: data_centre.into(),
-                    head,
-                    host: host.into(),
-                    pool: pool.into(),
-                    rack: rack.into(),
-                };
-                client.add_host(request).await?
-            }
-            OperatorChange::RemoveHost { host, seen } => {
-                let request = raw::RemoveHostRequest {
-                    head,
-                    host: host.into(),
-                    seen: seen_host(seen),
-                };
-                client.remove_host(request).await?
-            }
-            OperatorChange::DrainHost { host, seen } => {
-                let request = raw::DrainHostRequest {
-                    head,
-                    host: host.into(),
-                    seen: seen_host(seen),
-                };
-                client.drain_host(request).await?
-            }
-            OperatorChange::UndrainHost { host, seen } => {
-                let request = raw::UndrainHostRequest {
-                    head,
-                    host: host.into(),
-                    seen: seen_host(seen),
-                };
-                client.undrain_host(request).await?
-            }
-            OperatorChange::MoveHost { host, pool, seen } => {
-                let request = raw::MoveHostRequest {
-                    head,
-                    host: host.into(),
-                    pool: pool.into(),
-                    seen: seen_host(seen),
-                };
-                client.move_host(request).await?
-            }
-            OperatorChange::StartWave { max_stopping, pool } => {
-                let request = raw::StartWaveRequest {
-                    head,
-                    max_stopping,
-                    pool: pool.into(),
-                };
-                client.start_wave(request).await?
-            }
-            OperatorChange::PauseWave { seen, wave } => {
-                client.pause_wave(wave_request(head, wave, seen)).await?
-            }
-            OperatorChange::ResumeWave { seen, wave } => {
-                client.resume_wave(wave_request(head, wave, seen)).await?
-            }
-            OperatorChange::CancelWave { seen, wave } => {
-                client.cancel_wave(wave_request(head, wave, seen)).await?
-            }
-            OperatorChange::SubmitJob { spec } => {
-                let spec = Some(spec.into());
-                client
-                    .submit_job(raw::SubmitJobRequest { head, spec })
-                    .await?
-            }
-            OperatorChange::CancelJob { job } => {
-                let job = job.to_string();
-                client
-                    .cancel_job(raw::CancelJobRequest { head, job })
-                    .await?
-            }
-            OperatorChange::ReadmitWorker { worker } => {
-                let worker = worker.into();
-                let request = raw::ReadmitWorkerRequest { head, worker };
-                client.readmit_worker(request).await?
-            }
-        };
+        let reply = ChangeCall::send(self.raw.clone(), order).await?;
         reply.into_inner().try_into()
     }
 
