Bound the spread of leaving marks and test the peer decisions

Cause: with a quarter of all frames lost a mark took up to 1.15 s to reach six peers, and the digest that names all services held back changes of demand for 7.8 s at 42 entry hosts with 48 services. Ruled out: a limit on the debt of every digest, because a flood then sent 10722 B/s instead of 7972.

--- a/crates/peers/src/decisions/digest_pacer.rs
+++ b/crates/peers/src/decisions/digest_pacer.rs
@@ -13,6 +13,8 @@
 /// so half of it is left for sending.
 pub const NODE_BUDGET_BYTES: u32 = 4_000;
 
+/// Digests after an urgent one that are sent at every interval, so that its loss is noticed at once.
+const URGENT_REPEATS: u32 = 3;
 /// A timer fires late by some milliseconds; a digest that is due within this time is sent at once.
 const TIMER_TOLERANCE: Millis = Millis(100);
 /// Thousandths of a byte in a byte; the budget accrues in them by the millisecond.
@@ -40,6 +42,7 @@
     credited: LocalTime,
     /// Bytes per second.
     rate: u32,
+    repeats: u32,
     sent: Option<LocalTime>,
 }
 
@@ -52,6 +55,7 @@
             credit: full_credit(rate),
             credited: now,
             rate,
+            repeats: 0,
             sent: None,
         }
     }
@@ -60,9 +64,14 @@
     pub fn plan(&mut self, now: LocalTime, change: DigestChange) -> Pace {
         self.accrue(now);
         let Some(sent) = self.sent else {
+            self.repeats = URGENT_REPEATS;
             return Pace::Full;
         };
-        let due = now.since(sent).0 + TIMER_TOLERANCE.0 >= IDLE_INTERVAL.0;
+        let due = self.repeats > 0 || now.since(sent).0 + TIMER_TOLERANCE.0 >= IDLE_INTERVAL.0;
+        self.repeats = match change {
+            DigestChange::Urgent => URGENT_REPEATS,
+            _ => self.repeats.saturating_sub(1),
+        };
         let affordable = self.credit > 0;
         match change {
             DigestChange::Minor if !due => Pace::Skip,
@@ -74,9 +83,14 @@
 
     /// Charges a digest that was sent at `now`.
     pub fn charge(&mut self, now: LocalTime, bytes: usize) {
-        self.sent = Some(now);
-        let cost = i64::try_from(bytes as u64 * PER_BYTE).unwrap_or(i64::MAX);
+        let mut cost = i64::try_from(bytes as u64 * PER_BYTE).unwrap_or(i64::MAX);
+        if self.sent.is_none() {
+            // The first digest of a connection names every service. Charged in full it would hold back
+            // changes of demand for 8 s at 42 entry hosts.
+            cost = cost.min(full_credit(self.rate));
+        }
         self.credit = self.credit.saturating_sub(cost);
+        self.sent = Some(now);
     }
 
     fn accrue(&mut self, now: LocalTime) {
--- a/crates/peers/src/wire/digest_encoder.rs
+++ b/crates/peers/src/wire/digest_encoder.rs
@@ -27,10 +27,11 @@
 /// Encodes digests for one connection as changes to what was told on it.
 ///
 /// # Bytes
-/// A frame has 3 bytes of length and 4 of message tags. On them come 2 to 4 bytes of number, up to 6 of
-/// offset when it moved, 2 to 4 for each service whose demand changed, and about 12 plus the name for
-/// each mark that changed. Names of services, the log and the sender cross a connection once. The
-/// example `digest_bytes` prints the figures.
+/// A frame has 3 bytes of length and 4 of message tags. On them come 1 to 3 bytes of number, up to 6 of
+/// offset when it moved, 2 to 4 for each service whose demand changed, and about 16 plus the name for
+/// each mark that changed. Names of services, the log and the sender cross a connection once. A quiet
+/// digest has 8 or 9 bytes, one in which 48 services changed has 145. The example `digest_bytes` prints
+/// the figures.
 #[derive(Debug, Default)]
 pub struct DigestEncoder {
     next_number: u64,
--- /dev/null
+++ b/crates/peers/tests/entry_relay.rs
@@ -0,0 +1,206 @@
+//! Guards against log entries that a lagging entry host passes over or never gets.
+
+mod support;
+
+use {
+    goldcreststall_core::{
+        ids::{EntryName, LocalTime, Millis},
+        ledger::{LogIdentity, LogOffset},
+    },
+    goldcreststall_peers::{
+        decisions::{
+            ANSWER_BYTES, CatchUp, CatchUpStep, EntryRelay, PEER_REST, RELAY_BYTES, RelayPush,
+            STALL_LIMIT,
+        },
+        wire::{
+            EntriesAnswer, FetchEntries, Frame, LogPosition, MAX_ENTRY_BYTES, RawEntries, WireError,
+        },
+    },
+    proptest::prelude::*,
+    std::time::Duration,
+    support::{LOG, Network, at, config, entry, log_entry, start_hosts},
+    tokio::time::sleep,
+};
+
+fn relay(sizes: &[usize]) -> EntryRelay {
+    let mut relay = EntryRelay::new(LOG, LogOffset(0));
+    for (offset, size) in (0..).zip(sizes) {
+        relay.push(LOG, log_entry(offset, *size));
+    }
+    relay
+}
+
+fn fetch(from: u64) -> FetchEntries {
+    FetchEntries {
+        from: LogOffset(from),
+        log: LOG,
+    }
+}
+
+proptest! {
+    #![proptest_config(config(64, 54))]
+
+    /// A peer that fetches until nothing is left gets every entry once and in order, or learns that
+    /// the offset is gone; the tail stays within its bound.
+    #[test]
+    fn no_entry_skipped(sizes in prop::collection::vec(0..300_000_usize, 1..60), from in 0..60_u64) {
+        let relay = relay(&sizes);
+        prop_assert!(relay.bytes() <= RELAY_BYTES);
+        let mut next = from;
+        loop {
+            match relay.answer(fetch(next)) {
+                EntriesAnswer::Gone { first, .. } => {
+                    prop_assert!(next == from && LogOffset(from) < first);
+                    prop_assert_eq!(first, relay.first());
+                    return Ok(());
+                }
+                EntriesAnswer::Entries { entries, .. } if entries.is_empty() => break,
+                EntriesAnswer::Entries { entries, .. } => {
+                    let total: usize = entries.iter().map(|entry| entry.bytes.len()).sum();
+                    prop_assert!(entries.len() == 1 || total <= ANSWER_BYTES);
+                    for entry in entries {
+                        prop_assert_eq!(entry.offset, LogOffset(next));
+                        prop_assert_eq!(entry.bytes.len(), sizes[next as usize]);
+                        next += 1;
+                    }
+                }
+                EntriesAnswer::OtherLog => prop_assert!(false, "the log is the same"),
+            }
+        }
+        prop_assert_eq!(next, (sizes.len() as u64).max(from));
+    }
+}
+
+/// After a gap, entries from before it would be served as if they were consecutive.
+#[test]
+fn gap_restarts() {
+    let mut relay = relay(&[10, 10, 10]);
+    assert_eq!(relay.push(LOG, log_entry(1, 10)), RelayPush::Known);
+    assert_eq!(relay.push(LOG, log_entry(5, 10)), RelayPush::Restarted);
+    let gone = EntriesAnswer::Gone {
+        first: LogOffset(5),
+        log: LOG,
+    };
+    assert_eq!(relay.answer(fetch(2)), gone);
+}
+
+/// Offsets of another log mean other entries.
+#[test]
+fn other_log() {
+    let mut relay = relay(&[10, 10]);
+    let other = FetchEntries {
+        log: LogIdentity(8),
+        ..fetch(1)
+    };
+    assert_eq!(relay.answer(other), EntriesAnswer::OtherLog);
+    assert_eq!(
+        relay.push(LogIdentity(8), log_entry(2, 10)),
+        RelayPush::Restarted
+    );
+    assert_eq!(relay.answer(fetch(1)), EntriesAnswer::OtherLog);
+}
+
+/// The largest entry that is kept must fit a frame, and a larger one must not be skipped silently.
+#[test]
+fn large_entry() {
+    let mut relay = relay(&[MAX_ENTRY_BYTES]);
+    let answer = relay.answer(fetch(0));
+    let frame = Frame::Entries(answer.clone()).encode();
+    assert!(frame.len() <= goldcreststall_peers::wire::MAX_FRAME_BYTES);
+    assert_eq!(
+        Frame::decode(frame.as_ref().into()),
+        Ok(Frame::Entries(answer))
+    );
+    assert_eq!(
+        relay.push(LOG, log_entry(1, MAX_ENTRY_BYTES + 1)),
+        RelayPush::TooLarge
+    );
+    assert!(matches!(relay.answer(fetch(1)), EntriesAnswer::Gone { .. }));
+}
+
+/// Offsets that wrap around would pass for old ones.
+#[test]
+fn wrapping_offset() {
+    let raw = RawEntries {
+        entries: vec![Default::default()],
+        first: u64::MAX,
+        ..RawEntries::default()
+    };
+    let result = EntriesAnswer::try_from(raw);
+    assert!(
+        matches!(result, Err(WireError::OutOfRange { .. })),
+        "{result:?}"
+    );
+}
+
+fn ahead(names: &[&str]) -> Vec<(EntryName, LogPosition)> {
+    names.iter().map(|name| (entry(name), at(20))).collect()
+}
+
+/// A host that reads the log must not load its peers, and one that is stuck must not wait for ever.
+#[test]
+fn stalled_host() {
+    let mut catch_up = CatchUp::default();
+    let peers = ahead(&["e1"]);
+    let start = LocalTime(0);
+    assert_eq!(catch_up.plan(start, at(5), &peers, 0), CatchUpStep::Wait);
+    let moved = start + Millis(900);
+    assert_eq!(catch_up.plan(moved, at(6), &peers, 0), CatchUpStep::Wait);
+    let early = start + STALL_LIMIT;
+    assert_eq!(catch_up.plan(early, at(6), &peers, 0), CatchUpStep::Wait);
+    let late = moved + STALL_LIMIT;
+    let step = |from| CatchUpStep::Fetch {
+        fetch: fetch(from),
+        peer: entry("e1"),
+    };
+    assert_eq!(catch_up.plan(late, at(6), &peers, 0), step(6));
+    catch_up.fetched(at(12));
+    assert_eq!(catch_up.plan(late, at(12), &peers, 0), step(12));
+    let other = LogPosition {
+        log: LogIdentity(8),
+        ..at(30)
+    };
+    let foreign = [(entry("e1"), other)];
+    assert_eq!(catch_up.plan(late, at(12), &foreign, 0), CatchUpStep::Wait);
+}
+
+/// A peer that dropped the entries must not be asked in a loop while another one may have them.
+#[test]
+fn dropped_entries() {
+    let mut catch_up = CatchUp::default();
+    let peers = ahead(&["e1", "e2"]);
+    catch_up.plan(LocalTime(0), at(5), &peers, 0);
+    let now = LocalTime(0) + STALL_LIMIT;
+    let gone = EntriesAnswer::Gone {
+        first: LogOffset(9),
+        log: LOG,
+    };
+    catch_up.answered(now, &entry("e1"), Some(&gone));
+    for random in 0..4 {
+        let step = catch_up.plan(now, at(5), &peers, random);
+        assert!(matches!(step, CatchUpStep::Fetch { peer, .. } if peer == entry("e2")));
+    }
+    catch_up.answered(now, &entry("e2"), None);
+    assert_eq!(catch_up.plan(now, at(5), &peers, 0), CatchUpStep::Wait);
+    catch_up.answered(now, &entry("e2"), Some(&gone));
+    let step = catch_up.plan(now, at(5), &peers, 0);
+    assert!(matches!(step, CatchUpStep::TakeState { .. }), "{step:?}");
+    let rested = now + PEER_REST;
+    let step = catch_up.plan(rested, at(5), &peers, 0);
+    assert!(matches!(step, CatchUpStep::Fetch { .. }), "{step:?}");
+}
+
+/// Entries must arrive over a connection as they were put into the tail.
+#[tokio::test(start_paused = true)]
+async fn over_connection() {
+    let network = Network::new(4);
+    let hosts = start_hosts(&network, 2);
+    hosts[1].handler.memory.lock().unwrap().relay = relay(&[300_000, 10, 10]);
+    sleep(Duration::from_secs(1)).await;
+    let answer = hosts[0].mesh.fetch_entries(&entry("e2"), fetch(1)).await;
+    let entries = vec![log_entry(1, 10), log_entry(2, 10)];
+    assert_eq!(
+        answer.unwrap(),
+        EntriesAnswer::Entries { entries, log: LOG }
+    );
+}
--- /dev/null
+++ b/crates/peers/tests/leaving_marks.rs
@@ -0,0 +1,180 @@
+//! Guards against a leaving mark that gets lost or never ends.
+
+mod support;
+
+use {
+    goldcreststall_core::{
+        ids::{Incarnation, LogTime},
+        ledger::LogOffset,
+    },
+    goldcreststall_peers::decisions::{LeavingMarks, MarkResult},
+    proptest::prelude::*,
+    support::{config, host, mark},
+};
+
+const HOSTS: usize = 4;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Observe(usize),
+    Reactivate,
+    Fold(usize),
+    Tell(usize, usize),
+    Restart(usize),
+}
+
+/// Entry hosts that fold one log at their own pace and tell each other their marks.
+#[derive(Default)]
+struct Gossip {
+    /// Whether each ledger entry makes the target active again.
+    entries: Vec<bool>,
+    latest_basis: Option<u64>,
+    marks: [LeavingMarks; HOSTS],
+    next: [usize; HOSTS],
+}
+
+impl Gossip {
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Observe(at) => {
+                let basis = self.next[at] as u64;
+                self.latest_basis = self.latest_basis.max(Some(basis));
+                self.marks[at].mark(mark("t1", 1, basis));
+            }
+            Step::Reactivate => self.entries.push(true),
+            Step::Fold(at) => self.fold(at),
+            Step::Tell(from, to) => {
+                for mark in self.marks[from].marks() {
+                    self.marks[to].mark(mark);
+                }
+            }
+            Step::Restart(at) => {
+                self.marks[at] = LeavingMarks::default();
+                let folded = &self.entries[..self.next[at]];
+                if let Some(offset) = folded.iter().rposition(|entry| *entry) {
+                    self.reactivate(at, offset);
+                }
+            }
+        }
+    }
+
+    fn fold(&mut self, at: usize) {
+        let offset = self.next[at];
+        if offset < self.entries.len() {
+            self.next[at] += 1;
+            self.reactivate(at, offset);
+        }
+    }
+
+    fn reactivate(&mut self, at: usize, offset: usize) {
+        let offset = offset as u64;
+        self.marks[at].log_reactivates(
+            &host("t1"),
+            Incarnation(1),
+            LogOffset(offset),
+            LogTime(offset),
+        );
+    }
+
+    /// Lets every host read the whole log and tell all others.
+    fn settle(&mut self) {
+        for at in 0..HOSTS {
+            while self.next[at] < self.entries.len() {
+                self.fold(at);
+            }
+        }
+        for from in (0..HOSTS).chain(0..HOSTS) {
+            for to in 0..HOSTS {
+                self.step(Step::Tell(from, to));
+            }
+        }
+    }
+
+    fn is_leaving(&self, at: usize) -> bool {
+        self.marks[at].is_leaving(&host("t1"), Incarnation(1))
+    }
+}
+
+fn steps(restarts: bool) -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        2 => (0..HOSTS).prop_map(Step::Observe),
+        1 => Just(Step::Reactivate),
+        4 => (0..HOSTS).prop_map(Step::Fold),
+        6 => (0..HOSTS, 0..HOSTS).prop_map(|(from, to)| Step::Tell(from, to)),
+        u32::from(restarts) => (0..HOSTS).prop_map(Step::Restart),
+    ];
+    prop::collection::vec(step, 1..60)
+}
+
+proptest! {
+    #![proptest_config(config(512, 53))]
+
+    /// A mark that the log overruled must not be passed around for ever, even by hosts that lag or
+    /// were restarted.
+    #[test]
+    fn mark_ends(steps in steps(true)) {
+        let mut gossip = Gossip::default();
+        steps.into_iter().for_each(|step| gossip.step(step));
+        gossip.settle();
+        let last = gossip.entries.iter().rposition(|entry| *entry).map(|offset| offset as u64);
+        let stands = gossip.latest_basis > last;
+        for at in 0..HOSTS {
+            prop_assert!(stands || !gossip.is_leaving(at), "host {at} keeps an overruled mark");
+        }
+    }
+
+    /// A mark that nothing overruled must reach every host.
+    #[test]
+    fn mark_spreads(steps in steps(false)) {
+        let mut gossip = Gossip::default();
+        steps.into_iter().for_each(|step| gossip.step(step));
+        gossip.settle();
+        let last = gossip.entries.iter().rposition(|entry| *entry).map(|offset| offset as u64);
+        for at in 0..HOSTS {
+            prop_assert_eq!(gossip.is_leaving(at), gossip.latest_basis > last, "host {}", at);
+        }
+    }
+}
+
+/// A replaced host under the same name must get work, and no peer may mark its earlier run again.
+#[test]
+fn newer_run() {
+    let mut marks = LeavingMarks::default();
+    assert_eq!(marks.mark(mark("t1", 1, 5)), MarkResult::Marked);
+    marks.list_shows(&host("t1"), Incarnation(1));
+    assert!(marks.is_leaving(&host("t1"), Incarnation(1)));
+    marks.list_shows(&host("t1"), Incarnation(2));
+    assert!(!marks.is_leaving(&host("t1"), Incarnation(2)));
+    assert_eq!(marks.mark(mark("t1", 1, 9)), MarkResult::Overruled);
+    assert_eq!(marks.marks(), []);
+}
+
+/// A list that lags must neither bring an earlier run back nor mark a host that the log made active.
+#[test]
+fn lagging_list() {
+    let mut marks = LeavingMarks::default();
+    marks.list_shows(&host("t1"), Incarnation(2));
+    marks.list_shows(&host("t1"), Incarnation(1));
+    assert_eq!(marks.mark(mark("t1", 1, 1)), MarkResult::Overruled);
+    marks.log_reactivates(&host("t1"), Incarnation(2), LogOffset(10), LogTime(1_000));
+    let seen = mark("t1", 2, 11);
+    assert_eq!(
+        marks.mark_from_list(seen.clone(), LogTime(900)),
+        MarkResult::Overruled
+    );
+    assert_eq!(
+        marks.mark_from_list(seen, LogTime(1_100)),
+        MarkResult::Marked
+    );
+}
+
+/// A mark that was observed again after the reactivation must not have a gap when that entry is read.
+#[test]
+fn repeated_observation() {
+    let mut marks = LeavingMarks::default();
+    marks.mark(mark("t1", 1, 5));
+    assert_eq!(marks.mark(mark("t1", 1, 12)), MarkResult::Known);
+    assert_eq!(marks.marks(), [mark("t1", 1, 5)]);
+    marks.log_reactivates(&host("t1"), Incarnation(1), LogOffset(10), LogTime(0));
+    assert_eq!(marks.marks(), [mark("t1", 1, 12)]);
+}
--- /dev/null
+++ b/crates/peers/tests/mesh_faults.rs
@@ -0,0 +1,248 @@
+//! Guards against one faulty peer or connection that disturbs the others.
+
+mod support;
+
+use {
+    bytes::Bytes,
+    goldcreststall_core::ids::Incarnation,
+    goldcreststall_peers::{
+        mesh::{MeshSettings, PeerAddress, PeerMesh, SettingError, TcpDialer},
+        wire::{Frame, Hello, RawDigest, frame_codec},
+    },
+    std::{sync::Arc, time::Duration},
+    support::{
+        LinkFault, Network, TestHandler, entry, host_names, quiet_logger, run_of, start_host,
+        start_hosts,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt, duplex},
+        net::TcpListener,
+        time::{sleep, timeout},
+    },
+    tokio_util::{codec::Encoder, sync::CancellationToken},
+};
+
+fn framed(frame: Frame) -> Vec<u8> {
+    let mut bytes = bytes::BytesMut::new();
+    frame_codec().encode(frame.encode(), &mut bytes).unwrap();
+    bytes.to_vec()
+}
+
+fn hello(from: &str, to: &str) -> Vec<u8> {
+    framed(Frame::Hello(Hello {
+        first_sequence: 0,
+        from: run_of(from, 1),
+        to: entry(to),
+    }))
+}
+
+/// Sends bytes to the only host of a test and tells whether it closes the connection within a second.
+async fn is_closed_after(bytes: Vec<u8>) -> bool {
+    let network = Network::new(5);
+    let names = host_names(2);
+    let host = start_host(&network, run_of("e1", 1), &names);
+    let (mut near, far) = duplex(1024);
+    host.mesh.accept(far);
+    near.write_all(&bytes).await.unwrap();
+    let mut rest = Vec::new();
+    let end = timeout(Duration::from_secs(1), near.read_to_end(&mut rest)).await;
+    end.is_ok()
+}
+
+/// A connection that breaks the protocol must end, and one that follows it must not.
+#[tokio::test(start_paused = true)]
+async fn broken_protocol() {
+    let digest = |number| {
+        framed(Frame::Digest(RawDigest {
+            number,
+            ..RawDigest::default()
+        }))
+    };
+    let good = [hello("e2", "e1"), digest(0), digest(1)].concat();
+    assert!(!is_closed_after(good).await);
+    let cases = [
+        ("garbage", vec![0, 0, 4, 9, 9, 9, 9]),
+        (
+            "long frame",
+            [hello("e2", "e1"), vec![255, 255, 255]].concat(),
+        ),
+        ("no hello", digest(0)),
+        (
+            "second hello",
+            [hello("e2", "e1"), hello("e2", "e1")].concat(),
+        ),
+        ("gap", [hello("e2", "e1"), digest(0), digest(2)].concat()),
+        ("unknown peer", hello("e9", "e1")),
+        ("other receiver", hello("e2", "e3")),
+        (
+            "answer",
+            [hello("e2", "e1"), framed(Frame::State(None))].concat(),
+        ),
+    ];
+    for (name, bytes) in cases {
+        assert!(is_closed_after(bytes).await, "{name} was accepted");
+    }
+}
+
+/// A frame that is cut short must not be taken for a whole one.
+#[tokio::test(start_paused = true)]
+async fn cut_frame() {
+    let network = Network::new(6);
+    let host = start_host(&network, run_of("e1", 1), &host_names(2));
+    let (mut near, far) = duplex(1024);
+    host.mesh.accept(far);
+    let digest = framed(Frame::Digest(RawDigest {
+        demand: vec![0, 5],
+        services: vec!["proof".to_owned()],
+        ..RawDigest::default()
+    }));
+    let bytes = [hello("e2", "e1"), digest].concat();
+    near.write_all(&bytes[..bytes.len() - 1]).await.unwrap();
+    near.shutdown().await.unwrap();
+    sleep(Duration::from_secs(1)).await;
+    assert!(host.handler.memory.lock().unwrap().received.is_empty());
+}
+
+/// A peer that stops reading must not delay digests to the others.
+#[tokio::test(start_paused = true)]
+async fn frozen_peer() {
+    let network = Network::new(7);
+    network.set_fault("e3", LinkFault::Freeze(64));
+    let hosts = start_hosts(&network, 3);
+    for second in 1..20 {
+        sleep(Duration::from_secs(1)).await;
+        assert!(hosts[0].handler.hears("e2"), "second {second}");
+        assert!(hosts[1].handler.hears("e1"), "second {second}");
+        assert!(!hosts[2].handler.hears("e1"), "second {second}");
+    }
+}
+
+/// A peer that reads again must be told again, although its old connection takes nothing more.
+#[tokio::test(start_paused = true)]
+async fn thawed_peer() {
+    let network = Network::new(8);
+    network.set_fault("e2", LinkFault::Freeze(16));
+    let hosts = start_hosts(&network, 2);
+    sleep(Duration::from_secs(5)).await;
+    network.set_fault("e2", LinkFault::None);
+    sleep(Duration::from_secs(3)).await;
+    assert!(hosts[1].handler.hears("e1"));
+}
+
+/// After a partition the connections may be dead without an error: both sides must open new ones.
+#[tokio::test(start_paused = true)]
+async fn healed_partition() {
+    let network = Network::new(9);
+    for name in ["e1", "e2"] {
+        network.set_fault(name, LinkFault::Freeze(1024 * 1024));
+    }
+    let hosts = start_hosts(&network, 2);
+    sleep(Duration::from_secs(5)).await;
+    for name in ["e1", "e2"] {
+        network.set_fault(name, LinkFault::None);
+    }
+    sleep(Duration::from_secs(3)).await;
+    assert!(hosts[0].handler.hears("e2"));
+    assert!(hosts[1].handler.hears("e1"));
+}
+
+/// A peer that is restarted under the same name must be heard again as a new run.
+#[tokio::test(start_paused = true)]
+async fn restarted_peer() {
+    let network = Network::new(10);
+    let hosts = start_hosts(&network, 2);
+    sleep(Duration::from_secs(3)).await;
+    hosts[1].stop.cancel();
+    hosts[1].mesh.stopped().await;
+    sleep(Duration::from_secs(3)).await;
+    assert!(!hosts[0].handler.hears("e2"));
+    let again = start_host(&network, run_of("e2", 2), &host_names(2));
+    sleep(Duration::from_secs(2)).await;
+    assert!(hosts[0].handler.hears("e2") && again.handler.hears("e1"));
+    let memory = hosts[0].handler.memory.lock().unwrap();
+    assert_eq!(
+        memory.received.last().unwrap().from.incarnation,
+        Incarnation(2)
+    );
+}
+
+/// A draining host must tell its peers before it goes.
+#[tokio::test(start_paused = true)]
+async fn draining_peer() {
+    let network = Network::new(11);
+    let hosts = start_hosts(&network, 2);
+    sleep(Duration::from_secs(1)).await;
+    hosts[1].handler.memory.lock().unwrap().draining = true;
+    sleep(Duration::from_millis(250)).await;
+    let now = hosts[0].handler.now();
+    let memory = hosts[0].handler.memory.lock().unwrap();
+    assert!(memory.table.is_draining(now, &entry("e2")));
+}
+
+/// A shutdown must end all tasks, even those that send to a frozen peer.
+#[tokio::test(start_paused = true)]
+async fn clean_shutdown() {
+    let network = Network::new(12);
+    network.set_fault("e3", LinkFault::Freeze(64));
+    let hosts = start_hosts(&network, 3);
+    sleep(Duration::from_secs(3)).await;
+    hosts[0].stop.cancel();
+    let stopped = timeout(Duration::from_secs(2), hosts[0].mesh.stopped()).await;
+    assert!(stopped.is_ok());
+}
+
+/// Two hosts must find each other over TCP and pass a state.
+#[tokio::test]
+async fn over_tcp() {
+    let mut listeners = Vec::new();
+    let mut addresses = Vec::new();
+    for name in ["e1", "e2"] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = format!("{name}={}", listener.local_addr().unwrap());
+        addresses.push(PeerAddress::try_from(address.as_str()).unwrap());
+        listeners.push(listener);
+    }
+    let mut hosts = Vec::new();
+    for (name, listener) in ["e1", "e2"].into_iter().zip(listeners) {
+        let settings = MeshSettings::new(run_of(name, 1), addresses.clone()).unwrap();
+        let handler = TestHandler::new();
+        handler.memory.lock().unwrap().image = Some(goldcreststall_peers::wire::StateImage {
+            bytes: Bytes::from(vec![1; 1_000_000]),
+            position: support::at(3),
+        });
+        let mesh = Arc::new(PeerMesh::start(
+            settings,
+            Arc::new(TcpDialer),
+            handler.clone(),
+            Arc::new(|| 0),
+            quiet_logger(),
+            CancellationToken::new(),
+        ));
+        let listening = Arc::clone(&mesh);
+        tokio::spawn(async move { listening.listen(listener).await });
+        hosts.push((mesh, handler));
+    }
+    // The limit only ends a run that hangs.
+    let found = timeout(Duration::from_secs(60), async {
+        while !(hosts[0].1.hears("e2") && hosts[1].1.hears("e1")) {
+            sleep(Duration::from_millis(5)).await;
+        }
+        hosts[0].0.fetch_state(&entry("e2")).await
+    });
+    assert_eq!(found.await.unwrap().unwrap().bytes.len(), 1_000_000);
+}
+
+/// A mistake in the settings must be reported, not ignored.
+#[test]
+fn peer_settings() {
+    for text in ["e1", "e1=host:80", "e1=10.0.0.1", "E1=10.0.0.1:80"] {
+        assert!(PeerAddress::try_from(text).is_err(), "{text}");
+    }
+    let peer = |text| PeerAddress::try_from(text).unwrap();
+    let twice = vec![peer("e2=10.0.0.1:80"), peer("e2=10.0.0.2:80")];
+    let result = MeshSettings::new(run_of("e1", 1), twice);
+    assert_eq!(result, Err(SettingError::Twice(entry("e2"))));
+    let own = vec![peer("e1=10.0.0.1:80"), peer("e2=10.0.0.2:80")];
+    let settings = MeshSettings::new(run_of("e1", 1), own).unwrap();
+    assert_eq!(settings.peers().len(), 1);
+}
--- a/crates/peers/tests/support/mod.rs
+++ b/crates/peers/tests/support/mod.rs
@@ -176,8 +176,8 @@
     LoseFrames(u32),
     /// Ends the connection after this many bytes from the accepting side.
     CutAnswer(usize),
-    /// Takes everything and answers nothing.
-    Freeze,
+    /// Takes this many bytes and answers nothing.
+    Freeze(usize),
     /// Refuses to connect.
     Refuse,
 }
@@ -232,6 +232,11 @@
         let Some(mesh) = mesh.filter(|_| fault != LinkFault::Refuse) else {
             return Err(io::ErrorKind::ConnectionRefused.into());
         };
+        if let LinkFault::Freeze(limit) = fault {
+            let (near, far) = duplex(limit);
+            self.frozen.lock().unwrap().push(far);
+            return Ok(Box::new(near));
+        }
         let (near, far) = duplex(1024 * 1024);
         match fault {
             LinkFault::LoseFrames(chance) => {
@@ -244,8 +249,7 @@
                 mesh.accept(accepted);
                 tokio::spawn(cut_answer(far, inner, limit));
             }
-            LinkFault::Freeze => self.frozen.lock().unwrap().push(far),
-            LinkFault::None | LinkFault::Refuse => mesh.accept(far),
+            _ => mesh.accept(far),
         }
         Ok(Box::new(near))
     }
@@ -257,16 +261,17 @@
     let mut accepter = Framed::new(accepter, frame_codec());
     loop {
         tokio::select! {
-            Some(Ok(frame)) = dialler.next() => {
+            frame = dialler.next() => {
+                let Some(Ok(frame)) = frame else { return };
                 let is_lost = random.random_range(0..100) < chance;
                 if !is_lost && accepter.send(frame.freeze()).await.is_err() {
                     return;
                 }
             }
-            Some(Ok(frame)) = accepter.next() => {
+            frame = accepter.next() => {
+                let Some(Ok(frame)) = frame else { return };
                 let _ = dialler.send(frame.freeze()).await;
             }
-            else => return,
         }
     }
 }
@@ -289,6 +294,14 @@
     pub stop: CancellationToken,
 }
 
+/// Ends the hosts of a test, so that those of the next one run alone.
+pub async fn stop_hosts(hosts: Vec<TestHost>) {
+    for host in hosts {
+        host.stop.cancel();
+        host.mesh.stopped().await;
+    }
+}
+
 /// Starts an entry host whose peers are `names`.
 pub fn start_host(network: &Arc<Network>, id: EntryId, names: &[String]) -> TestHost {
     let peers = names.iter().map(|name| PeerAddress {
