Serve operators and durable jobs from the entry daemon

Cause: the backend existed but no port was open, and callers could not submit jobs. Ruled out: answering an unconfirmed submission as not run, because the record may still be appended; it is the new kind store-unconfirmed of the class unknown, and the same id can be sent again. Change: operators' server on the traffic runtime, job intake over HTTP.

--- a/crates/core/src/error/error_kind.rs
+++ b/crates/core/src/error/error_kind.rs
@@ -56,6 +56,9 @@
     QuotaExceeded,
     /// The log service did not confirm a record that has to precede the request.
     StoreUnavailable,
+    /// The log service did not confirm a record that may still take effect. The same request, with the same
+    /// id, can be sent again.
+    StoreUnconfirmed,
     /// The target said that it did not run the request.
     TargetRefused,
     /// No service has the requested name.
@@ -77,7 +80,7 @@
 
 impl ErrorKind {
     /// Every kind, for tests and documentation.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::AnswerTruncated,
         Self::Cancelled,
         Self::ConnectFailed,
@@ -95,6 +98,7 @@
         Self::QueueFull,
         Self::QuotaExceeded,
         Self::StoreUnavailable,
+        Self::StoreUnconfirmed,
         Self::TargetRefused,
         Self::UnknownService,
     ];
@@ -119,6 +123,7 @@
             Self::QueueFull => not_run("queue-full", 503, true),
             Self::QuotaExceeded => not_run("quota-exceeded", 429, true),
             Self::StoreUnavailable => not_run("store-unavailable", 503, true),
+            Self::StoreUnconfirmed => unknown("store-unconfirmed", 504, true),
             Self::TargetRefused => not_run("target-refused", 503, true),
             Self::UnknownService => not_run("unknown-service", 404, false),
         }
--- a/crates/entry/src/control/control_messages.rs
+++ b/crates/entry/src/control/control_messages.rs
@@ -50,9 +50,12 @@
     pub(super) id: RecordId,
 }
 
+/// Reads a part of the state and the list of hosts.
+pub(super) type StateReader = Box<dyn FnOnce(&FleetState, &HostsReply) + Send>;
+
 /// Asks for a part of the state.
 pub(super) struct ReadState {
-    pub(super) read: Box<dyn FnOnce(&FleetState, &HostsReply) + Send>,
+    pub(super) read: StateReader,
 }
 
 /// How far the state has come.
--- a/crates/entry/src/daemon/entry_daemon.rs
+++ b/crates/entry/src/daemon/entry_daemon.rs
@@ -3,6 +3,7 @@
         clock::wall_time,
         control::{ControlHandle, ControlSetup, ControlThread},
         metrics::EntryMetrics,
+        operating::EntryBackend,
         peering::PeerFeed,
         settings::EntrySettings,
         traffic::{PolicyGate, RequestRouter},
@@ -13,10 +14,11 @@
         ids::{EntryId, Incarnation, Millis},
         traffic::FairPolicy,
     },
+    goldcreststall_operators::OperatorServer,
     goldcreststall_peers::mesh::MeshSettings,
     goldcreststall_platform::{hosts::HttpHosts, log::HttpLog, worker_service::HttpWorkerService},
     goldcreststall_targets::pool::PooledTransport,
-    slog::{Logger, info},
+    slog::{Logger, error, info},
     std::{sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
@@ -24,6 +26,7 @@
         signal::unix::{SignalKind, signal},
     },
     tokio_util::sync::CancellationToken,
+    tonic::transport::{Server, server::TcpIncoming},
 };
 
 /// Longest wait for the headers of a request on an open connection.
@@ -75,7 +78,7 @@
     let feed = PeerFeed::new(Arc::clone(&board), control.clone(), Arc::clone(&gate));
     tokio::spawn(feed.run());
     let router = Arc::new(RequestRouter::new(
-        control,
+        control.clone(),
         gate,
         Arc::new(PooledTransport::new()),
         EntryMetrics::new()?,
@@ -87,6 +90,7 @@
     };
     let server = CallerServer::new(Arc::clone(&router) as _, limits, logger.clone());
     let stop = CancellationToken::new();
+    serve_operators(settings, &control, logger, &stop).await?;
     let served = tokio::spawn(server.serve(listener, stop.clone()));
     info!(logger, "drain: the entry host serves callers"; "address" => %settings.callers);
     wait_for_signal().await?;
@@ -100,6 +104,34 @@
     Ok(())
 }
 
+async fn serve_operators(
+    settings: &EntrySettings,
+    control: &ControlHandle,
+    logger: &Logger,
+    stop: &CancellationToken,
+) -> anyhow::Result<()> {
+    let listener = TcpListener::bind(settings.operators)
+        .await
+        .with_context(|| format!("--operators: {} cannot be bound", settings.operators))?;
+    let backend = EntryBackend::new(
+        control.clone(),
+        settings.data_centre.clone(),
+        logger.clone(),
+    );
+    let service = OperatorServer::service(Arc::new(backend));
+    let stopped = stop.clone().cancelled_owned();
+    let server = Server::builder()
+        .add_service(service)
+        .serve_with_incoming_shutdown(TcpIncoming::from(listener), stopped);
+    let logger = logger.clone();
+    tokio::spawn(async move {
+        if let Err(error) = server.await {
+            error!(logger, "drain: the server of operators ended"; "error" => %error);
+        }
+    });
+    Ok(())
+}
+
 async fn follow_view(control: ControlHandle, gate: Arc<PolicyGate>) {
     let mut views = control.watch_view();
     loop {
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod body_reader;
 mod counted_body;
+mod job_intake;
 mod policy_gate;
 mod request_router;
 
--- a/crates/entry/src/traffic/request_router.rs
+++ b/crates/entry/src/traffic/request_router.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        PolicyGate, body_reader::read_body, counted_body::CountedBody, policy_gate::AssignedSlot,
+        PolicyGate, body_reader::read_body, counted_body::CountedBody, job_intake::JobIntake,
+        policy_gate::AssignedSlot,
     },
     crate::{
         clock::BootClock,
@@ -44,6 +45,7 @@
     draining: AtomicBool,
     gate: Arc<PolicyGate>,
     issued: Mutex<IssuedKeys>,
+    jobs: JobIntake,
     logger: Logger,
     metrics: EntryMetrics,
     transport: Arc<dyn TargetTransport>,
@@ -70,12 +72,14 @@
         logger: Logger,
     ) -> Self {
         let issued = IssuedKeys::new(control.entry().clone());
+        let jobs = JobIntake::new(control.clone(), logger.clone());
         Self {
             clock: BootClock,
             control,
             draining: AtomicBool::new(false),
             gate,
             issued: Mutex::new(issued),
+            jobs,
             logger,
             metrics,
             transport,
@@ -291,8 +295,11 @@
         Ok(self.issued.lock().issue(self.clock.now()))
     }
 
-    async fn job(&self, _request: JobRequest) -> Result<Bytes, RequestError> {
-        Err(ErrorKind::NotReady.into())
+    async fn job(&self, request: JobRequest) -> Result<Bytes, RequestError> {
+        if self.control.view().is_none() {
+            return Err(ErrorKind::NotReady.into());
+        }
+        self.jobs.answer(request).await
     }
 
     fn healthy(&self) -> bool {
