--- a/crates/standins/src/process/process_fleet.rs
+++ b/crates/standins/src/process/process_fleet.rs
@@ -2,7 +2,13 @@
     super::ChildProcess,
     crate::client::TestClient,
     anyhow::{Context, bail},
-    goldcreststall_core::ids::{DataCentre, HostName, Incarnation, RackName},
+    goldcreststall_core::{
+        config::ConfigVersion,
+        ids::{DataCentre, HostName, Incarnation, PoolName, RackName, RecordId},
+    },
+    goldcreststall_operators::{
+        ChangeOrder, ChangeOutcome, OperatorBackend, OperatorChange, OperatorClient, OperatorName,
+    },
     goldcreststall_platform::hosts::{HostRow, HostStatus},
     http::{Method, StatusCode},
     std::{
@@ -10,11 +16,14 @@
         path::PathBuf,
         time::{Duration, Instant},
     },
+    uuid::Uuid,
 };
 
 /// Longest wait for a process to serve.
 const START_LIMIT: Duration = Duration::from_secs(20);
 const START_STEP: Duration = Duration::from_millis(20);
+/// Longest wait for the answer to an operator.
+const OPERATOR_LIMIT: Duration = Duration::from_secs(15);
 
 /// The size of a fleet.
 #[derive(Clone, Debug)]
@@ -58,6 +67,8 @@
     pub log: SocketAddr,
     /// Rows of the list of hosts, one for each target.
     pub targets: Vec<HostRow>,
+    /// Hosts that are listed besides, such as workers.
+    pub extra: Vec<HostRow>,
     folder: PathBuf,
     _processes: Vec<ChildProcess>,
 }
@@ -87,6 +98,7 @@
         let mut fleet = Self {
             client: TestClient::default(),
             entries,
+            extra: Vec::new(),
             folder,
             hosts,
             log,
@@ -158,6 +170,75 @@
         self.wait_for(self.entries[index].callers, "/health").await
     }
 
+    /// Opens a connection of an operator to an entry host.
+    ///
+    /// # Errors
+    /// When the entry host cannot be reached.
+    pub async fn operator(&self, index: usize) -> anyhow::Result<OperatorClient> {
+        let address = self.entries[index].operators;
+        Ok(OperatorClient::connect(address, OPERATOR_LIMIT).await?)
+    }
+
+    /// Makes a change through an entry host and expects it to be accepted.
+    ///
+    /// # Errors
+    /// When the change is not accepted.
+    pub async fn change(&self, index: usize, change: OperatorChange) -> anyhow::Result<RecordId> {
+        let request = RecordId(Uuid::now_v7().as_u128());
+        let order = ChangeOrder {
+            change,
+            operator: OperatorName::try_from("demo").map_err(anyhow::Error::msg)?,
+            request,
+        };
+        let outcome = self.operator(index).await?.change(order.clone()).await?;
+        match outcome {
+            ChangeOutcome::Accepted { .. } => Ok(request),
+            other => bail!("{:?} was not accepted: {other:?}", order.change),
+        }
+    }
+
+    /// Publishes the first configuration and adds the listed hosts to the pools of `pool_of`.
+    ///
+    /// # Errors
+    /// When a change is not accepted.
+    pub async fn set_up(
+        &self,
+        document: String,
+        pool_of: &dyn Fn(&HostRow) -> String,
+    ) -> anyhow::Result<()> {
+        self.wait_operator(0).await?;
+        let base = ConfigVersion(0);
+        self.change(0, OperatorChange::PublishConfig { base, document })
+            .await?;
+        for row in self.targets.iter().chain(&self.extra) {
+            let change = OperatorChange::AddHost {
+                data_centre: row.data_centre.clone(),
+                host: row.name.clone(),
+                pool: PoolName::try_from(pool_of(row))?,
+                rack: row.rack.clone(),
+            };
+            self.change(0, change).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until an entry host answers operators from a state.
+    ///
+    /// # Errors
+    /// When it does not within the limit.
+    pub async fn wait_operator(&self, index: usize) -> anyhow::Result<()> {
+        let deadline = Instant::now() + START_LIMIT;
+        while Instant::now() < deadline {
+            if let Ok(operator) = self.operator(index).await
+                && operator.config().await.is_ok()
+            {
+                return Ok(());
+            }
+            tokio::time::sleep(START_STEP).await;
+        }
+        bail!("entry host {index} does not answer operators")
+    }
+
     /// Returns how often each request ran, over all targets.
     ///
     /// # Errors
