--- a/crates/core/tests/traffic/fair_tenants.rs
+++ b/crates/core/tests/traffic/fair_tenants.rs
@@ -67,6 +67,35 @@
     assert!(done[1] >= 490 && done[2] >= 490, "{done:?}");
 }
 
+/// Tenants that ask for more than they can get must be served by their weights.
+#[test]
+fn weighted_shares() {
+    let mut fleet = Fleet::new(1, 1, 3);
+    fleet.config.tenants[1].weight = 2;
+    let (mut policy, view) = fleet.policy(0);
+    let mut answers = Answers::default();
+    let mut done = [0; 3];
+    for step in 0..30_000 {
+        let now = START + Millis(step);
+        let tenant = step as usize % 3;
+        let request = spec(&view, tenant, Urgency::Normal, now + Millis(4_000));
+        let _ = policy.offer(now, ticket(step as usize), request);
+        for ended in answers.end_due(&mut policy, now, Millis(80)) {
+            done[ended.0 as usize % 3] += 1;
+        }
+        let assigned = policy.assign(now, step);
+        answers
+            .sent
+            .extend(assigned.into_iter().map(|sent| (now, sent)));
+        policy.expire(now);
+    }
+    let near = |count: i32, share: i32| (count - share).abs() * 20 <= share;
+    assert!(
+        near(done[0], 750) && near(done[1], 1_500) && near(done[2], 750),
+        "{done:?}"
+    );
+}
+
 /// One tenant must not fill the queue of a class, so that the others are still admitted.
 #[test]
 fn queue_room() {
--- a/crates/core/tests/traffic/view_change.rs
+++ b/crates/core/tests/traffic/view_change.rs
@@ -70,22 +70,27 @@
     assert_eq!(view.target_at(key).unwrap().service.0, 1);
 }
 
-/// A host that drops out of a lagging list and returns must keep the count of its requests.
+/// A host that drops out of a lagging list and returns must keep the count of its requests, even if
+/// another host was added in between.
 #[test]
 fn host_returns() {
     let mut fleet = Fleet::new(1, 1, 1);
     let (mut policy, view) = fleet.policy(0);
     let request = spec(&view, 0, Urgency::Urgent, START + Millis(60_000));
-    for number in 0..12 {
+    for number in 0..18 {
         policy.offer(START, ticket(number), request).unwrap();
     }
     let sent = policy.assign(START, 1);
     assert_eq!(sent.len(), 8);
-    let host = fleet.hosts.pop().unwrap();
+    let lost = fleet.hosts.pop().unwrap();
     let view = fleet.view(&view);
     policy.update_view(START, view.clone());
     assert_eq!(policy.assign(START, 1), vec![]);
-    fleet.hosts.push(host);
+    fleet.add_host(0, 1);
+    let view = fleet.view(&view);
+    policy.update_view(START, view.clone());
+    assert_eq!(policy.assign(START, 1).len(), 8);
+    fleet.hosts.push(lost);
     let view = fleet.view(&view);
     policy.update_view(START, view.clone());
     assert_eq!(policy.assign(START, 1), vec![]);
