Measure the time to take over digests and views

Cause: the benchmark covered one service only, and nothing showed how long new digests hold up the policy. Digests were searched by name for each service.

Ruled out: splitting slots outside the policy; it would need a second copy of the targets.

Change: one pass over the digests; a table of updates; sizes up to 48 services.

--- a/crates/core/src/traffic/peer_demand.rs
+++ b/crates/core/src/traffic/peer_demand.rs
@@ -22,13 +22,3 @@
     /// Demand for each service; services without demand may be absent.
     pub services: Vec<ServiceDemand>,
 }
-
-impl PeerDemand {
-    /// Returns the demand for a service.
-    pub fn requests(&self, name: &ServiceName) -> u32 {
-        let mut services = self.services.iter();
-        services
-            .find(|demand| demand.service == *name)
-            .map_or(0, |demand| demand.requests)
-    }
-}
--- a/crates/core/src/traffic/target_pool.rs
+++ b/crates/core/src/traffic/target_pool.rs
@@ -224,16 +224,19 @@
         entries.sort_by(|left, right| left.entry.cmp(&right.entry));
         let own = entries.partition_point(|peer| peer.entry < self.entry);
         let own_digest = self.peers.iter().find(|peer| peer.entry == self.entry);
+        let mut demands = vec![vec![0; entries.len() + 1]; view.services.len()];
+        for (place, peer) in entries.iter().enumerate() {
+            let place = place + usize::from(place >= own);
+            fill_demand(&view, peer, place, &mut demands);
+        }
+        if let Some(digest) = own_digest {
+            fill_demand(&view, digest, own, &mut demands);
+        }
         let mut splits: Vec<SlotSplit> = Vec::new();
-        for service in &view.services {
-            let mut demands: Vec<u32> = entries
-                .iter()
-                .map(|peer| peer.requests(&service.name))
-                .collect();
+        for demands in &mut demands {
             // A request that arrives before the next digest needs a slot to go to.
-            let demand = own_digest.map_or(0, |digest| digest.requests(&service.name));
-            demands.insert(own, demand.max(1));
-            splits.push(SlotSplit::new(&demands));
+            demands[own] = demands[own].max(1);
+            splits.push(SlotSplit::new(demands));
         }
         for index in view.present_targets() {
             let target = &view.targets[index];
@@ -302,6 +305,15 @@
     }
 }
 
+/// Enters the demand of one entry host into the lists of the services.
+fn fill_demand(view: &RoutingView, peer: &PeerDemand, place: usize, demands: &mut [Vec<u32>]) {
+    for demand in &peer.services {
+        if let Some(key) = view.service(&demand.service) {
+            demands[usize::from(key.0)][place] = demand.requests;
+        }
+    }
+}
+
 impl ServiceTargets {
     fn all_failing(&self) -> bool {
         self.usable as usize <= self.probes.len()
--- a/crates/measures/src/command.rs
+++ b/crates/measures/src/command.rs
@@ -1,4 +1,7 @@
-use {crate::overload, crate::slopes, lexopt::prelude::*};
+use {
+    crate::{overload, slopes},
+    lexopt::prelude::*,
+};
 
 /// A table and the name under which it is asked for.
 struct TableRow {
@@ -7,7 +10,7 @@
 }
 
 /// All tables, in the order in which they are printed.
-const TABLES: [TableRow; 6] = [
+const TABLES: [TableRow; 7] = [
     TableRow {
         name: "turns",
         print: overload::print_turns,
@@ -32,6 +35,10 @@
         name: "decisions",
         print: slopes::print_decisions,
     },
+    TableRow {
+        name: "updates",
+        print: slopes::print_updates,
+    },
 ];
 
 /// Prints the tables named on the command line, or all of them.
--- a/crates/measures/src/slopes/decision_bench.rs
+++ b/crates/measures/src/slopes/decision_bench.rs
@@ -3,19 +3,49 @@
         config::FleetConfig,
         ids::{
             DataCentre, EntryName, HostName, Incarnation, LocalTime, Millis, PoolName, RackName,
+            ServiceName,
         },
         traffic::{
-            Assignment, FairPolicy, PlatformHost, PoolMember, QueuePolicy, RequestSpec,
-            RoutingView, SendOutcome, ServiceKey, TenantKey, Ticket, TrafficPolicy, Urgency,
-            ViewInput,
+            Assignment, FairPolicy, PeerDemand, PlatformHost, PoolMember, QueuePolicy, RequestSpec,
+            RoutingView, SendOutcome, ServiceDemand, ServiceKey, TenantKey, Ticket, TrafficPolicy,
+            Urgency, ViewInput,
         },
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{fmt::Write, sync::Arc, time::Instant},
 };
 
-/// Targets and tenants of the measured sizes; the last is the design size.
-const SIZES: [(usize, usize); 4] = [(50, 20), (175, 35), (700, 70), (1_400, 140)];
+/// A size of the fleet.
+#[derive(Clone, Copy)]
+struct Size {
+    services: usize,
+    targets: usize,
+    tenants: usize,
+}
+
+/// The measured sizes; the last is the design size with its 48 pools.
+const SIZES: [Size; 4] = [
+    Size {
+        services: 5,
+        targets: 50,
+        tenants: 20,
+    },
+    Size {
+        services: 6,
+        targets: 175,
+        tenants: 35,
+    },
+    Size {
+        services: 24,
+        targets: 700,
+        tenants: 70,
+    },
+    Size {
+        services: 48,
+        targets: 1_400,
+        tenants: 140,
+    },
+];
 const ROUNDS: usize = 5;
 const REQUESTS: usize = 200_000;
 const START: LocalTime = LocalTime(1_000_000);
@@ -25,11 +55,22 @@
 /// # Errors
 /// A configuration that is not valid.
 pub fn print_decisions() -> anyhow::Result<()> {
-    println!("\n### Cost of a routing decision (one service, all slots in use)\n");
-    println!("| targets | tenants | baseline, µs | ours, µs: median (fastest..slowest) |");
-    println!("|---|---|---|---|");
-    for (targets, tenants) in SIZES {
-        let view = Arc::new(view(targets, tenants)?);
+    println!("\n### Cost of a routing decision (all slots in use)\n");
+    println!(
+        "| services | targets | tenants | baseline, µs | ours, µs: median (fastest..slowest) |"
+    );
+    println!("|---|---|---|---|---|");
+    let one = SIZES.iter().map(|size| Size {
+        services: 1,
+        ..*size
+    });
+    for size in one.chain(SIZES) {
+        let Size {
+            services,
+            targets,
+            tenants,
+        } = size;
+        let view = Arc::new(inputs(size)?.next(&RoutingView::default())?);
         let mut baseline = QueuePolicy::default();
         let base = measure(&mut baseline, &view, REQUESTS / 100);
         let mut times = Vec::new();
@@ -40,15 +81,50 @@
         times.sort_by(f64::total_cmp);
         let (low, high) = (times[0], times[ROUNDS - 1]);
         let median = times[ROUNDS / 2];
-        println!("| {targets} | {tenants} | {base:.2} | {median:.2} ({low:.2}..{high:.2}) |");
+        println!(
+            "| {services} | {targets} | {tenants} | {base:.2} | {median:.2} ({low:.2}..{high:.2}) |"
+        );
     }
     Ok(())
 }
 
-fn view(targets: usize, tenants: usize) -> anyhow::Result<RoutingView> {
-    let mut text = String::from(
-        "[[pools]]\nname = \"p\"\nmin_available = 1\n[[services]]\nname = \"s\"\npool = \"p\"\nmax_queue = 4000\n",
-    );
+/// Configuration, hosts and members of a size.
+struct Inputs {
+    config: FleetConfig,
+    hosts: Vec<PlatformHost>,
+    members: Vec<PoolMember>,
+}
+
+impl Inputs {
+    fn next(&self, previous: &RoutingView) -> anyhow::Result<RoutingView> {
+        Ok(previous.next(&ViewInput {
+            config: &self.config,
+            data_centre: &DataCentre::try_from("c0")?,
+            entry_hosts: 1,
+            hosts: &self.hosts,
+            members: &self.members,
+        }))
+    }
+}
+
+fn inputs(size: Size) -> anyhow::Result<Inputs> {
+    let Size {
+        services,
+        targets,
+        tenants,
+    } = size;
+    let mut text = String::new();
+    for service in 0..services {
+        writeln!(
+            text,
+            "[[pools]]\nname = \"p{service:02}\"\nmin_available = 1"
+        )?;
+        writeln!(
+            text,
+            "[[services]]\nname = \"s{service:02}\"\npool = \"p{service:02}\""
+        )?;
+        writeln!(text, "max_queue = 4000")?;
+    }
     for tenant in 0..tenants {
         writeln!(text, "[[tenants]]\nname = \"t{tenant:03}\"")?;
     }
@@ -71,16 +147,79 @@
             activation: 1,
             active: true,
             host: name,
-            pool: PoolName::try_from("p")?,
+            pool: PoolName::try_from(format!("p{:02}", number % services))?,
         });
     }
-    Ok(RoutingView::default().next(&ViewInput {
-        config: &config,
-        data_centre: &DataCentre::try_from("c0")?,
-        entry_hosts: 1,
-        hosts: &hosts,
-        members: &members,
-    }))
+    Ok(Inputs {
+        config,
+        hosts,
+        members,
+    })
+}
+
+/// Prints the time that the policy is held up by new digests and by a new view.
+///
+/// # Errors
+/// A configuration that is not valid.
+pub fn print_updates() -> anyhow::Result<()> {
+    println!("\n### Time to take over digests and views\n");
+    println!(
+        "| services | targets | tenants | entry hosts | digests, µs | view, µs | building the view, µs |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    for size in SIZES {
+        let Size {
+            services,
+            targets,
+            tenants,
+        } = size;
+        for entry_hosts in [7, 40] {
+            let inputs = inputs(size)?;
+            let mut view = Arc::new(inputs.next(&RoutingView::default())?);
+            let mut policy = FairPolicy::new(EntryName::try_from("entry-0")?);
+            policy.update_view(START, Arc::clone(&view));
+            let peers = digests(entry_hosts, services)?;
+            let digests = repeat(|| policy.update_peers(START, &peers));
+            let taken = repeat(|| policy.update_view(START, Arc::clone(&view)));
+            let built = repeat(|| {
+                if let Ok(next) = inputs.next(&view) {
+                    view = Arc::new(next);
+                }
+            });
+            println!(
+                "| {services} | {targets} | {tenants} | {entry_hosts} | {digests:.0} | {taken:.0} | {built:.0} |"
+            );
+        }
+    }
+    Ok(())
+}
+
+/// Returns the mean time of an action in microseconds.
+fn repeat(mut action: impl FnMut()) -> f64 {
+    const REPEATS: u32 = 50;
+    let begin = Instant::now();
+    for _ in 0..REPEATS {
+        action();
+    }
+    begin.elapsed().as_secs_f64() * 1e6 / f64::from(REPEATS)
+}
+
+fn digests(entry_hosts: usize, services: usize) -> anyhow::Result<Vec<PeerDemand>> {
+    let digests = (0..entry_hosts).map(|number| {
+        Ok(PeerDemand {
+            entry: EntryName::try_from(format!("entry-{number}"))?,
+            heard: START,
+            services: (0..services)
+                .map(|service| {
+                    Ok(ServiceDemand {
+                        requests: 50 + number as u32 % 7,
+                        service: ServiceName::try_from(format!("s{service:02}"))?,
+                    })
+                })
+                .collect::<anyhow::Result<Vec<ServiceDemand>>>()?,
+        })
+    });
+    digests.collect()
 }
 
 /// Returns the mean time of a decision in microseconds.
@@ -94,7 +233,7 @@
         let spec = RequestSpec {
             deadline: now + Millis(60_000),
             idempotent: true,
-            service: ServiceKey(0),
+            service: ServiceKey(random.random_range(0..view.services.len()) as u16),
             tenant: TenantKey(random.random_range(0..view.tenants.len()) as u16),
             urgency: match random.random_range(0..3) {
                 0 => Urgency::Urgent,
--- a/crates/measures/src/slopes/mod.rs
+++ b/crates/measures/src/slopes/mod.rs
@@ -2,4 +2,4 @@
 
 mod decision_bench;
 
-pub use decision_bench::print_decisions;
+pub use decision_bench::{print_decisions, print_updates};
