--- a/crates/measures/src/overload/tables.rs
+++ b/crates/measures/src/overload/tables.rs
@@ -23,6 +23,12 @@
     (PolicyKind::Ours, "ours"),
 ];
 
+/// One class of a flood and the seconds it lasts.
+struct FloodPart {
+    span: (f64, f64),
+    urgency: Urgency,
+}
+
 type Figure<'a> = (&'a str, &'a dyn Fn(&Run, &Run) -> f64);
 
 /// Prints the figures of a scenario; each gets the run and the run without the flood.
@@ -131,25 +137,35 @@
 /// A deployment whose configuration is not valid.
 pub fn print_floods() -> anyhow::Result<()> {
     const FLOOD: (f64, f64) = (5.0, 15.0);
-    let first = (Urgency::Overnight, FLOOD.0, FLOOD.1);
-    let second = (Urgency::Urgent, FLOOD.0, FLOOD.1);
-    let in_turn = [(first.0, 5.0, 10.0), (second.0, 10.0, 15.0)];
-    let floods: [(&str, &[(Urgency, f64, f64)]); 3] = [
-        ("flood of overnight work, five times the pool", &[first]),
-        ("flood of urgent work, five times the pool", &[second]),
-        ("flood of overnight work, then of urgent work", &in_turn),
+    let flood = |urgency, span: (f64, f64)| FloodPart { span, urgency };
+    let floods = [
+        (
+            "flood of overnight work, five times the pool",
+            vec![flood(Urgency::Overnight, FLOOD)],
+        ),
+        (
+            "flood of urgent work, five times the pool",
+            vec![flood(Urgency::Urgent, FLOOD)],
+        ),
+        (
+            "flood of overnight work, then of urgent work",
+            vec![
+                flood(Urgency::Overnight, (FLOOD.0, 10.0)),
+                flood(Urgency::Urgent, (10.0, FLOOD.1)),
+            ],
+        ),
     ];
     for deployment in &DEPLOYMENTS {
-        for (title, parts) in floods {
+        for (title, parts) in &floods {
             let mut streams = mixed(0, POOL * 0.6, (0.0, 25.0), deployment.tenants);
-            streams.extend(parts.iter().map(|(urgency, start, end)| Stream {
-                end: *end,
+            streams.extend(parts.iter().map(|part| Stream {
+                end: part.span.1,
                 flood: true,
                 load: POOL * 5.0,
                 service: 0,
-                start: *start,
+                start: part.span.0,
                 tenants: (0, deployment.tenants),
-                urgency: *urgency,
+                urgency: part.urgency,
             }));
             let keep = |class: Urgency| {
                 move |run: &Run, quiet: &Run| {
