Keep workers free for large jobs and walk only open jobs

Cause: a job that needs a whole worker waited as long as smaller jobs kept coming; every plan walked all remembered jobs of all pools; a submission compared all tenants by name search. Ruled out: reservations in the log (records, and a rule for giving them up); a plan chooses the same worker again without them, because nothing else is placed there. Change: hold a worker for a job queued for 30 s, save tasks on workers that are about to stop, an index of unfinished jobs by pool, a quota check that walks sorted lists and is skipped while there is room.

--- a/crates/core/examples/plan_speed.rs
+++ b/crates/core/examples/plan_speed.rs
@@ -1,4 +1,5 @@
-//! Prints how long one placement plan takes at the design size and above.
+//! Prints how long one placement plan takes, how fast submissions are folded, and what they take
+//! in memory, at the design size and above.
 
 use {
     goldcreststall_core::{
@@ -86,6 +87,19 @@
     })
 }
 
+fn submission(index: usize, pool: &PoolName) -> AnyResult<JobRecord> {
+    let job = JobId::at(START, index as u128);
+    let spec = spec(index, pool)?;
+    Ok(JobRecord::Submit { job, spec })
+}
+
+fn resident_kib() -> AnyResult<u64> {
+    let status = std::fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let text = line.and_then(|line| line.split_whitespace().next());
+    Ok(text.ok_or("no VmRSS")?.parse()?)
+}
+
 fn measure(workers: usize, jobs: usize) -> AnyResult<()> {
     let pool = PoolName::try_from("batch")?;
     let config = config()?;
@@ -98,11 +112,16 @@
         now: START,
         pools: &members,
     };
-    for index in 0..jobs {
-        let job = JobId::at(START, index as u128);
-        let spec = spec(index, &pool)?;
-        ledger.apply(&context, &JobRecord::Submit { job, spec })?;
+    let submissions: Result<Vec<_>, _> = (0..jobs).map(|index| submission(index, &pool)).collect();
+    let submissions = submissions?;
+    let resident = resident_kib()?;
+    let begin = Instant::now();
+    for record in &submissions {
+        ledger.apply(&context, record)?;
     }
+    let rate = jobs as f64 / begin.elapsed().as_secs_f64();
+    let grown = resident_kib()?.saturating_sub(resident);
+    println!("{workers} workers, {jobs} jobs: fold of {rate:.0} submissions/s, {grown} KiB more");
     for state in ["all queued", "after grants"] {
         let input = PlacementInput {
             config: &config,
--- a/crates/core/src/jobs/job_ledger.rs
+++ b/crates/core/src/jobs/job_ledger.rs
@@ -7,7 +7,7 @@
     crate::{
         collections::SortedMap,
         config::FleetConfig,
-        ids::{LogTime, Millis, TenantName},
+        ids::{LogTime, Millis, PoolName, TenantName},
         ledger::Rejection,
     },
     serde::{Deserialize, Serialize},
@@ -77,6 +77,8 @@
     healths: WorkerHealths,
     ignored: SortedMap<Rejection, u64>,
     jobs: SortedMap<JobId, Job>,
+    /// Unfinished jobs by pool, so that a plan does not walk the ended jobs and the other pools.
+    open: SortedMap<PoolName, SortedMap<JobId, ()>>,
     unfinished: SortedMap<TenantName, u32>,
 }
 
@@ -91,6 +93,12 @@
         self.jobs.get(&id)
     }
 
+    /// Iterates over the unfinished jobs of a pool in order of id.
+    pub fn unfinished(&self, pool: &PoolName) -> impl Iterator<Item = (JobId, &Job)> {
+        let ids = self.open.get(pool).into_iter().flat_map(SortedMap::iter);
+        ids.filter_map(|(id, ())| Some((*id, self.jobs.get(id)?)))
+    }
+
     /// Returns the job that is leased under this attempt.
     pub fn leased(&self, lease: LeaseRef) -> Option<&Job> {
         let job = self.jobs.get(&lease.job)?;
@@ -219,6 +227,7 @@
         }
         self.jobs.insert(id, Job::new(context.now, spec.clone()));
         self.count_unfinished(&spec.tenant, 1);
+        self.note_open(id, &spec.pool, true);
         Ok(())
     }
 
@@ -423,8 +432,13 @@
         let before = job.state.is_unfinished();
         let after = state.is_unfinished();
         job.enter(now, state);
+        if before == after {
+            return;
+        }
         let tenant = job.spec.tenant.clone();
-        self.count_unfinished(&tenant, i32::from(after) - i32::from(before));
+        let pool = job.spec.pool.clone();
+        self.count_unfinished(&tenant, if after { 1 } else { -1 });
+        self.note_open(id, &pool, after);
     }
 
     fn count_unfinished(&mut self, tenant: &TenantName, change: i32) {
@@ -435,6 +449,22 @@
         };
     }
 
+    fn note_open(&mut self, id: JobId, pool: &PoolName, open: bool) {
+        if !self.open.contains(pool) {
+            self.open.insert(pool.clone(), SortedMap::default());
+        }
+        let Some(ids) = self.open.get_mut(pool) else {
+            return;
+        };
+        match open {
+            true => ids.insert(id, ()),
+            false => ids.remove(&id),
+        };
+        if ids.is_empty() {
+            self.open.remove(pool);
+        }
+    }
+
     /// Forgets jobs that ended long ago. Unfinished jobs are never forgotten.
     fn forget(&mut self, now: LogTime) {
         if now.since(self.forgotten_at) < FORGET_INTERVAL {
--- a/crates/core/src/jobs/placement_plan.rs
+++ b/crates/core/src/jobs/placement_plan.rs
@@ -41,6 +41,8 @@
         /// The worker.
         worker: WorkerId,
     },
+    /// The task is saved and stopped because its worker is about to stop.
+    CheckpointedForStop(WorkerId),
     /// The worker reported that the task failed.
     Failed(WorkerId),
     /// The worker reported that the task is done.
@@ -77,6 +79,9 @@
             Self::CheckpointedFor { urgent, worker } => {
                 write!(formatter, "checkpoint on {worker} for urgent job {urgent}")
             }
+            Self::CheckpointedForStop(worker) => {
+                write!(formatter, "checkpoint on {worker}, which is about to stop")
+            }
             Self::Failed(worker) => write!(formatter, "failed on {worker}"),
             Self::Finished(worker) => write!(formatter, "done on {worker}"),
             Self::Granted { size, worker } => {
--- a/crates/core/src/jobs/placement_planner.rs
+++ b/crates/core/src/jobs/placement_planner.rs
@@ -18,6 +18,10 @@
 /// Time before its latest start at which an overnight job is placed like a normal one.
 const OVERNIGHT_SLACK: Millis = Millis(10 * 60 * 1000);
 
+/// Time in the queue after which a worker is kept free for a job. Without it, a job that needs a whole
+/// worker waits as long as smaller jobs keep coming.
+const HOLD_AFTER: Millis = Millis(30 * 1000);
+
 /// What the placement duty of a pool looks at.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementInput<'a> {
@@ -112,35 +116,32 @@
     /// Compares leases with reports, and sums what each worker has to carry.
     fn review_tasks(&mut self) {
         let mut review = TaskReview::default();
-        for (id, job) in self.input.ledger.jobs().iter() {
+        for (id, job) in self.input.ledger.unfinished(self.input.pool) {
             let Some(lease) = job.lease() else {
                 continue;
             };
             let worker = self.worker(&lease.worker.host);
-            let view = worker.map(|index| &self.input.workers[index]);
-            if job.spec.pool == *self.input.pool {
-                review.judge(self.input, view, *id, job, lease);
-            }
+            let worker = worker.map(|index| (index, &self.input.workers[index]));
+            let view = worker.map(|(_, view)| view);
+            review.judge(self.input, view, id, job, lease);
             let attempt = LeaseRef {
                 grant: lease.grant,
-                job: *id,
+                job: id,
             };
-            if let Some(index) = worker.filter(|_| view.is_some_and(|view| view.id == lease.worker))
-            {
-                self.reserve_lease(index, attempt, job);
+            match worker.filter(|(_, view)| view.id == lease.worker) {
+                Some((index, view)) => self.reserve_lease(index, view, attempt, job),
+                None => self.queue.charge(&job.spec.tenant, &self.size(job)),
             }
         }
-        for (index, worker) in self.input.workers.iter().enumerate() {
-            if worker.pool == *self.input.pool {
-                review.judge_strays(self.input.ledger, worker);
-            }
+        let workers = self.input.workers.iter().enumerate();
+        for (index, worker) in workers.filter(|(_, worker)| worker.pool == *self.input.pool) {
+            review.judge_strays(self.input.ledger, worker);
             self.reserve_strays(index, worker);
         }
         review.write_to(&mut self.plan);
     }
 
-    fn reserve_lease(&mut self, index: usize, attempt: LeaseRef, job: &Job) {
-        let worker = &self.input.workers[index];
+    fn reserve_lease(&mut self, index: usize, worker: &WorkerView, attempt: LeaseRef, job: &Job) {
         let size = self.size(job);
         let demand = &mut self.demands[index];
         let task = worker.task(attempt);
@@ -153,18 +154,18 @@
         if task.is_none() {
             demand.unreported = demand.unreported.plus(&size);
         }
-        if job.spec.pool == *self.input.pool {
-            self.queue.charge(&job.spec.tenant, &size);
-        }
+        self.queue.charge(&job.spec.tenant, &size);
     }
 
-    /// Reserves room for tasks that still run without a lease until they are gone.
+    /// Reserves room for tasks without a lease until they are gone, and for tasks of the pool that the
+    /// worker belonged to before.
     fn reserve_strays(&mut self, index: usize, worker: &WorkerView) {
         let ledger = self.input.ledger;
         let report = worker.fresh_report();
         let tasks = report.map_or(&[][..], |report| &report.tasks);
         for task in tasks.iter().filter(|task| task.is_active()) {
-            if ledger.leased(task.lease()).is_some() {
+            let leased = ledger.leased(task.lease());
+            if leased.is_some_and(|job| job.spec.pool == *self.input.pool) {
                 continue;
             }
             if let Some(job) = ledger.job(task.job) {
@@ -197,12 +198,9 @@
     /// Sorts the queued jobs of the pool into the queue and reports those that no worker could hold.
     fn sort_jobs(&mut self) {
         let now = self.input.now;
-        for (id, job) in self.input.ledger.jobs().iter() {
-            if job.spec.pool != *self.input.pool {
-                continue;
-            }
+        for (id, job) in self.input.ledger.unfinished(self.input.pool) {
             if job.is_overdue(now) {
-                self.plan.overdue.push(*id);
+                self.plan.overdue.push(id);
             }
             if job.state != JobState::Queued {
                 continue;
@@ -213,14 +211,14 @@
                 continue;
             }
             let unplaceable = !self.is_held(&size);
-            self.mark(*id, job, unplaceable, size);
+            self.mark(id, job, unplaceable, size);
             if unplaceable {
                 self.plan.waiting.unplaceable += 1;
                 continue;
             }
             let run_time = self.input.ledger.estimates().run_time(&job.spec);
             self.queue.push(QueuedJob {
-                id: *id,
+                id,
                 job,
                 size,
                 urgency: effective_urgency(now, job, run_time),
@@ -239,8 +237,6 @@
         self.plan
             .decisions
             .push(PlacementDecision { job: id, reason });
-        // A job that becomes placeable is granted in this plan if possible, and the grant names the
-        // version before the mark. The fold then takes whichever comes first.
         self.marks.push(MarkItem {
             job: id,
             unplaceable,
@@ -302,12 +298,17 @@
             if queued.urgency == Urgency::Urgent {
                 self.stranded.push((queued.id, queued.size));
             }
+            if self.input.now.since(queued.job.changed) > HOLD_AFTER {
+                shelf.hold(&request);
+            }
             return;
         };
         let row = &shelf.rows()[key.0];
         let worker = row.view.id.clone();
         self.granted[row.index] = true;
         self.queue.charge_key(tenant, &queued.size);
+        // A grant takes the report back by itself.
+        self.marks.retain(|mark| mark.job != queued.id);
         self.grants.push(GrantItem {
             job: queued.id,
             version: queued.job.version,
--- a/crates/core/src/jobs/task_review.rs
+++ b/crates/core/src/jobs/task_review.rs
@@ -41,7 +41,11 @@
             job: id,
         };
         let worker = worker.filter(|worker| worker.id == lease.worker);
-        match worker.and_then(|worker| worker.task(attempt)) {
+        let task = worker.and_then(|worker| worker.task(attempt));
+        if let Some((worker, task)) = worker.zip(task) {
+            self.empty_if_draining(worker, job, task);
+        }
+        match task {
             Some(task) => self.judge_task(input.now, job, lease, task),
             None => self.judge_absence(input, worker, attempt, lease),
         }
@@ -93,6 +97,16 @@
         }
     }
 
+    /// Saves a task on a worker that is about to stop, so that the stop need not wait for its end.
+    fn empty_if_draining(&mut self, worker: &WorkerView, job: &Job, task: &TaskView) {
+        let saves = job.spec.checkpoints && job.spec.idempotent;
+        if worker.draining && saves && task.state == TaskState::Running {
+            self.command(TaskAction::Checkpoint, task.lease(), worker);
+            let reason = PlacementReason::CheckpointedForStop(worker.id.clone());
+            self.decide(task.job, reason);
+        }
+    }
+
     /// Judges a lease whose task no recent report shows.
     fn judge_absence(
         &mut self,
--- a/crates/core/src/jobs/tenant_quota.rs
+++ b/crates/core/src/jobs/tenant_quota.rs
@@ -15,25 +15,29 @@
     unfinished: &SortedMap<TenantName, u32>,
     tenant: &TenantName,
 ) -> Result<(), Rejection> {
-    let total: u64 = config.tenants.iter().map(|row| u64::from(row.weight)).sum();
-    let mut common = 0;
-    let mut known = false;
-    for row in &config.tenants {
-        let used = unfinished.get(&row.name).copied().unwrap_or_default();
-        let share = u64::from(GUARANTEED) * u64::from(row.weight) / total.max(1);
-        if row.name == *tenant {
-            known = true;
-            if u64::from(used) < share {
-                return Ok(());
-            }
-        }
-        common += u64::from(used).saturating_sub(share);
-    }
-    if !known {
-        return Err(Rejection::UnknownTenant);
+    let tenants = &config.tenants;
+    let index = tenants.binary_search_by(|row| row.name.cmp(tenant));
+    let index = index.map_err(|_| Rejection::UnknownTenant)?;
+    let common_part = MAX_UNFINISHED - GUARANTEED;
+    // While all jobs together fit into the common part, there is no need to tell shares apart.
+    if unfinished.values().sum::<u32>() < common_part {
+        return Ok(());
     }
-    if common < u64::from(MAX_UNFINISHED - GUARANTEED) {
+    let total: u64 = tenants.iter().map(|row| u64::from(row.weight)).sum();
+    let share = |weight: u32| u64::from(GUARANTEED) * u64::from(weight) / total.max(1);
+    let used = unfinished.get(tenant).copied().unwrap_or_default();
+    if u64::from(used) < share(tenants[index].weight) {
         return Ok(());
     }
-    Err(Rejection::QuotaExceeded)
+    // Both lists are sorted by name. A tenant that is no longer configured has no share.
+    let mut rows = tenants.iter().peekable();
+    let excess = unfinished.iter().map(|(name, used)| {
+        while rows.next_if(|row| row.name < *name).is_some() {}
+        let row = rows.next_if(|row| row.name == *name);
+        u64::from(*used).saturating_sub(row.map_or(0, |row| share(row.weight)))
+    });
+    match excess.sum::<u64>() < u64::from(common_part) {
+        true => Ok(()),
+        false => Err(Rejection::QuotaExceeded),
+    }
 }
--- a/crates/core/src/jobs/worker_shelf.rs
+++ b/crates/core/src/jobs/worker_shelf.rs
@@ -11,6 +11,10 @@
 /// without waiting for a checkpoint.
 const HEADROOM_PART: u32 = 8;
 
+/// At most this part of the workers is held free for jobs that wait for a whole worker, as one in so
+/// many.
+const HELD_PART: usize = 8;
+
 /// Key of a worker in a [`WorkerShelf`].
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct WorkerKey(pub usize);
@@ -54,6 +58,7 @@
 /// The workers of a pool that may get jobs, with what is free, ordered by the load of their racks.
 #[derive(Debug)]
 pub(super) struct WorkerShelf<'a> {
+    held: usize,
     order: BTreeSet<(u64, usize)>,
     racks: Vec<RackRow>,
     rows: Vec<ShelfRow<'a>>,
@@ -75,6 +80,7 @@
     /// Builds the shelf from workers with their indexes and the demand on each.
     pub(super) fn new(workers: impl Iterator<Item = (usize, &'a WorkerView, JobSize)>) -> Self {
         let mut shelf = Self {
+            held: 0,
             order: BTreeSet::new(),
             racks: Vec::new(),
             rows: Vec::new(),
@@ -130,6 +136,24 @@
         found
     }
 
+    /// Keeps a worker free for a job that found no room: the one with the most room of those that could
+    /// hold it. Nothing else is placed there, so it is the one with the most room in the next plan too.
+    pub(super) fn hold(&mut self, request: &ShelfRequest) {
+        if self.held >= (self.rows.len() / HELD_PART).max(1) {
+            return;
+        }
+        let rows = self.rows.iter().enumerate().filter(|(_, row)| {
+            let usable = !request.avoid.contains(&&row.view.id.host);
+            usable && request.size.fits(&row.view.capacity) && row.room() != JobSize::default()
+        });
+        let best = rows.min_by_key(|(index, row)| (row.load(), *index));
+        if let Some(key) = best.map(|(index, _)| WorkerKey(index)) {
+            let room = self.rows[key.0].room();
+            self.reserve(key, &room);
+            self.held += 1;
+        }
+    }
+
     fn find(&self, request: &ShelfRequest) -> Option<WorkerKey> {
         // A retry goes to another rack first, because failures are correlated within a rack.
         let failed = self.failed_racks(request);
--- a/crates/core/tests/placement_rules.rs
+++ b/crates/core/tests/placement_rules.rs
@@ -306,6 +306,36 @@
     assert!(actions(&plan(&mut fleet), TaskAction::Checkpoint).is_empty());
 }
 
+/// A worker that is about to stop does not wait for long tasks that can be saved.
+#[test]
+fn checkpoint_for_stop() {
+    let mut fleet = FleetSim::new(2);
+    let overnight = fill_overnight(&mut fleet, true, true);
+    for worker in &mut fleet.workers {
+        worker.view.draining = true;
+    }
+    fleet.rounds(3);
+    let mut states = overnight.iter().map(|job| fleet.state(*job));
+    assert!(states.all(|state| *state == JobState::Queued));
+    assert!(fleet.workers.iter().all(|worker| worker.tasks.is_empty()));
+}
+
+/// A job that needs a whole worker must not wait for ever behind small jobs that keep coming.
+#[test]
+fn whole_worker() {
+    let mut fleet = FleetSim::new(4);
+    let mut whole = spec("t1", Urgency::Normal);
+    whole.size = size(32, 64);
+    submit_many(&mut fleet, 40, &spec("t2", Urgency::Normal));
+    fleet.rounds(2);
+    let whole = fleet.submit(whole);
+    for _ in 0..120 {
+        submit_many(&mut fleet, 4, &spec("t2", Urgency::Normal));
+        fleet.round();
+    }
+    assert_eq!(*fleet.state(whole), JobState::Done);
+}
+
 /// Overnight jobs leave headroom for urgent ones, until their own deadline comes near.
 #[test]
 fn overnight_headroom() {
