Compare the basis of a leaving mark only within one log

Cause: the caller had to reset the basis of marks from a peer that follows another log, and a caller that forgets it would keep a mark that the own log overruled. Ruled out: refusing all marks of such peers, because a target they know to be leaving would get work. Change: LeavingMarks::mark_from_peer takes the content of a digest and the own log. Conclusion: a mark of a peer is judged in one place.

--- a/crates/peers/src/decisions/leaving_marks.rs
+++ b/crates/peers/src/decisions/leaving_marks.rs
@@ -1,9 +1,9 @@
 use {
-    crate::wire::LeavingMark,
+    crate::wire::{DigestContent, LeavingMark},
     goldcreststall_core::{
         collections::SortedMap,
         ids::{HostName, Incarnation, LogTime},
-        ledger::LogOffset,
+        ledger::{LogIdentity, LogOffset},
     },
 };
 
@@ -55,11 +55,9 @@
 }
 
 impl LeavingMarks {
-    /// Takes a mark made here from the log or from the answer of a target, or told by a peer.
+    /// Takes a mark made here from the log or from the answer of a target.
     ///
-    /// For the answer of a target the basis is the ledger offset at the time the request was sent. For
-    /// a peer that follows another log the caller sets the basis to 0, because offsets of different
-    /// logs cannot be compared.
+    /// For the answer of a target the basis is the ledger offset at the time the request was sent.
     pub fn mark(&mut self, mark: LeavingMark) -> MarkResult {
         let newest = self.newest.get(&mark.host);
         let reactivated = self.reactivated.get(&mark.host);
@@ -83,6 +81,29 @@
         }
     }
 
+    /// Takes the marks of a peer and returns how many hosts were not marked before.
+    ///
+    /// The basis of a peer that does not follow `own_log` counts as 0, because offsets of different
+    /// logs cannot be compared.
+    pub fn mark_from_peer(
+        &mut self,
+        own_log: Option<LogIdentity>,
+        content: &DigestContent,
+    ) -> usize {
+        let peer_log = content.position().map(|position| position.log);
+        let same_log = own_log.is_some() && peer_log == own_log;
+        let results = content.leaving().iter().map(|mark| {
+            let basis = if same_log { mark.basis } else { LogOffset(0) };
+            self.mark(LeavingMark {
+                basis,
+                ..mark.clone()
+            })
+        });
+        results
+            .filter(|result| *result == MarkResult::Marked)
+            .count()
+    }
+
     /// Takes a mark from a host list that was valid at `list_time`.
     ///
     /// The list lags: it may still call a host leaving that the log has made active again. Such a list
--- a/crates/peers/tests/leaving_marks.rs
+++ b/crates/peers/tests/leaving_marks.rs
@@ -5,11 +5,14 @@
 use {
     goldcreststall_core::{
         ids::{Incarnation, LogTime},
-        ledger::LogOffset,
+        ledger::{LogIdentity, LogOffset},
+    },
+    goldcreststall_peers::{
+        decisions::{LeavingMarks, MarkResult},
+        wire::{DigestContent, LogPosition},
     },
-    goldcreststall_peers::decisions::{LeavingMarks, MarkResult},
     proptest::prelude::*,
-    support::{config, host, mark},
+    support::{LOG, at, config, host, mark},
 };
 
 const HOSTS: usize = 4;
@@ -44,9 +47,10 @@
             Step::Reactivate => self.entries.push(true),
             Step::Fold(at) => self.fold(at),
             Step::Tell(from, to) => {
-                for mark in self.marks[from].marks() {
-                    self.marks[to].mark(mark);
-                }
+                let marks = self.marks[from].marks();
+                let position = Some(at(self.next[from] as u64));
+                let content = DigestContent::new(position, Vec::new(), marks, false);
+                self.marks[to].mark_from_peer(Some(LOG), &content);
             }
             Step::Restart(at) => {
                 self.marks[at] = LeavingMarks::default();
@@ -178,3 +182,17 @@
     marks.log_reactivates(&host("t1"), Incarnation(1), LogOffset(10), LogTime(0));
     assert_eq!(marks.marks(), [mark("t1", 1, 12)]);
 }
+
+/// An offset of another log must not make a mark outlive the reactivation in this one.
+#[test]
+fn foreign_basis() {
+    let mut marks = LeavingMarks::default();
+    marks.log_reactivates(&host("t1"), Incarnation(1), LogOffset(10), LogTime(0));
+    let told = |log| {
+        let next = LogOffset(50);
+        let position = Some(LogPosition { log, next });
+        DigestContent::new(position, Vec::new(), vec![mark("t1", 1, 40)], false)
+    };
+    assert_eq!(marks.mark_from_peer(Some(LOG), &told(LogIdentity(8))), 0);
+    assert_eq!(marks.mark_from_peer(Some(LOG), &told(LOG)), 1);
+}
--- a/crates/peers/tests/support/mod.rs
+++ b/crates/peers/tests/support/mod.rs
@@ -143,9 +143,7 @@
     fn receive(&self, digest: Digest) {
         let now = self.now();
         let mut memory = self.memory.lock().unwrap();
-        for mark in digest.content.leaving() {
-            memory.marks.mark(mark.clone());
-        }
+        memory.marks.mark_from_peer(Some(LOG), &digest.content);
         memory.table.receive(now, digest.clone());
         memory.received.push(digest);
     }
