--- a/crates/entry/src/duty/duty_planner.rs
+++ b/crates/entry/src/duty/duty_planner.rs
@@ -5,7 +5,7 @@
         capacity::{LendInput, LendPolicy, LendSettings, PoolNeed},
         collections::SortedMap,
         duties::Duty,
-        ids::{EntryName, HostName, LocalTime, LogTime, Millis, PoolName, WaveName},
+        ids::{EntryName, HostName, LocalTime, LogTime, Millis, PoolName, ServiceName, WaveName},
         jobs::{LeaseRef, PlacementInput, TaskAction, TaskCommand, plan_placement},
         ledger::{FleetState, LogOffset, RecordBody},
         membership::{HostState, MembershipRecord},
@@ -208,8 +208,11 @@
         .iter()
         .filter(|service| service.pool == *pool);
     let demand = input.board.demand(input.entry);
-    let requests: u32 = services
-        .flat_map(|service| demand.iter().map(|peer| peer.requests(&service.name)))
+    let names: Vec<&ServiceName> = services.map(|service| &service.name).collect();
+    let rows = demand.iter().flat_map(|peer| &peer.services);
+    let requests: u32 = rows
+        .filter(|row| names.contains(&&row.service))
+        .map(|row| row.requests)
         .sum();
     let members = input.hosts.hosts.iter().filter(|row| {
         let host = input.state.membership.hosts().get(&row.name);
