Test the limits that keep a faulty peer from taking memory or time

Ruled out: leaving them to review; each guards the 32 MB and the time of a starting host. Change: tests for silent and too many connections, too many requests, a hanging peer, a wrong answer and an oversized state. Conclusion: the limits are covered; the sums of state transfers that run at the same time are not bounded.

--- a/crates/peers/tests/entry_relay.rs
+++ b/crates/peers/tests/entry_relay.rs
@@ -204,3 +204,16 @@
         EntriesAnswer::Entries { entries, log: LOG }
     );
 }
+
+/// An answer that does not start where it was asked to would leave a gap in the state.
+#[tokio::test(start_paused = true)]
+async fn wrong_answer() {
+    let network = Network::new(5);
+    let hosts = start_hosts(&network, 2);
+    let entries = vec![log_entry(2, 10)];
+    let answer = EntriesAnswer::Entries { entries, log: LOG };
+    hosts[1].handler.memory.lock().unwrap().wrong_answer = Some(answer);
+    sleep(Duration::from_secs(1)).await;
+    let answer = hosts[0].mesh.fetch_entries(&entry("e2"), fetch(1)).await;
+    assert!(answer.is_err(), "{answer:?}");
+}
--- a/crates/peers/tests/mesh_faults.rs
+++ b/crates/peers/tests/mesh_faults.rs
@@ -12,7 +12,7 @@
     std::{sync::Arc, time::Duration},
     support::{
         LinkFault, Network, TestHandler, entry, host_names, quiet_logger, run_of, start_host,
-        start_hosts,
+        start_hosts, stop_hosts,
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt, duplex},
@@ -36,19 +36,66 @@
     }))
 }
 
-/// Sends bytes to the only host of a test and tells whether it closes the connection within a second.
-async fn is_closed_after(bytes: Vec<u8>) -> bool {
+/// Sends bytes to the only host of a test and tells whether it closes the connection within `limit`.
+async fn is_closed_within(limit: Duration, bytes: Vec<u8>) -> bool {
     let network = Network::new(5);
     let names = host_names(2);
     let host = start_host(&network, run_of("e1", 1), &names);
+    host.handler.memory.lock().unwrap().hangs = true;
     let (mut near, far) = duplex(1024);
     host.mesh.accept(far);
     near.write_all(&bytes).await.unwrap();
     let mut rest = Vec::new();
-    let end = timeout(Duration::from_secs(1), near.read_to_end(&mut rest)).await;
+    let end = timeout(limit, near.read_to_end(&mut rest)).await;
+    stop_hosts(vec![host]).await;
     end.is_ok()
 }
 
+async fn is_closed_after(bytes: Vec<u8>) -> bool {
+    is_closed_within(Duration::from_secs(1), bytes).await
+}
+
+/// Connections of peers that died without a trace must not pile up.
+#[tokio::test(start_paused = true)]
+async fn silent_connection() {
+    assert!(is_closed_within(Duration::from_secs(3), Vec::new()).await);
+    let hello = hello("e2", "e1");
+    assert!(!is_closed_within(Duration::from_secs(9), hello.clone()).await);
+    assert!(is_closed_within(Duration::from_secs(11), hello).await);
+}
+
+/// A peer that asks without reading the answers must not fill the memory.
+#[tokio::test(start_paused = true)]
+async fn many_requests() {
+    let asks = |count| {
+        [
+            vec![hello("e2", "e1")],
+            vec![framed(Frame::FetchState); count],
+        ]
+        .concat()
+    };
+    assert!(!is_closed_after(asks(2).concat()).await);
+    assert!(is_closed_after(asks(5).concat()).await);
+}
+
+/// Connections beyond the limit must be closed at once.
+#[tokio::test(start_paused = true)]
+async fn many_connections() {
+    let network = Network::new(13);
+    let host = start_host(&network, run_of("e1", 1), &host_names(2));
+    let mut streams = Vec::new();
+    for _ in 0..9 {
+        let (near, far) = duplex(1024);
+        host.mesh.accept(far);
+        streams.push(near);
+    }
+    let mut byte = [0];
+    let last = timeout(Duration::from_secs(1), streams[8].read(&mut byte)).await;
+    assert_eq!(last.unwrap().unwrap(), 0);
+    let first = timeout(Duration::from_secs(1), streams[0].read(&mut byte)).await;
+    assert!(first.is_err());
+}
+
 /// A connection that breaks the protocol must end, and one that follows it must not.
 #[tokio::test(start_paused = true)]
 async fn broken_protocol() {
--- a/crates/peers/tests/state_transfer.rs
+++ b/crates/peers/tests/state_transfer.rs
@@ -6,11 +6,13 @@
     bytes::Bytes,
     goldcreststall_peers::{
         mesh::PeerError,
-        wire::{STATE_CHUNK_BYTES, StateAssembler, StateChunks, StateImage, WireError},
+        wire::{
+            MAX_STATE_BYTES, STATE_CHUNK_BYTES, StateAssembler, StateChunks, StateImage, WireError,
+        },
     },
     std::time::Duration,
     support::{LinkFault, Network, at, entry, start_hosts},
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 fn image(next: u64, size: usize) -> StateImage {
@@ -90,3 +92,30 @@
         );
     }
 }
+
+/// A peer must not make this host reserve more memory than a state may take.
+#[test]
+fn oversized_state() {
+    let mut chunk = StateChunks::new(image(9, 10)).next().unwrap();
+    chunk.total = MAX_STATE_BYTES + 1;
+    let result = StateAssembler::default().add(chunk);
+    assert!(
+        matches!(result, Err(WireError::OutOfRange { .. })),
+        "{result:?}"
+    );
+}
+
+/// A peer that lives but never answers must not block a starting host.
+#[tokio::test(start_paused = true)]
+async fn hanging_peer() {
+    let network = Network::new(4);
+    let hosts = start_hosts(&network, 2);
+    hosts[1].handler.memory.lock().unwrap().hangs = true;
+    sleep(Duration::from_secs(1)).await;
+    let peer = entry("e2");
+    let answer = timeout(Duration::from_secs(6), hosts[0].mesh.fetch_state(&peer)).await;
+    assert!(
+        matches!(answer, Ok(Err(PeerError::Unreachable))),
+        "{answer:?}"
+    );
+}
--- a/crates/peers/tests/support/mod.rs
+++ b/crates/peers/tests/support/mod.rs
@@ -95,6 +95,10 @@
 
 /// What an entry host knows, behind the handler of its mesh.
 pub struct HostMemory {
+    /// Answers no request.
+    pub hangs: bool,
+    /// Answers requests for entries with this instead of the relay.
+    pub wrong_answer: Option<EntriesAnswer>,
     pub demand: Vec<ServiceDemand>,
     pub draining: bool,
     pub image: Option<StateImage>,
@@ -113,6 +117,8 @@
 impl TestHandler {
     pub fn new() -> Arc<Self> {
         let memory = HostMemory {
+            hangs: false,
+            wrong_answer: None,
             demand: Vec::new(),
             draining: false,
             image: None,
@@ -157,10 +163,15 @@
     }
 
     async fn serve_entries(&self, fetch: FetchEntries) -> EntriesAnswer {
-        self.memory.lock().unwrap().relay.answer(fetch)
+        let memory = self.memory.lock().unwrap();
+        let wrong = memory.wrong_answer.clone();
+        wrong.unwrap_or_else(|| memory.relay.answer(fetch))
     }
 
     async fn serve_state(&self) -> Option<StateImage> {
+        if self.memory.lock().unwrap().hangs {
+            std::future::pending::<()>().await;
+        }
         self.memory.lock().unwrap().image.clone()
     }
 }
