--- a/crates/core/src/traffic/fair_policy.rs
+++ b/crates/core/src/traffic/fair_policy.rs
@@ -259,7 +259,10 @@
                 service.times.learn(now, class, elapsed);
                 elapsed
             }
-            SendOutcome::Failed { .. } | SendOutcome::NotRun | SendOutcome::Unknown => elapsed,
+            SendOutcome::Failed { .. }
+            | SendOutcome::GivenBack
+            | SendOutcome::NotRun
+            | SendOutcome::Unknown => elapsed,
         };
         let uncontended = service.times.uncontended(class);
         let tenant = sent.spec.tenant;
--- a/crates/core/src/traffic/traffic_policy.rs
+++ b/crates/core/src/traffic/traffic_policy.rs
@@ -69,6 +69,8 @@
         /// Time between sending and the end of the answer.
         took: Millis,
     },
+    /// The place was given back unused, for example because the caller left. It says nothing of the target.
+    GivenBack,
     /// The request was not run: no connection, or the target said so.
     NotRun,
     /// The outcome is unknown.
--- a/crates/entry/src/traffic/counted_body.rs
+++ b/crates/entry/src/traffic/counted_body.rs
@@ -2,7 +2,7 @@
     super::policy_gate::AssignedSlot,
     crate::clock::BootClock,
     bytes::Bytes,
-    goldcreststall_core::{ids::LocalTime, traffic::SendOutcome},
+    goldcreststall_core::{error::ErrorKind, ids::LocalTime, traffic::SendOutcome},
     goldcreststall_targets::transport::AnswerBody,
     http::StatusCode,
     http_body::{Body, Frame, SizeHint},
@@ -10,12 +10,16 @@
         error::Error,
         pin::Pin,
         task::{Context, Poll},
+        time::Duration,
     },
+    tokio::time::Sleep,
 };
 
 /// The body of an answer, which holds its slot at the target until the whole answer was passed on.
 pub(super) struct CountedBody {
     body: AnswerBody,
+    /// Fires at the deadline of the request.
+    late: Pin<Box<Sleep>>,
     clock: BootClock,
     sent: LocalTime,
     slot: Option<AssignedSlot>,
@@ -27,11 +31,15 @@
         body: AnswerBody,
         slot: AssignedSlot,
         sent: LocalTime,
+        deadline: LocalTime,
         status: StatusCode,
     ) -> Self {
+        let clock = BootClock;
+        let left = Duration::from_millis(deadline.since(clock.now()).0);
         let mut body = Self {
             body,
-            clock: BootClock,
+            clock,
+            late: Box::pin(tokio::time::sleep(left)),
             sent,
             slot: Some(slot),
             status,
@@ -73,6 +81,12 @@
             Poll::Ready(Some(Err(_))) => self.slot = None,
             Poll::Ready(None) => self.finish(),
             Poll::Ready(Some(Ok(_))) => self.finish_at_end(),
+            // A target that stalls must not hold its slot and the caller for ever.
+            Poll::Pending if self.late.as_mut().poll(context).is_ready() => {
+                self.slot = None;
+                let late = ErrorKind::DeadlineAfterSend;
+                return Poll::Ready(Some(Err(late.into())));
+            }
             Poll::Pending => {}
         }
         frame
--- a/crates/entry/src/traffic/policy_gate.rs
+++ b/crates/entry/src/traffic/policy_gate.rs
@@ -42,15 +42,22 @@
     state: Mutex<GateState>,
 }
 
-/// A place at a target. Dropping it before [`AssignedSlot::finish`] reports an unknown outcome.
+/// A place at a target. Dropping it reports an unknown outcome once the request was sent, and gives the place
+/// back otherwise.
 pub struct AssignedSlot {
     /// What was assigned.
     pub assignment: Assignment,
     finished: bool,
     gate: Arc<PolicyGate>,
+    sent: bool,
+}
+
+/// A request in the queue. Dropping it leaves the queue.
+pub struct QueuedRequest {
+    answer: oneshot::Receiver<Result<AssignedSlot, ErrorKind>>,
+    ticket: QueuedTicket,
 }
 
-/// A place in the queue. Dropping it leaves the queue.
 struct QueuedTicket {
     gate: Arc<PolicyGate>,
     ticket: Ticket,
@@ -85,24 +92,19 @@
         }
     }
 
-    /// Waits for a place at a target.
+    /// Admits a request to the queue.
     ///
     /// # Errors
     /// A kind of the class not run.
-    pub async fn wait_for_slot(
-        self: &Arc<Self>,
-        spec: RequestSpec,
-    ) -> Result<AssignedSlot, ErrorKind> {
+    pub fn enqueue(self: &Arc<Self>, spec: RequestSpec) -> Result<QueuedRequest, ErrorKind> {
         let ticket = Ticket(self.next.fetch_add(1, Ordering::Relaxed));
-        let (sender, receiver) = oneshot::channel();
+        let (sender, answer) = oneshot::channel();
         self.offer(ticket, spec, sender)?;
-        let queued = QueuedTicket {
+        let ticket = QueuedTicket {
             gate: Arc::clone(self),
             ticket,
         };
-        let result = receiver.await.unwrap_or(Err(ErrorKind::Draining));
-        drop(queued);
-        result
+        Ok(QueuedRequest { answer, ticket })
     }
 
     /// Replaces the routing view.
@@ -183,6 +185,7 @@
                 assignment,
                 finished: false,
                 gate: Arc::clone(self),
+                sent: false,
             };
             let waiter = state.waiters.remove(&assignment.ticket);
             let unsent = match waiter {
@@ -193,7 +196,7 @@
                 // The lock is held here, so the slot must not report by itself.
                 slot.finished = true;
                 state.remove_in_flight(assignment.target);
-                state.policy.finish(now, assignment, SendOutcome::NotRun);
+                state.policy.finish(now, assignment, SendOutcome::GivenBack);
             }
         }
     }
@@ -237,7 +240,24 @@
     }
 }
 
+impl QueuedRequest {
+    /// Waits for a place at a target.
+    ///
+    /// # Errors
+    /// A kind of the class not run.
+    pub async fn wait(self) -> Result<AssignedSlot, ErrorKind> {
+        let result = self.answer.await;
+        drop(self.ticket);
+        result.unwrap_or(Err(ErrorKind::Draining))
+    }
+}
+
 impl AssignedSlot {
+    /// Notes that the request is about to be sent.
+    pub fn mark_sent(&mut self) {
+        self.sent = true;
+    }
+
     /// Reports how the exchange ended.
     pub fn finish(mut self, outcome: SendOutcome) {
         self.finished = true;
@@ -249,7 +269,12 @@
     fn drop(&mut self) {
         if !self.finished {
             self.finished = true;
-            self.gate.finish(self.assignment, SendOutcome::Unknown);
+            let outcome = if self.sent {
+                SendOutcome::Unknown
+            } else {
+                SendOutcome::GivenBack
+            };
+            self.gate.finish(self.assignment, outcome);
         }
     }
 }
--- a/crates/entry/src/traffic/request_router.rs
+++ b/crates/entry/src/traffic/request_router.rs
@@ -1,7 +1,10 @@
 use {
     super::{
-        PolicyGate, body_reader::read_body, counted_body::CountedBody, job_intake::JobIntake,
-        policy_gate::AssignedSlot,
+        PolicyGate,
+        body_reader::read_body,
+        counted_body::CountedBody,
+        job_intake::JobIntake,
+        policy_gate::{AssignedSlot, QueuedRequest},
     },
     crate::{
         clock::BootClock,
@@ -14,7 +17,7 @@
         server::{CallerAnswer, CallerHandler, JobRequest},
     },
     goldcreststall_core::{
-        claims::{ClaimRecord, IssuedKeys, KeyUse},
+        claims::{CLAIM_MAX_AGE, ClaimRecord, IssuedKeys, KeyUse},
         error::{ErrorKind, OutcomeClass},
         ids::{LocalTime, Millis, RequestKey},
         ledger::{RecordBody, Rejection},
@@ -37,6 +40,8 @@
 
 /// Longest wait for a claim to be read back from the log.
 const CLAIM_WAIT: Millis = Millis(3_000);
+/// Longest time by which a refusal is held back for the release of its claim.
+const RELEASE_WAIT: Millis = Millis(1_000);
 
 /// Takes each request from its arrival to its answer.
 pub struct RequestRouter {
@@ -105,11 +110,15 @@
             spec,
             tenant: request.tenant.to_string(),
         };
-        let body = read_body(request.body).await?;
+        let left = Duration::from_millis(request.deadline.0);
+        let body = tokio::time::timeout(left, read_body(request.body));
+        let body = body.await.map_err(|_| ErrorKind::DeadlineUnreachable)??;
+        // A request that is refused at once needs no claim, so a flood costs no appends.
+        let queued = self.gate.enqueue(spec)?;
         self.claim(&routed).await?;
-        let result = self.attempt(&routed, body).await;
+        let result = self.attempt(&routed, queued, body).await;
         if let Err(error) = &result {
-            self.give_back(&routed, error.kind);
+            self.give_back(&routed, error.kind).await;
         }
         result
     }
@@ -144,7 +153,7 @@
     }
 
     /// Frees the key of a request that did not run, so that it can be sent through another entry host.
-    fn give_back(&self, routed: &RoutedRequest, kind: ErrorKind) {
+    async fn give_back(&self, routed: &RoutedRequest, kind: ErrorKind) {
         if routed.spec.idempotent || kind.answer().class != OutcomeClass::NotRun {
             return;
         }
@@ -152,34 +161,46 @@
             Some(RequestKey::Issued { number, .. }) => {
                 self.issued.lock().give_back(self.clock.now(), *number);
             }
-            Some(RequestKey::Caller(key)) => {
-                let release = ClaimRecord::Release {
-                    holder: self.control.entry().clone(),
-                    key: *key,
-                };
-                let control = self.control.clone();
-                let deadline = self.clock.now() + goldcreststall_core::claims::CLAIM_MAX_AGE;
-                tokio::spawn(async move {
-                    // A release that is lost leaves the key claimed, which is safe.
-                    let _ = control.propose(RecordBody::Claim(release), deadline).await;
-                });
-            }
+            Some(RequestKey::Caller(key)) => self.release(*key).await,
             None => {}
         }
     }
 
+    /// Releases a claim. The caller may send its request elsewhere as soon as it is answered, so the answer
+    /// waits a while for the release to be in the log.
+    async fn release(&self, key: u128) {
+        let release = ClaimRecord::Release {
+            holder: self.control.entry().clone(),
+            key,
+        };
+        let control = self.control.clone();
+        let deadline = self.clock.now() + CLAIM_MAX_AGE;
+        let released = tokio::spawn(async move {
+            // A release that is lost leaves the key claimed, which is safe.
+            let _ = control.propose(RecordBody::Claim(release), deadline).await;
+        });
+        let wait = Duration::from_millis(RELEASE_WAIT.0);
+        let _ = tokio::time::timeout(wait, released).await;
+    }
+
     async fn attempt(
         &self,
         routed: &RoutedRequest,
+        queued: QueuedRequest,
         body: RequestBody,
     ) -> Result<CallerAnswer, RequestError> {
         let mut body = Some(body);
+        let mut queued = Some(queued);
         let mut attempts = 0;
         loop {
             attempts += 1;
+            let place = match queued.take() {
+                Some(queued) => queued,
+                None => self.gate.enqueue(routed.spec)?,
+            };
             let spare = body.as_ref().and_then(RequestBody::try_clone);
             let current = body.take().ok_or(ErrorKind::ConnectFailed)?;
-            let error = match self.attempt_once(routed, current).await {
+            let error = match self.attempt_once(routed, place, current).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => error,
             };
@@ -206,9 +227,10 @@
     async fn attempt_once(
         &self,
         routed: &RoutedRequest,
+        queued: QueuedRequest,
         body: RequestBody,
     ) -> Result<CallerAnswer, RequestError> {
-        let slot = self.gate.wait_for_slot(routed.spec).await?;
+        let mut slot = queued.wait().await?;
         let view = self.control.view().ok_or(ErrorKind::NotReady)?;
         let target = slot.assignment.target;
         let endpoint = endpoint(&view, target).ok_or(ErrorKind::NoTarget)?;
@@ -216,7 +238,6 @@
         let sent = self.clock.now();
         // A process that was frozen since the claim or the choice of target finds its deadline passed.
         if sent >= routed.spec.deadline {
-            slot.finish(SendOutcome::NotRun);
             return Err(ErrorKind::DeadlineUnreachable.into());
         }
         let request = TargetRequest {
@@ -226,11 +247,12 @@
             path: routed.path.clone(),
         };
         let left = Duration::from_millis(routed.spec.deadline.since(sent).0);
+        slot.mark_sent();
         let exchange = self.transport.send(&endpoint, request);
         match tokio::time::timeout(left, exchange).await {
             Ok(Ok(answer)) => {
                 self.note_leaving(answer.leaving, &view, target);
-                Ok(pass_on(answer, slot, &endpoint, sent))
+                Ok(pass_on(answer, slot, &endpoint, sent, routed.spec.deadline))
             }
             Ok(Err(error)) => {
                 self.note_leaving(error.leaving, &view, target);
@@ -316,6 +338,7 @@
     slot: AssignedSlot,
     endpoint: &TargetEndpoint,
     sent: LocalTime,
+    deadline: LocalTime,
 ) -> CallerAnswer {
     let mut headers = answer.headers;
     strip_connection_headers(&mut headers);
@@ -323,7 +346,13 @@
         headers.insert(TARGET, value);
     }
     CallerAnswer {
-        body: Box::pin(CountedBody::new(answer.body, slot, sent, answer.status)),
+        body: Box::pin(CountedBody::new(
+            answer.body,
+            slot,
+            sent,
+            deadline,
+            answer.status,
+        )),
         headers,
         status: answer.status,
     }
