Measure the slopes of the folded state and the path through an entry host

Ruled out: estimates from type sizes, because keys and vectors share allocations. Change: table state (counting allocator), tables rollout, moves and buffer in the same program, and a bench of the direct path beside the path through one entry host.

--- a/crates/measures/src/command.rs
+++ b/crates/measures/src/command.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{overload, slopes},
+    crate::{buffer, moves, overload, rollout, slopes},
     lexopt::prelude::*,
 };
 
@@ -10,7 +10,7 @@
 }
 
 /// All tables, in the order in which they are printed.
-const TABLES: [TableRow; 7] = [
+const TABLES: [TableRow; 11] = [
     TableRow {
         name: "turns",
         print: overload::print_turns,
@@ -39,6 +39,22 @@
         name: "updates",
         print: slopes::print_updates,
     },
+    TableRow {
+        name: "state",
+        print: slopes::print_state,
+    },
+    TableRow {
+        name: "rollout",
+        print: || Ok(rollout::print_rollout(&mut std::io::stdout())?),
+    },
+    TableRow {
+        name: "moves",
+        print: || Ok(moves::print_moves(&mut std::io::stdout())?),
+    },
+    TableRow {
+        name: "buffer",
+        print: || Ok(buffer::print_buffer(&mut std::io::stdout())?),
+    },
 ];
 
 /// Prints the tables named on the command line, or all of them.
--- a/crates/measures/src/slopes/mod.rs
+++ b/crates/measures/src/slopes/mod.rs
@@ -1,5 +1,9 @@
 //! Growth of the cost of decisions with the size of the fleet.
 
 mod decision_bench;
+mod state_bench;
 
-pub use decision_bench::{print_decisions, print_updates};
+pub use {
+    decision_bench::{print_decisions, print_updates},
+    state_bench::print_state,
+};
--- /dev/null
+++ b/crates/measures/src/slopes/state_bench.rs
@@ -0,0 +1,293 @@
+use {
+    cap::Cap,
+    goldcreststall_core::{
+        claims::ClaimRecord,
+        config::{ConfigRecord, ConfigVersion},
+        ids::{
+            DataCentre, EntryId, EntryName, HostName, Incarnation, LogTime, Millis, PoolName,
+            RackName, RecordId, ServiceName, TenantName,
+        },
+        jobs::{JobId, JobRecord, JobSize, JobSpec},
+        ledger::{
+            Author, FleetState, LedgerRecord, LogEntry, LogIdentity, LogOffset, RecordBody,
+            decode_records, decode_state, encode_records, encode_state,
+        },
+        membership::{HostVersion, MembershipRecord},
+        traffic::Urgency,
+    },
+    std::{alloc::System, fmt::Write, hint::black_box, time::Instant},
+};
+
+/// Counts the memory in use, for the slopes per row of state.
+#[global_allocator]
+static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
+
+const START: LogTime = LogTime(1_800_000_000_000);
+/// Records in one log entry, as in a busy append.
+const BATCH: usize = 16;
+const POOLS: usize = 48;
+const TENANTS: usize = 140;
+/// Sizes at which each slope is measured.
+const SIZES: [usize; 3] = [350, 700, 1_400];
+/// Claims for each host.
+const CLAIMS_PER_HOST: usize = 10;
+/// Unfinished jobs for each host.
+const JOBS_PER_HOST: usize = 5;
+
+/// Feeds records to a state as log entries.
+struct Feed {
+    author: Author,
+    entries: Vec<LogEntry>,
+    next: u64,
+    number: u128,
+}
+
+impl Feed {
+    fn new(next: u64) -> Self {
+        Self {
+            author: Author("entry:e1".to_owned()),
+            entries: Vec::new(),
+            next,
+            number: u128::from(next) << 32,
+        }
+    }
+
+    fn push(&mut self, bodies: impl Iterator<Item = RecordBody>) {
+        let bodies: Vec<RecordBody> = bodies.collect();
+        for batch in bodies.chunks(BATCH) {
+            let time = START + Millis(self.next);
+            let records = batch.iter().map(|body| {
+                self.number += 1;
+                LedgerRecord {
+                    author: self.author.clone(),
+                    body: body.clone(),
+                    id: RecordId::at(time, self.number),
+                }
+            });
+            let records = records.collect();
+            self.entries.push(LogEntry {
+                offset: LogOffset(self.next),
+                records,
+                time,
+            });
+            self.next += 1;
+        }
+    }
+}
+
+/// What the rows of one kind cost.
+struct RowCost {
+    accepted: usize,
+    fold_ns: f64,
+    heap: f64,
+    log_bytes: f64,
+    snapshot: f64,
+}
+
+/// Prints cost per record and bytes per row of state, at three sizes.
+///
+/// # Errors
+/// A configuration or name that is not valid.
+pub fn print_state() -> anyhow::Result<()> {
+    println!("\n### Cost of the folded state\n");
+    println!(
+        "| rows | number | decode and fold, ns/record | log, B/record | heap, B/row | snapshot, B/row |"
+    );
+    println!("|---|---|---|---|---|---|");
+    for size in SIZES {
+        print_size(size)?;
+    }
+    println!("\n### Snapshot\n");
+    println!("| hosts | jobs | claims | bytes | encode, ms | decode, ms | heap, MiB |");
+    println!("|---|---|---|---|---|---|---|");
+    for size in SIZES {
+        print_snapshot(size)?;
+    }
+    Ok(())
+}
+
+fn print_size(hosts: usize) -> anyhow::Result<()> {
+    let mut state = configured()?;
+    print_row("hosts", &mut state, host_records(hosts)?)?;
+    print_row("host changes", &mut state, change_records(hosts)?)?;
+    print_row("jobs", &mut state, job_records(hosts * JOBS_PER_HOST)?)?;
+    print_row(
+        "claims",
+        &mut state,
+        claim_records(hosts * CLAIMS_PER_HOST)?,
+    )
+}
+
+fn print_row(name: &str, state: &mut FleetState, bodies: Vec<RecordBody>) -> anyhow::Result<()> {
+    let count = bodies.len();
+    let cost = measure(state, bodies)?;
+    anyhow::ensure!(
+        cost.accepted == count,
+        "{name}: {} of {count} accepted",
+        cost.accepted
+    );
+    println!(
+        "| {name} | {count} | {:.0} | {:.0} | {:.0} | {:.0} |",
+        cost.fold_ns, cost.log_bytes, cost.heap, cost.snapshot
+    );
+    Ok(())
+}
+
+fn measure(state: &mut FleetState, bodies: Vec<RecordBody>) -> anyhow::Result<RowCost> {
+    let count = bodies.len() as f64;
+    let mut feed = Feed::new(state.next().0);
+    feed.push(bodies.into_iter());
+    let encoded: Vec<Vec<u8>> = feed
+        .entries
+        .iter()
+        .map(|entry| encode_records(&entry.records))
+        .collect();
+    let log_bytes: usize = encoded.iter().map(Vec::len).sum();
+    let snapshot_before = encode_state(state).len();
+    let before = ALLOCATOR.allocated();
+    let started = Instant::now();
+    let mut accepted = 0;
+    for (entry, bytes) in feed.entries.iter().zip(&encoded) {
+        let entry = LogEntry {
+            offset: entry.offset,
+            records: decode_records(bytes)?,
+            time: entry.time,
+        };
+        let results = state.apply(&entry);
+        accepted += results.iter().filter(|result| result.is_ok()).count();
+    }
+    let elapsed = started.elapsed().as_nanos() as f64;
+    let heap = ALLOCATOR.allocated().saturating_sub(before) as f64;
+    let snapshot = encode_state(state).len().saturating_sub(snapshot_before) as f64;
+    Ok(RowCost {
+        accepted,
+        fold_ns: elapsed / count,
+        heap: heap / count,
+        log_bytes: log_bytes as f64 / count,
+        snapshot: snapshot / count,
+    })
+}
+
+fn print_snapshot(hosts: usize) -> anyhow::Result<()> {
+    let before = ALLOCATOR.allocated();
+    let mut state = configured()?;
+    let (jobs, claims) = (hosts * JOBS_PER_HOST, hosts * CLAIMS_PER_HOST);
+    measure(&mut state, host_records(hosts)?)?;
+    measure(&mut state, job_records(jobs)?)?;
+    measure(&mut state, claim_records(claims)?)?;
+    let heap = ALLOCATOR.allocated().saturating_sub(before) as f64 / f64::from(1 << 20);
+    let started = Instant::now();
+    let bytes = encode_state(&state);
+    let encode = started.elapsed();
+    let started = Instant::now();
+    black_box(decode_state(&bytes)?);
+    let decode = started.elapsed();
+    println!(
+        "| {hosts} | {jobs} | {claims} | {} | {:.1} | {:.1} | {heap:.1} |",
+        bytes.len(),
+        encode.as_secs_f64() * 1e3,
+        decode.as_secs_f64() * 1e3
+    );
+    Ok(())
+}
+
+fn configured() -> anyhow::Result<FleetState> {
+    let mut text = String::new();
+    for pool in 0..POOLS {
+        writeln!(text, "[[pools]]\nname = \"pool-{pool}\"\nmin_available = 1")?;
+        writeln!(
+            text,
+            "[[services]]\nname = \"service-{pool}\"\npool = \"pool-{pool}\""
+        )?;
+    }
+    for tenant in 0..TENANTS {
+        writeln!(
+            text,
+            "[[tenants]]\nname = \"tenant-{tenant}\"\nmax_jobs = 100000"
+        )?;
+    }
+    let publish = ConfigRecord::Publish {
+        base: ConfigVersion(0),
+        document: text,
+    };
+    let mut state = FleetState::new(LogIdentity(1));
+    let mut feed = Feed::new(0);
+    feed.push(std::iter::once(RecordBody::Config(publish)));
+    for entry in &feed.entries {
+        for result in state.apply(entry) {
+            result?;
+        }
+    }
+    Ok(state)
+}
+
+fn host_name(number: usize) -> anyhow::Result<HostName> {
+    Ok(HostName::try_from(format!("worker-{number:05}"))?)
+}
+
+fn host_records(count: usize) -> anyhow::Result<Vec<RecordBody>> {
+    let records = (0..count).map(|number| {
+        let record = MembershipRecord::HostAdd {
+            data_centre: DataCentre::try_from(format!("dc{}", number % 6))?,
+            host: host_name(number)?,
+            incarnation: Incarnation(1),
+            pool: PoolName::try_from(format!("pool-{}", number % POOLS))?,
+            rack: RackName::try_from(format!("rack{}", number / 4))?,
+        };
+        Ok(RecordBody::Membership(record))
+    });
+    records.collect()
+}
+
+/// Hosts that go down; each is one change of the membership with its audit line.
+fn change_records(count: usize) -> anyhow::Result<Vec<RecordBody>> {
+    let records = (0..count).map(|number| {
+        let record = MembershipRecord::HostDown {
+            host: host_name(number)?,
+            seen: HostVersion {
+                change: number as u64 + 1,
+                incarnation: Incarnation(1),
+            },
+        };
+        Ok(RecordBody::Membership(record))
+    });
+    records.collect()
+}
+
+fn job_records(count: usize) -> anyhow::Result<Vec<RecordBody>> {
+    let records = (0..count).map(|number| {
+        let spec = JobSpec {
+            checkpoints: false,
+            deadline: START + Millis(86_400_000),
+            idempotent: number % 2 == 0,
+            payload: "object-store/plates/2027-01-15/00012345".to_owned(),
+            pool: PoolName::try_from(format!("pool-{}", number % POOLS))?,
+            run_time: Millis(60_000),
+            service: ServiceName::try_from(format!("service-{}", number % POOLS))?,
+            size: JobSize {
+                accelerators: 0,
+                cores_milli: 2_000,
+                memory_mib: 4_096,
+            },
+            tenant: TenantName::try_from(format!("tenant-{}", number % TENANTS))?,
+            urgency: Urgency::Overnight,
+        };
+        let job = JobId::at(START, number as u128);
+        Ok(RecordBody::Job(JobRecord::Submit { job, spec }))
+    });
+    records.collect()
+}
+
+fn claim_records(count: usize) -> anyhow::Result<Vec<RecordBody>> {
+    let holder = EntryId {
+        incarnation: Incarnation(1),
+        name: EntryName::try_from("entry-01")?,
+    };
+    let records = (0..count).map(|number| {
+        RecordBody::Claim(ClaimRecord::Take {
+            holder: holder.clone(),
+            key: RecordId::at(START + Millis(number as u64), number as u128).0,
+        })
+    });
+    Ok(records.collect())
+}
--- /dev/null
+++ b/crates/standins/src/bin/path-bench.rs
@@ -0,0 +1,133 @@
+//! Latency and throughput of one entry host between callers and targets, beside the direct path.
+
+use {
+    anyhow::{Context, ensure},
+    bytes::Bytes,
+    goldcreststall_platform::hosts::HostRow,
+    goldcreststall_standins::process::{FleetLayout, ProcessFleet},
+    hdrhistogram::Histogram,
+    http::{Method, Request},
+    http_body_util::{BodyExt, Full},
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::TokioExecutor,
+    },
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::task::JoinSet,
+};
+
+/// Requests of each measurement.
+const REQUESTS: usize = 40_000;
+/// Callers that each wait for an answer before they ask again.
+const CALLERS: [usize; 3] = [1, 8, 48];
+/// Requests before the measurement, which open the connections.
+const WARM_UP: usize = 2_000;
+const LIST_PAUSE: Duration = Duration::from_millis(2_500);
+
+type BenchClient = Client<HttpConnector, Full<Bytes>>;
+
+/// One path to measure.
+struct BenchPath {
+    addresses: Vec<SocketAddr>,
+    name: &'static str,
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let folder = std::env::temp_dir().join(format!("goldcreststall-bench-{}", std::process::id()));
+    let layout = FleetLayout {
+        data_centres: 1,
+        lag_ms: 0,
+        retention_ms: 3_600_000,
+        services: vec!["proofs".to_owned()],
+        targets: 10,
+    };
+    let fleet = ProcessFleet::start(&layout, folder.clone()).await?;
+    let document = "[[pools]]\nname = \"proofs\"\nmin_available = 1\n[[services]]\nname = \"proofs\"\n\
+                    pool = \"proofs\"\n[[tenants]]\nname = \"ferrandi\"\n";
+    let pool_of = |_: &HostRow| "proofs".to_owned();
+    fleet.set_up(document.to_owned(), &pool_of).await?;
+    fleet.wait_healthy(0).await?;
+    tokio::time::sleep(LIST_PAUSE).await;
+    let paths = [
+        BenchPath {
+            addresses: fleet.targets.iter().map(|row| row.address).collect(),
+            name: "direct",
+        },
+        BenchPath {
+            addresses: vec![fleet.entries[0].callers],
+            name: "entry host",
+        },
+    ];
+    println!("| callers | path | requests/s | p50, µs | p99, µs | p99.9, µs |");
+    println!("|---|---|---|---|---|---|");
+    for callers in CALLERS {
+        for path in &paths {
+            measure(path, callers, WARM_UP).await?;
+            let (histogram, rate) = measure(path, callers, REQUESTS).await?;
+            println!(
+                "| {callers} | {} | {rate:.0} | {} | {} | {} |",
+                path.name,
+                histogram.value_at_quantile(0.5),
+                histogram.value_at_quantile(0.99),
+                histogram.value_at_quantile(0.999)
+            );
+        }
+    }
+    drop(fleet);
+    std::fs::remove_dir_all(folder)?;
+    Ok(())
+}
+
+async fn measure(
+    path: &BenchPath,
+    callers: usize,
+    requests: usize,
+) -> anyhow::Result<(Histogram<u64>, f64)> {
+    let client: BenchClient = Client::builder(TokioExecutor::new()).build_http();
+    let started = Instant::now();
+    let mut tasks = JoinSet::new();
+    for caller in 0..callers {
+        let client = client.clone();
+        let address = path.addresses[caller % path.addresses.len()];
+        tasks.spawn(ask(client, address, requests / callers));
+    }
+    let mut all = Histogram::new(3)?;
+    for result in tasks.join_all().await {
+        all.add(result?)?;
+    }
+    let rate = all.len() as f64 / started.elapsed().as_secs_f64();
+    Ok((all, rate))
+}
+
+async fn ask(
+    client: BenchClient,
+    address: SocketAddr,
+    requests: usize,
+) -> anyhow::Result<Histogram<u64>> {
+    let mut histogram = Histogram::new(3)?;
+    for number in 0..requests {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{address}/work"))
+            .header("gcs-service", "proofs")
+            .header("gcs-tenant", "ferrandi")
+            .header("gcs-urgency", "urgent")
+            .header("gcs-idempotent", "true")
+            .header("work-id", (number % 100).to_string())
+            .body(Full::new(Bytes::from_static(b"proof")))?;
+        let started = Instant::now();
+        let response = client.request(request).await.context("no answer")?;
+        ensure!(
+            response.status().is_success(),
+            "status {}",
+            response.status()
+        );
+        response.into_body().collect().await?;
+        histogram.record(u64::try_from(started.elapsed().as_micros())?)?;
+    }
+    Ok(histogram)
+}
