--- a/crates/core/tests/job_fleet/mod.rs
+++ b/crates/core/tests/job_fleet/mod.rs
@@ -1,5 +1,5 @@
 //! A fleet in virtual time: one log, entry hosts that hold the placement duty, and workers that keep
-//! the rules of docs/PLATFORM-WORKERS.md.
+//! the rules of docs/PLATFORM.md.
 
 #![allow(dead_code)] // Each test file uses a part.
 
--- a/crates/platform/src/worker_service/service.rs
+++ b/crates/platform/src/worker_service/service.rs
@@ -6,7 +6,7 @@
     async_trait::async_trait,
 };
 
-/// Runs tasks on workers. Every request may be repeated; `docs/PLATFORM-WORKERS.md` states what is
+/// Runs tasks on workers. Every request may be repeated; `docs/PLATFORM.md` states what is
 /// assumed of workers.
 #[async_trait]
 pub trait WorkerService: Send + Sync {
