--- a/crates/callers/src/request/caller_request.rs
+++ b/crates/callers/src/request/caller_request.rs
@@ -30,7 +30,7 @@
 pub struct CallerRequest {
     /// The body, still arriving.
     pub body: Incoming,
-    /// Time left for the whole answer.
+    /// Time left until the headers of the answer.
     pub deadline: Millis,
     /// Headers that are passed on to the target.
     pub headers: HeaderMap,
--- a/crates/callers/src/request/header_names.rs
+++ b/crates/callers/src/request/header_names.rs
@@ -1,4 +1,4 @@
-/// Time left for the whole answer, in milliseconds.
+/// Time left until the headers of the answer, in milliseconds.
 pub const DEADLINE: &str = "gcs-deadline-ms";
 /// Whether the request may run more than once: `true` or `false`.
 pub const IDEMPOTENT: &str = "gcs-idempotent";
--- a/crates/core/src/traffic/view_input.rs
+++ b/crates/core/src/traffic/view_input.rs
@@ -29,7 +29,7 @@
 pub struct PoolMember {
     /// Grows each time the log makes the host active; leaving marks of an earlier value are void.
     pub activation: u64,
-    /// Whether the host takes new work: not draining, moving, stopping, down or excluded.
+    /// Whether the host takes new work: not draining, moving, stopping or down.
     pub active: bool,
     /// Name of the host.
     pub host: HostName,
--- a/crates/entry/src/control/control_handle.rs
+++ b/crates/entry/src/control/control_handle.rs
@@ -53,7 +53,7 @@
         self.board.reads_log()
     }
 
-    /// Returns the routing view in force; `None` before the first configuration is known.
+    /// Returns the routing view in force; `None` before the state is complete.
     pub fn view(&self) -> Option<Arc<RoutingView>> {
         self.view.borrow().clone()
     }
--- a/crates/entry/src/duty/duty_command.rs
+++ b/crates/entry/src/duty/duty_command.rs
@@ -19,7 +19,7 @@
     Forget(WorkerEndpoint, TaskRequest),
     /// Reboot a run of a host that has drained for a planned stop.
     Reboot(HostName, Incarnation),
-    /// Start a task, or extend its lease.
+    /// Start a task. A worker that knows the attempt answers with its state.
     Start(WorkerEndpoint, Box<StartRequest>),
     /// Stop a task that has no lease any more.
     Stop(WorkerEndpoint, TaskRequest),
--- a/crates/entry/src/metrics/entry_metrics.rs
+++ b/crates/entry/src/metrics/entry_metrics.rs
@@ -11,9 +11,9 @@
 /// The instruments, readable in the Prometheus text format.
 #[derive(Debug)]
 pub struct EntryMetrics {
-    /// Time from arrival to the end of the answer, in milliseconds.
+    /// Time from arrival to the headers of the answer or to the refusal, in milliseconds.
     pub answer_ms: Histogram<u64>,
-    /// Bytes of the folded state's last snapshot.
+    /// Offset of the first ledger entry that is not applied.
     pub ledger_offset: Gauge<u64>,
     /// Requests by service and outcome.
     pub requests: Counter<u64>,
--- a/crates/entry/src/traffic/request_router.rs
+++ b/crates/entry/src/traffic/request_router.rs
@@ -191,7 +191,7 @@
         }
     }
 
-    /// A request is sent again when it certainly did not run, or when it is idempotent.
+    /// Only an idempotent request is sent again, within its retry budget.
     fn may_repeat(&self, routed: &RoutedRequest, kind: ErrorKind, attempts: u32) -> bool {
         let sent_to_target = matches!(
             kind,
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -3,8 +3,8 @@
 //! `wire` holds the messages, `decisions` the logic without I/O or clock, `mesh` the connections.
 //!
 //! The daemon implements [`mesh::PeerHandler`]. It gives each digest it receives to
-//! [`decisions::PeerTable`] and the marks in it to [`decisions::LeavingMarks`], and each log entry it
-//! reads to [`decisions::EntryRelay`]. While it cannot read the log, [`decisions::StartChoice`] and
+//! [`decisions::PeerTable`], the marks in it to the traffic policy, and each log entry it reads to
+//! [`decisions::EntryRelay`]. While it cannot read the log, [`decisions::StartChoice`] and
 //! [`decisions::CatchUp`] tell what to ask of which peer through [`mesh::PeerMesh`].
 
 pub mod decisions;
