Let entry hosts share a learned limit without gaps

Cause: each entry host rounded its part of a learned limit by itself, so that a target with 2 real slots was sometimes left idle and sometimes overloaded, and an entry host without a slot never learned that the target had recovered.

Change: the shares of all entry hosts are laid end to end and scaled to the limit, and an entry host takes the whole slots that end in its part; the limit rises by 0.06 slots with each digest instead of 0.1 with each fast answer.

--- a/crates/core/src/traffic/target_pool.rs
+++ b/crates/core/src/traffic/target_pool.rs
@@ -22,7 +22,6 @@
     marks: SortedMap<HostName, LeavingMark>,
     peers: Vec<PeerDemand>,
     services: Vec<ServiceTargets>,
-    split_epoch: u64,
     states: Vec<TargetState>,
     view: Arc<RoutingView>,
 }
@@ -45,7 +44,6 @@
             marks: SortedMap::default(),
             peers: Vec::new(),
             services: Vec::new(),
-            split_epoch: 0,
             states: Vec::new(),
             view: Arc::default(),
         }
@@ -149,7 +147,9 @@
     /// Takes over the latest digests and splits the slots anew.
     pub fn update_peers(&mut self, now: LocalTime, peers: &[PeerDemand]) {
         self.peers = peers.to_vec();
-        self.split_epoch += 1;
+        for state in &mut self.states {
+            state.raise_limit();
+        }
         self.split_slots(now);
     }
 
@@ -241,7 +241,9 @@
         for index in view.present_targets() {
             let target = &view.targets[index];
             let split = &mut splits[usize::from(target.service.0)];
-            self.states[index].share = split.next_target(target.slots)[own];
+            let shares = split.next_target(target.slots);
+            self.states[index].share = shares[own];
+            self.states[index].share_start = shares[..own].iter().sum();
         }
         self.rebuild();
     }
@@ -265,9 +267,9 @@
     }
 
     fn update_allowed(&mut self, index: usize) {
-        let step = (self.split_epoch % 1_000) as f64 + index as f64;
-        let connections = self.view.targets[index].connections;
-        self.states[index].update_allowed(connections, (step * GOLDEN).fract());
+        let target = &self.view.targets[index];
+        let phase = (index as f64 * GOLDEN).fract();
+        self.states[index].update_allowed(target.connections, phase);
     }
 
     /// Brings the lists of the service in line with the state of a target.
--- a/crates/core/src/traffic/target_state.rs
+++ b/crates/core/src/traffic/target_state.rs
@@ -9,12 +9,11 @@
 /// Slowness above which the learned limit falls. Twice the uncontended time is four standard
 /// deviations of the average for exponentially distributed service times.
 const SLOW: f64 = 2.0;
-/// Slowness below which the learned limit may rise again.
-const FAST: f64 = 1.5;
 /// Factor by which the limit falls.
 const LIMIT_CUT: f64 = 0.85;
-/// Slots by which the limit rises with each fast answer.
-const LIMIT_STEP: f64 = 0.1;
+/// Slots by which the limit rises with each digest. A slower rise leaves slots idle that other entry
+/// hosts believe to be used here.
+const LIMIT_STEP: f64 = 0.06;
 /// Shortest time between two cuts of the limit that refusals cause.
 const REFUSAL_PAUSE: Millis = Millis(100);
 /// First and longest pause between probes of a failing target.
@@ -44,6 +43,8 @@
     pub probe_listed: Option<LocalTime>,
     /// Slots of the target that the split gives to this entry host.
     pub share: u32,
+    /// Slots that the split gives to the entry hosts before this one.
+    pub share_start: u32,
     /// Index of the service.
     pub service: u16,
     /// Slots that the target declares.
@@ -73,6 +74,7 @@
             probe_pause: PROBE_PAUSE,
             service,
             share: slots,
+            share_start: 0,
             slots,
             slowness: 1.0,
             usable: false,
@@ -108,14 +110,25 @@
         load * self.slowness * (1.0 + 4.0 * self.failure_rate)
     }
 
-    /// Sets the allowed requests from share, connections and learned limit. `dither` in 0..1 decides
-    /// how a fraction of a slot is rounded; over time the mean equals the fraction.
-    pub fn update_allowed(&mut self, connections: u32, dither: f64) {
+    /// Sets the allowed requests from share, connections and learned limit.
+    ///
+    /// The shares of all entry hosts are laid end to end and scaled to the learned limit; an entry host is
+    /// allowed the whole slots that end within its part. Entry hosts that learned the same limit thus
+    /// take it together, neither more nor less. `phase` in 0..1 is the same at all of them.
+    pub fn update_allowed(&mut self, connections: u32, phase: f64) {
         let scale = self.limit / f64::from(self.slots.max(1));
-        let learned = (f64::from(self.share) * scale + dither).floor() as u32;
+        let start = f64::from(self.share_start) * scale + phase;
+        let end = f64::from(self.share_start + self.share) * scale + phase;
+        let learned = (end.floor() - start.floor()) as u32;
         self.allowed = learned.min(self.share).min(connections);
     }
 
+    /// Lets the limit rise until slow answers cut it again. It rises by time and not by answers, since an
+    /// entry host without a slot gets no answers.
+    pub fn raise_limit(&mut self) {
+        self.limit = (self.limit + LIMIT_STEP).min(f64::from(self.slots));
+    }
+
     /// Learns from a complete answer that took `ratio` times the uncontended time.
     pub fn learn_answer(&mut self, now: LocalTime, took: Millis, ratio: Option<f64>) {
         self.failure_rate -= FAILURE_GAIN * self.failure_rate;
@@ -130,8 +143,6 @@
         if self.slowness > SLOW && settled {
             self.limit = (self.limit * LIMIT_CUT).max(1.0);
             self.cut_at = now;
-        } else if self.slowness < FAST {
-            self.limit = (self.limit + LIMIT_STEP).min(f64::from(self.slots));
         }
     }
 
--- a/crates/core/tests/traffic/main.rs
+++ b/crates/core/tests/traffic/main.rs
@@ -4,6 +4,7 @@
 mod failing_target;
 mod fair_tenants;
 mod fleet;
+mod learned_limit;
 mod leaving_marks;
 mod one_end;
 mod retry_bound;
