--- a/crates/core/src/traffic/traffic_policy.rs
+++ b/crates/core/src/traffic/traffic_policy.rs
@@ -109,7 +109,8 @@
     fn leaving_marks(&self) -> Vec<LeavingMark>;
 
     /// Replaces the demand of the entry hosts, including the digest that this one sent last, and
-    /// splits the slots anew. Peers that are silent for `PEER_SILENCE` no longer count.
+    /// splits the slots anew. Peers that are silent for `PEER_SILENCE` no longer count. It is called
+    /// every 200 ms, also without a new digest.
     fn update_peers(&mut self, now: LocalTime, peers: &[PeerDemand]);
 
     /// Starts the graceful shutdown: returns all queued requests as refused. From then on, a request
