Give each table and the view builder a file

Ruled out: a macro for the tables; the figures differ too much.

Change: one file for each table, one for the printing, one for the view builder.

--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -15,6 +15,7 @@
 mod target_state;
 mod tenant_usage;
 mod traffic_policy;
+mod view_builder;
 mod view_input;
 
 pub use {
--- /dev/null
+++ b/crates/core/src/traffic/view_builder.rs
@@ -0,0 +1,205 @@
+use {
+    super::{
+        PlatformHost, PoolMember, RoutingView, ServiceKey, ServiceView, TargetView, TenantKey,
+        TenantView, ViewInput,
+    },
+    crate::{config::ServiceConfig, ids::PoolName},
+};
+
+/// Vacated target places kept before the oldest is used again. A host that drops out of a lagging
+/// host list and returns within this many replacements keeps its key and its in-flight count.
+const VACANT_KEPT: usize = 256;
+
+impl RoutingView {
+    /// Builds the view that follows this one. Keys of this view stay valid in the new one.
+    pub fn next(&self, input: &ViewInput<'_>) -> Self {
+        let mut view = self.clone();
+        view.data_centre = Some(input.data_centre.clone());
+        view.place_services(input);
+        view.place_tenants(input);
+        view.place_targets(input);
+        view
+    }
+
+    fn place_services(&mut self, input: &ViewInput<'_>) {
+        for service in &mut self.services {
+            service.retired = true;
+        }
+        let mut order = Vec::new();
+        for config in &input.config.services {
+            let known = self.services.iter().position(|row| row.name == config.name);
+            // A key space that is used up leaves the service unknown, which is refused as not run.
+            let Ok(key) = u16::try_from(known.unwrap_or(self.services.len())) else {
+                continue;
+            };
+            let service = ServiceView {
+                max_queue: config.max_queue,
+                name: config.name.clone(),
+                retired: false,
+            };
+            match known {
+                Some(index) => self.services[index] = service,
+                None => self.services.push(service),
+            }
+            order.push(ServiceKey(key));
+        }
+        self.service_order = order;
+    }
+
+    fn place_tenants(&mut self, input: &ViewInput<'_>) {
+        let mut order = Vec::new();
+        for config in &input.config.tenants {
+            let known = self.tenants.iter().position(|row| row.name == config.name);
+            let Ok(key) = u16::try_from(known.unwrap_or(self.tenants.len())) else {
+                continue;
+            };
+            let tenant = TenantView {
+                name: config.name.clone(),
+                weight: config.weight,
+            };
+            match known {
+                Some(index) => self.tenants[index] = tenant,
+                None => self.tenants.push(tenant),
+            }
+            order.push(TenantKey(key));
+        }
+        self.tenant_order = order;
+    }
+
+    fn place_targets(&mut self, input: &ViewInput<'_>) {
+        let known = self.known_targets();
+        let wanted = self.wanted_targets(input);
+        let mut present = vec![false; self.targets.len()];
+        let mut added = Vec::new();
+        for target in wanted {
+            let place = known.binary_search_by(|index| {
+                self.targets[*index as usize]
+                    .identity()
+                    .cmp(&target.identity())
+            });
+            match place {
+                Ok(place) => {
+                    let index = known[place] as usize;
+                    present[index] = true;
+                    let generation = self.targets[index].generation;
+                    self.targets[index] = TargetView {
+                        generation,
+                        ..target
+                    };
+                }
+                Err(_) => added.push(target),
+            }
+        }
+        self.vacant.retain(|index| !present[*index as usize]);
+        for (index, present) in present.iter().enumerate() {
+            let target = &mut self.targets[index];
+            if !present && target.present {
+                target.present = false;
+                target.leaving = true;
+                self.vacant.push_back(index as u32);
+            }
+        }
+        for target in added {
+            self.add_target(target);
+        }
+        self.order_targets();
+    }
+
+    fn add_target(&mut self, target: TargetView) {
+        if self.vacant.len() <= VACANT_KEPT {
+            self.targets.push(target);
+            return;
+        }
+        let Some(index) = self.vacant.pop_front() else {
+            return;
+        };
+        let place = &mut self.targets[index as usize];
+        let generation = place.generation.wrapping_add(1);
+        *place = TargetView {
+            generation,
+            ..target
+        };
+    }
+
+    fn order_targets(&mut self) {
+        let targets = &self.targets;
+        let indices = 0..targets.len() as u32;
+        let mut order: Vec<u32> = indices
+            .filter(|index| targets[*index as usize].present)
+            .collect();
+        order.sort_by(|left, right| {
+            let left = targets[*left as usize].identity();
+            left.cmp(&targets[*right as usize].identity())
+        });
+        self.target_order = order;
+    }
+
+    fn known_targets(&self) -> Vec<u32> {
+        let mut known: Vec<u32> = (0..self.targets.len() as u32).collect();
+        known.sort_by(|left, right| {
+            let left = self.targets[*left as usize].identity();
+            left.cmp(&self.targets[*right as usize].identity())
+        });
+        known
+    }
+
+    fn wanted_targets(&self, input: &ViewInput<'_>) -> Vec<TargetView> {
+        let mut members: Vec<&PoolMember> = input.members.iter().collect();
+        members.sort_by(|left, right| left.host.cmp(&right.host));
+        let mut hosts: Vec<&PlatformHost> = input.hosts.iter().collect();
+        // The newest incarnation of a name comes first and is the one that is kept.
+        hosts.sort_by(|left, right| {
+            let names = left.name.cmp(&right.name);
+            names.then(right.incarnation.cmp(&left.incarnation))
+        });
+        hosts.dedup_by(|later, first| later.name == first.name);
+        let mut wanted = Vec::new();
+        for host in hosts {
+            let place = members.binary_search_by(|member| member.host.cmp(&host.name));
+            if let Ok(place) = place {
+                self.add_host(input, host, members[place], &mut wanted);
+            }
+        }
+        wanted
+    }
+
+    fn add_host(
+        &self,
+        input: &ViewInput<'_>,
+        host: &PlatformHost,
+        member: &PoolMember,
+        wanted: &mut Vec<TargetView>,
+    ) {
+        let services: Vec<ServiceKey> = pool_services(input, &member.pool)
+            .filter_map(|service| self.service(&service.name))
+            .collect();
+        let count = services.len() as u32;
+        let entry_hosts = input.entry_hosts.max(1);
+        for (place, service) in services.into_iter().enumerate() {
+            let part = |total: u32| total / count + u32::from((place as u32) < total % count);
+            wanted.push(TargetView {
+                activation: member.activation,
+                address: host.address.clone(),
+                connections: part(host.connections / entry_hosts),
+                data_centre: host.data_centre.clone(),
+                generation: 0,
+                incarnation: host.incarnation,
+                leaving: host.leaving || !member.active,
+                name: host.name.clone(),
+                present: true,
+                rack: host.rack.clone(),
+                service,
+                slots: part(host.slots),
+            });
+        }
+    }
+}
+
+/// Returns the services of a pool; they share the slots and connections of its hosts evenly.
+fn pool_services<'a>(
+    input: &ViewInput<'a>,
+    pool: &'a PoolName,
+) -> impl Iterator<Item = &'a ServiceConfig> + use<'a> {
+    let services = input.config.services.iter();
+    services.filter(move |service| service.pool == *pool)
+}
--- a/crates/measures/src/overload/mod.rs
+++ b/crates/measures/src/overload/mod.rs
@@ -2,12 +2,20 @@
 
 mod deployment;
 mod entry_host;
+mod failing_table;
 mod fake_target;
+mod figure_table;
+mod floods_table;
 mod outcome;
 mod scenario;
 mod simulation;
+mod sizes_table;
 mod spread;
-mod tables;
+mod tenants_table;
+mod turns_table;
 mod workload;
 
-pub use tables::{print_failing, print_floods, print_sizes, print_tenants, print_turns};
+pub use {
+    failing_table::print_failing, floods_table::print_floods, sizes_table::print_sizes,
+    tenants_table::print_tenants, turns_table::print_turns,
+};
--- /dev/null
+++ b/crates/measures/src/overload/tenants_table.rs
@@ -0,0 +1,83 @@
+use {
+    super::{
+        deployment::DEPLOYMENTS,
+        figure_table::print_figures,
+        scenario::{POOL, Run, Scenario},
+        workload::{Request, Stream, mixed},
+    },
+    goldcreststall_core::traffic::Urgency,
+};
+
+/// Prints the tables in which one tenant floods a service that all tenants share.
+///
+/// # Errors
+/// A deployment whose configuration is not valid.
+pub fn print_tenants() -> anyhow::Result<()> {
+    const FLOOD: (f64, f64) = (5.0, 15.0);
+    let floods = [
+        (
+            Urgency::Normal,
+            "one tenant floods with normal work, five times the pool",
+        ),
+        (
+            Urgency::Urgent,
+            "one tenant floods with urgent work, five times the pool",
+        ),
+    ];
+    for deployment in &DEPLOYMENTS {
+        for (urgency, title) in floods {
+            let mut streams = mixed(0, POOL * 0.7, (0.0, 20.0), deployment.tenants);
+            streams.push(Stream {
+                end: FLOOD.1,
+                flood: true,
+                load: POOL * 5.0,
+                service: 0,
+                start: FLOOD.0,
+                tenants: (0, 1),
+                urgency,
+            });
+            let kept = |run: &Run, quiet: &Run, tenant: usize, class: Option<Urgency>| {
+                let own = |request: &Request| {
+                    request.tenant == tenant && class.is_none_or(|class| request.urgency == class)
+                };
+                100.0 * run.done(own) as f64 / quiet.done(own).max(1) as f64
+            };
+            let tenants = 1..deployment.tenants;
+            let mean = |run: &Run, quiet: &Run, class: Option<Urgency>| {
+                let sum: f64 = tenants
+                    .clone()
+                    .map(|tenant| kept(run, quiet, tenant, class))
+                    .sum();
+                sum / tenants.len() as f64
+            };
+            let least = |run: &Run, quiet: &Run| {
+                let kept = tenants.clone().map(|tenant| kept(run, quiet, tenant, None));
+                kept.fold(f64::MAX, f64::min)
+            };
+            let goodput = |run: &Run, _: &Run| run.goodput(0, (FLOOD.0 + 0.5, FLOOD.1), POOL);
+            print_figures(
+                deployment,
+                title,
+                &Scenario::new(streams),
+                &[
+                    ("goodput of the flooded pool, % of capacity", &goodput),
+                    ("kept by the other tenants, mean, %", &|run, quiet| {
+                        mean(run, quiet, None)
+                    }),
+                    ("kept by the tenant that keeps least, %", &least),
+                    ("urgent work kept by the others, %", &|run, quiet| {
+                        mean(run, quiet, Some(Urgency::Urgent))
+                    }),
+                    ("normal work kept by the others, %", &|run, quiet| {
+                        mean(run, quiet, Some(Urgency::Normal))
+                    }),
+                    ("overnight work kept by the others, %", &|run, quiet| {
+                        mean(run, quiet, Some(Urgency::Overnight))
+                    }),
+                    ("requests without an end", &|run, _| run.vanished()),
+                ],
+            )?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/measures/src/overload/turns_table.rs
@@ -0,0 +1,63 @@
+use super::{
+    deployment::{DEPLOYMENTS, SERVICES},
+    figure_table::print_figures,
+    scenario::{POOL, Run, Scenario},
+    workload::{Request, mixed},
+};
+
+/// Mean load of a service relative to its pool; five times as much is more than the pool holds.
+const MEAN_LOAD: f64 = 0.35;
+
+/// Prints the table in which each service in turn asks for five times its mean.
+///
+/// # Errors
+/// A deployment whose configuration is not valid.
+pub fn print_turns() -> anyhow::Result<()> {
+    const TURN: f64 = 4.0;
+    for deployment in &DEPLOYMENTS {
+        let mut streams = Vec::new();
+        for turn in 0..2 * SERVICES {
+            let start = turn as f64 * TURN;
+            for service in 0..SERVICES {
+                let factor = if turn % SERVICES == service {
+                    5.0
+                } else {
+                    0.05
+                };
+                let load = POOL * MEAN_LOAD * factor;
+                let span = (start, start + TURN);
+                streams.extend(mixed(service, load, span, deployment.tenants));
+            }
+        }
+        let scenario = Scenario::new(streams);
+        let goodput = |run: &Run, _: &Run| {
+            let spans = (0..2 * SERVICES).map(|turn| {
+                let start = turn as f64 * TURN;
+                run.goodput(turn % SERVICES, (start + 0.5, start + TURN), POOL)
+            });
+            spans.sum::<f64>() / (2 * SERVICES) as f64
+        };
+        print_figures(
+            deployment,
+            "each service in turn asks for five times its mean",
+            &scenario,
+            &[
+                ("goodput of the flooded pool, % of capacity", &goodput),
+                ("urgent answered in time, %", &|run, _| {
+                    run.done_percent(Request::is_urgent)
+                }),
+                ("urgent start, 99th percentile, ms", &|run, _| {
+                    run.urgent_start(0.99)
+                }),
+                ("urgent start, longest, ms", &|run, _| run.urgent_start(1.0)),
+                ("admitted overnight work in time, %", &|run, _| {
+                    run.overnight_kept()
+                }),
+                ("sent and not answered in time, %", &|run, _| run.wasted()),
+                ("refused after admission, %", &|run, _| run.refused_late()),
+                ("requests without an end", &|run, _| run.vanished()),
+            ],
+        )?;
+    }
+    Ok(())
+}
--- a/crates/measures/src/overload/workload.rs
+++ b/crates/measures/src/overload/workload.rs
@@ -24,6 +24,11 @@
 }
 
 impl Request {
+    /// Tells whether somebody waits for the answer.
+    pub fn is_urgent(&self) -> bool {
+        self.urgency == Urgency::Urgent
+    }
+
     /// Returns when the answer has to be complete, in microseconds.
     pub fn deadline(&self) -> u64 {
         self.arrival + deadline_ms(self.urgency) * 1_000
@@ -67,6 +72,27 @@
     }
 }
 
+/// Part of each class in mixed work, by slot time.
+const MIX: [(Urgency, f64); 3] = [
+    (Urgency::Urgent, 0.3),
+    (Urgency::Normal, 0.5),
+    (Urgency::Overnight, 0.2),
+];
+
+/// Returns the streams of mixed work of one service; `span` is in seconds.
+pub fn mixed(service: usize, load: f64, span: (f64, f64), tenants: usize) -> Vec<Stream> {
+    let streams = MIX.iter().map(|(urgency, part)| Stream {
+        end: span.1,
+        flood: false,
+        load: load * part,
+        service,
+        start: span.0,
+        tenants: (0, tenants),
+        urgency: *urgency,
+    });
+    streams.collect()
+}
+
 /// Draws the requests of all streams in order of arrival. Each stream has its own generator, so that a
 /// run without the flood sees the same other requests.
 pub fn draw(streams: &[Stream], seed: u64) -> Vec<Request> {
