Test admission, queue bounds and the shutdown

Cause: the removal of the early refusal, the queue bounds, the shutdown rule and the preference for the own data centre had no test that noticed it.

Ruled out: relying on the tables; they are not part of the tests.

Change: tests/traffic/admission.rs.

--- a/crates/core/tests/traffic/main.rs
+++ b/crates/core/tests/traffic/main.rs
@@ -1,5 +1,6 @@
 //! Guards the traffic policy; each module covers one feature.
 
+mod admission;
 mod class_floor;
 mod failing_target;
 mod fair_tenants;
