Spread urgent jobs within a rack and test what holding a worker is for

Cause: all jobs were packed on the fullest worker of a rack, also those that people wait for; trial changes showed that five mechanisms of the planner had no test that needs them. Ruled out: spreading every job. Change: urgent jobs go to the emptiest worker of the rack; tests for held workers and their limit, tasks of cancelled jobs and of a former pool, withdrawn marks, and the index of open jobs.

--- a/crates/core/src/jobs/placement_planner.rs
+++ b/crates/core/src/jobs/placement_planner.rs
@@ -290,6 +290,7 @@
         }
         let request = ShelfRequest {
             avoid,
+            is_packed: queued.urgency != Urgency::Urgent,
             keeps_headroom: queued.urgency == Urgency::Overnight,
             size: queued.size,
         };
--- a/crates/core/src/jobs/worker_shelf.rs
+++ b/crates/core/src/jobs/worker_shelf.rs
@@ -4,7 +4,7 @@
         collections::SortedMap,
         ids::{DataCentre, HostName, RackName},
     },
-    std::collections::BTreeSet,
+    std::{cmp::Reverse, collections::BTreeSet},
 };
 
 /// Part of a worker that overnight jobs leave free, as one in so many. An urgent job then starts
@@ -70,6 +70,8 @@
 pub(super) struct ShelfRequest<'a> {
     /// Workers on which the job failed.
     pub avoid: Vec<&'a HostName>,
+    /// Whether the job goes to the fullest worker of a rack instead of the emptiest.
+    pub is_packed: bool,
     /// Whether the job leaves room for urgent jobs.
     pub keeps_headroom: bool,
     /// What the job needs.
@@ -170,7 +172,8 @@
         order.find_map(|rack| self.find_in(&self.racks[rack], request))
     }
 
-    /// Chooses the worker of a rack that is left with the least room, so that large jobs find room.
+    /// Chooses a worker of a rack: the fullest, so that large jobs find room on the others, or the
+    /// emptiest, where neighbours slow the job down least.
     fn find_in(&self, rack: &RackRow, request: &ShelfRequest) -> Option<WorkerKey> {
         if !request.size.fits(&rack.room) {
             return None;
@@ -179,7 +182,11 @@
             let row = &self.rows[**index];
             has_room(row, request) && !request.avoid.contains(&&row.view.id.host)
         });
-        let best = fits.max_by_key(|index| (self.rows[**index].load(), std::cmp::Reverse(**index)));
+        let load = |index: &&usize| self.rows[**index].load();
+        let best = match request.is_packed {
+            true => fits.min_by_key(|index| Reverse(load(index))),
+            false => fits.min_by_key(load),
+        };
         best.map(|index| WorkerKey(*index))
     }
 
--- a/crates/core/tests/job_fleet/mod.rs
+++ b/crates/core/tests/job_fleet/mod.rs
@@ -21,7 +21,7 @@
 
 pub const START: LogTime = LogTime(1_800_000_000_000);
 const CONFIG: &str = r#"
-pools = [{ name = "batch", min_available = 0 }]
+pools = [{ name = "batch", min_available = 0 }, { name = "other", min_available = 0 }]
 tenants = [{ name = "t1" }, { name = "t2" }, { name = "t3", weight = 2 }]
 "#;
 
@@ -244,7 +244,7 @@
         plan
     }
 
-    fn views(&self, holder: usize) -> Vec<WorkerView> {
+    pub fn views(&self, holder: usize) -> Vec<WorkerView> {
         let reports = &self.holders[holder].reports;
         let workers = self.workers.iter().zip(reports);
         let views = workers.map(|(worker, report)| WorkerView {
--- a/crates/core/tests/placement_rules.rs
+++ b/crates/core/tests/placement_rules.rs
@@ -8,8 +8,8 @@
         config::FleetConfig,
         ids::{Millis, PoolName, TenantName},
         jobs::{
-            GrantItem, JobId, JobRecord, JobSize, JobSpec, JobState, MAX_BATCH, PlacementPlan,
-            TaskAction, TaskState, WorkerId,
+            GrantItem, JobId, JobRecord, JobSize, JobSpec, JobState, MAX_BATCH, PlacementInput,
+            PlacementPlan, TaskAction, TaskState, WorkerId, plan_placement,
         },
         traffic::Urgency,
     },
@@ -139,6 +139,28 @@
     assert_eq!(racks.into_values().collect::<Vec<_>>(), vec![4, 4, 4, 4]);
 }
 
+/// Urgent jobs are spread over the workers of a rack; others leave whole workers free.
+#[test]
+fn spread_and_pack() {
+    for (urgency, workers) in [
+        (Urgency::Urgent, 4),
+        (Urgency::Normal, 1),
+        (Urgency::Overnight, 1),
+    ] {
+        let mut fleet = FleetSim::new(4);
+        let mut spec = spec("t1", urgency);
+        spec.deadline = START + Millis(24 * 3_600_000);
+        submit_many(&mut fleet, 4, &spec);
+        let mut used: Vec<_> = grants(&plan(&mut fleet))
+            .into_iter()
+            .map(|grant| grant.worker)
+            .collect();
+        used.sort_unstable();
+        used.dedup();
+        assert_eq!(used.len(), workers, "{urgency:?}");
+    }
+}
+
 /// Draining workers, workers with an old report and workers of other pools get nothing.
 #[test]
 fn unusable_workers() {
@@ -320,22 +342,87 @@
     assert!(fleet.workers.iter().all(|worker| worker.tasks.is_empty()));
 }
 
-/// A job that needs a whole worker must not wait for ever behind small jobs that keep coming.
+/// A job that needs a whole worker must not wait for ever behind small jobs that keep coming and end at
+/// different times.
 #[test]
 fn whole_worker() {
-    let mut fleet = FleetSim::new(4);
+    let mut fleet = FleetSim::new(1);
     let mut whole = spec("t1", Urgency::Normal);
     whole.size = size(32, 64);
-    submit_many(&mut fleet, 40, &spec("t2", Urgency::Normal));
-    fleet.rounds(2);
+    let small = spec("t2", Urgency::Normal);
+    let steady = |fleet: &mut FleetSim, rounds| {
+        for _ in 0..rounds {
+            submit_many(fleet, 1, &small);
+            fleet.round();
+        }
+    };
+    steady(&mut fleet, 20);
     let whole = fleet.submit(whole);
-    for _ in 0..120 {
-        submit_many(&mut fleet, 4, &spec("t2", Urgency::Normal));
-        fleet.round();
-    }
+    steady(&mut fleet, 120);
     assert_eq!(*fleet.state(whole), JobState::Done);
 }
 
+/// Jobs that wait for whole workers keep only a part of the pool from the others.
+#[test]
+fn hold_limit() {
+    let mut fleet = FleetSim::new(8);
+    fleet.run_time = Millis(3_600_000);
+    let mut whole = spec("t1", Urgency::Normal);
+    whole.size = size(20, 4);
+    submit_many(&mut fleet, 8, &whole);
+    whole.deadline = START;
+    whole.size = size(32, 64);
+    fleet.rounds(2);
+    submit_many(&mut fleet, 8, &whole);
+    fleet.rounds(80);
+    submit_many(&mut fleet, 100, &spec("t1", Urgency::Normal));
+    assert_eq!(
+        grants(&plan(&mut fleet)).len(),
+        21,
+        "seven workers with room for three jobs"
+    );
+}
+
+/// A task that was cancelled takes its room until it is gone, even when its usage is reported late.
+#[test]
+fn cancelled_task() {
+    let mut fleet = FleetSim::new(1);
+    let mut half = spec("t1", Urgency::Normal);
+    half.size = size(16, 4);
+    let jobs = submit_many(&mut fleet, 2, &half);
+    fleet.rounds(2);
+    fleet.apply(&JobRecord::Cancel { jobs }).unwrap();
+    submit_many(&mut fleet, 2, &half);
+    let first = plan(&mut fleet);
+    assert_eq!(grants(&first), vec![]);
+    fleet.send(0);
+    assert_eq!(grants(&plan(&mut fleet)).len(), 2);
+}
+
+/// A worker that moved with tasks of its former pool has only the rest to offer to the new one.
+#[test]
+fn former_pool() {
+    let mut fleet = FleetSim::new(1);
+    let mut half = spec("t1", Urgency::Normal);
+    half.size = size(16, 4);
+    submit_many(&mut fleet, 2, &half);
+    fleet.rounds(2);
+    half.pool = PoolName::try_from("other").unwrap();
+    submit_many(&mut fleet, 2, &half);
+    fleet.workers[0].view.pool = half.pool.clone();
+    fleet.read(0);
+    fleet.observe(0);
+    let plan = plan_placement(&PlacementInput {
+        config: &fleet.config,
+        ledger: &fleet.ledger,
+        now: fleet.now,
+        observed_for: Millis(0),
+        pool: &half.pool,
+        workers: &fleet.views(0),
+    });
+    assert_eq!((grants(&plan), plan.waiting.no_room), (vec![], 2));
+}
+
 /// Overnight jobs leave headroom for urgent ones, until their own deadline comes near.
 #[test]
 fn overnight_headroom() {
--- a/crates/core/tests/poison_jobs.rs
+++ b/crates/core/tests/poison_jobs.rs
@@ -5,7 +5,7 @@
 
 use {
     goldcreststall_core::{
-        jobs::{JobId, JobState, QuarantineReason},
+        jobs::{JobId, JobRecord, JobState, QuarantineReason},
         traffic::Urgency,
     },
     job_fleet::{FleetSim, size, spec},
@@ -119,6 +119,11 @@
     for worker in &mut fleet.workers {
         worker.view.capacity = size(64, 64);
     }
+    let records = fleet.round().records;
+    let marks = records
+        .iter()
+        .filter(|record| matches!(record, JobRecord::Mark { .. }));
+    assert_eq!(marks.count(), 0, "the grant takes the report back");
     fleet.rounds(20);
     assert_eq!(*fleet.state(large), JobState::Done, "a larger worker came");
 }
--- a/crates/core/tests/run_once.rs
+++ b/crates/core/tests/run_once.rs
@@ -8,7 +8,7 @@
         jobs::{JobLedger, JobRecord, JobState},
         traffic::Urgency,
     },
-    job_fleet::{FleetSim, spec},
+    job_fleet::{FleetSim, pool, spec},
     proptest::{prelude::*, test_runner::RngSeed},
 };
 
@@ -138,6 +138,7 @@
         }
         heal(&mut fleet);
         fleet.rounds(ROUNDS);
+        prop_assert_eq!(fleet.ledger.unfinished(&pool()).count(), 0, "index of open jobs");
         for id in &fleet.submitted {
             let job = fleet.ledger.job(*id).expect("an acknowledged job is kept");
             let runs = fleet.runs.get(id).copied().unwrap_or_default();
--- a/crates/standins/tests/worker_stand_in.rs
+++ b/crates/standins/tests/worker_stand_in.rs
@@ -258,13 +258,12 @@
     assert!(service.status(&endpoint).await.unwrap().tasks.len() <= 1);
 }
 
-/// A lost answer is reported as unknown, is not sent again by the client, and the repetition by the
-/// caller does not start the task twice.
+/// A lost answer is reported as unknown, and the repetition by the caller does not start the task twice.
 #[tokio::test]
 async fn lost_answer() {
     let (worker, endpoint) = served().await;
     let service = HttpWorkerService::new();
-    // A pooled connection is the one on which clients tend to send again by themselves.
+    // The next request goes over a pooled connection.
     service.status(&endpoint).await.unwrap();
     worker.set_faults(WorkerFaults {
         lose_answers: 1,
