Pass over workers that no start reaches and report exclusions

Cause: a job whose starts got lost was granted to the same worker again; a job that only one worker could hold avoided it for ever after one failure; exclusions and ended jobs had to be searched for. Ruled out: counting such attempts as failures of the worker, because the holder or the network may be cut off. Change: Job.passed_over, a worker may be tried again when no other could hold the job, PlacementPlan.excluded, JobLedger::needing_attention, avoided workers as keys instead of names. Conclusion: every job moves on or ends; what needs attention is listed.

--- a/crates/core/src/jobs/job_ledger.rs
+++ b/crates/core/src/jobs/job_ledger.rs
@@ -99,6 +99,12 @@
         ids.filter_map(|(id, ())| Some((*id, self.jobs.get(id)?)))
     }
 
+    /// Iterates over the jobs that ended without a result and need attention, in order of id.
+    pub fn needing_attention(&self) -> impl Iterator<Item = (JobId, &Job)> {
+        let jobs = self.jobs.iter().map(|(id, job)| (*id, job));
+        jobs.filter(|(_, job)| needs_attention(job))
+    }
+
     /// Returns the job that is leased under this attempt.
     pub fn leased(&self, lease: LeaseRef) -> Option<&Job> {
         let job = self.jobs.get(&lease.job)?;
@@ -366,8 +372,9 @@
         if item.checkpoint.is_some() && !job.spec.idempotent {
             return Err(Rejection::JobState);
         }
-        if item.checkpoint.is_some() {
-            job.checkpoint.clone_from(&item.checkpoint);
+        match item.checkpoint.is_some() {
+            true => job.checkpoint.clone_from(&item.checkpoint),
+            false => job.passed_over = job.lease().map(|lease| lease.worker.host.clone()),
         }
         self.change(now, item.lease.job, JobState::Queued);
         Ok(())
@@ -380,6 +387,7 @@
             return Err(Rejection::LeaseValid);
         }
         job.lapses += 1;
+        job.passed_over = Some(lease.worker.host.clone());
         job.lapsed = Some(lease);
         let state = match (job.spec.idempotent, job.lapses >= MAX_LAPSES) {
             (false, _) => JobState::Unknown,
--- a/crates/core/src/jobs/job_state.rs
+++ b/crates/core/src/jobs/job_state.rs
@@ -1,6 +1,6 @@
 use {
     super::{GrantNumber, JobSpec, JobVersion, WorkerId},
-    crate::ids::LogTime,
+    crate::ids::{HostName, LogTime},
     serde::{Deserialize, Serialize},
     std::fmt,
 };
@@ -100,6 +100,8 @@
     pub lapsed: Option<Lease>,
     /// Number of leases that lapsed.
     pub lapses: u32,
+    /// The worker whose last attempt lapsed or never started. The next attempt goes elsewhere.
+    pub passed_over: Option<HostName>,
     /// What was submitted. The payload is dropped when the job cannot run again.
     pub spec: JobSpec,
     /// The state.
@@ -124,6 +126,7 @@
             forgiven: 0,
             lapsed: None,
             lapses: 0,
+            passed_over: None,
             spec,
             state: JobState::Queued,
             submitted: now,
--- a/crates/core/src/jobs/placement_plan.rs
+++ b/crates/core/src/jobs/placement_plan.rs
@@ -139,6 +139,8 @@
     pub commands: Vec<TaskCommand>,
     /// One decision for each log line.
     pub decisions: Vec<PlacementDecision>,
+    /// Workers of the pool that get no jobs because they failed job after job.
+    pub excluded: Vec<WorkerId>,
     /// Unfinished jobs of the pool whose deadline has passed.
     pub overdue: Vec<JobId>,
     /// Records to append. Results come before grants, so that the fold sees them first.
--- a/crates/core/src/jobs/placement_planner.rs
+++ b/crates/core/src/jobs/placement_planner.rs
@@ -136,6 +136,9 @@
         let workers = self.input.workers.iter().enumerate();
         for (index, worker) in workers.filter(|(_, worker)| worker.pool == *self.input.pool) {
             review.judge_strays(self.input.ledger, worker);
+            if self.input.ledger.healths().is_excluded(&worker.id) {
+                self.plan.excluded.push(worker.id.clone());
+            }
             self.reserve_strays(index, worker);
         }
         review.write_to(&mut self.plan);
@@ -278,14 +281,12 @@
     }
 
     fn place_job(&mut self, shelf: &mut WorkerShelf<'a>, tenant: QueueKey, queued: &QueuedJob<'a>) {
-        let mut avoid: Vec<_> = queued
-            .job
-            .failures
-            .iter()
-            .map(|failed| &failed.host)
-            .collect();
-        if queued.job.failed_workers() >= shelf.rows().len() {
-            // The job has failed on as many workers as there are, so it may try one of them again.
+        let failed = queued.job.failures.iter().map(|failed| &failed.host);
+        let hosts = failed.chain(&queued.job.passed_over);
+        let avoid = hosts.filter_map(|host| shelf.key(self.worker(host)?));
+        let mut avoid: Vec<_> = avoid.collect();
+        if !avoid.is_empty() && !shelf.has_other(&avoid, &queued.size) {
+            // The job has failed on every worker that could hold it, so it may try one of them again.
             avoid.clear();
         }
         let request = ShelfRequest {
--- a/crates/core/src/jobs/worker_shelf.rs
+++ b/crates/core/src/jobs/worker_shelf.rs
@@ -2,7 +2,7 @@
     super::{JobSize, WorkerView},
     crate::{
         collections::SortedMap,
-        ids::{DataCentre, HostName, RackName},
+        ids::{DataCentre, RackName},
     },
     std::{cmp::Reverse, collections::BTreeSet},
 };
@@ -59,6 +59,8 @@
 #[derive(Debug)]
 pub(super) struct WorkerShelf<'a> {
     held: usize,
+    /// Keys by the index of the worker in the input of the plan.
+    keys: Vec<Option<WorkerKey>>,
     order: BTreeSet<(u64, usize)>,
     racks: Vec<RackRow>,
     rows: Vec<ShelfRow<'a>>,
@@ -67,9 +69,9 @@
 }
 
 /// What a job asks of the shelf.
-pub(super) struct ShelfRequest<'a> {
+pub(super) struct ShelfRequest {
     /// Workers on which the job failed.
-    pub avoid: Vec<&'a HostName>,
+    pub avoid: Vec<WorkerKey>,
     /// Whether the job goes to the fullest worker of a rack instead of the emptiest.
     pub is_packed: bool,
     /// Whether the job leaves room for urgent jobs.
@@ -79,10 +81,11 @@
 }
 
 impl<'a> WorkerShelf<'a> {
-    /// Builds the shelf from workers with their indexes and the demand on each.
+    /// Builds the shelf from workers with their rising indexes and the demand on each.
     pub(super) fn new(workers: impl Iterator<Item = (usize, &'a WorkerView, JobSize)>) -> Self {
         let mut shelf = Self {
             held: 0,
+            keys: Vec::new(),
             order: BTreeSet::new(),
             racks: Vec::new(),
             rows: Vec::new(),
@@ -111,6 +114,8 @@
             place.load += row.load();
             place.room = place.room.max(&row.room());
             place.workers.push(shelf.rows.len());
+            shelf.keys.resize(index + 1, None);
+            shelf.keys[index] = Some(WorkerKey(shelf.rows.len()));
             shelf.rows.push(row);
         }
         let racks = shelf.racks.iter().enumerate();
@@ -124,6 +129,18 @@
         &self.rows
     }
 
+    /// Returns the key of a worker by its index in the input; none when it gets no jobs.
+    pub(super) fn key(&self, index: usize) -> Option<WorkerKey> {
+        self.keys.get(index).copied().flatten()
+    }
+
+    /// Tells whether a worker outside of `avoid` could hold `size` if it were empty.
+    pub(super) fn has_other(&self, avoid: &[WorkerKey], size: &JobSize) -> bool {
+        let rows = self.rows.iter().enumerate();
+        let mut others = rows.filter(|(index, _)| !avoid.contains(&WorkerKey(*index)));
+        others.any(|(_, row)| size.fits(&row.view.capacity))
+    }
+
     /// Chooses a worker and takes the room; none when no worker has room.
     pub(super) fn take(&mut self, request: &ShelfRequest) -> Option<WorkerKey> {
         if self.unfit.iter().any(|unfit| unfit.fits(&request.size)) {
@@ -144,8 +161,8 @@
         if self.held >= (self.rows.len() / HELD_PART).max(1) {
             return;
         }
-        let rows = self.rows.iter().enumerate().filter(|(_, row)| {
-            let usable = !request.avoid.contains(&&row.view.id.host);
+        let rows = self.rows.iter().enumerate().filter(|(index, row)| {
+            let usable = !request.avoid.contains(&WorkerKey(*index));
             usable && request.size.fits(&row.view.capacity) && row.room() != JobSize::default()
         });
         let best = rows.min_by_key(|(index, row)| (row.load(), *index));
@@ -180,7 +197,7 @@
         }
         let fits = rack.workers.iter().filter(|index| {
             let row = &self.rows[**index];
-            has_room(row, request) && !request.avoid.contains(&&row.view.id.host)
+            has_room(row, request) && !request.avoid.contains(&WorkerKey(**index))
         });
         let load = |index: &&usize| self.rows[**index].load();
         let best = match request.is_packed {
@@ -191,14 +208,8 @@
     }
 
     fn failed_racks(&self, request: &ShelfRequest) -> Vec<usize> {
-        if request.avoid.is_empty() {
-            return Vec::new();
-        }
-        let failed = self
-            .rows
-            .iter()
-            .filter(|row| request.avoid.contains(&&row.view.id.host));
-        failed.map(|row| row.rack).collect()
+        let failed = request.avoid.iter();
+        failed.map(|key| self.rows[key.0].rack).collect()
     }
 
     fn reserve(&mut self, key: WorkerKey, size: &JobSize) {
--- a/crates/core/tests/bad_workers.rs
+++ b/crates/core/tests/bad_workers.rs
@@ -6,11 +6,14 @@
 use {
     goldcreststall_core::{
         ids::{Incarnation, Millis},
-        jobs::{JobId, JobRecord, JobState, QuarantineReason},
+        jobs::{
+            FailItem, JobId, JobRecord, JobState, LeaseRef, QuarantineReason, TaskAction, TaskUsage,
+        },
         ledger::Rejection,
         traffic::Urgency,
     },
     job_fleet::{FleetSim, spec},
+    std::collections::BTreeSet,
 };
 
 fn submit_many(fleet: &mut FleetSim, count: usize) -> Vec<JobId> {
@@ -37,6 +40,10 @@
             .healths()
             .is_excluded(&fleet.workers[3].view.id)
     );
+    assert_eq!(
+        fleet.round().excluded,
+        vec![fleet.workers[3].view.id.clone()]
+    );
     assert!(all_done(&fleet), "{:?}", fleet.ledger.counts());
     let failures = fleet
         .submitted
@@ -156,3 +163,60 @@
     assert_eq!(*fleet.state(job), JobState::Quarantined(reason));
     assert_eq!(fleet.runs[&job], 1);
 }
+
+/// A worker that reports, but that no start reaches, must not get the same job again and again.
+#[test]
+fn deaf_worker() {
+    let mut fleet = FleetSim::new(4);
+    let mut spec = spec("t1", Urgency::Normal);
+    spec.idempotent = false;
+    let job = fleet.submit(spec);
+    let mut tried = BTreeSet::new();
+    for _ in 0..120 {
+        fleet.read(0);
+        fleet.observe(0);
+        fleet.plan(0);
+        fleet.append(0, false);
+        let commands = &mut fleet.holders[0].commands;
+        commands.retain(|command| command.action != TaskAction::Start);
+        fleet.send(0);
+        fleet.wait(500);
+        let lease = fleet.ledger.job(job).unwrap().lease();
+        tried.extend(lease.map(|lease| lease.worker.clone()));
+    }
+    assert!(tried.len() > 1, "{tried:?}");
+    fleet.rounds(60);
+    assert_eq!(*fleet.state(job), JobState::Done);
+    assert_eq!(fleet.runs[&job], 1);
+}
+
+/// A task that the worker refused has not run, so even a non-idempotent job goes elsewhere.
+#[test]
+fn refused_start() {
+    let mut fleet = FleetSim::new(2);
+    let mut spec = spec("t1", Urgency::Normal);
+    spec.idempotent = false;
+    let job = fleet.submit(spec);
+    fleet.round();
+    let lease = fleet.ledger.job(job).unwrap().lease().unwrap();
+    let result = FailItem {
+        lease: LeaseRef {
+            grant: lease.grant,
+            job,
+        },
+        started: false,
+        usage: TaskUsage::default(),
+    };
+    let refused = lease.worker.clone();
+    fleet
+        .apply(&JobRecord::Fail {
+            results: vec![result],
+        })
+        .unwrap();
+    assert_eq!(*fleet.state(job), JobState::Queued);
+    fleet.round();
+    assert_ne!(
+        fleet.ledger.job(job).unwrap().lease().unwrap().worker,
+        refused
+    );
+}
--- a/crates/core/tests/poison_jobs.rs
+++ b/crates/core/tests/poison_jobs.rs
@@ -32,6 +32,8 @@
     let job = submit_poison(&mut fleet, 1)[0];
     fleet.rounds(20);
     assert!(is_quarantined(&fleet, job));
+    let reported: Vec<_> = fleet.ledger.needing_attention().map(|(id, _)| id).collect();
+    assert_eq!(reported, vec![job]);
     assert_eq!(fleet.runs[&job], 3);
     let failures = &fleet.ledger.job(job).unwrap().failures;
     let racks = failures.iter().map(|worker| worker.host.as_str() >= "w004");
@@ -76,6 +78,20 @@
     assert_eq!(fleet.runs[&job], 6);
 }
 
+/// The same holds when the other workers of the pool could never hold the job.
+#[test]
+fn one_large_worker() {
+    let mut fleet = FleetSim::new(8);
+    fleet.workers[5].view.capacity.accelerators = 1;
+    let mut spec = spec("t1", Urgency::Normal);
+    spec.size.accelerators = 1;
+    let job = fleet.submit(spec);
+    fleet.poison.insert(job);
+    fleet.rounds(40);
+    assert!(is_quarantined(&fleet, job), "{:?}", fleet.ledger.job(job));
+    assert_eq!(fleet.runs[&job], 6);
+}
+
 /// A job that brings its workers down leaves no failure behind, only lapsed leases.
 #[test]
 fn worker_killer() {
