--- a/crates/core/src/error/error_kind.rs
+++ b/crates/core/src/error/error_kind.rs
@@ -61,6 +61,8 @@
     StoreUnconfirmed,
     /// The target said that it did not run the request.
     TargetRefused,
+    /// No durable job has the requested id.
+    UnknownJob,
     /// No service has the requested name.
     UnknownService,
 }
@@ -80,7 +82,7 @@
 
 impl ErrorKind {
     /// Every kind, for tests and documentation.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::AnswerTruncated,
         Self::Cancelled,
         Self::ConnectFailed,
@@ -100,6 +102,7 @@
         Self::StoreUnavailable,
         Self::StoreUnconfirmed,
         Self::TargetRefused,
+        Self::UnknownJob,
         Self::UnknownService,
     ];
 
@@ -125,6 +128,7 @@
             Self::StoreUnavailable => not_run("store-unavailable", 503, true),
             Self::StoreUnconfirmed => unknown("store-unconfirmed", 504, true),
             Self::TargetRefused => not_run("target-refused", 503, true),
+            Self::UnknownJob => not_run("unknown-job", 404, false),
             Self::UnknownService => not_run("unknown-service", 404, false),
         }
     }
--- a/crates/core/src/jobs/tenant_quota.rs
+++ b/crates/core/src/jobs/tenant_quota.rs
@@ -18,6 +18,10 @@
     let tenants = &config.tenants;
     let index = tenants.binary_search_by(|row| row.name.cmp(tenant));
     let index = index.map_err(|_| Rejection::UnknownTenant)?;
+    let used = unfinished.get(tenant).copied().unwrap_or_default();
+    if tenants[index].max_jobs.is_some_and(|most| used >= most) {
+        return Err(Rejection::QuotaExceeded);
+    }
     let common_part = MAX_UNFINISHED - GUARANTEED;
     // While all jobs together fit into the common part, there is no need to tell shares apart.
     if unfinished.values().sum::<u32>() < common_part {
@@ -25,7 +29,6 @@
     }
     let total: u64 = tenants.iter().map(|row| u64::from(row.weight)).sum();
     let share = |weight: u32| u64::from(GUARANTEED) * u64::from(weight) / total.max(1);
-    let used = unfinished.get(tenant).copied().unwrap_or_default();
     if u64::from(used) < share(tenants[index].weight) {
         return Ok(());
     }
--- a/crates/entry/src/control/control_actor.rs
+++ b/crates/entry/src/control/control_actor.rs
@@ -213,7 +213,7 @@
         let now = self.clock.now();
         self.duty_records
             .retain(|_, sent| now.since(*sent) < DUTY_RECORD_WAIT);
-        if !self.ready || !self.duty_records.is_empty() {
+        if !self.ready || self.stuck || !self.duty_records.is_empty() {
             return DutyPlan::default();
         }
         let workers = watch.workers(&self.state, &self.hosts);
--- a/crates/entry/src/control/log_tail.rs
+++ b/crates/entry/src/control/log_tail.rs
@@ -17,8 +17,8 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Longest wait for new entries in one read.
-const READ_WAIT: Millis = Millis(1_000);
+/// Longest wait for new entries in one read. Duties need a read within 2 s, also when reads are slow.
+const READ_WAIT: Millis = Millis(500);
 /// Pause after a failed read.
 const RETRY_PAUSE: Millis = Millis(200);
 
@@ -67,6 +67,10 @@
     async fn follow(&self) -> Result<(), LogError> {
         let bounds = self.log.bounds(LogStream::Ledger).await?;
         while let Ok(position) = self.actor.ask(AskPosition).await {
+            if position.known && position.log != bounds.identity {
+                let reason = "the log service serves another log".to_owned();
+                return Err(LogError::Malformed(reason));
+            }
             let expired = position.next < bounds.first;
             let position = if !position.known || expired {
                 self.load_snapshot(position).await?
@@ -115,7 +119,14 @@
             .log
             .read(LogStream::Ledger, position.next, READ_WAIT)
             .await?;
+        let end = entries.last().map(|entry| LogOffset(entry.offset.0 + 1));
         let applied = self.actor.ask(ApplyEntries { entries, log }).await;
-        Ok(applied.map_or(position.next, |position| position.next))
+        let next = applied.map_or(position.next, |position| position.next);
+        if end.is_some_and(|end| next < end) {
+            // The state stands still, so this host must not count as one that follows the log.
+            let reason = format!("the entry at offset {} cannot be applied", next.0);
+            return Err(LogError::Malformed(reason));
+        }
+        Ok(next)
     }
 }
--- a/crates/entry/src/daemon/entry_daemon.rs
+++ b/crates/entry/src/daemon/entry_daemon.rs
@@ -12,12 +12,12 @@
     goldcreststall_callers::server::{CallerServer, ServerLimits},
     goldcreststall_core::{
         ids::{EntryId, Incarnation, Millis},
-        traffic::FairPolicy,
+        traffic::{FairPolicy, RoutingView},
     },
     goldcreststall_operators::OperatorServer,
     goldcreststall_peers::mesh::MeshSettings,
     goldcreststall_platform::{hosts::HttpHosts, log::HttpLog, worker_service::HttpWorkerService},
-    goldcreststall_targets::pool::PooledTransport,
+    goldcreststall_targets::{pool::PooledTransport, transport::TargetEndpoint},
     slog::{Logger, error, info},
     std::{sync::Arc, time::Duration},
     tokio::{
@@ -73,14 +73,19 @@
     let policy = FairPolicy::new(control.entry().name.clone());
     let gate = PolicyGate::new(Box::new(policy), control.entry().incarnation.0);
     tokio::spawn(PolicyGate::run_expiry(Arc::downgrade(&gate)));
-    tokio::spawn(follow_view(control.clone(), Arc::clone(&gate)));
+    let transport = PooledTransport::new();
+    tokio::spawn(follow_view(
+        control.clone(),
+        Arc::clone(&gate),
+        transport.clone(),
+    ));
     let board = Arc::clone(control.board());
     let feed = PeerFeed::new(Arc::clone(&board), control.clone(), Arc::clone(&gate));
     tokio::spawn(feed.run());
     let router = Arc::new(RequestRouter::new(
         control.clone(),
         gate,
-        Arc::new(PooledTransport::new()),
+        Arc::new(transport),
         EntryMetrics::new()?,
         logger.clone(),
     ));
@@ -132,11 +137,13 @@
     Ok(())
 }
 
-async fn follow_view(control: ControlHandle, gate: Arc<PolicyGate>) {
+async fn follow_view(control: ControlHandle, gate: Arc<PolicyGate>, transport: PooledTransport) {
     let mut views = control.watch_view();
     loop {
         let view = views.borrow_and_update().clone();
         if let Some(view) = view {
+            // Connections to runs of hosts that are gone would never be used again.
+            transport.retain(&|endpoint| is_target(&view, endpoint));
             gate.update_view(view);
         }
         if views.changed().await.is_err() {
@@ -145,6 +152,14 @@
     }
 }
 
+fn is_target(view: &RoutingView, endpoint: &TargetEndpoint) -> bool {
+    let mut targets = view.targets_of(&endpoint.host);
+    targets.any(|key| {
+        let target = view.target_at(key);
+        target.is_some_and(|target| target.incarnation == endpoint.incarnation)
+    })
+}
+
 async fn wait_for_signal() -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("no handler for SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("no handler for SIGINT")?;
--- a/crates/entry/src/duty/snapshot_writer.rs
+++ b/crates/entry/src/duty/snapshot_writer.rs
@@ -1,13 +1,13 @@
 use {
     crate::{
-        clock::BootClock,
+        clock::wall_time,
         control::{AskPosition, ControlActor, TakeImage},
         peering::PeerBoard,
     },
     bytes::Bytes,
     goldcreststall_core::{
         duties::Duty,
-        ids::{LocalTime, Millis},
+        ids::{LogTime, Millis},
         ledger::{LogOffset, SnapshotId, decode_chunk, encode_chunk, split_snapshot},
     },
     goldcreststall_platform::log::{LogError, LogService, LogStream},
@@ -28,11 +28,11 @@
 pub(crate) struct SnapshotWriter {
     actor: ActorRef<ControlActor>,
     board: Arc<PeerBoard>,
-    clock: BootClock,
     log: Arc<dyn LogService>,
     logger: Logger,
-    /// Offset and time of the last snapshot that is known.
-    written: Option<(LogOffset, LocalTime)>,
+    /// Offset and time of the last snapshot that is known. Its age is judged by the wall clock, because the
+    /// clock of the fold stands still while nothing is appended.
+    written: Option<(LogOffset, LogTime)>,
 }
 
 impl SnapshotWriter {
@@ -45,7 +45,6 @@
         Self {
             actor,
             board,
-            clock: BootClock,
             log,
             logger,
             written: None,
@@ -74,7 +73,7 @@
             None => self.last_written(bounds.next).await?,
         };
         self.written = Some((offset, time));
-        let age = self.clock.now().since(time);
+        let age = wall_time().since(time);
         // The age alone is enough: the snapshot itself must not expire either.
         let due = age.0 >= bounds.retention_ms / RETENTION_PART;
         let position = self.actor.ask(AskPosition).await;
@@ -88,17 +87,17 @@
         }
     }
 
-    /// Returns the ledger offset of the last chunk in the stream.
-    async fn last_written(&self, next: LogOffset) -> Result<(LogOffset, LocalTime), LogError> {
-        let now = self.clock.now();
+    /// Returns the ledger offset and the time of the last chunk in the stream; zero when there is none.
+    async fn last_written(&self, next: LogOffset) -> Result<(LogOffset, LogTime), LogError> {
         let Some(last) = next.0.checked_sub(1).map(LogOffset) else {
-            return Ok((LogOffset(0), now));
+            return Ok((LogOffset(0), LogTime(0)));
         };
         let entries = self.log.read(LogStream::Snapshots, last, Millis(0)).await?;
-        let chunk = entries
-            .first()
-            .and_then(|entry| decode_chunk(&entry.payload).ok());
-        Ok((chunk.map_or(LogOffset(0), |chunk| chunk.next), now))
+        let Some(entry) = entries.first() else {
+            return Ok((LogOffset(0), LogTime(0)));
+        };
+        let chunk = decode_chunk(&entry.payload).ok();
+        Ok((chunk.map_or(LogOffset(0), |chunk| chunk.next), entry.time))
     }
 
     async fn write(&mut self, next: LogOffset, state: &[u8]) -> Result<(), LogError> {
@@ -109,7 +108,7 @@
             self.log.append(LogStream::Snapshots, payload).await?;
         }
         info!(self.logger, "ledger: a snapshot was written"; "offset" => next.0, "bytes" => state.len());
-        self.written = Some((next, self.clock.now()));
+        self.written = Some((next, wall_time()));
         Ok(())
     }
 }
--- a/crates/entry/src/operating/status_reports.rs
+++ b/crates/entry/src/operating/status_reports.rs
@@ -32,10 +32,7 @@
         log: state.log(),
         log_silent: board.log_silence().unwrap_or(Millis(u64::MAX)),
         next_offset: state.next(),
-        peers: digests
-            .iter()
-            .map(|digest| peer(digest, &data_centre))
-            .collect(),
+        peers: digests.iter().filter_map(peer).collect(),
         data_centre,
         ready,
         rejections: rejections
@@ -57,16 +54,17 @@
     furthest.unwrap_or_default().saturating_sub(state.next().0)
 }
 
-fn peer(digest: &Digest, data_centre: &DataCentre) -> PeerReport {
+/// Returns what a live peer told. Digests do not carry its data centre.
+fn peer(digest: &Digest) -> Option<PeerReport> {
     let position = digest.content.position();
-    PeerReport {
-        data_centre: data_centre.clone(),
+    Some(PeerReport {
+        data_centre: DataCentre::try_from("unknown").ok()?,
         draining: digest.content.draining(),
         incarnation: digest.from.incarnation,
         name: digest.from.name.clone(),
         next_offset: position.map_or(LogOffset(0), |position| position.next),
         silent: Millis(0),
-    }
+    })
 }
 
 fn duties(state: &FleetState, board: &PeerBoard) -> Vec<DutyReport> {
--- a/crates/entry/src/peering/peer_feed.rs
+++ b/crates/entry/src/peering/peer_feed.rs
@@ -1,7 +1,7 @@
 use {
     super::PeerBoard,
     crate::{control::ControlHandle, traffic::PolicyGate},
-    goldcreststall_core::ids::Millis,
+    goldcreststall_core::{ids::Millis, traffic::LeavingMark},
     goldcreststall_peers::wire::ServiceDemand,
     std::{sync::Arc, time::Duration},
 };
@@ -38,13 +38,32 @@
         for mark in self.board.peer_marks() {
             self.gate.mark_leaving(&mark);
         }
-        let marks = self.gate.leaving_marks();
+        let mut marks = self.gate.leaving_marks();
+        marks.extend(self.listed_marks());
         let busy = self.gate.busy_hosts();
         self.board.set_traffic(self.demand(), marks, busy);
         let demand = self.board.demand(&self.control.entry().name);
         self.gate.update_peers(&demand);
     }
 
+    /// Returns marks for the hosts that the list or the log shows as leaving. A peer may be cut off from both.
+    fn listed_marks(&self) -> Vec<LeavingMark> {
+        let Some(view) = self.control.view() else {
+            return Vec::new();
+        };
+        let leaving = view
+            .targets
+            .iter()
+            .filter(|target| target.present && target.leaving);
+        leaving
+            .map(|target| LeavingMark {
+                activation: target.activation,
+                host: target.name.clone(),
+                incarnation: target.incarnation,
+            })
+            .collect()
+    }
+
     fn demand(&self) -> Vec<ServiceDemand> {
         let Some(view) = self.control.view() else {
             return Vec::new();
--- a/crates/entry/src/traffic/job_intake.rs
+++ b/crates/entry/src/traffic/job_intake.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        clock::{BootClock, wall_time},
+        clock::BootClock,
         control::{ControlHandle, ProposeError},
     },
     bytes::Bytes,
@@ -9,7 +9,7 @@
         error::ErrorKind,
         ids::{Millis, PoolName, ServiceName, TenantName},
         jobs::{Job, JobId, JobRecord, JobSize, JobSpec},
-        ledger::RecordBody,
+        ledger::{RecordBody, Rejection},
         traffic::Urgency,
     },
     http::Method,
@@ -32,7 +32,7 @@
     #[serde(default)]
     checkpoints: bool,
     cores_milli: u32,
-    /// Time left, in milliseconds.
+    /// Time left since the time in the id, in milliseconds.
     deadline_ms: u64,
     /// Identity of the job. A submission that is repeated keeps it.
     id: Option<String>,
@@ -96,7 +96,7 @@
             Some(id) => parse_id(id)?,
             None => JobId(Uuid::now_v7().as_u128()),
         };
-        let spec = job_spec(body)?;
+        let spec = job_spec(id, body)?;
         info!(self.logger, "place: a job is submitted"; "job" => %id, "service" => %spec.service, "tenant" => %spec.tenant, "pool" => %spec.pool);
         let record = JobRecord::Submit { job: id, spec };
         self.propose(record).await?;
@@ -118,7 +118,7 @@
         let proposed = self.control.propose(RecordBody::Job(record), deadline);
         proposed.await.map_err(|error| match error {
             ProposeError::Rejected(rejection) => {
-                RequestError::new(ErrorKind::InvalidRequest, rejection)
+                RequestError::new(refusal_kind(rejection), rejection)
             }
             // The record may still be appended, so the job may run.
             ProposeError::Unconfirmed => ErrorKind::StoreUnconfirmed.into(),
@@ -131,12 +131,21 @@
             .read(move |state, _| state.jobs.job(id).map(|job| job_report(id, job)));
         let report = report.await.ok_or(ErrorKind::Draining)?;
         let report =
-            report.ok_or_else(|| RequestError::new(ErrorKind::InvalidRequest, "no such job"))?;
+            report.ok_or_else(|| RequestError::new(ErrorKind::UnknownJob, "no such job"))?;
         let body = serde_json::to_vec(&report).map_err(invalid)?;
         Ok(Bytes::from(body))
     }
 }
 
+fn refusal_kind(rejection: Rejection) -> ErrorKind {
+    match rejection {
+        Rejection::QuotaExceeded => ErrorKind::QuotaExceeded,
+        Rejection::TooManyJobs => ErrorKind::QueueFull,
+        Rejection::UnknownJob => ErrorKind::UnknownJob,
+        _ => ErrorKind::InvalidRequest,
+    }
+}
+
 fn invalid(error: serde_json::Error) -> RequestError {
     RequestError::new(ErrorKind::InvalidRequest, error)
 }
@@ -154,7 +163,7 @@
     }
 }
 
-fn job_spec(body: JobBody) -> Result<JobSpec, RequestError> {
+fn job_spec(id: JobId, body: JobBody) -> Result<JobSpec, RequestError> {
     let urgency = match body.urgency.as_deref() {
         Some("urgent") => Urgency::Urgent,
         None | Some("normal") => Urgency::Normal,
@@ -167,7 +176,8 @@
     };
     Ok(JobSpec {
         checkpoints: body.checkpoints,
-        deadline: wall_time() + Millis(body.deadline_ms),
+        // Counted from the time in the id, so that a repeated submission has the same content.
+        deadline: id.time() + Millis(body.deadline_ms),
         idempotent: body.idempotent,
         payload: body.payload,
         pool: body.pool,
--- a/crates/entry/src/traffic/request_router.rs
+++ b/crates/entry/src/traffic/request_router.rs
@@ -329,6 +329,9 @@
     }
 
     fn metrics(&self) -> String {
+        if let Some(position) = self.control.board().content().position() {
+            self.metrics.ledger_offset.record(position.next.0, &[]);
+        }
         self.metrics.text()
     }
 }
