Treat a reboot within its limit as no failure

Cause: the host list shows a host that reboots as gone, so an observer would report each maintained host as down. The planner then counted it as down instead of rebooting and could exceed the limit of an unproven wave. Ruled out: leaving it to the observers, because two of them may see the stop at different times. Change: the fold ignores HostDown for a drained host within its reboot limit, and the planner counts such a host as rebooting. The tables of membership_tables are unchanged. Conclusion: a host counts as down in a planned stop only after its limit.

--- a/crates/core/src/membership/membership_ledger.rs
+++ b/crates/core/src/membership/membership_ledger.rs
@@ -193,7 +193,12 @@
         name: &HostName,
         seen: HostVersion,
     ) -> Result<(), Rejection> {
-        if self.host(name, seen)?.down.is_some() {
+        let host = self.host(name, seen)?;
+        // The host list shows a host that reboots as gone, which is no failure before the reboot limit.
+        let reboots = host
+            .stop()
+            .is_some_and(|stop| stop.drained.is_some() && !stop.overdue(now));
+        if host.down.is_some() || reboots {
             return Err(Rejection::WrongState);
         }
         self.change(name, |host| host.down = Some(now));
--- a/crates/core/src/membership/membership_record.rs
+++ b/crates/core/src/membership/membership_record.rs
@@ -35,7 +35,8 @@
         /// Version of the host.
         seen: HostVersion,
     },
-    /// Reports an unplanned failure, or a host that did not come back in time.
+    /// Reports an unplanned failure, or a host that did not come back in time. A drained host that is within
+    /// its reboot limit has not failed.
     HostDown {
         /// Name of the host.
         host: HostName,
--- a/crates/core/src/rollout/wave_step.rs
+++ b/crates/core/src/rollout/wave_step.rs
@@ -114,8 +114,8 @@
         let stop = state.stop().filter(|_| state.stopped_by(wave));
         match stop {
             Some(stop) if stop.overdue(now) => self.overdue += 1,
-            Some(_) if state.down.is_some() => self.down += 1,
             Some(stop) if stop.drained.is_some() => self.rebooting += 1,
+            Some(_) if state.down.is_some() => self.down += 1,
             Some(_) => self.draining += 1,
             None if state.down.is_some() => self.down += 1,
             None => self.busy += 1,
