Survive a view that was not built from the one before

Cause: a view that starts afresh has fewer places, and the policy indexed its states beyond them.

Ruled out: refusing such a view; the daemon would go on with targets that are gone.

Change: states beyond the view are dropped, services that it lacks count as retired, and the trait says how views have to be built.

--- a/crates/core/src/traffic/fair_policy.rs
+++ b/crates/core/src/traffic/fair_policy.rs
@@ -153,11 +153,12 @@
 
 impl TrafficPolicy for FairPolicy {
     fn update_view(&mut self, now: LocalTime, view: Arc<RoutingView>) {
-        let count = view.services.len();
+        let count = view.services.len().max(self.services.len());
         self.services.resize_with(count, ServiceQueue::default);
-        for (service, row) in self.services.iter_mut().zip(&view.services) {
-            service.max_queue = row.max_queue;
-            service.retired = row.retired;
+        for (index, service) in self.services.iter_mut().enumerate() {
+            let row = view.services.get(index);
+            service.max_queue = row.map_or(0, |row| row.max_queue);
+            service.retired = row.is_none_or(|row| row.retired);
         }
         self.targets.update_view(now, Arc::clone(&view));
         self.view = view;
--- a/crates/core/src/traffic/target_pool.rs
+++ b/crates/core/src/traffic/target_pool.rs
@@ -131,6 +131,7 @@
     pub fn update_view(&mut self, now: LocalTime, view: Arc<RoutingView>) {
         self.view = view;
         let view = Arc::clone(&self.view);
+        self.states.truncate(view.targets.len());
         for (index, target) in view.targets.iter().enumerate() {
             let fresh = || TargetState::new(target.generation, target.service.0, target.slots);
             match self.states.get_mut(index) {
--- a/crates/core/src/traffic/traffic_policy.rs
+++ b/crates/core/src/traffic/traffic_policy.rs
@@ -76,7 +76,8 @@
 
 /// Decides which requests are admitted, in which order they are served, and by which target.
 pub trait TrafficPolicy: Send {
-    /// Replaces the view of services, targets and tenants. Queued requests and counts are kept.
+    /// Replaces the view of services, targets and tenants. Queued requests and counts are kept, for which
+    /// each view has to be built from the one before with [`RoutingView::next`].
     fn update_view(&mut self, now: LocalTime, view: Arc<RoutingView>);
 
     /// Admits a request to the queue.
--- a/crates/core/tests/traffic/view_change.rs
+++ b/crates/core/tests/traffic/view_change.rs
@@ -169,3 +169,29 @@
         Err(ErrorKind::UnknownService)
     );
 }
+
+/// A view that was not built from the one before must not stop the policy.
+#[test]
+fn unrelated_view() {
+    let fleet = Fleet::new(2, 3, 1);
+    let (mut policy, view) = fleet.policy(0);
+    let mut request = spec(&view, 0, Urgency::Urgent, START + Millis(60_000));
+    for number in 0..40 {
+        request.service.0 = number as u16 % 2;
+        policy.offer(START, ticket(number), request).unwrap();
+    }
+    let sent = policy.assign(START, 1);
+    policy.update_view(START, Fleet::new(1, 1, 1).view(&RoutingView::default()));
+    let mut ended = sent.len();
+    for assignment in sent {
+        let took = Millis(10);
+        policy.finish(START, assignment, SendOutcome::Answered { took });
+    }
+    assert_eq!(
+        policy.offer(START, ticket(99), request),
+        Err(ErrorKind::UnknownService)
+    );
+    ended += policy.assign(START, 1).len();
+    ended += policy.drain(START).len();
+    assert_eq!(ended, 40);
+}
