Start the watch of workers anew after a freeze

Cause: a holder of the placement duty that was frozen kept the start of its watch, so leases could lapse by statuses from before the freeze. Ruled out: a clock that stops while frozen, because reports would then look fresh. Change: a gap of more than 5 s between two polls drops all statuses and starts the watch anew.

--- a/crates/entry/src/duty/worker_watch.rs
+++ b/crates/entry/src/duty/worker_watch.rs
@@ -31,10 +31,16 @@
     }
 }
 
+/// Longest time between two polls that count as asking without a break.
+const BREAK_LIMIT: Millis = Millis(5_000);
+
 /// Polls the workers while this entry host places jobs.
 pub(crate) struct WorkerWatch {
     clock: BootClock,
     service: Arc<dyn WorkerService>,
+    /// When the workers were asked last.
+    polled: Option<LocalTime>,
+    /// Since when the workers are asked without a break.
     since: Option<LocalTime>,
     statuses: SortedMap<HostName, (LocalTime, WorkerStatus)>,
 }
@@ -43,6 +49,7 @@
     pub(crate) fn new(service: Arc<dyn WorkerService>) -> Self {
         Self {
             clock: BootClock,
+            polled: None,
             service,
             since: None,
             statuses: SortedMap::default(),
@@ -57,7 +64,16 @@
 
     /// Asks all listed workers for their tasks.
     pub(crate) async fn poll(&mut self, hosts: &HostsReply) {
-        self.since.get_or_insert(self.clock.now());
+        let now = self.clock.now();
+        // After a freeze the statuses are old, and leases must not lapse by what they say.
+        let unbroken = self
+            .polled
+            .is_some_and(|polled| now.since(polled) < BREAK_LIMIT);
+        if !unbroken {
+            self.rest();
+        }
+        self.polled = Some(now);
+        self.since.get_or_insert(now);
         let mut calls = JoinSet::new();
         for endpoint in hosts.hosts.iter().filter_map(endpoint) {
             let service = Arc::clone(&self.service);
