Give the tenant quota and the configured slots their effect

Cause: max_in_flight of a tenant and slots of a service were checked, documented and ignored. Ruled out: a quota counted over all entry hosts by digests, because late digests would let a flood pass it. Change: each entry host admits an even part of the quota, queued and in flight together; a host that states no slots has those of its service.

--- a/crates/core/src/traffic/fair_policy.rs
+++ b/crates/core/src/traffic/fair_policy.rs
@@ -26,6 +26,8 @@
     draining: bool,
     in_flight: BTreeMap<Ticket, SentRequest>,
     latest_starts: BTreeSet<(LocalTime, Ticket)>,
+    /// Requests queued or in flight, indexed by tenant.
+    loads: Vec<u32>,
     queued: BTreeMap<Ticket, QueuedRequest>,
     refusals: Vec<Refusal>,
     sequence: u64,
@@ -59,6 +61,7 @@
             draining: false,
             in_flight: BTreeMap::new(),
             latest_starts: BTreeSet::new(),
+            loads: Vec::new(),
             queued: BTreeMap::new(),
             refusals: Vec::new(),
             sequence: 0,
@@ -74,9 +77,39 @@
         tenant.map_or(1, |tenant| tenant.weight)
     }
 
+    /// Checks whether the tenant may have one more request here.
+    fn check_quota(&self, tenant: TenantKey) -> Result<(), ErrorKind> {
+        let index = usize::from(tenant.0);
+        let most = self
+            .view
+            .tenants
+            .get(index)
+            .and_then(|row| row.max_requests);
+        let load = self.loads.get(index).copied().unwrap_or_default();
+        if most.is_some_and(|most| load >= most) {
+            return Err(ErrorKind::QuotaExceeded);
+        }
+        Ok(())
+    }
+
+    fn load(&mut self, tenant: TenantKey) {
+        let index = usize::from(tenant.0);
+        if self.loads.len() <= index {
+            self.loads.resize(index + 1, 0);
+        }
+        self.loads[index] += 1;
+    }
+
+    fn unload(&mut self, tenant: TenantKey) {
+        if let Some(load) = self.loads.get_mut(usize::from(tenant.0)) {
+            *load = load.saturating_sub(1);
+        }
+    }
+
     /// Takes a request out of the queue.
     fn unqueue(&mut self, ticket: Ticket) -> Option<QueuedRequest> {
         let request = self.queued.remove(&ticket)?;
+        self.unload(request.spec.tenant);
         self.latest_starts.remove(&(request.latest_start, ticket));
         let queued = &self.queued;
         let service = &mut self.services[usize::from(request.spec.service.0)];
@@ -130,6 +163,7 @@
             let service = &mut self.services[index];
             let tenant = request.spec.tenant;
             service.finish(now, request.class, tenant, charged, 0.0);
+            self.unload(tenant);
             self.refusals.push(Refusal {
                 kind: ErrorKind::NoTarget,
                 ticket: entry.ticket,
@@ -176,6 +210,7 @@
         if self.queued.contains_key(&ticket) || self.in_flight.contains_key(&ticket) {
             return Err(ErrorKind::InvalidRequest);
         }
+        self.check_quota(spec.tenant)?;
         let service = self.services.get_mut(index);
         let service = service.ok_or(ErrorKind::UnknownService)?;
         if service.retired {
@@ -207,6 +242,7 @@
             spec,
         };
         self.queued.insert(ticket, request);
+        self.load(spec.tenant);
         self.latest_starts.insert((request.latest_start, ticket));
         Ok(())
     }
@@ -247,6 +283,7 @@
             return;
         }
         self.in_flight.remove(&assignment.ticket);
+        self.unload(sent.spec.tenant);
         let service = &mut self.services[usize::from(sent.spec.service.0)];
         let class = sent.spec.urgency;
         let elapsed = now.since(sent.sent);
--- a/crates/core/src/traffic/routing_view.rs
+++ b/crates/core/src/traffic/routing_view.rs
@@ -71,6 +71,8 @@
 /// A tenant as the traffic policy sees it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TenantView {
+    /// Most requests of the tenant that this entry host holds, queued or in flight.
+    pub max_requests: Option<u32>,
     /// Name of the tenant.
     pub name: TenantName,
     /// Share of the tenant relative to the others.
--- a/crates/core/src/traffic/view_builder.rs
+++ b/crates/core/src/traffic/view_builder.rs
@@ -53,7 +53,11 @@
             let Ok(key) = u16::try_from(known.unwrap_or(self.tenants.len())) else {
                 continue;
             };
+            // Each entry host holds an even part, so that the quota of the fleet holds without asking. A part
+            // of zero would refuse a tenant whose quota is below the number of entry hosts.
+            let part = |quota: u32| (quota / input.entry_hosts.max(1)).max(quota.min(1));
             let tenant = TenantView {
+                max_requests: config.max_in_flight.map(part),
                 name: config.name.clone(),
                 weight: config.weight,
             };
@@ -163,6 +167,15 @@
         wanted
     }
 
+    /// Returns the slots of a host; a host that states none has those of the configuration.
+    fn host_slots(&self, input: &ViewInput<'_>, host: &PlatformHost, service: ServiceKey) -> u32 {
+        if host.slots > 0 {
+            return host.slots;
+        }
+        let name = &self.services[usize::from(service.0)].name;
+        input.config.service(name).map_or(0, |config| config.slots)
+    }
+
     fn add_host(
         &self,
         input: &ViewInput<'_>,
@@ -189,7 +202,7 @@
                 present: true,
                 rack: host.rack.clone(),
                 service,
-                slots: part(host.slots),
+                slots: part(self.host_slots(input, host, service)),
             });
         }
     }
--- a/crates/core/tests/traffic/main.rs
+++ b/crates/core/tests/traffic/main.rs
@@ -10,4 +10,5 @@
 mod one_end;
 mod retry_bound;
 mod slot_bounds;
+mod tenant_quota;
 mod view_change;
