Start relays, targets and entry hosts one by one for tests with faults

A test that kills or cuts off one part needs each part as its own process. Ruled out: ports that were found free on a shared loopback address. Two fleets that started at the same time got the same ports, and two of six tests then waited 60 s in vain.

--- a/crates/standins/src/bin/demo.rs
+++ b/crates/standins/src/bin/demo.rs
@@ -50,9 +50,12 @@
     services.push(SPARE.to_owned());
     let layout = FleetLayout {
         data_centres: 3,
+        entries: 1,
         lag_ms: 500,
+        relays: false,
         retention_ms: 3_600_000,
         services,
+        slots: 8,
         targets: 1,
     };
     let mut fleet = ProcessFleet::start(&layout, folder.clone()).await?;
--- a/crates/standins/src/client/mod.rs
+++ b/crates/standins/src/client/mod.rs
@@ -2,4 +2,4 @@
 
 mod test_client;
 
-pub use test_client::{ClientAnswer, ClientRequest, TestClient};
+pub use test_client::{ClientAnswer, ClientRequest, TestClient, read_answer};
--- a/crates/standins/src/client/test_client.rs
+++ b/crates/standins/src/client/test_client.rs
@@ -1,7 +1,8 @@
 use {
     bytes::Bytes,
-    http::{HeaderMap, Method, Request, StatusCode},
+    http::{HeaderMap, Method, Request, Response, StatusCode},
     http_body_util::{BodyExt, Full},
+    hyper::body::Incoming,
     hyper_util::{
         client::legacy::{Client, connect::HttpConnector},
         rt::TokioExecutor,
@@ -21,6 +22,8 @@
     pub idempotent: bool,
     /// The request key, if any.
     pub key: Option<String>,
+    /// Pause of the target before each piece of the answer, in milliseconds.
+    pub piece_ms: u64,
     /// How long the target works, in milliseconds.
     pub run_ms: u64,
     /// The service.
@@ -79,6 +82,7 @@
             deadline_ms: 10_000,
             idempotent: true,
             key: None,
+            piece_ms: 0,
             run_ms: 5,
             service: service.to_owned(),
             tenant: tenant.to_owned(),
@@ -118,6 +122,28 @@
 impl TestClient {
     /// Sends a request of a caller to an entry host.
     pub async fn send(&self, entry: SocketAddr, request: &ClientRequest) -> ClientAnswer {
+        let limit = Duration::from_millis(request.deadline_ms + 5_000);
+        let exchange = async {
+            match self.open(entry, request).await {
+                Ok(response) => read_answer(response).await,
+                Err(reason) => ClientAnswer::Broken(reason),
+            }
+        };
+        match tokio::time::timeout(limit, exchange).await {
+            Ok(answer) => answer,
+            Err(_) => ClientAnswer::Broken("no answer".to_owned()),
+        }
+    }
+
+    /// Sends a request of a caller and returns when the head of the answer came.
+    ///
+    /// # Errors
+    /// When no head came.
+    pub async fn open(
+        &self,
+        entry: SocketAddr,
+        request: &ClientRequest,
+    ) -> Result<Response<Incoming>, String> {
         let mut built = Request::builder()
             .method(Method::POST)
             .uri(format!("http://{entry}/work"))
@@ -126,21 +152,16 @@
             .header("gcs-urgency", request.urgency)
             .header("gcs-idempotent", request.idempotent.to_string())
             .header("gcs-deadline-ms", request.deadline_ms)
+            .header("piece-ms", request.piece_ms)
             .header("run-ms", request.run_ms)
             .header("work-id", &request.work);
         if let Some(key) = &request.key {
             built = built.header("gcs-request-key", key);
         }
-        let built = built.body(Full::new(request.body.clone()));
-        let Ok(built) = built else {
-            return ClientAnswer::Broken("the request is malformed".to_owned());
-        };
-        let limit = Duration::from_millis(request.deadline_ms + 5_000);
-        let exchange = self.exchange(built);
-        match tokio::time::timeout(limit, exchange).await {
-            Ok(answer) => answer,
-            Err(_) => ClientAnswer::Broken("no answer".to_owned()),
-        }
+        let body = Full::new(request.body.clone());
+        let built = built.body(body).map_err(|error| error.to_string())?;
+        let response = self.client.request(built).await;
+        response.map_err(|error| format!("{error:?}"))
     }
 
     /// Sends any request and returns status and body.
@@ -159,28 +180,27 @@
             .uri(format!("http://{address}{path}"))
             .body(Full::new(body.into()))
             .map_err(|error| error.to_string())?;
-        match self.exchange(request).await {
+        let response = self.client.request(request).await;
+        let response = response.map_err(|error| format!("{error:?}"))?;
+        match read_answer(response).await {
             ClientAnswer::Whole { status, body, .. } => Ok((status, body)),
             ClientAnswer::Broken(reason) => Err(reason),
         }
     }
+}
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> ClientAnswer {
-        let response = match self.client.request(request).await {
-            Ok(response) => response,
-            Err(error) => return ClientAnswer::Broken(format!("{error:?}")),
-        };
-        let (head, body) = response.into_parts();
-        match body.collect().await {
-            Ok(body) => ClientAnswer::Whole {
-                body: body.to_bytes(),
-                outcome: text(&head.headers, "gcs-outcome"),
-                reason: text(&head.headers, "gcs-reason"),
-                status: head.status,
-                work: text(&head.headers, "work-id"),
-            },
-            Err(error) => ClientAnswer::Broken(format!("{error:?}")),
-        }
+/// Reads the rest of an answer.
+pub async fn read_answer(response: Response<Incoming>) -> ClientAnswer {
+    let (head, body) = response.into_parts();
+    match body.collect().await {
+        Ok(body) => ClientAnswer::Whole {
+            body: body.to_bytes(),
+            outcome: text(&head.headers, "gcs-outcome"),
+            reason: text(&head.headers, "gcs-reason"),
+            status: head.status,
+            work: text(&head.headers, "work-id"),
+        },
+        Err(error) => ClientAnswer::Broken(format!("{error:?}")),
     }
 }
 
--- a/crates/standins/src/process/mod.rs
+++ b/crates/standins/src/process/mod.rs
@@ -2,8 +2,10 @@
 
 mod child_process;
 mod process_fleet;
+mod tcp_relay;
 
 pub use {
     child_process::ChildProcess,
-    process_fleet::{EntryProcess, FleetLayout, ProcessFleet},
+    process_fleet::{EntryProcess, EntryRelays, FleetLayout, ProcessFleet},
+    tcp_relay::{RelayMode, TcpRelay},
 };
--- a/crates/standins/src/process/process_fleet.rs
+++ b/crates/standins/src/process/process_fleet.rs
@@ -1,7 +1,7 @@
 use {
-    super::ChildProcess,
-    crate::client::TestClient,
-    anyhow::{Context, bail},
+    super::{ChildProcess, TcpRelay},
+    crate::{client::TestClient, target::RunCounts},
+    anyhow::bail,
     goldcreststall_core::{
         config::ConfigVersion,
         ids::{DataCentre, HostName, Incarnation, PoolName, RackName, RecordId},
@@ -12,8 +12,9 @@
     goldcreststall_platform::hosts::{HostRow, HostStatus},
     http::{Method, StatusCode},
     std::{
-        net::{SocketAddr, TcpListener},
+        net::{Ipv4Addr, SocketAddr},
         path::PathBuf,
+        sync::atomic::{AtomicU8, Ordering},
         time::{Duration, Instant},
     },
     uuid::Uuid,
@@ -22,24 +23,44 @@
 /// Longest wait for a process to serve.
 const START_LIMIT: Duration = Duration::from_secs(20);
 const START_STEP: Duration = Duration::from_millis(20);
+const FIRST_PORT: u16 = 20_000;
+/// Fleets that this process started.
+static FLEETS: AtomicU8 = AtomicU8::new(0);
 /// Longest wait for the answer to an operator.
 const OPERATOR_LIMIT: Duration = Duration::from_secs(15);
 
 /// The size of a fleet.
 #[derive(Clone, Debug)]
 pub struct FleetLayout {
-    /// Data centres with one entry host each.
+    /// Data centres.
     pub data_centres: usize,
+    /// Entry hosts in each data centre.
+    pub entries: usize,
     /// Lag of the list of hosts, in milliseconds.
     pub lag_ms: u64,
+    /// Whether each entry host reaches the platform and its peers through relays.
+    pub relays: bool,
     /// How long the log keeps entries, in milliseconds.
     pub retention_ms: u64,
+    /// Slots of each target.
+    pub slots: u32,
     /// Targets of each service in each data centre.
     pub targets: usize,
     /// Services, each with a pool of the same name.
     pub services: Vec<String>,
 }
 
+/// The relays through which one entry host reaches others.
+#[derive(Debug)]
+pub struct EntryRelays {
+    /// To the list of hosts.
+    pub hosts: TcpRelay,
+    /// To the log.
+    pub log: TcpRelay,
+    /// To the other entry hosts, in their order.
+    pub peers: Vec<TcpRelay>,
+}
+
 /// An entry host as a process.
 #[derive(Debug)]
 pub struct EntryProcess {
@@ -49,6 +70,8 @@
     pub operators: SocketAddr,
     /// The process; `None` when it was stopped.
     pub process: Option<ChildProcess>,
+    /// The relays, if the layout asks for them.
+    pub relays: Option<EntryRelays>,
     arguments: Vec<String>,
     name: String,
     starts: u32,
@@ -69,8 +92,10 @@
     pub targets: Vec<HostRow>,
     /// Hosts that are listed besides, such as workers.
     pub extra: Vec<HostRow>,
+    /// The process of each target; `None` when it was stopped.
+    pub target_processes: Vec<Option<ChildProcess>>,
     folder: PathBuf,
-    _processes: Vec<ChildProcess>,
+    _platform: ChildProcess,
 }
 
 impl ProcessFleet {
@@ -80,7 +105,8 @@
     /// When a process cannot be started.
     pub async fn start(layout: &FleetLayout, folder: PathBuf) -> anyhow::Result<Self> {
         std::fs::create_dir_all(&folder)?;
-        let (log, hosts) = (free_address()?, free_address()?);
+        let mut addresses = AddressBook::new();
+        let (log, hosts) = (addresses.take(), addresses.take());
         let arguments = [
             ("--log", log.to_string()),
             ("--hosts", hosts.to_string()),
@@ -88,13 +114,8 @@
             ("--retention-ms", layout.retention_ms.to_string()),
         ];
         let platform = start("standin-platform", &arguments, &folder, "platform")?;
-        let targets = target_rows(layout)?;
-        let arguments: Vec<_> = targets
-            .iter()
-            .map(|row| ("--target", format!("{}={}", row.name, row.address)))
-            .collect();
-        let target_process = start("standin-target", &arguments, &folder, "targets")?;
-        let entries = entry_processes(layout, log, hosts)?;
+        let targets = target_rows(layout, &mut addresses)?;
+        let entries = entry_processes(layout, &mut addresses, log, hosts).await?;
         let mut fleet = Self {
             client: TestClient::default(),
             entries,
@@ -102,11 +123,13 @@
             folder,
             hosts,
             log,
+            target_processes: targets.iter().map(|_| None).collect(),
             targets,
-            _processes: vec![platform, target_process],
+            _platform: platform,
         };
         fleet.wait_for(hosts, "/hosts").await?;
         for index in 0..fleet.targets.len() {
+            fleet.start_target(index).await?;
             fleet.list_host(&fleet.targets[index].clone()).await?;
         }
         for index in 0..fleet.entries.len() {
@@ -147,6 +170,40 @@
         }
     }
 
+    /// Starts a target at its address and waits until it serves.
+    ///
+    /// # Errors
+    /// When the process cannot be started.
+    pub async fn start_target(&mut self, index: usize) -> anyhow::Result<()> {
+        let row = &self.targets[index];
+        let arguments = [
+            ("--target", format!("{}={}", row.name, row.address)),
+            ("--slots", row.slots.to_string()),
+        ];
+        let process = start(
+            "standin-target",
+            &arguments,
+            &self.folder,
+            row.name.as_str(),
+        )?;
+        self.target_processes[index] = Some(process);
+        self.wait_for(row.address, "/runs").await
+    }
+
+    /// Sets the faults of a target, in JSON.
+    ///
+    /// # Errors
+    /// When the target does not take them.
+    pub async fn set_target_faults(&self, index: usize, faults: &str) -> anyhow::Result<()> {
+        let address = self.targets[index].address;
+        let body = faults.to_owned();
+        let reply = self.client.call(Method::POST, address, "/faults", body);
+        match reply.await {
+            Ok((StatusCode::OK, _)) => Ok(()),
+            other => bail!("the target did not take the faults: {other:?}"),
+        }
+    }
+
     /// Starts an entry host, or a new one under the same name.
     ///
     /// # Errors
@@ -239,20 +296,16 @@
         bail!("entry host {index} does not answer operators")
     }
 
-    /// Returns how often each request ran, over all targets.
+    /// Returns how often each request ran, over all targets that were not stopped.
     ///
     /// # Errors
     /// When a target does not answer.
     pub async fn runs(&self) -> anyhow::Result<Vec<(String, u32)>> {
         let mut all: Vec<(String, u32)> = Vec::new();
-        for row in &self.targets {
-            let reply = self
-                .client
-                .call(Method::GET, row.address, "/runs", "")
-                .await;
-            let (_, body) = reply.map_err(anyhow::Error::msg)?;
-            let counts: crate::target::RunCounts = serde_json::from_slice(&body)?;
-            all.extend(counts.runs);
+        for index in 0..self.targets.len() {
+            if self.target_processes[index].is_some() {
+                all.extend(self.target_counts(index).await?.runs);
+            }
         }
         all.sort();
         all.dedup_by(|next, kept| {
@@ -265,6 +318,17 @@
         Ok(all)
     }
 
+    /// Returns what a target counted.
+    ///
+    /// # Errors
+    /// When the target does not answer.
+    pub async fn target_counts(&self, index: usize) -> anyhow::Result<RunCounts> {
+        let address = self.targets[index].address;
+        let reply = self.client.call(Method::GET, address, "/runs", "").await;
+        let (_, body) = reply.map_err(anyhow::Error::msg)?;
+        Ok(serde_json::from_slice(&body)?)
+    }
+
     async fn wait_for(&self, address: SocketAddr, path: &str) -> anyhow::Result<()> {
         let deadline = Instant::now() + START_LIMIT;
         while Instant::now() < deadline {
@@ -291,23 +355,42 @@
     ChildProcess::start(program, &arguments, &folder.join(format!("{log}.log")))
 }
 
-fn free_address() -> anyhow::Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").context("no free port")?;
-    Ok(listener.local_addr()?)
+/// Gives out addresses of one fleet. Each fleet has a loopback address of its own, because a port that
+/// was found free on a shared one may be taken by a fleet that starts at the same time.
+#[derive(Debug)]
+struct AddressBook {
+    ip: Ipv4Addr,
+    next: u16,
+}
+
+impl AddressBook {
+    fn new() -> Self {
+        let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let [.., high, low] = std::process::id().to_be_bytes();
+        Self {
+            ip: Ipv4Addr::new(127, fleet % 254 + 1, high, low),
+            next: FIRST_PORT,
+        }
+    }
+
+    fn take(&mut self) -> SocketAddr {
+        self.next += 1;
+        SocketAddr::from((self.ip, self.next))
+    }
 }
 
 fn data_centre(index: usize) -> String {
     format!("dc{}", index + 1)
 }
 
-fn target_rows(layout: &FleetLayout) -> anyhow::Result<Vec<HostRow>> {
+fn target_rows(layout: &FleetLayout, addresses: &mut AddressBook) -> anyhow::Result<Vec<HostRow>> {
     let mut rows = Vec::new();
     for service in &layout.services {
         for number in 0..layout.targets * layout.data_centres {
             let centre = data_centre(number % layout.data_centres);
             rows.push(HostRow {
                 accelerators: 0,
-                address: free_address()?,
+                address: addresses.take(),
                 connections: 64,
                 cores: 32,
                 data_centre: DataCentre::try_from(centre.as_str())?,
@@ -315,7 +398,7 @@
                 memory_mib: 65_536,
                 name: HostName::try_from(format!("{service}-{number}"))?,
                 rack: RackName::try_from(format!("{centre}-rack{}", number / 4))?,
-                slots: 8,
+                slots: layout.slots,
                 status: HostStatus::Live,
                 worker: None,
             });
@@ -324,26 +407,35 @@
     Ok(rows)
 }
 
-fn entry_processes(
+async fn entry_processes(
     layout: &FleetLayout,
+    addresses: &mut AddressBook,
     log: SocketAddr,
     hosts: SocketAddr,
 ) -> anyhow::Result<Vec<EntryProcess>> {
     let mut peers = Vec::new();
-    for index in 0..layout.data_centres {
-        peers.push((format!("e{}", index + 1), free_address()?));
+    for index in 0..layout.data_centres * layout.entries {
+        peers.push((format!("e{}", index + 1), addresses.take()));
     }
     let mut entries = Vec::new();
     for (index, (name, address)) in peers.iter().enumerate() {
-        let (callers, operators) = (free_address()?, free_address()?);
-        let others: Vec<String> = peers
+        let (callers, operators) = (addresses.take(), addresses.take());
+        let mut others: Vec<(String, SocketAddr)> = peers.clone();
+        others.retain(|(other, _)| other != name);
+        let relays = match layout.relays {
+            true => Some(entry_relays(log, hosts, &mut others).await?),
+            false => None,
+        };
+        let (log, hosts) = relays.as_ref().map_or((log, hosts), |relays| {
+            (relays.log.address, relays.hosts.address)
+        });
+        let others: Vec<String> = others
             .iter()
-            .filter(|(other, _)| other != name)
             .map(|(other, address)| format!("{other}={address}"))
             .collect();
         let arguments = [
             ("--name", name.clone()),
-            ("--data-centre", data_centre(index)),
+            ("--data-centre", data_centre(index % layout.data_centres)),
             ("--callers", callers.to_string()),
             ("--operators", operators.to_string()),
             ("--listen-peers", address.to_string()),
@@ -361,8 +453,28 @@
             name: name.clone(),
             operators,
             process: None,
+            relays,
             starts: 0,
         });
     }
     Ok(entries)
 }
+
+/// Puts a relay before each address and replaces the addresses of the peers.
+async fn entry_relays(
+    log: SocketAddr,
+    hosts: SocketAddr,
+    others: &mut [(String, SocketAddr)],
+) -> anyhow::Result<EntryRelays> {
+    let mut peers = Vec::new();
+    for (_, address) in others {
+        let relay = TcpRelay::start(*address).await?;
+        *address = relay.address;
+        peers.push(relay);
+    }
+    Ok(EntryRelays {
+        hosts: TcpRelay::start(hosts).await?,
+        log: TcpRelay::start(log).await?,
+        peers,
+    })
+}
--- a/crates/standins/src/target/target_handler.rs
+++ b/crates/standins/src/target/target_handler.rs
@@ -7,7 +7,14 @@
     hyper::body::{Frame, Incoming},
     parking_lot::Mutex,
     serde::{Deserialize, Serialize},
-    std::{io, sync::Arc, time::Duration},
+    std::{
+        io,
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
+        time::Duration,
+    },
     tokio::sync::Semaphore,
 };
 
@@ -29,17 +36,21 @@
 /// How often each request ran.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RunCounts {
+    /// Requests that were refused because the target is leaving.
+    #[serde(default)]
+    pub refused: u32,
     /// Identity of the request, from its `work-id` header, and number of runs.
     pub runs: Vec<(String, u32)>,
 }
 
 /// Answers requests after `run-ms` milliseconds, in at most `slots` at a time. The answer repeats the
-/// `work-id` header and the body of the request. `GET /runs` returns the counts, `POST /faults` sets
+/// `work-id` header and the body of the request, with a pause of `piece-ms` before each piece. `GET /runs` returns the counts, `POST /faults` sets
 /// the faults.
 #[derive(Debug)]
 pub struct TargetHandler {
     faults: Mutex<TargetFaults>,
     name: HostName,
+    refused: AtomicU32,
     runs: Mutex<Vec<(String, u32)>>,
     slots: Arc<Semaphore>,
 }
@@ -50,6 +61,7 @@
         Self {
             faults: Mutex::default(),
             name,
+            refused: AtomicU32::new(0),
             runs: Mutex::default(),
             slots: Arc::new(Semaphore::new(slots)),
         }
@@ -75,6 +87,9 @@
         let run_ms: u64 = header("run-ms")
             .and_then(|value| value.parse().ok())
             .unwrap_or(0);
+        let piece_ms: u64 = header("piece-ms")
+            .and_then(|value| value.parse().ok())
+            .unwrap_or(0);
         let body = request.into_body().collect().await.ok()?.to_bytes();
         let _slot = self.slots.acquire().await.ok()?;
         self.count(&work);
@@ -83,10 +98,12 @@
             return None;
         }
         let truncated = use_up(&mut self.faults.lock().truncate);
-        Some(self.answer(&work, body, truncated))
+        let pause = Duration::from_millis(piece_ms);
+        Some(self.answer(&work, body, truncated, pause))
     }
 
     fn refuse(&self) -> Reply {
+        self.refused.fetch_add(1, Ordering::Relaxed);
         let mut reply = status(StatusCode::SERVICE_UNAVAILABLE, "leaving");
         let headers = reply.headers_mut();
         headers.insert("gcs-not-run", http::HeaderValue::from_static("true"));
@@ -94,11 +111,13 @@
         reply
     }
 
-    fn answer(&self, work: &str, body: Bytes, truncated: bool) -> Reply {
+    fn answer(&self, work: &str, body: Bytes, truncated: bool, pause: Duration) -> Reply {
         let stream = StreamBody::new(PieceStream {
             body,
             fail_at: truncated.then_some(STREAM_PIECES / 2),
+            pause: Box::pin(tokio::time::sleep(pause)),
             piece: 0,
+            piece_pause: pause,
         });
         let mut reply = Response::new(stream.boxed());
         let headers = reply.headers_mut();
@@ -123,6 +142,7 @@
     async fn handle(&self, request: Request<Incoming>) -> Option<Reply> {
         match request.uri().path() {
             "/runs" => Some(json(&RunCounts {
+                refused: self.refused.load(Ordering::Relaxed),
                 runs: self.runs.lock().clone(),
             })),
             "/faults" => {
@@ -140,7 +160,9 @@
 struct PieceStream {
     body: Bytes,
     fail_at: Option<u64>,
+    pause: std::pin::Pin<Box<tokio::time::Sleep>>,
     piece: u64,
+    piece_pause: Duration,
 }
 
 impl futures_util::Stream for PieceStream {
@@ -148,8 +170,13 @@
 
     fn poll_next(
         mut self: std::pin::Pin<&mut Self>,
-        _context: &mut std::task::Context<'_>,
+        context: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<Self::Item>> {
+        if !self.piece_pause.is_zero() {
+            std::task::ready!(self.pause.as_mut().poll(context));
+            let next = tokio::time::Instant::now() + self.piece_pause;
+            self.pause.as_mut().reset(next);
+        }
         let piece = self.piece;
         self.piece += 1;
         if self.fail_at == Some(piece) {
--- /dev/null
+++ b/crates/standins/tests/fleet/mod.rs
@@ -0,0 +1,228 @@
+//! What the tests with separate processes share.
+
+// Each test file uses a part of this module.
+#![allow(dead_code)]
+
+use {
+    goldcreststall_core::{
+        claims::ClaimRecord,
+        ids::{Millis, RecordId, RequestKey},
+        ledger::{LedgerRecord, LogOffset, RecordBody, decode_records},
+    },
+    goldcreststall_operators::{ChangeOrder, OperatorChange, OperatorName},
+    goldcreststall_platform::log::{HttpLog, LogService, LogStream},
+    goldcreststall_standins::{
+        client::{ClientAnswer, ClientRequest},
+        process::{FleetLayout, ProcessFleet},
+    },
+    http::Method,
+    rustix::process::Signal,
+    std::{
+        net::SocketAddr,
+        ops::{Deref, DerefMut},
+        time::{Duration, Instant},
+    },
+    tempfile::TempDir,
+    uuid::Uuid,
+};
+
+pub const SERVICE: &str = "orders";
+pub const TENANT: &str = "tenant-1";
+pub const CONFIG: &str = "[[pools]]\nname = \"orders\"\nmin_available = 0\n\
+    [[services]]\nname = \"orders\"\npool = \"orders\"\n\
+    [[tenants]]\nname = \"tenant-1\"\n";
+/// Longest wait for a condition; generous, as the machine may be busy.
+pub const LIMIT: Duration = Duration::from_secs(60);
+const STEP: Duration = Duration::from_millis(50);
+
+/// A fleet whose log files are removed when the test passes.
+pub struct TestFleet {
+    fleet: ProcessFleet,
+    folder: TempDir,
+}
+
+impl Deref for TestFleet {
+    type Target = ProcessFleet;
+
+    fn deref(&self) -> &ProcessFleet {
+        &self.fleet
+    }
+}
+
+impl DerefMut for TestFleet {
+    fn deref_mut(&mut self) -> &mut ProcessFleet {
+        &mut self.fleet
+    }
+}
+
+impl Drop for TestFleet {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.folder.disable_cleanup(true);
+            eprintln!("log files are in {}", self.folder.path().display());
+        }
+    }
+}
+
+/// One data centre with `entries` entry hosts and `targets` targets.
+pub fn layout(entries: usize, targets: usize) -> FleetLayout {
+    FleetLayout {
+        data_centres: 1,
+        entries,
+        lag_ms: 0,
+        relays: false,
+        retention_ms: 3_600_000,
+        services: vec![SERVICE.to_owned()],
+        slots: 8,
+        targets,
+    }
+}
+
+/// Starts a fleet and waits until each entry host serves.
+pub async fn start(layout: &FleetLayout) -> TestFleet {
+    start_with(layout, CONFIG).await
+}
+
+pub async fn start_with(layout: &FleetLayout, config: &str) -> TestFleet {
+    let folder = tempfile::tempdir().unwrap();
+    let fleet = ProcessFleet::start(layout, folder.path().to_owned()).await;
+    let fleet = TestFleet {
+        fleet: fleet.unwrap(),
+        folder,
+    };
+    let pool_of = |_: &_| SERVICE.to_owned();
+    fleet.set_up(config.to_owned(), &pool_of).await.unwrap();
+    for index in 0..fleet.entries.len() {
+        fleet.wait_serves(index).await;
+    }
+    fleet
+}
+
+impl TestFleet {
+    pub fn callers(&self, entry: usize) -> SocketAddr {
+        self.entries[entry].callers
+    }
+
+    pub async fn send(&self, entry: usize, request: &ClientRequest) -> ClientAnswer {
+        self.client.send(self.callers(entry), request).await
+    }
+
+    /// Sends without waiting for the answer.
+    pub fn spawn(
+        &self,
+        entry: usize,
+        request: &ClientRequest,
+    ) -> tokio::task::JoinHandle<ClientAnswer> {
+        let (client, request) = (self.client.clone(), request.clone());
+        let address = self.callers(entry);
+        tokio::spawn(async move { client.send(address, &request).await })
+    }
+
+    /// Waits until an entry host gets answers from a target.
+    pub async fn wait_serves(&self, entry: usize) {
+        until("the entry host serves", async || {
+            let request = idempotent("warm-up");
+            self.send(entry, &request).await.outcome() == "done"
+        })
+        .await;
+    }
+
+    pub async fn runs_of(&self, work: &str) -> u32 {
+        let runs = self.runs().await.unwrap();
+        let found = runs.iter().find(|(id, _)| id == work);
+        found.map_or(0, |(_, count)| *count)
+    }
+
+    pub async fn wait_runs(&self, work: &str) {
+        until("the request runs", async || self.runs_of(work).await > 0).await;
+    }
+
+    pub fn signal(&self, entry: usize, signal: Signal) {
+        let process = self.entries[entry].process.as_ref();
+        process.expect("the entry host runs").signal(signal);
+    }
+
+    /// Ends an entry host at once.
+    pub fn kill_entry(&mut self, entry: usize) {
+        // Dropping kills the process and waits for its end.
+        self.entries[entry].process = None;
+    }
+
+    pub async fn issue_key(&self, entry: usize) -> String {
+        let address = self.callers(entry);
+        let reply = self.client.call(Method::POST, address, "/v1/keys", "");
+        let (_, body) = reply.await.unwrap();
+        String::from_utf8(body.to_vec()).unwrap().trim().to_owned()
+    }
+
+    /// Returns all records of the log.
+    pub async fn ledger(&self) -> Vec<LedgerRecord> {
+        let log = HttpLog::new(self.log);
+        let bounds = log.bounds(LogStream::Ledger).await.unwrap();
+        let read = log.read(LogStream::Ledger, bounds.first, Millis(0)).await;
+        let entries = read.unwrap().into_iter();
+        entries
+            .flat_map(|entry| decode_records(&entry.payload).unwrap())
+            .collect()
+    }
+
+    pub async fn ledger_first(&self) -> LogOffset {
+        let log = HttpLog::new(self.log);
+        log.bounds(LogStream::Ledger).await.unwrap().first
+    }
+
+    /// Returns the ids of the claims of a key that are in the log, one for each copy.
+    pub async fn claims_of(&self, key: &str) -> Vec<RecordId> {
+        let Ok(RequestKey::Caller(wanted)) = RequestKey::try_from(key) else {
+            panic!("{key} is not a key of a caller");
+        };
+        let is_claim = |record: &LedgerRecord| matches!(&record.body, RecordBody::Claim(ClaimRecord::Take { key, .. }) if *key == wanted);
+        let records = self.ledger().await.into_iter();
+        let claims = records.filter(is_claim);
+        claims.map(|record| record.id).collect()
+    }
+
+    pub async fn wait_claim(&self, key: &str) {
+        until("the claim is in the log", async || {
+            !self.claims_of(key).await.is_empty()
+        })
+        .await;
+    }
+
+    /// Checks that the answer to a request agrees with its number of runs.
+    pub async fn check_agrees(&self, request: &ClientRequest, answer: &ClientAnswer) {
+        let runs = self.runs_of(&request.work).await;
+        let work = &request.work;
+        match answer.outcome() {
+            "not-run" => assert_eq!(runs, 0, "{work} ran after {answer:?}"),
+            "done" => assert!(runs > 0, "{work} did not run, but {answer:?}"),
+            _ => {}
+        }
+        assert!(request.idempotent || runs <= 1, "{work} ran {runs} times");
+    }
+}
+
+pub fn idempotent(work: &str) -> ClientRequest {
+    ClientRequest::idempotent(SERVICE, TENANT, work)
+}
+
+pub fn once(work: &str) -> ClientRequest {
+    ClientRequest::once(SERVICE, TENANT, work)
+}
+
+pub fn order(change: OperatorChange) -> ChangeOrder {
+    ChangeOrder {
+        change,
+        operator: OperatorName::try_from("operator-1").unwrap(),
+        request: RecordId(Uuid::now_v7().as_u128()),
+    }
+}
+
+/// Waits for a condition; the limit only ends a test that would never end.
+pub async fn until(what: &str, mut check: impl AsyncFnMut() -> bool) {
+    let deadline = Instant::now() + LIMIT;
+    while !check().await {
+        assert!(Instant::now() < deadline, "not within {LIMIT:?}: {what}");
+        tokio::time::sleep(STEP).await;
+    }
+}
