Refuse requests of HTTP/1.0, whose callers cannot see a cut answer

Cause: an answer with chunks was passed on to a caller of HTTP/1.0 without chunks or a length. Ruled out: buffering the whole answer to give it a length, which holds streamed answers back and in memory.

--- a/crates/callers/src/request/caller_request.rs
+++ b/crates/callers/src/request/caller_request.rs
@@ -5,7 +5,7 @@
         ids::{Millis, RequestKey, ServiceName, TenantName},
         traffic::Urgency,
     },
-    http::{HeaderMap, Method, Request, header},
+    http::{HeaderMap, Method, Request, Version, header},
     hyper::body::Incoming,
 };
 
@@ -55,6 +55,7 @@
 
     fn try_from(request: Request<Incoming>) -> Result<Self, RequestError> {
         let (head, body) = request.into_parts();
+        check_version(head.version)?;
         let headers = &head.headers;
         let path = head.uri.path_and_query();
         Ok(Self {
@@ -72,6 +73,16 @@
     }
 }
 
+/// Chunks need HTTP/1.1. In HTTP/1.0 the end of the connection ends such an answer, so the caller could
+/// not tell an answer that was cut short from a complete one.
+fn check_version(version: Version) -> Result<(), RequestError> {
+    if version < Version::HTTP_11 {
+        let detail = format!("version {version:?} is not accepted; allowed: HTTP/1.1");
+        return Err(RequestError::new(ErrorKind::InvalidRequest, detail));
+    }
+    Ok(())
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, RequestError> {
     let Some(value) = headers.get(name) else {
         return Ok(None);
--- /dev/null
+++ b/crates/standins/tests/whole_answers.rs
@@ -0,0 +1,120 @@
+//! Guards against an answer that is cut, late or another caller's and looks complete.
+
+mod fleet;
+
+use {
+    bytes::Bytes,
+    fleet::{idempotent, layout, once, start},
+    goldcreststall_standins::client::{ClientAnswer, ClientRequest, read_answer},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
+};
+
+fn assert_own(request: &ClientRequest, answer: &ClientAnswer) {
+    let ClientAnswer::Whole {
+        body,
+        outcome,
+        work,
+        ..
+    } = answer
+    else {
+        panic!("{} got {answer:?}", request.work);
+    };
+    assert_eq!(outcome, "done", "{answer:?}");
+    assert_eq!((body, work), (&request.body, &request.work));
+}
+
+/// A body that the target cut must end as an aborted body, and must not spoil the next exchange.
+#[tokio::test(flavor = "multi_thread")]
+async fn body_cut() {
+    let fleet = start(&layout(1, 1)).await;
+    fleet
+        .set_target_faults(0, "{\"truncate\":2}")
+        .await
+        .unwrap();
+    // A pause before each piece lets the head and half of the body leave before the cut.
+    for request in [idempotent("cut-1"), once("cut-2")] {
+        let request = ClientRequest {
+            piece_ms: 100,
+            ..request
+        };
+        let answer = fleet.send(0, &request).await;
+        assert!(matches!(answer, ClientAnswer::Broken(_)), "{answer:?}");
+    }
+    let request = once("whole");
+    let answer = fleet.send(0, &request).await;
+    assert_own(&request, &answer);
+}
+
+/// An answer without a length has no end mark in HTTP/1.0, so a cut one would look complete there.
+#[tokio::test(flavor = "multi_thread")]
+async fn old_protocol() {
+    let fleet = start(&layout(1, 1)).await;
+    fleet
+        .set_target_faults(0, "{\"truncate\":1}")
+        .await
+        .unwrap();
+    let mut stream = TcpStream::connect(fleet.callers(0)).await.unwrap();
+    let request = "POST /work HTTP/1.0\r\ngcs-service: orders\r\ngcs-tenant: tenant-1\r\n\
+        gcs-idempotent: true\r\nwork-id: old\r\npiece-ms: 100\r\ncontent-length: 8\r\n\r\n12345678";
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    // A reset connection is an answer that did not end, which the caller notices.
+    let ended = stream.read_to_end(&mut answer).await.is_ok();
+    let answer = String::from_utf8_lossy(&answer).to_lowercase();
+    let complete = ended && answer.contains(" 200 ok") && !answer.contains("content-length");
+    assert!(!complete, "a cut answer looks complete: {answer}");
+    if answer.contains("gcs-outcome: not-run") {
+        assert_eq!(fleet.runs_of("old").await, 0);
+    }
+}
+
+/// An answer that comes after the deadline belongs to nobody, so its connection is not used again.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_answer() {
+    let fleet = start(&layout(1, 1)).await;
+    for number in 0..4 {
+        let late = ClientRequest {
+            body: Bytes::from("late"),
+            deadline_ms: 300,
+            run_ms: 900,
+            ..once(&format!("late-{number}"))
+        };
+        let answer = fleet.send(0, &late).await;
+        assert_ne!(answer.outcome(), "done", "{answer:?}");
+        fleet.check_agrees(&late, &answer).await;
+        let sent: Vec<_> = (0..4)
+            .map(|index| {
+                let request = ClientRequest {
+                    run_ms: 200 * index,
+                    ..idempotent(&format!("own-{number}-{index}"))
+                };
+                (fleet.spawn(0, &request), request)
+            })
+            .collect();
+        for (answer, request) in sent {
+            assert_own(&request, &answer.await.unwrap());
+        }
+    }
+}
+
+/// An entry host that dies cuts its answers; the next one at its address serves whole ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn same_address() {
+    let mut fleet = start(&layout(1, 1)).await;
+    let request = ClientRequest {
+        piece_ms: 600,
+        ..idempotent("cut")
+    };
+    let head = fleet.client.open(fleet.callers(0), &request).await.unwrap();
+    fleet.kill_entry(0);
+    let answer = read_answer(head).await;
+    assert!(matches!(answer, ClientAnswer::Broken(_)), "{answer:?}");
+    fleet.start_entry(0).unwrap();
+    fleet.wait_serves(0).await;
+    let request = once("whole");
+    let answer = fleet.send(0, &request).await;
+    assert_own(&request, &answer);
+}
