Count the deadline of a job from its id, so that it can be submitted again

Cause: the deadline was counted from the arrival of the submission, so a repeated submission under the same id was another job to the fold. The caller got 400 and "not-run" although the first one was accepted and ran (invariant 4), for example after a lost answer. Ruled out: comparing jobs without their deadline in the fold, as it would accept a job with another deadline. Change: the deadline is counted from the time in the id, which is the same in each submission. Before: the second of three submissions is answered 400. After: three times 200 and one start.

--- a/crates/entry/src/traffic/job_intake.rs
+++ b/crates/entry/src/traffic/job_intake.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        clock::{BootClock, wall_time},
+        clock::BootClock,
         control::{ControlHandle, ProposeError},
     },
     bytes::Bytes,
@@ -96,7 +96,7 @@
             Some(id) => parse_id(id)?,
             None => JobId(Uuid::now_v7().as_u128()),
         };
-        let spec = job_spec(body)?;
+        let spec = job_spec(id, body)?;
         info!(self.logger, "place: a job is submitted"; "job" => %id, "service" => %spec.service, "tenant" => %spec.tenant, "pool" => %spec.pool);
         let record = JobRecord::Submit { job: id, spec };
         self.propose(record).await?;
@@ -154,7 +154,7 @@
     }
 }
 
-fn job_spec(body: JobBody) -> Result<JobSpec, RequestError> {
+fn job_spec(id: JobId, body: JobBody) -> Result<JobSpec, RequestError> {
     let urgency = match body.urgency.as_deref() {
         Some("urgent") => Urgency::Urgent,
         None | Some("normal") => Urgency::Normal,
@@ -167,7 +167,8 @@
     };
     Ok(JobSpec {
         checkpoints: body.checkpoints,
-        deadline: wall_time() + Millis(body.deadline_ms),
+        // Counted from the id: a submission that is repeated must be equal to the first one.
+        deadline: id.time() + Millis(body.deadline_ms),
         idempotent: body.idempotent,
         payload: body.payload,
         pool: body.pool,
