Take the list of hosts from a peer together with its state

Cause: the state names the hosts of each pool, but their addresses are only in the platform's list. Ruled out: addresses in the log, which would cost a record for each host that is replaced. Change: the image for a peer carries the list as last read, with its age, before the state.

--- a/crates/entry/src/control/control_actor.rs
+++ b/crates/entry/src/control/control_actor.rs
@@ -11,7 +11,7 @@
     crate::{
         clock::BootClock,
         duty::{DutyInput, DutyPlan, DutyPlanner, WorkerWatch},
-        peering::PeerBoard,
+        peering::{PeerBoard, PeerImage},
     },
     bytes::Bytes,
     goldcreststall_core::{
@@ -20,7 +20,7 @@
         ids::{DataCentre, EntryId, LocalTime, LogTime, Millis, RecordId},
         ledger::{
             Author, FleetState, LedgerRecord, LogEntry, LogIdentity, LogOffset, RecordBody,
-            Rejection, decode_records, encode_state,
+            Rejection, decode_records,
         },
         traffic::RoutingView,
     },
@@ -395,7 +395,7 @@
         let position = self.position().position();
         self.known.then(|| {
             ImageReply(StateImage {
-                bytes: Bytes::from(encode_state(&self.state)),
+                bytes: PeerImage::encode(&self.hosts, &self.state),
                 position,
             })
         })
--- a/crates/entry/src/control/control_messages.rs
+++ b/crates/entry/src/control/control_messages.rs
@@ -33,9 +33,9 @@
     pub(crate) state: Box<FleetState>,
 }
 
-/// The list of hosts was read.
-pub(super) struct UpdateHosts {
-    pub(super) reply: HostsReply,
+/// The list of hosts was read, here or by a peer.
+pub(crate) struct UpdateHosts {
+    pub(crate) reply: HostsReply,
 }
 
 /// A record to append; the sender is told once it was read back from the log.
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -12,7 +12,7 @@
 
 pub(crate) use control_messages::{
     ApplyEntries, AskPosition, FetchLedger, LoadState, PlanDuties, ReadHosts, StateOrigin,
-    TakeImage,
+    TakeImage, UpdateHosts,
 };
 pub use {
     control_actor::{ControlActor, ControlArgs},
--- a/crates/entry/src/peering/catch_up_task.rs
+++ b/crates/entry/src/peering/catch_up_task.rs
@@ -1,13 +1,10 @@
 use {
-    super::PeerBoard,
+    super::{PeerBoard, PeerImage},
     crate::{
         clock::BootClock,
-        control::{ApplyEntries, AskPosition, ControlActor, LoadState, StateOrigin},
-    },
-    goldcreststall_core::{
-        ids::{EntryName, Millis},
-        ledger::{FleetState, decode_state},
+        control::{ApplyEntries, AskPosition, ControlActor, LoadState, StateOrigin, UpdateHosts},
     },
+    goldcreststall_core::ids::{EntryName, Millis},
     goldcreststall_peers::{
         decisions::{CatchUp, CatchUpStep, PeerOffer, StartChoice, StartStep},
         mesh::PeerMesh,
@@ -76,19 +73,19 @@
         if let StartStep::Fetch { peer, position } = self.start.next_step(self.clock.now()) {
             info!(self.logger, "peer: the state of a peer is fetched"; "peer" => %peer, "offset" => position.next.0);
             match self.fetch_state(&peer).await {
-                Some(state) => self.take(&peer, state).await,
+                Some(image) => self.take(&peer, image).await,
                 None => self.start.withdraw(&peer),
             }
         }
     }
 
-    async fn take(&mut self, peer: &EntryName, state: FleetState) {
+    async fn take(&mut self, peer: &EntryName, image: PeerImage) {
         let position = LogPosition {
-            log: state.log(),
-            next: state.next(),
+            log: image.state.log(),
+            next: image.state.next(),
         };
         match self.start.take(peer, position) {
-            Ok(()) => self.load(state).await,
+            Ok(()) => self.load(image).await,
             Err(refusal) => {
                 warn!(self.logger, "peer: a state is not taken"; "peer" => %peer, "reason" => %refusal);
             }
@@ -103,8 +100,8 @@
             CatchUpStep::Wait => {}
             CatchUpStep::Fetch { fetch, peer } => self.fetch(fetch, &peer).await,
             CatchUpStep::TakeState { peer } => {
-                if let Some(state) = self.fetch_state(&peer).await {
-                    self.load(state).await;
+                if let Some(image) = self.fetch_state(&peer).await {
+                    self.load(image).await;
                 }
             }
         }
@@ -124,25 +121,26 @@
         }
     }
 
-    async fn fetch_state(&self, peer: &EntryName) -> Option<FleetState> {
+    async fn fetch_state(&self, peer: &EntryName) -> Option<PeerImage> {
         let image = self.mesh.fetch_state(peer).await;
         let image = image.map_err(|error| error.to_string());
-        let state =
-            image.and_then(|image| decode_state(&image.bytes).map_err(|error| error.to_string()));
-        state
+        let image = image.and_then(|image| PeerImage::try_from(&*image.bytes));
+        image
             .inspect_err(|reason| {
                 warn!(self.logger, "peer: no state was fetched"; "peer" => %peer, "reason" => reason);
             })
             .ok()
     }
 
-    async fn load(&self, state: FleetState) {
+    async fn load(&self, image: PeerImage) {
         let message = LoadState {
             origin: StateOrigin::Peer,
-            state: Box::new(state),
+            state: Box::new(image.state),
         };
         // The actor ends only at shutdown.
         let _ = self.actor.ask(message).await;
+        let reply = image.hosts;
+        let _ = self.actor.tell(UpdateHosts { reply }).await;
     }
 }
 
