--- /dev/null
+++ b/crates/standins/tests/not_run.rs
@@ -0,0 +1,134 @@
+//! Guards against a request that is refused as not run although a target ran it.
+
+mod fleet;
+
+use {
+    fleet::{CONFIG, idempotent, layout, once, start, start_with, until},
+    goldcreststall_standins::client::ClientRequest,
+};
+
+/// A target that reports that it did not run a request is believed, and is asked no more.
+#[tokio::test(flavor = "multi_thread")]
+async fn target_refuses() {
+    let fleet = start(&layout(1, 1)).await;
+    fleet
+        .set_target_faults(0, "{\"leaving\":true}")
+        .await
+        .unwrap();
+    for (work, reason) in [("first", "target-refused"), ("second", "no-target")] {
+        let request = once(work);
+        let answer = fleet.send(0, &request).await;
+        assert_eq!(answer.reason(), reason, "{answer:?}");
+        assert_eq!(answer.outcome(), "not-run", "{answer:?}");
+        fleet.check_agrees(&request, &answer).await;
+    }
+    assert_eq!(fleet.target_counts(0).await.unwrap().refused, 1);
+}
+
+/// A connection that was never open carried nothing; its request runs when the target is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn nobody_listens() {
+    let mut fleet = start(&layout(1, 1)).await;
+    fleet.target_processes[0] = None;
+    let mut sent = Vec::new();
+    // The end of an idle connection may be noticed only by the request that is sent on it.
+    until("a connect fails", async || {
+        let request = once(&format!("refused-{}", sent.len()));
+        let answer = fleet.send(0, &request).await;
+        let failed = answer.reason() == "connect-failed";
+        sent.push((request, answer));
+        failed
+    })
+    .await;
+    fleet.start_target(0).await.unwrap();
+    fleet.wait_serves(0).await;
+    for (request, answer) in &sent {
+        assert_ne!(answer.outcome(), "done", "{answer:?}");
+        assert_eq!(fleet.runs_of(&request.work).await, 0);
+    }
+    let (request, _) = sent.last().unwrap();
+    until("the key is free again", async || {
+        fleet.send(0, request).await.outcome() == "done"
+    })
+    .await;
+    assert_eq!(fleet.runs_of(&request.work).await, 1);
+}
+
+/// A full queue and a deadline that cannot be met refuse requests, and those are never sent later.
+#[tokio::test(flavor = "multi_thread")]
+async fn queue_limits() {
+    let mut layout = layout(1, 1);
+    layout.slots = 1;
+    let config = CONFIG.replace("pool = \"orders\"\n", "pool = \"orders\"\nmax_queue = 4\n");
+    let fleet = start_with(&layout, &config).await;
+    let long = ClientRequest {
+        deadline_ms: 30_000,
+        run_ms: 4_000,
+        ..once("long")
+    };
+    let first = fleet.spawn(0, &long);
+    fleet.wait_runs("long").await;
+    let short = ClientRequest {
+        deadline_ms: 300,
+        ..once("short")
+    };
+    let late = fleet.send(0, &short).await;
+    assert_eq!(late.outcome(), "not-run", "{late:?}");
+    let queued: Vec<_> = (0..12)
+        .map(|number| {
+            let request = ClientRequest {
+                deadline_ms: 30_000,
+                ..once(&format!("queued-{number}"))
+            };
+            (fleet.spawn(0, &request), request)
+        })
+        .collect();
+    let mut full = 0;
+    for (answer, request) in queued {
+        let answer = answer.await.unwrap();
+        full += u32::from(answer.reason() == "queue-full");
+        fleet.check_agrees(&request, &answer).await;
+    }
+    assert!(full > 0, "the queue was never full");
+    assert_eq!(first.await.unwrap().outcome(), "done");
+    assert_eq!(fleet.runs_of("short").await, 0);
+}
+
+/// Two failures at once: the log is out while the target dies and comes back.
+#[tokio::test(flavor = "multi_thread")]
+async fn target_and_log() {
+    let mut fleet = start(&layout(1, 1)).await;
+    fleet.set_log_faults("{\"down\":true}").await.unwrap();
+    fleet.target_processes[0] = None;
+    let mut sent = Vec::new();
+    for number in 0..3 {
+        let issued = ClientRequest {
+            key: Some(fleet.issue_key(0).await),
+            ..once(&format!("issued-{number}"))
+        };
+        for request in [
+            idempotent(&format!("again-{number}")),
+            issued,
+            once(&format!("claimed-{number}")),
+        ] {
+            let answer = fleet.send(0, &request).await;
+            assert_ne!(answer.outcome(), "done", "{answer:?}");
+            sent.push((request, answer));
+        }
+    }
+    fleet.start_target(0).await.unwrap();
+    fleet.wait_serves(0).await;
+    for (request, _) in &sent {
+        assert_eq!(fleet.runs_of(&request.work).await, 0, "{}", request.work);
+    }
+    let not_run = |request: &&ClientRequest| request.work.starts_with("claimed");
+    let claimed = sent.iter().filter(|(request, _)| not_run(&request));
+    for (_, answer) in claimed {
+        assert_eq!(answer.reason(), "store-unavailable", "{answer:?}");
+    }
+    // A key whose request was refused as not run is still good at the entry host that issued it.
+    let (request, answer) = &sent[7];
+    assert_eq!(answer.reason(), "connect-failed", "{answer:?}");
+    assert_eq!(fleet.send(0, request).await.outcome(), "done");
+    assert_eq!(fleet.runs_of(&request.work).await, 1);
+}
--- /dev/null
+++ b/crates/standins/tests/operator_races.rs
@@ -0,0 +1,145 @@
+//! Guards against operators and waves that race each other or requests in flight.
+
+mod fleet;
+
+use {
+    fleet::{CONFIG, TestFleet, layout, once, order, start, start_with, until},
+    goldcreststall_core::ids::{HostName, PoolName, RecordId},
+    goldcreststall_operators::{
+        ChangeOutcome, HostQuery, HostReport, OperatorBackend, OperatorChange, WaveQuery,
+        WaveReport, WaveState,
+    },
+    goldcreststall_platform::hosts::HostsReply,
+    goldcreststall_standins::client::ClientRequest,
+    http::Method,
+    rustix::process::Signal,
+    std::time::{Duration, Instant},
+};
+
+/// Longer than an entry host must be silent to be left out of the duties and the shares of slots.
+const SILENCE: Duration = Duration::from_secs(4);
+
+async fn host(fleet: &TestFleet, entry: usize, name: &HostName) -> HostReport {
+    let operator = fleet.operator(entry).await.unwrap();
+    let hosts = operator.hosts(HostQuery::default()).await.unwrap();
+    let found = hosts.into_iter().find(|host| host.name == *name);
+    found.unwrap()
+}
+
+async fn wave(fleet: &TestFleet, entry: usize, id: RecordId) -> WaveReport {
+    let operator = fleet.operator(entry).await.unwrap();
+    let waves = operator.waves(WaveQuery::default()).await.unwrap();
+    waves.into_iter().find(|wave| wave.id == id).unwrap()
+}
+
+async fn start_wave(fleet: &TestFleet, entry: usize) -> RecordId {
+    let change = OperatorChange::StartWave {
+        max_stopping: None,
+        pool: PoolName::try_from("orders").unwrap(),
+    };
+    fleet.change(entry, change).await.unwrap()
+}
+
+/// Returns the runs that the list shows of the hosts that are up.
+async fn listed(fleet: &TestFleet) -> Vec<(HostName, u64)> {
+    let reply = fleet.client.call(Method::GET, fleet.hosts, "/hosts", "");
+    let (_, body) = reply.await.unwrap();
+    let reply: HostsReply = serde_json::from_slice(&body).unwrap();
+    let hosts = reply.hosts.into_iter();
+    hosts.map(|row| (row.name, row.incarnation.0)).collect()
+}
+
+/// Of two moves that saw the same version one is accepted, and every entry host shows one pool.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_moves() {
+    let pools = ["second", "third"];
+    let mut config = CONFIG.to_owned();
+    for pool in pools {
+        config += &format!("[[pools]]\nname = \"{pool}\"\nmin_available = 0\n");
+    }
+    let fleet = start_with(&layout(2, 2), &config).await;
+    let name = fleet.targets[0].name.clone();
+    let seen = Some(host(&fleet, 0, &name).await.version);
+    let [first, second] = pools.map(|pool| {
+        order(OperatorChange::MoveHost {
+            host: name.clone(),
+            pool: PoolName::try_from(pool).unwrap(),
+            seen,
+        })
+    });
+    let operators = (
+        fleet.operator(0).await.unwrap(),
+        fleet.operator(1).await.unwrap(),
+    );
+    let (first, second) = tokio::join!(operators.0.change(first), operators.1.change(second));
+    let accepted = [first.unwrap(), second.unwrap()]
+        .map(|outcome| matches!(outcome, ChangeOutcome::Accepted { .. }));
+    assert_ne!(accepted[0], accepted[1]);
+    let winner = if accepted[0] { pools[0] } else { pools[1] };
+    for entry in [0, 1] {
+        until("the host is in its new pool", async || {
+            let host = host(&fleet, entry, &name).await;
+            let pool = host.pool.as_str();
+            assert!(pool == "orders" || pool == winner, "{host:?}");
+            pool == winner
+        })
+        .await;
+    }
+}
+
+/// A host is rebooted only after the last request ended that any entry host has in flight there.
+#[tokio::test(flavor = "multi_thread")]
+async fn wave_and_request() {
+    let fleet = start(&layout(2, 1)).await;
+    let request = ClientRequest {
+        deadline_ms: 30_000,
+        run_ms: 6_000,
+        ..once("in-flight")
+    };
+    let answer = fleet.spawn(1, &request);
+    fleet.wait_runs("in-flight").await;
+    let before = listed(&fleet).await;
+    let id = start_wave(&fleet, 0).await;
+    until("the host is being stopped", async || {
+        wave(&fleet, 0, id).await.stopping > 0
+    })
+    .await;
+    loop {
+        let now = listed(&fleet).await;
+        // Asked after the list: when the request still runs now, it ran when the list was made.
+        if answer.is_finished() {
+            break;
+        }
+        assert_eq!(now, before, "the host was rebooted under a request");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(answer.await.unwrap().outcome(), "done");
+    until("the wave is done", async || {
+        wave(&fleet, 0, id).await.state == WaveState::Done
+    })
+    .await;
+    assert_ne!(listed(&fleet).await, before);
+}
+
+/// A silent entry host may have requests in flight, so no host is rebooted until it is heard again.
+#[tokio::test(flavor = "multi_thread")]
+async fn wave_and_silence() {
+    let fleet = start(&layout(2, 1)).await;
+    let before = listed(&fleet).await;
+    fleet.signal(1, Signal::STOP);
+    let id = start_wave(&fleet, 0).await;
+    until("the host is being stopped", async || {
+        wave(&fleet, 0, id).await.stopping > 0
+    })
+    .await;
+    let end = Instant::now() + SILENCE;
+    while Instant::now() < end {
+        assert_eq!(listed(&fleet).await, before, "a host was rebooted");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    fleet.signal(1, Signal::CONT);
+    until("the wave is done", async || {
+        wave(&fleet, 0, id).await.state == WaveState::Done
+    })
+    .await;
+}
