--- a/crates/standins/src/bin/path-bench.rs
+++ b/crates/standins/src/bin/path-bench.rs
@@ -40,9 +40,12 @@
     let folder = std::env::temp_dir().join(format!("goldcreststall-bench-{}", std::process::id()));
     let layout = FleetLayout {
         data_centres: 1,
+        entries: 1,
         lag_ms: 0,
+        relays: false,
         retention_ms: 3_600_000,
         services: vec!["proofs".to_owned()],
+        slots: 8,
         targets: 10,
     };
     let fleet = ProcessFleet::start(&layout, folder.clone()).await?;
