Release the claims of refused requests before an entry host stops

Cause: a queued request that is refused at SIGTERM releases its claim in a task of its own, and the process ended without waiting for it. With a log that was slow or down at that moment the key stayed claimed, and every other entry host answered "unknown" for 15 minutes to a request that was refused as not run. Ruled out: a release by another entry host, as only the holder knows that it will not send the request. Change: after the last answer the entry host waits for its releases, 5 s at most.

--- a/crates/entry/src/daemon/entry_daemon.rs
+++ b/crates/entry/src/daemon/entry_daemon.rs
@@ -100,6 +100,7 @@
     tokio::time::sleep(Duration::from_millis(settings.lame_duck.0)).await;
     stop.cancel();
     let complete = served.await.context("the server of callers ended")?;
+    router.finish_releases().await;
     info!(logger, "drain: the entry host stops"; "complete" => complete);
     Ok(())
 }
--- a/crates/entry/src/traffic/request_router.rs
+++ b/crates/entry/src/traffic/request_router.rs
@@ -33,11 +33,15 @@
         },
         time::Duration,
     },
+    tokio_util::task::TaskTracker,
 };
 
 /// Longest wait for a claim to be read back from the log.
 const CLAIM_WAIT: Millis = Millis(3_000);
 
+/// Longest wait at shutdown for releases of claims to be read back from the log.
+const RELEASE_WAIT: Millis = Millis(5_000);
+
 /// Takes each request from its arrival to its answer.
 pub struct RequestRouter {
     clock: BootClock,
@@ -48,6 +52,8 @@
     jobs: JobIntake,
     logger: Logger,
     metrics: EntryMetrics,
+    /// Releases of claims that were not read back yet.
+    releases: TaskTracker,
     transport: Arc<dyn TargetTransport>,
 }
 
@@ -82,6 +88,7 @@
             jobs,
             logger,
             metrics,
+            releases: TaskTracker::new(),
             transport,
         }
     }
@@ -92,6 +99,16 @@
         self.gate.drain();
     }
 
+    /// Waits until the keys of refused requests are free again, or for `RELEASE_WAIT`. A key that stays
+    /// claimed would make every other entry host answer `unknown` to a request that did not run.
+    pub async fn finish_releases(&self) {
+        self.releases.close();
+        let limit = Duration::from_millis(RELEASE_WAIT.0);
+        let finished = tokio::time::timeout(limit, self.releases.wait());
+        let complete = finished.await.is_ok();
+        info!(self.logger, "drain: claims of refused requests are released"; "complete" => complete);
+    }
+
     async fn route(&self, request: CallerRequest) -> Result<CallerAnswer, RequestError> {
         let deadline = self.clock.now() + request.deadline;
         let view = self.control.view().ok_or(ErrorKind::NotReady)?;
@@ -159,7 +176,7 @@
                 };
                 let control = self.control.clone();
                 let deadline = self.clock.now() + goldcreststall_core::claims::CLAIM_MAX_AGE;
-                tokio::spawn(async move {
+                self.releases.spawn(async move {
                     // A release that is lost leaves the key claimed, which is safe.
                     let _ = control.propose(RecordBody::Claim(release), deadline).await;
                 });
--- a/crates/standins/tests/graceful_stop.rs
+++ b/crates/standins/tests/graceful_stop.rs
@@ -139,3 +139,40 @@
     assert_eq!(fleet.runs_of("running").await, 1);
     wait_stopped(&mut fleet, 0).await;
 }
+
+/// A queued request that is refused must be able to run elsewhere, so its key is given back before the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_released() {
+    let mut layout = layout(2, 1);
+    layout.slots = 2;
+    let mut fleet = start(&layout).await;
+    let long = |number| ClientRequest {
+        deadline_ms: 30_000,
+        run_ms: 3_000,
+        ..idempotent(&format!("long-{number}"))
+    };
+    let running: Vec<_> = (0..2).map(|number| fleet.spawn(0, &long(number))).collect();
+    fleet.wait_runs("long-0").await;
+    fleet.wait_runs("long-1").await;
+    let request = ClientRequest {
+        deadline_ms: 30_000,
+        ..once("moved-on")
+    };
+    let queued = fleet.spawn(0, &request);
+    fleet.wait_claim(request.key.as_ref().unwrap()).await;
+    // The release cannot be appended before the last exchange has ended.
+    fleet.set_log_faults("{\"down\":true}").await.unwrap();
+    fleet.signal(0, Signal::TERM);
+    let queued = queued.await.unwrap();
+    assert_eq!(queued.outcome(), "not-run", "{queued:?}");
+    for answer in running {
+        assert_eq!(answer.await.unwrap().outcome(), "done");
+    }
+    fleet.set_log_faults("{}").await.unwrap();
+    wait_stopped(&mut fleet, 0).await;
+    until("the request runs elsewhere", async || {
+        fleet.send(1, &request).await.outcome() == "done"
+    })
+    .await;
+    assert_eq!(fleet.runs_of("moved-on").await, 1);
+}
