Test a key that is given back and a publisher that is cut off

Cause: neither a publisher whose connection breaks before the answer nor an issued key whose request was refused while other keys were issued was tested. Change: a test for each; the target can hold and refuse requests without leaving.

--- a/crates/standins/src/target/target_handler.rs
+++ b/crates/standins/src/target/target_handler.rs
@@ -29,6 +29,8 @@
     pub lose_answers: u32,
     /// Refuse requests as not run and say that the target is leaving.
     pub leaving: bool,
+    /// Hold this many of the next requests for `run-ms` and then refuse them as not run.
+    pub refuse: u32,
     /// Cut this many of the next answers in the middle of the body.
     pub truncate: u32,
 }
@@ -36,7 +38,7 @@
 /// How often each request ran.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RunCounts {
-    /// Requests that were refused because the target is leaving.
+    /// Requests that were refused as not run.
     #[serde(default)]
     pub refused: u32,
     /// Identity of the request, from its `work-id` header, and number of runs.
@@ -87,6 +89,12 @@
         let run_ms: u64 = header("run-ms")
             .and_then(|value| value.parse().ok())
             .unwrap_or(0);
+        if use_up(&mut self.faults.lock().refuse) {
+            let mut refusal = self.refuse();
+            refusal.headers_mut().remove("gcs-leaving");
+            tokio::time::sleep(Duration::from_millis(run_ms)).await;
+            return Some(refusal);
+        }
         let piece_ms: u64 = header("piece-ms")
             .and_then(|value| value.parse().ok())
             .unwrap_or(0);
--- a/crates/standins/tests/config_spread.rs
+++ b/crates/standins/tests/config_spread.rs
@@ -3,12 +3,12 @@
 mod fleet;
 
 use {
-    fleet::{CONFIG, TestFleet, idempotent, layout, once, order, start, until},
+    fleet::{CONFIG, LIMIT, TestFleet, idempotent, layout, once, order, start, until},
     goldcreststall_core::config::ConfigVersion,
     goldcreststall_operators::{
-        ChangeOrder, ChangeOutcome, ConfigReport, OperatorBackend, OperatorChange,
+        ChangeOrder, ChangeOutcome, ConfigReport, OperatorBackend, OperatorChange, OperatorClient,
     },
-    goldcreststall_standins::process::RelayMode,
+    goldcreststall_standins::process::{RelayMode, TcpRelay},
     std::time::{Duration, Instant},
 };
 
@@ -105,6 +105,33 @@
     }
 }
 
+/// A publisher whose connection breaks before the answer repeats through another entry host.
+#[tokio::test(flavor = "multi_thread")]
+async fn publisher_cut_off() {
+    let fleet = start(&layout(2, 1)).await;
+    let base = config(&fleet, 0).await.version;
+    let version = ConfigVersion(base.0 + 1);
+    let order = publish(base, 7);
+    let relay = TcpRelay::start(fleet.entries[0].operators).await.unwrap();
+    let operator = OperatorClient::connect(relay.address, LIMIT).await.unwrap();
+    // The connection is up, so only the answer is lost.
+    operator.config().await.unwrap();
+    relay.set(RelayMode::HoldReplies);
+    let repeated = order.clone();
+    let lost = tokio::spawn(async move { operator.change(repeated).await });
+    until("the configuration is in force", async || {
+        config(&fleet, 0).await.version == version
+    })
+    .await;
+    relay.set(RelayMode::Cut);
+    assert!(lost.await.unwrap().is_err());
+    for entry in [1, 0] {
+        let outcome = change(&fleet, entry, &order).await;
+        assert!(accepted(&outcome), "{outcome:?}");
+        assert_eq!(config(&fleet, entry).await.version, version);
+    }
+}
+
 /// An entry host without the log follows through its peers, also when it is back at the log.
 #[tokio::test(flavor = "multi_thread")]
 async fn cut_off_log() {
--- a/crates/standins/tests/not_run.rs
+++ b/crates/standins/tests/not_run.rs
@@ -132,3 +132,26 @@
     assert_eq!(fleet.send(0, request).await.outcome(), "done");
     assert_eq!(fleet.runs_of(&request.work).await, 1);
 }
+
+/// A key whose request was refused as not run stays good although other keys were issued meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn issued_key_returned() {
+    let fleet = start(&layout(1, 1)).await;
+    fleet.set_target_faults(0, "{\"refuse\":1}").await.unwrap();
+    let request = ClientRequest {
+        key: Some(fleet.issue_key(0).await),
+        run_ms: 1_500,
+        ..once("returned")
+    };
+    let first = fleet.spawn(0, &request);
+    until("the target has the request", async || {
+        fleet.target_counts(0).await.unwrap().refused > 0
+    })
+    .await;
+    fleet.issue_key(0).await;
+    let first = first.await.unwrap();
+    assert_eq!(first.reason(), "target-refused", "{first:?}");
+    let second = fleet.send(0, &request).await;
+    assert_eq!(second.outcome(), "done", "{second:?}");
+    assert_eq!(fleet.runs_of("returned").await, 1);
+}
