--- a/crates/entry/src/control/control_actor.rs
+++ b/crates/entry/src/control/control_actor.rs
@@ -11,7 +11,7 @@
     crate::{
         clock::BootClock,
         duty::{DutyInput, DutyPlan, DutyPlanner, WorkerWatch},
-        peering::{PeerBoard, PeerImage},
+        peering::PeerBoard,
     },
     bytes::Bytes,
     goldcreststall_core::{
@@ -20,14 +20,11 @@
         ids::{DataCentre, EntryId, LocalTime, LogTime, Millis, RecordId},
         ledger::{
             Author, FleetState, LedgerRecord, LogEntry, LogIdentity, LogOffset, RecordBody,
-            Rejection, decode_records,
+            Rejection, decode_records, encode_state,
         },
         traffic::RoutingView,
     },
-    goldcreststall_peers::{
-        decisions::EntryRelay,
-        wire::{RelayEntry, StateImage},
-    },
+    goldcreststall_peers::{decisions::EntryRelay, wire::RelayEntry},
     goldcreststall_platform::{hosts::HostsReply, log::RawEntry},
     kameo::{
         Actor,
@@ -238,6 +235,8 @@
             known: self.known,
             log: self.state.log(),
             next: self.state.next(),
+            time: (self.hosts.observed > LogTime(0))
+                .then(|| self.hosts.observed.max(self.state.time())),
         }
     }
 
@@ -393,11 +392,10 @@
         _context: &mut Context<Self, Option<ImageReply>>,
     ) -> Option<ImageReply> {
         let position = self.position().position();
-        self.known.then(|| {
-            ImageReply(StateImage {
-                bytes: PeerImage::encode(&self.hosts, &self.state),
-                position,
-            })
+        self.known.then(|| ImageReply {
+            hosts: self.hosts.clone(),
+            position,
+            state: Bytes::from(encode_state(&self.state)),
         })
     }
 }
--- a/crates/entry/src/control/control_messages.rs
+++ b/crates/entry/src/control/control_messages.rs
@@ -1,10 +1,11 @@
 use {
     crate::duty::{DutyPlan, WorkerWatch},
+    bytes::Bytes,
     goldcreststall_core::{
-        ids::{LocalTime, PoolName, RecordId},
+        ids::{LocalTime, LogTime, PoolName, RecordId},
         ledger::{FleetState, LedgerRecord, LogIdentity, LogOffset, Rejection},
     },
-    goldcreststall_peers::wire::{EntriesAnswer, FetchEntries, LogPosition, StateImage},
+    goldcreststall_peers::wire::{EntriesAnswer, FetchEntries, LogPosition},
     goldcreststall_platform::{hosts::HostsReply, log::RawEntry},
     tokio::sync::oneshot,
 };
@@ -65,6 +66,8 @@
     pub(crate) known: bool,
     pub(crate) log: LogIdentity,
     pub(crate) next: LogOffset,
+    /// The clock of the log service as last seen; none before the list of hosts was read.
+    pub(crate) time: Option<LogTime>,
 }
 
 impl FoldPosition {
@@ -93,7 +96,12 @@
 
 /// The answer to [`TakeImage`].
 #[derive(kameo::Reply)]
-pub(crate) struct ImageReply(pub(crate) StateImage);
+pub(crate) struct ImageReply {
+    pub(crate) hosts: HostsReply,
+    pub(crate) position: LogPosition,
+    /// The encoded state.
+    pub(crate) state: Bytes,
+}
 
 /// Asks for the list of hosts and the configured pools.
 pub(crate) struct ReadHosts;
--- a/crates/entry/src/duty/snapshot_writer.rs
+++ b/crates/entry/src/duty/snapshot_writer.rs
@@ -7,10 +7,10 @@
     bytes::Bytes,
     goldcreststall_core::{
         duties::Duty,
-        ids::{LocalTime, Millis},
+        ids::{LocalTime, LogTime, Millis},
         ledger::{LogOffset, SnapshotId, decode_chunk, encode_chunk, split_snapshot},
     },
-    goldcreststall_platform::log::{LogError, LogService, LogStream},
+    goldcreststall_platform::log::{LogBounds, LogError, LogService, LogStream},
     kameo::actor::ActorRef,
     slog::{Logger, info, warn},
     std::{sync::Arc, time::Duration},
@@ -69,36 +69,55 @@
 
     async fn look(&mut self) -> Result<(), LogError> {
         let bounds = self.log.bounds(LogStream::Snapshots).await?;
-        let (offset, time) = match self.written {
-            Some(written) => written,
-            None => self.last_written(bounds.next).await?,
+        let Ok(position) = self.actor.ask(AskPosition).await else {
+            return Ok(());
+        };
+        if self.written.is_none() {
+            self.written = self.last_written(&bounds, position.time).await?;
+        }
+        if position.next > LogOffset(0) && self.is_due(position.next, bounds.retention_ms) {
+            return self.take().await;
+        }
+        Ok(())
+    }
+
+    /// Tells whether a snapshot is due. One whose age is not known may be about to expire.
+    fn is_due(&self, next: LogOffset, retention_ms: u64) -> bool {
+        let Some((offset, time)) = self.written else {
+            return true;
         };
-        self.written = Some((offset, time));
         let age = self.clock.now().since(time);
         // The age alone is enough: the snapshot itself must not expire either.
-        let due = age.0 >= bounds.retention_ms / RETENTION_PART;
-        let position = self.actor.ask(AskPosition).await;
-        let grown = position.is_ok_and(|position| position.next.0 >= offset.0 + MAX_ENTRIES);
-        if !due && !grown {
-            return Ok(());
-        }
+        age.0 >= retention_ms / RETENTION_PART || next.0 >= offset.0 + MAX_ENTRIES
+    }
+
+    async fn take(&mut self) -> Result<(), LogError> {
         match self.actor.ask(TakeImage).await {
-            Ok(Some(image)) => self.write(image.0.position.next, &image.0.bytes).await,
+            Ok(Some(image)) => self.write(image.position.next, &image.state).await,
             _ => Ok(()),
         }
     }
 
-    /// Returns the ledger offset of the last chunk in the stream.
-    async fn last_written(&self, next: LogOffset) -> Result<(LogOffset, LocalTime), LogError> {
-        let now = self.clock.now();
-        let Some(last) = next.0.checked_sub(1).map(LogOffset) else {
-            return Ok((LogOffset(0), now));
-        };
+    /// Returns the ledger offset of the last chunk in the stream and when it was written. Its age is taken
+    /// from the log: counted from the start of this process, it would never be reached by processes that
+    /// are replaced more often than snapshots are due.
+    async fn last_written(
+        &self,
+        bounds: &LogBounds,
+        time: Option<LogTime>,
+    ) -> Result<Option<(LogOffset, LocalTime)>, LogError> {
+        if bounds.next <= bounds.first {
+            return Ok(None);
+        }
+        let last = LogOffset(bounds.next.0 - 1);
         let entries = self.log.read(LogStream::Snapshots, last, Millis(0)).await?;
         let chunk = entries
             .first()
-            .and_then(|entry| decode_chunk(&entry.payload).ok());
-        Ok((chunk.map_or(LogOffset(0), |chunk| chunk.next), now))
+            .and_then(|entry| Some((decode_chunk(&entry.payload).ok()?, entry.time)));
+        let now = self.clock.now();
+        Ok(chunk
+            .zip(time)
+            .map(|((chunk, written), time)| (chunk.next, now - time.since(written))))
     }
 
     async fn write(&mut self, next: LogOffset, state: &[u8]) -> Result<(), LogError> {
--- a/crates/entry/src/peering/peer_gateway.rs
+++ b/crates/entry/src/peering/peer_gateway.rs
@@ -1,5 +1,5 @@
 use {
-    super::PeerBoard,
+    super::{PeerBoard, PeerImage},
     crate::control::{ControlActor, FetchLedger, TakeImage},
     goldcreststall_core::ids::EntryName,
     goldcreststall_peers::{
@@ -39,6 +39,9 @@
 
     async fn serve_state(&self) -> Option<StateImage> {
         let image = self.actor.ask(TakeImage).await.ok().flatten();
-        image.map(|reply| reply.0)
+        image.map(|image| StateImage {
+            bytes: PeerImage::encode(&image.hosts, &image.state),
+            position: image.position,
+        })
     }
 }
--- a/crates/entry/src/peering/peer_image.rs
+++ b/crates/entry/src/peering/peer_image.rs
@@ -1,6 +1,6 @@
 use {
     bytes::Bytes,
-    goldcreststall_core::ledger::{FleetState, decode_state, encode_state},
+    goldcreststall_core::ledger::{FleetState, decode_state},
     goldcreststall_platform::hosts::HostsReply,
 };
 
@@ -17,14 +17,14 @@
 }
 
 impl PeerImage {
-    /// Encodes the list as JSON after its length, and the state after it.
-    pub(crate) fn encode(hosts: &HostsReply, state: &FleetState) -> Bytes {
+    /// Encodes the list as JSON after its length, and appends the encoded state.
+    pub(crate) fn encode(hosts: &HostsReply, state: &[u8]) -> Bytes {
         // A list that cannot be encoded is left out; the state alone is of use too.
         let list = serde_json::to_vec(hosts).unwrap_or_default();
         let length = u32::try_from(list.len()).unwrap_or_default();
         let mut bytes = length.to_be_bytes().to_vec();
         bytes.extend(list.iter().take(length as usize));
-        bytes.extend(encode_state(state));
+        bytes.extend_from_slice(state);
         Bytes::from(bytes)
     }
 }
--- a/crates/standins/tests/short_retention.rs
+++ b/crates/standins/tests/short_retention.rs
@@ -9,12 +9,19 @@
         ids::{HostName, PoolName, RecordId},
     },
     goldcreststall_operators::{
-        AuditQuery, AuditRange, AuditSubject, HostQuery, OperatorBackend, OperatorChange,
+        AuditQuery, AuditRange, AuditSubject, ConfigReport, HostQuery, OperatorBackend,
+        OperatorChange,
     },
     http::{Method, StatusCode},
+    std::time::Duration,
     uuid::Uuid,
 };
 
+async fn config(fleet: &TestFleet) -> ConfigReport {
+    let operator = fleet.operator(0).await.unwrap();
+    operator.config().await.unwrap()
+}
+
 /// Returns all that an operator sees: configuration, hosts, the job and the audit trail.
 async fn view(fleet: &TestFleet, host: &HostName, job: RecordId) -> String {
     let operator = fleet.operator(0).await.unwrap();
@@ -78,3 +85,26 @@
     assert_eq!(view(&fleet, &host, job).await, before);
     fleet.wait_serves(0).await;
 }
+
+/// Restarts that come more often than snapshots are due must not keep the snapshots from being written.
+#[tokio::test(flavor = "multi_thread")]
+async fn frequent_restarts() {
+    let mut layout = layout(1, 1);
+    layout.retention_ms = 12_000;
+    let mut fleet = start_with(&layout, CONFIG).await;
+    let before = config(&fleet).await;
+    until("the entries have expired", async || {
+        fleet.kill_entry(0);
+        fleet.start_entry(0).unwrap();
+        fleet.wait_operator(0).await.unwrap();
+        // Shorter than the quarter of the retention time after which a snapshot is due.
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        fleet.ledger_first().await.0 > 0
+    })
+    .await;
+    fleet.kill_entry(0);
+    fleet.start_entry(0).unwrap();
+    fleet.wait_operator(0).await.unwrap();
+    assert_eq!(config(&fleet).await, before);
+    fleet.wait_serves(0).await;
+}
