Test slow links, lost answers and a complete partition

Cause: the links between entry hosts, platform and targets were only cut at the start of a process. Change: answers that are held past the deadline, a request whose answer is lost, and an entry host that reaches neither the platform nor its peers.

--- a/crates/standins/tests/config_spread.rs
+++ b/crates/standins/tests/config_spread.rs
@@ -41,6 +41,20 @@
     matches!(outcome, ChangeOutcome::Accepted { .. })
 }
 
+/// Sets all links of the second of two entry hosts.
+fn set_links(fleet: &TestFleet, mode: RelayMode) {
+    let [first, second] = [0, 1].map(|entry| fleet.entries[entry].relays.as_ref().unwrap());
+    let links = [
+        &second.log,
+        &second.hosts,
+        &second.peers[0],
+        &first.peers[0],
+    ];
+    for link in links {
+        link.set(mode);
+    }
+}
+
 /// Expects a version in force on all entry hosts within the bound, and no older one on the way.
 async fn assert_spreads(fleet: &TestFleet, since: Instant, version: ConfigVersion, text: &str) {
     for entry in 0..fleet.entries.len() {
@@ -156,6 +170,33 @@
     assert_spreads(&fleet, since, version, &document(9)).await;
 }
 
+/// An entry host that reaches nobody keeps its configuration and its traffic, and accepts no change.
+#[tokio::test(flavor = "multi_thread")]
+async fn complete_partition() {
+    let mut layout = layout(2, 1);
+    layout.relays = true;
+    let fleet = start(&layout).await;
+    let before = config(&fleet, 1).await;
+    set_links(&fleet, RelayMode::Cut);
+    let order = publish(before.version, 5);
+    let outcome = change(&fleet, 0, &order).await;
+    assert!(accepted(&outcome), "{outcome:?}");
+    let operator = fleet.operator(1).await.unwrap();
+    let refused = operator.change(publish(before.version, 6)).await;
+    assert!(!refused.is_ok_and(|outcome| accepted(&outcome)));
+    assert_eq!(config(&fleet, 1).await, before);
+    let served = fleet.send(1, &idempotent("partition")).await;
+    assert_eq!(served.outcome(), "done", "{served:?}");
+    set_links(&fleet, RelayMode::Open);
+    until("the new version arrives", async || {
+        let report = config(&fleet, 1).await;
+        assert!(report.version >= before.version);
+        report.version > before.version
+    })
+    .await;
+    assert_eq!(config(&fleet, 1).await.document, document(5));
+}
+
 /// An entry host that starts without the log takes the state of a peer and serves by it.
 #[tokio::test(flavor = "multi_thread")]
 async fn start_without_log() {
--- a/crates/standins/tests/whole_answers.rs
+++ b/crates/standins/tests/whole_answers.rs
@@ -4,8 +4,11 @@
 
 use {
     bytes::Bytes,
-    fleet::{idempotent, layout, once, start},
-    goldcreststall_standins::client::{ClientAnswer, ClientRequest, read_answer},
+    fleet::{idempotent, layout, once, start, until},
+    goldcreststall_standins::{
+        client::{ClientAnswer, ClientRequest, read_answer},
+        process::{RelayMode, TcpRelay},
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -118,3 +121,60 @@
     let answer = fleet.send(0, &request).await;
     assert_own(&request, &answer);
 }
+
+/// Answers that a slow link delivers after the deadline must not meet the requests that follow.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_link() {
+    let fleet = start(&layout(1, 1)).await;
+    let relay = TcpRelay::start(fleet.targets[0].address).await.unwrap();
+    let mut row = fleet.targets[0].clone();
+    row.address = relay.address;
+    fleet.list_host(&row).await.unwrap();
+    // Nothing gets through a relay that is cut, so the entry host uses it once its requests fail.
+    relay.set(RelayMode::Cut);
+    until("the relay is used", async || {
+        fleet.send(0, &idempotent("cut-off")).await.outcome() != "done"
+    })
+    .await;
+    relay.set(RelayMode::Open);
+    fleet.wait_serves(0).await;
+    for number in 0..3 {
+        relay.set(RelayMode::HoldReplies);
+        let late = ClientRequest {
+            body: Bytes::from("late"),
+            deadline_ms: 1_000,
+            ..once(&format!("late-{number}"))
+        };
+        let answer = fleet.spawn(0, &late);
+        fleet.wait_runs(&late.work).await;
+        let answer = answer.await.unwrap();
+        assert_eq!(answer.outcome(), "unknown", "{answer:?}");
+        relay.set(RelayMode::Open);
+        for index in 0..4 {
+            let request = once(&format!("own-{number}-{index}"));
+            let answer = fleet.send(0, &request).await;
+            assert_own(&request, &answer);
+        }
+        assert_eq!(fleet.runs_of(&late.work).await, 1);
+    }
+}
+
+/// A request that was lost after it was sent may have run, so it is not sent again, whatever the budget of
+/// retries allows.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_lost() {
+    let fleet = start(&layout(1, 1)).await;
+    // Retries are a share of the requests of the last seconds.
+    let earlier: Vec<_> = (0..60)
+        .map(|number| fleet.spawn(0, &idempotent(&format!("earlier-{number}"))))
+        .collect();
+    for answer in earlier {
+        assert_eq!(answer.await.unwrap().outcome(), "done");
+    }
+    let faults = "{\"lose_answers\":1}";
+    fleet.set_target_faults(0, faults).await.unwrap();
+    let request = once("lost");
+    let answer = fleet.send(0, &request).await;
+    assert_eq!(answer.reason(), "connection-lost", "{answer:?}");
+    assert_eq!(fleet.runs_of("lost").await, 1);
+}
