--- a/crates/entry/src/traffic/request_router.rs
+++ b/crates/entry/src/traffic/request_router.rs
@@ -36,6 +36,7 @@
         },
         time::Duration,
     },
+    tokio_util::task::TaskTracker,
 };
 
 /// Longest wait for a claim to be read back from the log.
@@ -43,6 +44,9 @@
 /// Longest time by which a refusal is held back for the release of its claim.
 const RELEASE_WAIT: Millis = Millis(1_000);
 
+/// Longest wait at shutdown for releases of claims to be read back from the log.
+const LAST_RELEASES_WAIT: Millis = Millis(5_000);
+
 /// Takes each request from its arrival to its answer.
 pub struct RequestRouter {
     clock: BootClock,
@@ -53,6 +57,8 @@
     jobs: JobIntake,
     logger: Logger,
     metrics: EntryMetrics,
+    /// Releases of claims that were not read back yet.
+    releases: TaskTracker,
     transport: Arc<dyn TargetTransport>,
 }
 
@@ -87,6 +93,7 @@
             jobs,
             logger,
             metrics,
+            releases: TaskTracker::new(),
             transport,
         }
     }
@@ -97,6 +104,16 @@
         self.gate.drain();
     }
 
+    /// Waits until the keys of refused requests are free again, or for `LAST_RELEASES_WAIT`. A key that stays
+    /// claimed would make every other entry host answer `unknown` to a request that did not run.
+    pub async fn finish_releases(&self) {
+        self.releases.close();
+        let limit = Duration::from_millis(LAST_RELEASES_WAIT.0);
+        let finished = tokio::time::timeout(limit, self.releases.wait());
+        let complete = finished.await.is_ok();
+        info!(self.logger, "drain: claims of refused requests are released"; "complete" => complete);
+    }
+
     async fn route(&self, request: CallerRequest) -> Result<CallerAnswer, RequestError> {
         let deadline = self.clock.now() + request.deadline;
         let view = self.control.view().ok_or(ErrorKind::NotReady)?;
@@ -175,7 +192,7 @@
         };
         let control = self.control.clone();
         let deadline = self.clock.now() + CLAIM_MAX_AGE;
-        let released = tokio::spawn(async move {
+        let released = self.releases.spawn(async move {
             // A release that is lost leaves the key claimed, which is safe.
             let _ = control.propose(RecordBody::Claim(release), deadline).await;
         });
--- a/crates/standins/tests/config_spread.rs
+++ b/crates/standins/tests/config_spread.rs
@@ -3,12 +3,12 @@
 mod fleet;
 
 use {
-    fleet::{CONFIG, TestFleet, idempotent, layout, once, order, start, until},
+    fleet::{CONFIG, LIMIT, TestFleet, idempotent, layout, once, order, start, until},
     goldcreststall_core::config::ConfigVersion,
     goldcreststall_operators::{
-        ChangeOrder, ChangeOutcome, ConfigReport, OperatorBackend, OperatorChange,
+        ChangeOrder, ChangeOutcome, ConfigReport, OperatorBackend, OperatorChange, OperatorClient,
     },
-    goldcreststall_standins::process::RelayMode,
+    goldcreststall_standins::process::{RelayMode, TcpRelay},
     std::time::{Duration, Instant},
 };
 
@@ -41,6 +41,20 @@
     matches!(outcome, ChangeOutcome::Accepted { .. })
 }
 
+/// Sets all links of the second of two entry hosts.
+fn set_links(fleet: &TestFleet, mode: RelayMode) {
+    let [first, second] = [0, 1].map(|entry| fleet.entries[entry].relays.as_ref().unwrap());
+    let links = [
+        &second.log,
+        &second.hosts,
+        &second.peers[0],
+        &first.peers[0],
+    ];
+    for link in links {
+        link.set(mode);
+    }
+}
+
 /// Expects a version in force on all entry hosts within the bound, and no older one on the way.
 async fn assert_spreads(fleet: &TestFleet, since: Instant, version: ConfigVersion, text: &str) {
     for entry in 0..fleet.entries.len() {
@@ -105,6 +119,33 @@
     }
 }
 
+/// A publisher whose connection breaks before the answer repeats through another entry host.
+#[tokio::test(flavor = "multi_thread")]
+async fn publisher_cut_off() {
+    let fleet = start(&layout(2, 1)).await;
+    let base = config(&fleet, 0).await.version;
+    let version = ConfigVersion(base.0 + 1);
+    let order = publish(base, 7);
+    let relay = TcpRelay::start(fleet.entries[0].operators).await.unwrap();
+    let operator = OperatorClient::connect(relay.address, LIMIT).await.unwrap();
+    // The connection is up, so only the answer is lost.
+    operator.config().await.unwrap();
+    relay.set(RelayMode::HoldReplies);
+    let repeated = order.clone();
+    let lost = tokio::spawn(async move { operator.change(repeated).await });
+    until("the configuration is in force", async || {
+        config(&fleet, 0).await.version == version
+    })
+    .await;
+    relay.set(RelayMode::Cut);
+    assert!(lost.await.unwrap().is_err());
+    for entry in [1, 0] {
+        let outcome = change(&fleet, entry, &order).await;
+        assert!(accepted(&outcome), "{outcome:?}");
+        assert_eq!(config(&fleet, entry).await.version, version);
+    }
+}
+
 /// An entry host without the log follows through its peers, also when it is back at the log.
 #[tokio::test(flavor = "multi_thread")]
 async fn cut_off_log() {
@@ -129,6 +170,33 @@
     assert_spreads(&fleet, since, version, &document(9)).await;
 }
 
+/// An entry host that reaches nobody keeps its configuration and its traffic, and accepts no change.
+#[tokio::test(flavor = "multi_thread")]
+async fn complete_partition() {
+    let mut layout = layout(2, 1);
+    layout.relays = true;
+    let fleet = start(&layout).await;
+    let before = config(&fleet, 1).await;
+    set_links(&fleet, RelayMode::Cut);
+    let order = publish(before.version, 5);
+    let outcome = change(&fleet, 0, &order).await;
+    assert!(accepted(&outcome), "{outcome:?}");
+    let operator = fleet.operator(1).await.unwrap();
+    let refused = operator.change(publish(before.version, 6)).await;
+    assert!(!refused.is_ok_and(|outcome| accepted(&outcome)));
+    assert_eq!(config(&fleet, 1).await, before);
+    let served = fleet.send(1, &idempotent("partition")).await;
+    assert_eq!(served.outcome(), "done", "{served:?}");
+    set_links(&fleet, RelayMode::Open);
+    until("the new version arrives", async || {
+        let report = config(&fleet, 1).await;
+        assert!(report.version >= before.version);
+        report.version > before.version
+    })
+    .await;
+    assert_eq!(config(&fleet, 1).await.document, document(5));
+}
+
 /// An entry host that starts without the log takes the state of a peer and serves by it.
 #[tokio::test(flavor = "multi_thread")]
 async fn start_without_log() {
