Show a log position to peers only with the busy hosts of its view

Cause: the digest got a new position as soon as the log was applied, but the list of busy hosts up to 200 ms later. An entry host that was frozen in between had told its peers that a stopping host was idle while its own request ran there. Peers count it as heard for 2 s, and a host that is idle for 1.5 s is rebooted (invariant 7). Ruled out: a longer idle time, which only moves the window and delays each wave step. Change: the position of a digest is set together with the busy hosts, which are read from a view of that position or later; an entry host's own position must have reached the stop as well.

--- a/crates/entry/src/peering/peer_board.rs
+++ b/crates/entry/src/peering/peer_board.rs
@@ -24,9 +24,12 @@
     content: Arc<DigestContent>,
     demand: Vec<wire::ServiceDemand>,
     draining: bool,
+    /// How far the log was applied.
+    fold: Option<LogPosition>,
     /// When the last read that reached the end of the log was sent.
     log_read: Option<LocalTime>,
     marks: Vec<LeavingMark>,
+    /// How far the log was applied when the traffic was looked at.
     position: Option<LogPosition>,
     roster: DutyRoster,
     table: PeerTable,
@@ -49,6 +52,7 @@
             content: Arc::default(),
             demand: Vec::new(),
             draining: false,
+            fold: None,
             log_read: None,
             marks: Vec::new(),
             position: None,
@@ -78,25 +82,31 @@
         }
     }
 
-    /// Sets how far the log was applied.
+    /// Sets how far the log was applied. The peers are told with the next [`PeerBoard::set_traffic`].
     pub fn set_position(&self, position: LogPosition) {
-        let mut state = self.state.lock();
-        state.position = Some(position);
-        state.rebuild(self.clock.now());
+        self.state.lock().fold = Some(position);
+    }
+
+    /// Returns how far the log was applied.
+    pub fn fold_position(&self) -> Option<LogPosition> {
+        self.state.lock().fold
     }
 
     /// Sets the demand of the services, the leaving marks, and the hosts that take no new work and still
-    /// have requests in flight.
+    /// have requests in flight, as they were in a routing view of `position` or later. A position that was
+    /// shown with busy hosts of an earlier view would let a peer reboot a host under a request.
     pub fn set_traffic(
         &self,
         demand: Vec<wire::ServiceDemand>,
         marks: Vec<LeavingMark>,
         busy: Vec<HostName>,
+        position: Option<LogPosition>,
     ) {
         let mut state = self.state.lock();
         state.busy = busy;
         state.demand = demand;
         state.marks = marks;
+        state.position = position;
         state.rebuild(self.clock.now());
     }
 
@@ -140,7 +150,10 @@
             position.is_some_and(|position| position.log == seen.log && position.next >= seen.next)
         };
         let is_busy = |digest: &&Digest| digest.content.busy().binary_search(host).is_ok();
-        digests.len() >= self.peers
+        let own = state.position;
+        let own_knows = own.is_some_and(|own| own.log == seen.log && own.next >= seen.next);
+        own_knows
+            && digests.len() >= self.peers
             && digests.iter().all(knows)
             && !digests.iter().any(is_busy)
             && !state.busy.contains(host)
--- a/crates/entry/src/peering/peer_feed.rs
+++ b/crates/entry/src/peering/peer_feed.rs
@@ -38,9 +38,14 @@
         for mark in self.board.peer_marks() {
             self.gate.mark_leaving(&mark);
         }
+        // Read before the view, which is published first, so the view is not older.
+        let position = self.board.fold_position();
+        if let Some(view) = self.control.view() {
+            self.gate.update_view(view);
+        }
         let marks = self.gate.leaving_marks();
         let busy = self.gate.busy_hosts();
-        self.board.set_traffic(self.demand(), marks, busy);
+        self.board.set_traffic(self.demand(), marks, busy, position);
         let demand = self.board.demand(&self.control.entry().name);
         self.gate.update_peers(&demand);
     }
--- a/crates/entry/src/traffic/policy_gate.rs
+++ b/crates/entry/src/traffic/policy_gate.rs
@@ -108,6 +108,9 @@
     /// Replaces the routing view.
     pub fn update_view(self: &Arc<Self>, view: Arc<RoutingView>) {
         let mut state = self.state.lock();
+        if Arc::ptr_eq(&state.view, &view) {
+            return;
+        }
         state.view = Arc::clone(&view);
         state.policy.update_view(self.clock.now(), view);
         self.pump(&mut state);
--- /dev/null
+++ b/crates/entry/tests/busy_hosts.rs
@@ -0,0 +1,40 @@
+//! Guards against a host that is rebooted while an entry host has a request in flight there.
+
+use {
+    goldcreststall_core::{
+        ids::{EntryId, EntryName, HostName, Incarnation},
+        ledger::{LogIdentity, LogOffset},
+    },
+    goldcreststall_entry::peering::PeerBoard,
+    goldcreststall_peers::wire::LogPosition,
+};
+
+fn position(next: u64) -> LogPosition {
+    LogPosition {
+        log: LogIdentity(7),
+        next: LogOffset(next),
+    }
+}
+
+/// A position tells the peers that the hosts that stop before it are in the list of busy hosts. An entry
+/// host that is frozen between the two must not have shown the position yet.
+#[test]
+fn position_follows_traffic() {
+    let entry = EntryId {
+        incarnation: Incarnation(1),
+        name: EntryName::try_from("e1").unwrap(),
+    };
+    let board = PeerBoard::new(entry, 0);
+    let host = HostName::try_from("orders-0").unwrap();
+    board.set_position(position(4));
+    let seen = board.fold_position();
+    board.set_traffic(Vec::new(), Vec::new(), Vec::new(), seen);
+    board.set_position(position(9));
+    assert_eq!(board.content().position(), Some(position(4)));
+    assert!(board.is_idle(&host, position(4)));
+    assert!(!board.is_idle(&host, position(9)));
+    let busy = vec![host.clone()];
+    board.set_traffic(Vec::new(), Vec::new(), busy, board.fold_position());
+    assert_eq!(board.content().position(), Some(position(9)));
+    assert!(!board.is_idle(&host, position(9)));
+}
