Test that a move with an old view is refused when the host can move again

Cause: a trial without the check of the host's version left the race of two moves green, because the second one is refused by the running move as well. Change: the loser's view is used once more after the winner's move has ended.

--- a/crates/standins/tests/operator_races.rs
+++ b/crates/standins/tests/operator_races.rs
@@ -85,6 +85,17 @@
         })
         .await;
     }
+    // The loser's view is stale for good, also when the host can be moved again.
+    let late = order(OperatorChange::MoveHost {
+        host: name.clone(),
+        pool: PoolName::try_from("orders").unwrap(),
+        seen,
+    });
+    let outcome = operators.1.change(late).await.unwrap();
+    assert!(
+        matches!(outcome, ChangeOutcome::Rejected { .. }),
+        "{outcome:?}"
+    );
 }
 
 /// A host is rebooted only after the last request ended that any entry host has in flight there.
