--- a/crates/core/src/claims/issued_keys.rs
+++ b/crates/core/src/claims/issued_keys.rs
@@ -19,17 +19,22 @@
     Foreign,
 }
 
+/// A key that can still be used or was used lately.
+#[derive(Clone, Copy, Debug)]
+struct IssuedKey {
+    issued: LocalTime,
+    used: bool,
+}
+
 /// The request keys issued by this run of an entry host.
 ///
-/// They need no log, so that non-idempotent requests are served in a cut. Their use is known only here.
+/// They need no log, so that non-idempotent requests are served in a partition. Their use is known only here.
 #[derive(Debug)]
 pub struct IssuedKeys {
     issuer: EntryId,
+    /// Keys that have not expired, by number. Their times of issue ascend with the number.
+    keys: SortedMap<u64, IssuedKey>,
     next: u64,
-    /// Keys that can still be used, with the time of issue.
-    unused: SortedMap<u64, LocalTime>,
-    /// Number of the oldest key that has not expired.
-    oldest: u64,
 }
 
 impl IssuedKeys {
@@ -37,9 +42,8 @@
     pub fn new(issuer: EntryId) -> Self {
         Self {
             issuer,
+            keys: SortedMap::default(),
             next: 0,
-            oldest: 0,
-            unused: SortedMap::default(),
         }
     }
 
@@ -48,7 +52,11 @@
         self.expire(now);
         let number = self.next;
         self.next += 1;
-        self.unused.insert(number, now);
+        let key = IssuedKey {
+            issued: now,
+            used: false,
+        };
+        self.keys.insert(number, key);
         RequestKey::Issued {
             issuer: self.issuer.clone(),
             number,
@@ -61,29 +69,29 @@
         if *issuer != self.issuer || number >= self.next {
             return KeyUse::Foreign;
         }
-        if self.unused.remove(&number).is_some() {
-            return KeyUse::First;
-        }
-        if number < self.oldest {
-            return KeyUse::Expired;
+        match self.keys.get_mut(&number) {
+            None => KeyUse::Expired,
+            Some(key) if key.used => KeyUse::Repeated,
+            Some(key) => {
+                key.used = true;
+                KeyUse::First
+            }
         }
-        KeyUse::Repeated
     }
 
-    /// Makes a key usable again after its request was refused as not run.
+    /// Makes a key usable again after its request was refused as not run. It expires as if it had not been
+    /// used.
     pub fn give_back(&mut self, now: LocalTime, number: u64) {
-        if number >= self.oldest && number < self.next {
-            self.unused.insert(number, now);
+        self.expire(now);
+        if let Some(key) = self.keys.get_mut(&number) {
+            key.used = false;
         }
     }
 
     fn expire(&mut self, now: LocalTime) {
-        let limit = now - ISSUED_KEY_LIFE;
-        let fresh = self.unused.iter().find(|(_, issued)| **issued >= limit);
+        let is_fresh = |key: &IssuedKey| now.since(key.issued) <= ISSUED_KEY_LIFE;
+        let fresh = self.keys.iter().find(|(_, key)| is_fresh(key));
         let oldest = fresh.map_or(self.next, |(number, _)| *number);
-        if now.0 >= ISSUED_KEY_LIFE.0 {
-            self.oldest = self.oldest.max(oldest);
-            self.unused.remove_below(&self.oldest);
-        }
+        self.keys.remove_below(&oldest);
     }
 }
