Test a wave against requests of the observer and of another entry host

Cause: a trial without the busy hosts of the peers left wave_and_request green, because the entry host with the request happened to hold the observation of hosts. Change: one test with the request at the holder of that duty and one with it at the other entry host.

--- a/crates/standins/tests/operator_races.rs
+++ b/crates/standins/tests/operator_races.rs
@@ -4,7 +4,10 @@
 
 use {
     fleet::{CONFIG, TestFleet, layout, once, order, start, start_with, until},
-    goldcreststall_core::ids::{HostName, PoolName, RecordId},
+    goldcreststall_core::{
+        duties::Duty,
+        ids::{HostName, PoolName, RecordId},
+    },
     goldcreststall_operators::{
         ChangeOutcome, HostQuery, HostReport, OperatorBackend, OperatorChange, WaveQuery,
         WaveReport, WaveState,
@@ -98,25 +101,49 @@
     );
 }
 
-/// A host is rebooted only after the last request ended that any entry host has in flight there.
+/// Returns the entry host that decides when a host is idle.
+async fn observer(fleet: &TestFleet) -> usize {
+    let operator = fleet.operator(0).await.unwrap();
+    let status = operator.status().await.unwrap();
+    let name = Duty::HostObservation.to_string();
+    let duty = status.duties.iter().find(|duty| duty.name == name);
+    let holder = &duty.expect("a holder of the duty").holder;
+    usize::from(holder.as_str() != "e1")
+}
+
+/// A host is not rebooted under a request that the entry host has in flight which decides on it.
+#[tokio::test(flavor = "multi_thread")]
+async fn wave_and_own_request() {
+    let fleet = start(&layout(2, 1)).await;
+    let observer = observer(&fleet).await;
+    check_wave(&fleet, observer).await;
+}
+
+/// A host is not rebooted under a request that only another entry host knows.
 #[tokio::test(flavor = "multi_thread")]
-async fn wave_and_request() {
+async fn wave_and_other_request() {
     let fleet = start(&layout(2, 1)).await;
+    let observer = observer(&fleet).await;
+    check_wave(&fleet, 1 - observer).await;
+}
+
+/// Starts a wave while `entry` has a request in flight.
+async fn check_wave(fleet: &TestFleet, entry: usize) {
     let request = ClientRequest {
         deadline_ms: 30_000,
         run_ms: 6_000,
         ..once("in-flight")
     };
-    let answer = fleet.spawn(1, &request);
+    let answer = fleet.spawn(entry, &request);
     fleet.wait_runs("in-flight").await;
-    let before = listed(&fleet).await;
-    let id = start_wave(&fleet, 0).await;
+    let before = listed(fleet).await;
+    let id = start_wave(fleet, 0).await;
     until("the host is being stopped", async || {
-        wave(&fleet, 0, id).await.stopping > 0
+        wave(fleet, 0, id).await.stopping > 0
     })
     .await;
     loop {
-        let now = listed(&fleet).await;
+        let now = listed(fleet).await;
         // Asked after the list: when the request still runs now, it ran when the list was made.
         if answer.is_finished() {
             break;
@@ -126,10 +153,10 @@
     }
     assert_eq!(answer.await.unwrap().outcome(), "done");
     until("the wave is done", async || {
-        wave(&fleet, 0, id).await.state == WaveState::Done
+        wave(fleet, 0, id).await.state == WaveState::Done
     })
     .await;
-    assert_ne!(listed(&fleet).await, before);
+    assert_ne!(listed(fleet).await, before);
 }
 
 /// A silent entry host may have requests in flight, so no host is rebooted until it is heard again.
