Wait for the holder of a duty and for copies of a record in the tests

One asked for the holder of a duty before the entry hosts had heard each other; the other looked before the second copy of the record was applied. Change: the tests wait until both entry hosts name the same holder, and until the copies are applied.

--- a/crates/standins/tests/config_spread.rs
+++ b/crates/standins/tests/config_spread.rs
@@ -111,6 +111,7 @@
     let last = outcomes.last().unwrap();
     let version = ConfigVersion(base.0 + 1);
     assert_spreads(&fleet, since, version, &document(7)).await;
+    fleet.wait_copies(order.request).await;
     for entry in [0, 1] {
         assert_eq!(&change(&fleet, entry, &order).await, last);
     }
--- a/crates/standins/tests/durable_jobs.rs
+++ b/crates/standins/tests/durable_jobs.rs
@@ -6,6 +6,7 @@
     fleet::{CONFIG, SERVICE, TENANT, TestFleet, layout, start, until},
     goldcreststall_core::{
         config::ConfigVersion,
+        duties::Duty,
         ids::{HostName, Incarnation, Millis, PoolName, RecordId},
         jobs::{JobId, JobSize},
     },
@@ -123,16 +124,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn holder_killed() {
     let (mut fleet, workers) = start_with_workers(2).await;
-    let operator = fleet.operator(0).await.unwrap();
-    let status = operator.status().await.unwrap();
-    let duty = status.duties.iter();
-    let mut duty = duty.filter(|duty| duty.name.contains("placement") && duty.name.contains(POOL));
-    let holder = &duty.next().expect("a holder of the placement").holder;
-    let (holder, other) = if holder.as_str() == "e1" {
-        (0, 1)
-    } else {
-        (1, 0)
-    };
+    let duty = Duty::Placement(PoolName::try_from(POOL).unwrap());
+    let holder = fleet.holder(&duty).await;
+    let other = 1 - holder;
     let jobs = submit_some(&fleet, other).await;
     until("a job has started", async || {
         let started =
--- a/crates/standins/tests/fleet/mod.rs
+++ b/crates/standins/tests/fleet/mod.rs
@@ -6,10 +6,11 @@
 use {
     goldcreststall_core::{
         claims::ClaimRecord,
-        ids::{Millis, RecordId, RequestKey},
+        duties::Duty,
+        ids::{EntryName, Millis, RecordId, RequestKey},
         ledger::{LedgerRecord, LogOffset, RecordBody, decode_records},
     },
-    goldcreststall_operators::{ChangeOrder, OperatorChange, OperatorName},
+    goldcreststall_operators::{ChangeOrder, OperatorBackend, OperatorChange, OperatorName},
     goldcreststall_platform::log::{HttpLog, LogService, LogStream},
     goldcreststall_standins::{
         client::{ClientAnswer, ClientRequest},
@@ -148,6 +149,44 @@
         self.entries[entry].process = None;
     }
 
+    /// Returns which of two entry hosts holds a duty, once they agree on it. Before they have heard each
+    /// other, each may take itself for the holder.
+    pub async fn holder(&self, duty: &Duty) -> usize {
+        let mut holder = None;
+        until("the entry hosts agree on the holder", async || {
+            holder = self.holder_seen_by(0, duty).await;
+            holder.is_some() && holder == self.holder_seen_by(1, duty).await
+        })
+        .await;
+        usize::from(holder.unwrap().as_str() != "e1")
+    }
+
+    async fn holder_seen_by(&self, entry: usize, duty: &Duty) -> Option<EntryName> {
+        let operator = self.operator(entry).await.unwrap();
+        let status = operator.status().await.unwrap();
+        let name = duty.to_string();
+        let report = status.duties.into_iter().find(|report| report.name == name);
+        report.map(|report| report.holder)
+    }
+
+    /// Waits until a record is in the log more than once and all entry hosts have applied the copies.
+    pub async fn wait_copies(&self, id: RecordId) {
+        until("the record was appended again", async || {
+            let records = self.ledger().await;
+            records.iter().filter(|record| record.id == id).count() > 1
+        })
+        .await;
+        let log = HttpLog::new(self.log);
+        let end = log.bounds(LogStream::Ledger).await.unwrap().next;
+        for entry in 0..self.entries.len() {
+            let operator = self.operator(entry).await.unwrap();
+            until("the copies are applied", async || {
+                operator.status().await.unwrap().next_offset >= end
+            })
+            .await;
+        }
+    }
+
     pub async fn issue_key(&self, entry: usize) -> String {
         let address = self.callers(entry);
         let reply = self.client.call(Method::POST, address, "/v1/keys", "");
--- a/crates/standins/tests/operator_races.rs
+++ b/crates/standins/tests/operator_races.rs
@@ -101,21 +101,11 @@
     );
 }
 
-/// Returns the entry host that decides when a host is idle.
-async fn observer(fleet: &TestFleet) -> usize {
-    let operator = fleet.operator(0).await.unwrap();
-    let status = operator.status().await.unwrap();
-    let name = Duty::HostObservation.to_string();
-    let duty = status.duties.iter().find(|duty| duty.name == name);
-    let holder = &duty.expect("a holder of the duty").holder;
-    usize::from(holder.as_str() != "e1")
-}
-
 /// A host is not rebooted under a request that the entry host has in flight which decides on it.
 #[tokio::test(flavor = "multi_thread")]
 async fn wave_and_own_request() {
     let fleet = start(&layout(2, 1)).await;
-    let observer = observer(&fleet).await;
+    let observer = fleet.holder(&Duty::HostObservation).await;
     check_wave(&fleet, observer).await;
 }
 
@@ -123,7 +113,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn wave_and_other_request() {
     let fleet = start(&layout(2, 1)).await;
-    let observer = observer(&fleet).await;
+    let observer = fleet.holder(&Duty::HostObservation).await;
     check_wave(&fleet, 1 - observer).await;
 }
 
