Read the log again when entries expire between two calls of a test

Ruled out: a fault of the entry host; the failing call was the test's own. Change: the test reads on from the first offset that the log still has.

--- a/crates/standins/tests/fleet/mod.rs
+++ b/crates/standins/tests/fleet/mod.rs
@@ -11,7 +11,7 @@
         ledger::{LedgerRecord, LogOffset, RecordBody, decode_records},
     },
     goldcreststall_operators::{ChangeOrder, OperatorBackend, OperatorChange, OperatorName},
-    goldcreststall_platform::log::{HttpLog, LogService, LogStream},
+    goldcreststall_platform::log::{HttpLog, LogError, LogService, LogStream},
     goldcreststall_standins::{
         client::{ClientAnswer, ClientRequest},
         process::{FleetLayout, ProcessFleet},
@@ -197,10 +197,17 @@
     /// Returns all records of the log.
     pub async fn ledger(&self) -> Vec<LedgerRecord> {
         let log = HttpLog::new(self.log);
-        let bounds = log.bounds(LogStream::Ledger).await.unwrap();
-        let read = log.read(LogStream::Ledger, bounds.first, Millis(0)).await;
-        let entries = read.unwrap().into_iter();
+        let mut from = self.ledger_first().await;
+        let entries = loop {
+            match log.read(LogStream::Ledger, from, Millis(0)).await {
+                Ok(entries) => break entries,
+                // Entries expired between the two calls.
+                Err(LogError::OffsetGone { first }) => from = first,
+                Err(error) => panic!("the log was not read: {error}"),
+            }
+        };
         entries
+            .into_iter()
             .flat_map(|entry| decode_records(&entry.payload).unwrap())
             .collect()
     }
