Count the idleness of a drain anew after a gap or a new version

Idleness went on over a time in which the host was not listed, and from one drain to the next when both fell between two lists, so that a host was reported drained less than 1.5 s after it was last seen idle in that drain. A draining host that went missing and came back under the same run was never reported up, so its stop did not end.

Ruled out: the fold accepts the HostUp of a host that still drains, so only the observer withheld it. An old list that arrives late does not shorten the 3 s: the time of the first list that lacked the host stands.

Change: an idle span holds the version of the host, and ends when the host is not listed. A host that is down is reported up under the same run unless it has drained and awaits its reboot, as in the fold.

--- a/crates/core/src/observation/host_observer.rs
+++ b/crates/core/src/observation/host_observer.rs
@@ -1,7 +1,7 @@
 use crate::{
     collections::SortedMap,
     ids::{HostName, Incarnation, LocalTime, LogTime, Millis},
-    membership::{HostActivity, HostState, MembershipLedger, MembershipRecord},
+    membership::{HostActivity, HostState, HostVersion, MembershipLedger, MembershipRecord},
 };
 
 /// How long a host must be missing from the list before it counts as down. It spans three reads of the
@@ -34,11 +34,20 @@
     pub membership: &'a MembershipLedger,
 }
 
+/// Idleness of a host without a break.
+#[derive(Clone, Copy, Debug)]
+struct IdleSpan {
+    since: LocalTime,
+    /// Version of the host at the start. Another version may belong to another drain, between which the
+    /// host served.
+    version: HostVersion,
+}
+
 /// Compares successive lists with the log.
 #[derive(Clone, Debug, Default)]
 pub struct HostObserver {
-    /// Draining hosts that are idle, with the time since when.
-    idle: SortedMap<HostName, LocalTime>,
+    /// Draining hosts that are idle.
+    idle: SortedMap<HostName, IdleSpan>,
     /// Hosts that are not listed, with the time of the first list that lacked them.
     missing: SortedMap<HostName, LogTime>,
 }
@@ -67,7 +76,11 @@
                 self.missing.remove(name);
                 came_up(name, host, incarnation).or_else(|| self.drained(input, name, host))
             }
-            None => self.went_down(input.list_time, name, host),
+            None => {
+                // What a host does while it is not listed is unknown, which breaks its idleness.
+                self.idle.remove(name);
+                self.went_down(input.list_time, name, host)
+            }
         }
     }
 
@@ -81,9 +94,14 @@
             self.idle.remove(name);
             return None;
         }
-        let since = self.idle.get(name).copied().unwrap_or(input.local_time);
-        self.idle.insert(name.clone(), since);
-        if input.local_time.since(since) < IDLE_LIMIT {
+        let span = self.idle.get(name).copied();
+        let span = span.filter(|span| span.version == host.version);
+        let span = span.unwrap_or(IdleSpan {
+            since: input.local_time,
+            version: host.version,
+        });
+        self.idle.insert(name.clone(), span);
+        if input.local_time.since(span.since) < IDLE_LIMIT {
             return None;
         }
         let (host_name, seen) = (name.clone(), host.version);
@@ -129,8 +147,10 @@
 ) -> Option<MembershipRecord> {
     let newer = incarnation > host.version.incarnation;
     let same = incarnation == host.version.incarnation;
-    // A stop ends only with a newer run: until its reboot the old run is still listed.
-    let back = same && host.down.is_some() && host.stop().is_none();
+    // A drained host is rebooted, and until then its old run is still listed. One that still drains goes on
+    // with its drain when it is back.
+    let awaits_reboot = host.stop().is_some_and(|stop| stop.drained.is_some());
+    let back = same && host.down.is_some() && !awaits_reboot;
     (newer || back).then(|| MembershipRecord::HostUp {
         host: name.clone(),
         incarnation,
