Keep units free for the hosts that are expected to stay away

Change: the units kept free are the hosts that will stay away, rounded, if their share among the next stops is that of the stops so far. This is less than before when many hosts came back, and more when none did.

--- a/crates/core/src/rollout/wave_step.rs
+++ b/crates/core/src/rollout/wave_step.rs
@@ -53,6 +53,8 @@
 pub(super) struct WaveStep<'a> {
     busy: u32,
     candidates: Vec<Candidate<'a>>,
+    /// Hosts that the wave has maintained.
+    done: u32,
     down: u32,
     draining: u32,
     /// Hosts that are unavailable for any reason, by domain.
@@ -60,7 +62,6 @@
     members: u32,
     overdue: u32,
     pool_down: u32,
-    proven: bool,
     rebooting: u32,
     /// Hosts that the wave has to stop yet, by domain.
     waiting: DomainCounts<'a>,
@@ -76,13 +77,13 @@
         let mut step = Self {
             busy: 0,
             candidates: Vec::new(),
+            done: wave.done.len() as u32,
             down: 0,
             draining: 0,
             idle: DomainCounts::default(),
             members: 0,
             overdue: 0,
             pool_down: 0,
-            proven: !wave.done.is_empty(),
             rebooting: 0,
             waiting: DomainCounts::default(),
         };
@@ -173,15 +174,22 @@
 
     /// Tells whether hosts have to come back before the next one is stopped.
     ///
-    /// One stop at a time always goes on when the budget allows it. More of them keep as many units of the
-    /// budget free as hosts are overdue, because the next hosts may stay away like those before.
+    /// One stop at a time always goes on when the budget allows it. More of them keep units of the budget
+    /// free for those that are expected to stay away.
     fn awaits_return(&self, slack: u32) -> bool {
         let stopping = self.draining + self.rebooting;
         if stopping == 0 {
             return false;
         }
-        let unproven = !self.proven && stopping >= self.members.div_ceil(UNPROVEN_DIVISOR);
-        unproven || (self.overdue > 0 && slack <= self.overdue)
+        let unproven = self.done == 0 && stopping >= self.members.div_ceil(UNPROVEN_DIVISOR);
+        unproven || (self.overdue > 0 && slack <= self.expected_overdue(stopping + 1))
+    }
+
+    /// Returns how many of `stops` hosts will stay away, rounded, when the share of them is that of the
+    /// hosts so far. One late host among many that came back is no reason to slow the wave down.
+    fn expected_overdue(&self, stops: u32) -> u32 {
+        let ended = (self.done + self.overdue).max(1);
+        (2 * stops * self.overdue + ended) / (2 * ended)
     }
 
     /// Returns the place of a host in the order of stops: longest without maintenance first, then where the
