Count the available hosts of each pool in the ledger

Cause: the check of a budget scanned all hosts for each StopStart, so the cost of a stop grew with the fleet.

Ruled out: an index of member names, which still looks up each member by name.

Change: the ledger counts available hosts by pool, data centre and rack. Each change of a host goes through one function, which keeps the counts. They are no part of the encoding and are counted again after decoding. A removed host is never available, so its removal leaves the counts alone.

--- a/crates/core/src/membership/membership_ledger.rs
+++ b/crates/core/src/membership/membership_ledger.rs
@@ -2,6 +2,7 @@
     super::{
         DEFAULT_REBOOT_LIMIT, HostActivity, HostState, HostVersion, MembershipRecord, PlannedStop,
         PoolBudget, WaveSeen, WaveState, WaveStatus, WaveVersion, pool_budget::check_list,
+        pool_counts::CountTable,
     },
     crate::{
         collections::SortedMap,
@@ -19,8 +20,12 @@
 
 /// All hosts and waves of the fleet.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "SavedLedger")]
 pub struct MembershipLedger {
     changes: u64,
+    /// Follows from `hosts`; counted again after decoding.
+    #[serde(skip)]
+    counts: CountTable,
     hosts: SortedMap<HostName, HostState>,
     /// Start times of the moves within [`MOVE_RATE_WINDOW`]. They are kept here so that the bound on moves
     /// also holds when another entry host takes over the duty.
@@ -28,6 +33,27 @@
     waves: SortedMap<WaveName, WaveState>,
 }
 
+/// The encoded fields of a [`MembershipLedger`], in the same order.
+#[derive(Deserialize)]
+struct SavedLedger {
+    changes: u64,
+    hosts: SortedMap<HostName, HostState>,
+    moves: Vec<LogTime>,
+    waves: SortedMap<WaveName, WaveState>,
+}
+
+impl From<SavedLedger> for MembershipLedger {
+    fn from(saved: SavedLedger) -> Self {
+        Self {
+            changes: saved.changes,
+            counts: CountTable::new(saved.hosts.values()),
+            hosts: saved.hosts,
+            moves: saved.moves,
+            waves: saved.waves,
+        }
+    }
+}
+
 impl MembershipLedger {
     /// Returns the hosts in order of name.
     pub fn hosts(&self) -> &SortedMap<HostName, HostState> {
@@ -51,8 +77,7 @@
 
     /// Returns the budget of a pool and what is left of it.
     pub fn budget(&self, pool: &PoolConfig) -> PoolBudget<'_> {
-        let members = self.hosts.values().filter(|host| host.pool == pool.name);
-        PoolBudget::new(pool, members)
+        PoolBudget::counted(pool, self.counts.of(&pool.name))
     }
 
     /// Returns the hosts that a wave still has to maintain, including those it is stopping.
@@ -169,6 +194,7 @@
             rack: rack.clone(),
             version,
         };
+        self.counts.add(&host);
         self.hosts.insert(name.clone(), host);
         Ok(())
     }
@@ -179,6 +205,7 @@
             return Err(Rejection::HostAvailable);
         }
         self.next_change();
+        // The counts cover available hosts only, so they stay as they are.
         self.hosts.remove(name);
         // A new host under the same name has not been maintained.
         for (_, wave) in self.waves.iter_mut() {
@@ -527,8 +554,10 @@
     fn change(&mut self, name: &HostName, edit: impl FnOnce(&mut HostState)) {
         let change = self.next_change();
         if let Some(host) = self.hosts.get_mut(name) {
+            self.counts.remove(host);
             edit(host);
             host.version.change = change;
+            self.counts.add(host);
         }
     }
 
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -4,6 +4,7 @@
 mod membership_ledger;
 mod membership_record;
 mod pool_budget;
+mod pool_counts;
 mod wave_state;
 
 pub use {
--- a/crates/core/src/membership/pool_budget.rs
+++ b/crates/core/src/membership/pool_budget.rs
@@ -1,5 +1,5 @@
 use {
-    super::HostState,
+    super::{HostState, pool_counts::PoolCounts},
     crate::{
         collections::SortedMap,
         config::{PoolConfig, SurviveRule},
@@ -26,7 +26,7 @@
 type Domain<'a> = (&'a DataCentre, Option<&'a RackName>);
 
 /// The availability budget of one pool and what is left of it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PoolBudget<'a> {
     available: u32,
     domains: SortedMap<Domain<'a>, u32>,
@@ -49,6 +49,21 @@
         budget
     }
 
+    /// Makes the budget from the counts of the pool; `None` when it has no available host.
+    pub(super) fn counted(pool: &PoolConfig, counts: Option<&'a PoolCounts>) -> Self {
+        let mut budget = Self::new(pool, std::iter::empty());
+        let Some(counts) = counts else {
+            return budget;
+        };
+        budget.available = counts.available();
+        for (data_centre, rack, count) in counts.racks() {
+            if let Some(domain) = domain(pool.survive, data_centre, rack) {
+                budget.add_domain(domain, count);
+            }
+        }
+        budget
+    }
+
     /// Returns the number of available hosts.
     pub fn available(&self) -> u32 {
         self.available
@@ -92,11 +107,15 @@
     fn add(&mut self, host: &'a HostState) {
         self.available += 1;
         if let Some(domain) = self.domain(host) {
-            match self.domains.get_mut(&domain) {
-                Some(count) => *count += 1,
-                None => {
-                    self.domains.insert(domain, 1);
-                }
+            self.add_domain(domain, 1);
+        }
+    }
+
+    fn add_domain(&mut self, domain: Domain<'a>, hosts: u32) {
+        match self.domains.get_mut(&domain) {
+            Some(count) => *count += hosts,
+            None => {
+                self.domains.insert(domain, hosts);
             }
         }
     }
@@ -111,10 +130,19 @@
     }
 
     fn domain(&self, host: &'a HostState) -> Option<Domain<'a>> {
-        match self.survive {
-            SurviveRule::Nothing => None,
-            SurviveRule::Rack => Some((&host.data_centre, Some(&host.rack))),
-            SurviveRule::DataCentre => Some((&host.data_centre, None)),
-        }
+        domain(self.survive, &host.data_centre, &host.rack)
+    }
+}
+
+/// Returns the domain that a survive rule names.
+fn domain<'a>(
+    survive: SurviveRule,
+    data_centre: &'a DataCentre,
+    rack: &'a RackName,
+) -> Option<Domain<'a>> {
+    match survive {
+        SurviveRule::Nothing => None,
+        SurviveRule::Rack => Some((data_centre, Some(rack))),
+        SurviveRule::DataCentre => Some((data_centre, None)),
     }
 }
--- a/crates/measures/src/slopes/state_bench.rs
+++ b/crates/measures/src/slopes/state_bench.rs
@@ -107,7 +107,7 @@
 }
 
 fn print_size(hosts: usize) -> anyhow::Result<()> {
-    let mut state = configured()?;
+    let mut state = configured("none")?;
     print_row("hosts", &mut state, host_records(hosts)?)?;
     print_row("host changes", &mut state, change_records(hosts)?)?;
     print_row("jobs", &mut state, job_records(hosts * JOBS_PER_HOST)?)?;
@@ -115,7 +115,11 @@
         "claims",
         &mut state,
         claim_records(hosts * CLAIMS_PER_HOST)?,
-    )
+    )?;
+    // The stops need hosts that are up. A survive rule makes the check of the budget dearest.
+    let mut state = configured("rack")?;
+    measure(&mut state, host_records(hosts)?)?;
+    print_row("stops", &mut state, stop_records(hosts)?)
 }
 
 fn print_row(name: &str, state: &mut FleetState, bodies: Vec<RecordBody>) -> anyhow::Result<()> {
@@ -170,7 +174,7 @@
 
 fn print_snapshot(hosts: usize) -> anyhow::Result<()> {
     let before = ALLOCATOR.allocated();
-    let mut state = configured()?;
+    let mut state = configured("none")?;
     let (jobs, claims) = (hosts * JOBS_PER_HOST, hosts * CLAIMS_PER_HOST);
     measure(&mut state, host_records(hosts)?)?;
     measure(&mut state, job_records(jobs)?)?;
@@ -191,10 +195,13 @@
     Ok(())
 }
 
-fn configured() -> anyhow::Result<FleetState> {
+fn configured(survive: &str) -> anyhow::Result<FleetState> {
     let mut text = String::new();
     for pool in 0..POOLS {
-        writeln!(text, "[[pools]]\nname = \"pool-{pool}\"\nmin_available = 1")?;
+        writeln!(
+            text,
+            "[[pools]]\nname = \"pool-{pool}\"\nmin_available = 1\nsurvive = \"{survive}\""
+        )?;
         writeln!(
             text,
             "[[services]]\nname = \"service-{pool}\"\npool = \"pool-{pool}\""
@@ -254,6 +261,23 @@
     records.collect()
 }
 
+/// Stops of all hosts but the two of each pool that its budget keeps, in different racks.
+fn stop_records(count: usize) -> anyhow::Result<Vec<RecordBody>> {
+    let records = (0..count.saturating_sub(2 * POOLS)).map(|number| {
+        let record = MembershipRecord::StopStart {
+            host: host_name(number)?,
+            list_time: START,
+            seen: HostVersion {
+                change: number as u64 + 1,
+                incarnation: Incarnation(1),
+            },
+            wave: None,
+        };
+        Ok(RecordBody::Membership(record))
+    });
+    records.collect()
+}
+
 fn job_records(count: usize) -> anyhow::Result<Vec<RecordBody>> {
     let records = (0..count).map(|number| {
         let spec = JobSpec {
