Cut the learned limit in proportion to the slowness

Cause: with declared sizes off and targets that slow down, an instrumented run (idle and wasted slot time per target, 150% load, scratch build) showed about 1.5 of 48 slots wasted by requests beyond the real slots, most of it at targets with 2 to 4 slots, and 1.0 to 2.1 idle. The limit fell only at twice the uncontended time, which such a target reaches with nearly twice its slots in use.

Change: the controller averages over more answers, so that a threshold of 1.5 is still 3.5 deviations from a healthy target. A cut lowers the limit and the average to the threshold, and the rise slows down near it.

--- a/crates/core/src/traffic/target_state.rs
+++ b/crates/core/src/traffic/target_state.rs
@@ -5,15 +5,19 @@
 /// Failure rate above which a target is only probed.
 const FAILURE_LIMIT: f64 = 0.6;
 /// Weight of the newest answer in the slowness of a target.
-const SLOWNESS_GAIN: f64 = 0.1;
-/// Slowness above which the learned limit falls. Twice the uncontended time is four standard
-/// deviations of the average for exponentially distributed service times.
-const SLOW: f64 = 2.0;
-/// Factor by which the limit falls.
-const LIMIT_CUT: f64 = 0.85;
-/// Slots by which the limit rises with each digest. A slower rise leaves slots idle that other entry
-/// hosts believe to be used here.
+const SLOWNESS_GAIN: f64 = 0.04;
+/// Slowness above which the learned limit falls. It is 3.5 standard deviations of the average above
+/// the uncontended time for exponentially distributed service times.
+const SLOW: f64 = 1.5;
+/// Smallest factor by which one cut lowers the limit.
+const LIMIT_CUT: f64 = 0.5;
+/// Factor by which a refusal lowers the limit.
+const REFUSAL_CUT: f64 = 0.85;
+/// Most slots by which the limit rises with each digest, reached at the uncontended time.
 const LIMIT_STEP: f64 = 0.06;
+/// Smallest part of `LIMIT_STEP`. An entry host without a slot learns no new slowness, and its limit has to
+/// rise all the same.
+const LIMIT_STEP_PART: f64 = 0.1;
 /// Shortest time between two cuts of the limit that refusals cause.
 const REFUSAL_PAUSE: Millis = Millis(100);
 /// First and longest pause between probes of a failing target.
@@ -126,7 +130,9 @@
     /// Lets the limit rise until slow answers cut it again. It rises by time and not by answers, since an
     /// entry host without a slot gets no answers.
     pub fn raise_limit(&mut self) {
-        self.limit = (self.limit + LIMIT_STEP).min(f64::from(self.slots));
+        // Near the threshold a full step would overload the target again at once.
+        let part = ((SLOW - self.slowness) / (SLOW - 1.0)).clamp(LIMIT_STEP_PART, 1.0);
+        self.limit = (self.limit + part * LIMIT_STEP).min(f64::from(self.slots));
     }
 
     /// Learns from a complete answer that took `ratio` times the uncontended time.
@@ -141,7 +147,11 @@
         // One cut for each answer time, since answers that were sent before a cut still report it.
         let settled = now.since(self.cut_at) >= Millis(took.0.saturating_mul(2));
         if self.slowness > SLOW && settled {
-            self.limit = (self.limit * LIMIT_CUT).max(1.0);
+            // Times grow in proportion to the excess, so that the slowness to come is known. Without the
+            // prediction the slow average would cause further cuts.
+            let cut = (SLOW / self.slowness).max(LIMIT_CUT);
+            self.limit = (self.limit * cut).max(1.0);
+            self.slowness *= cut;
             self.cut_at = now;
         }
     }
@@ -149,7 +159,7 @@
     /// Learns from a request that the target did not run, as a target does that is full.
     pub fn learn_refusal(&mut self, now: LocalTime) {
         if now.since(self.cut_at) >= REFUSAL_PAUSE {
-            self.limit = (self.limit * LIMIT_CUT).max(1.0);
+            self.limit = (self.limit * REFUSAL_CUT).max(1.0);
             self.cut_at = now;
         }
     }
