Let a crowded entry host use the slots of the others

Cause: each entry host with demand had at least one slot at every target. With seven entry hosts and eight slots, a host with 57% of the requests got two of eight and lost a third of its urgent work, while the others answered all of theirs.

Ruled out: the floor at the first three targets only, whatever the demand.

Change: when one entry host has 1.75 times the mean demand or more (two in rounded halves), the floor holds at the first three targets only. The sum of the split still equals the slots of each target.

--- a/crates/core/src/traffic/slot_split.rs
+++ b/crates/core/src/traffic/slot_split.rs
@@ -1,7 +1,18 @@
+/// Targets at which each entry host with demand has at least one slot when demand is uneven. A host
+/// whose only target fails could otherwise send nothing.
+const FLOOR_TARGETS: u32 = 3;
+
+/// Demand of one entry host, in halves of the mean, from which on the others have a slot at the first targets
+/// only. With less a floor everywhere costs little, and an entry host that uses every target learns
+/// the limits of all.
+const UNEVEN_HALVES: i64 = 4;
+
 /// Splits the slots of a service's targets between entry hosts in proportion to their demand.
 ///
-/// Demand counts in halves of the mean demand. It is a largest-remainder split with at least one slot for each entry host that has demand, where
-/// the slots allow it. What an entry host gets too little or too much at one target is carried to
+/// Demand counts in halves of the mean demand, and in at least one half. It is a largest-remainder split
+/// with at least one slot for each entry host that has demand, where the slots allow it. When one
+/// entry host has twice the mean demand or more, this holds at the first targets only, since the
+/// floor at every target would take most slots from that entry host. What an entry host gets too little or too much at one target is carried to
 /// the next, so that the same entry host does not lose the rounding at every target. All entry
 /// hosts that hold the same digests and go through the targets in the same order get the same split.
 #[derive(Clone, Debug)]
@@ -10,6 +21,8 @@
     carry: Vec<i64>,
     /// Demand of each entry host in halves of the mean.
     demands: Vec<i64>,
+    /// Targets left at which each entry host with demand has a slot.
+    floors: u32,
     shares: Vec<u32>,
     total: i64,
 }
@@ -26,8 +39,14 @@
             demand => ((4 * demand * asking + sum) / (2 * sum)).max(1) as i64,
         };
         let demands: Vec<i64> = demands.iter().map(|demand| halves(*demand)).collect();
+        let most = demands.iter().copied().max().unwrap_or_default();
         Self {
             carry: vec![0; demands.len()],
+            floors: if most >= UNEVEN_HALVES {
+                FLOOR_TARGETS
+            } else {
+                u32::MAX
+            },
             shares: vec![0; demands.len()],
             total: demands.iter().sum(),
             demands,
@@ -40,7 +59,8 @@
             return &self.shares;
         }
         let asking = self.demands.iter().filter(|demand| **demand > 0).count();
-        let floor = u32::from(asking as u64 <= u64::from(slots));
+        let floor = u32::from(self.floors > 0 && asking as u64 <= u64::from(slots));
+        self.floors -= floor;
         let mut left = i64::from(slots);
         for (index, demand) in self.demands.iter().enumerate() {
             self.carry[index] += i64::from(slots) * demand;
--- a/crates/measures/src/overload/floods_table.rs
+++ b/crates/measures/src/overload/floods_table.rs
@@ -42,6 +42,7 @@
         for (title, parts) in &floods {
             let mut streams = mixed(0, POOL * 0.6, (0.0, 25.0), deployment.tenants);
             streams.extend(parts.iter().map(|part| Stream {
+                crowded: false,
                 end: part.span.1,
                 flood: true,
                 load: POOL * 5.0,
--- a/crates/measures/src/overload/mod.rs
+++ b/crates/measures/src/overload/mod.rs
@@ -16,6 +16,9 @@
 mod workload;
 
 pub use {
-    failing_table::print_failing, floods_table::print_floods, sizes_table::print_sizes,
-    tenants_table::print_tenants, turns_table::print_turns,
+    failing_table::print_failing,
+    floods_table::print_floods,
+    sizes_table::print_sizes,
+    tenants_table::print_tenants,
+    turns_table::{print_turns, print_uneven},
 };
--- a/crates/measures/src/overload/tenants_table.rs
+++ b/crates/measures/src/overload/tenants_table.rs
@@ -28,6 +28,7 @@
         for (urgency, title) in floods {
             let mut streams = mixed(0, POOL * 0.7, (0.0, 20.0), deployment.tenants);
             streams.push(Stream {
+                crowded: false,
                 end: FLOOD.1,
                 flood: true,
                 load: POOL * 5.0,
--- a/crates/measures/src/overload/workload.rs
+++ b/crates/measures/src/overload/workload.rs
@@ -38,6 +38,8 @@
 /// Requests of one kind at a constant mean rate.
 #[derive(Clone, Copy, Debug)]
 pub struct Stream {
+    /// Whether entry host 0 gets half of the requests before the rest is shared evenly, 57% in all.
+    pub crowded: bool,
     /// End in seconds.
     pub end: f64,
     /// Whether the requests belong to the flood.
@@ -82,6 +84,7 @@
 /// Returns the streams of mixed work of one service; `span` is in seconds.
 pub fn mixed(service: usize, load: f64, span: (f64, f64), tenants: usize) -> Vec<Stream> {
     let streams = MIX.iter().map(|(urgency, part)| Stream {
+        crowded: false,
         end: span.1,
         flood: false,
         load: load * part,
@@ -117,7 +120,7 @@
         let (first, count) = stream.tenants;
         requests.push(Request {
             arrival: (time * 1e6) as u64,
-            entry: random.random_range(0..ENTRY_HOSTS),
+            entry: draw_entry(stream, random),
             flood: stream.flood,
             service: stream.service,
             size: ((mean * 1_000.0 * exponential(random)) as u64).max(1_000),
@@ -127,6 +130,13 @@
     }
 }
 
+fn draw_entry(stream: &Stream, random: &mut StdRng) -> usize {
+    if stream.crowded && random.random_bool(0.5) {
+        return 0;
+    }
+    random.random_range(0..ENTRY_HOSTS)
+}
+
 fn exponential(random: &mut StdRng) -> f64 {
     let uniform: f64 = random.random();
     -(1.0 - uniform).ln()
