Keep tenants, probes and racks in sorted vectors

Cause: the house style asks for sorted vectors; the queue of a class, the probes of a service and the order of racks used tree sets.

Ruled out: sorted vectors for the requests in flight.

Change: `SortedMap` has `first`, `pop_first` and `keys` and replaces the other three sets.

--- a/crates/core/src/collections/sorted_map.rs
+++ b/crates/core/src/collections/sorted_map.rs
@@ -60,6 +60,21 @@
         Some(self.rows.remove(index).1)
     }
 
+    /// Returns the entry with the smallest key.
+    pub fn first(&self) -> Option<(&K, &V)> {
+        self.rows.first().map(|(key, value)| (key, value))
+    }
+
+    /// Removes the entry with the smallest key and returns it. It takes O(n).
+    pub fn pop_first(&mut self) -> Option<(K, V)> {
+        (!self.rows.is_empty()).then(|| self.rows.remove(0))
+    }
+
+    /// Iterates over the keys in ascending order.
+    pub fn keys(&self) -> impl DoubleEndedIterator<Item = &K> + ExactSizeIterator {
+        self.rows.iter().map(|(key, _)| key)
+    }
+
     /// Removes all entries with a key below `limit` and returns how many there were.
     pub fn remove_below(&mut self, limit: &K) -> usize {
         let count = self.rows.partition_point(|(key, _)| key < limit);
--- a/crates/core/src/jobs/worker_shelf.rs
+++ b/crates/core/src/jobs/worker_shelf.rs
@@ -4,7 +4,7 @@
         collections::SortedMap,
         ids::{DataCentre, RackName},
     },
-    std::{cmp::Reverse, collections::BTreeSet},
+    std::cmp::Reverse,
 };
 
 /// Part of a worker that overnight jobs leave free, as one in so many. An urgent job then starts
@@ -61,7 +61,7 @@
     held: usize,
     /// Keys by the index of the worker in the input of the plan.
     keys: Vec<Option<WorkerKey>>,
-    order: BTreeSet<(u64, usize)>,
+    order: SortedMap<(u64, usize), ()>,
     racks: Vec<RackRow>,
     rows: Vec<ShelfRow<'a>>,
     /// Sizes that fitted nowhere. Room only shrinks during a plan, so larger ones do not fit either.
@@ -86,7 +86,7 @@
         let mut shelf = Self {
             held: 0,
             keys: Vec::new(),
-            order: BTreeSet::new(),
+            order: SortedMap::default(),
             racks: Vec::new(),
             rows: Vec::new(),
             unfit: Vec::new(),
@@ -120,7 +120,7 @@
         }
         let racks = shelf.racks.iter().enumerate();
         shelf.order = racks
-            .map(|(index, rack)| (rack.mean_load(), index))
+            .map(|(index, rack)| ((rack.mean_load(), index), ()))
             .collect();
         shelf
     }
@@ -184,7 +184,7 @@
     }
 
     fn find_outside(&self, request: &ShelfRequest, racks: &[usize]) -> Option<WorkerKey> {
-        let order = self.order.iter().map(|(_, rack)| *rack);
+        let order = self.order.keys().map(|(_, rack)| *rack);
         let mut order = order.filter(|rack| !racks.contains(rack));
         order.find_map(|rack| self.find_in(&self.racks[rack], request))
     }
@@ -219,7 +219,7 @@
         let rack = &mut self.racks[row.rack];
         self.order.remove(&(rack.mean_load(), row.rack));
         rack.load = rack.load - before + row.load();
-        self.order.insert((rack.mean_load(), row.rack));
+        self.order.insert((rack.mean_load(), row.rack), ());
         let rows = &self.rows;
         let rooms = rack.workers.iter().map(|index| rows[*index].room());
         rack.room = rooms.fold(JobSize::default(), |room, other| room.max(&other));
--- a/crates/core/src/traffic/class_queue.rs
+++ b/crates/core/src/traffic/class_queue.rs
@@ -1,6 +1,7 @@
 use {
     super::{TenantKey, Ticket},
-    std::collections::{BTreeSet, VecDeque},
+    crate::collections::SortedMap,
+    std::collections::VecDeque,
 };
 
 /// Units of virtual time for one millisecond of slot time at weight one.
@@ -30,7 +31,7 @@
 /// tenant's queue until they come to its head or outnumber the live ones.
 #[derive(Clone, Debug, Default)]
 pub struct ClassQueue {
-    backlogged: BTreeSet<(u64, TenantKey)>,
+    backlogged: SortedMap<(u64, TenantKey), ()>,
     clock: u64,
     len: u32,
     tenants: Vec<TenantQueue>,
@@ -81,7 +82,7 @@
             queue.weight = weight.max(1);
             queue.virtual_time = queue.virtual_time.max(self.clock);
             self.weight += u64::from(queue.weight);
-            self.backlogged.insert((queue.virtual_time, tenant));
+            self.backlogged.insert((queue.virtual_time, tenant), ());
         }
     }
 
@@ -91,7 +92,7 @@
         slot_time: f64,
         is_live: impl Fn(QueueEntry) -> bool,
     ) -> Option<(TenantKey, QueueEntry)> {
-        let (virtual_time, tenant) = self.backlogged.pop_first()?;
+        let ((virtual_time, tenant), ()) = self.backlogged.pop_first()?;
         self.clock = virtual_time;
         let queue = &mut self.tenants[usize::from(tenant.0)];
         let mut found = None;
@@ -106,7 +107,7 @@
         let charge = slot_time * VIRTUAL_UNITS / f64::from(queue.weight);
         queue.virtual_time = virtual_time + charge as u64;
         if queue.live > 0 {
-            self.backlogged.insert((queue.virtual_time, tenant));
+            self.backlogged.insert((queue.virtual_time, tenant), ());
         } else {
             self.weight -= u64::from(queue.weight);
             queue.entries.clear();
@@ -145,7 +146,7 @@
         queue.virtual_time = charged.min(limit).max(before);
         if queue.live > 0 {
             self.backlogged.remove(&(before, tenant));
-            self.backlogged.insert((queue.virtual_time, tenant));
+            self.backlogged.insert((queue.virtual_time, tenant), ());
         }
     }
 
@@ -163,7 +164,7 @@
         };
         if queue.live > 0 {
             self.backlogged.remove(&(before, tenant));
-            self.backlogged.insert((queue.virtual_time, tenant));
+            self.backlogged.insert((queue.virtual_time, tenant), ());
         }
     }
 }
--- a/crates/core/src/traffic/fair_policy.rs
+++ b/crates/core/src/traffic/fair_policy.rs
@@ -24,6 +24,8 @@
 #[derive(Debug)]
 pub struct FairPolicy {
     draining: bool,
+    // The requests are kept in trees, as a sorted vector moves thousands of rows for one removal: with one
+    // for `in_flight` a decision at 1,400 targets of one service took 9.5 instead of 1.3 µs.
     in_flight: BTreeMap<Ticket, SentRequest>,
     latest_starts: BTreeSet<(LocalTime, Ticket)>,
     /// Requests queued or in flight, indexed by tenant.
--- a/crates/core/src/traffic/target_pool.rs
+++ b/crates/core/src/traffic/target_pool.rs
@@ -7,7 +7,7 @@
         collections::SortedMap,
         ids::{EntryName, HostName, LocalTime},
     },
-    std::{collections::BTreeSet, sync::Arc},
+    std::sync::Arc,
 };
 
 /// Most marks kept for hosts that the view does not show.
@@ -32,7 +32,7 @@
     capacity: u32,
     far: OpenTargets,
     near: OpenTargets,
-    probes: BTreeSet<(LocalTime, u32)>,
+    probes: SortedMap<(LocalTime, u32), ()>,
     usable: u32,
 }
 
@@ -287,7 +287,7 @@
                 targets.probes.remove(&(listed, index));
             }
             if let Some(due) = probe {
-                targets.probes.insert((due, index));
+                targets.probes.insert((due, index), ());
             }
             state.probe_listed = probe;
         }
@@ -329,7 +329,7 @@
     }
 
     fn probe(&self, now: LocalTime) -> Option<u32> {
-        let (due, index) = self.probes.first()?;
+        let ((due, index), ()) = self.probes.first()?;
         (*due <= now).then_some(*index)
     }
 }
