--- a/crates/entry/src/operating/entry_backend.rs
+++ b/crates/entry/src/operating/entry_backend.rs
@@ -102,6 +102,17 @@
         if let Some(outcome) = self.outcome(&order).await? {
             return Ok(outcome);
         }
+        if let OperatorChange::StartWave {
+            max_stopping: Some(_),
+            ..
+        } = order.change
+        {
+            // Accepting a limit that no wave keeps would mislead the operator.
+            return Ok(ChangeOutcome::Rejected {
+                mistakes: Vec::new(),
+                reason: "max_stopping is not supported; the budget limits the stops".to_owned(),
+            });
+        }
         if !self.control.log_is_up() {
             return Err(OperatorError::new(
                 OperatorErrorKind::StoreUnavailable,
