Keep a lost answer unknown over later refusals, and free keys of callers that leave

Cause: when the first attempt of an idempotent request lost its answer and the second was refused, the caller was told not-run although the first had run. When a caller left while its order was queued, the key stayed claimed, so that the order could not run through another entry host. Ruled out: no retry after an unknown outcome, because idempotent work is worth it; releasing claims by age, because the holder may still send. Change: the unknown outcome of an attempt is kept until an answer arrives; claims are a guard that frees its key unless the request was sent. Claims are a file of their own; the router only routes. Conclusion: not-run is true over all attempts of a request.

--- a/crates/entry/src/traffic/request_router.rs
+++ b/crates/entry/src/traffic/request_router.rs
@@ -5,29 +5,23 @@
         counted_body::CountedBody,
         job_intake::JobIntake,
         policy_gate::{AssignedSlot, QueuedRequest},
+        request_claims::{ClaimedKey, RequestClaims},
     },
-    crate::{
-        clock::BootClock,
-        control::{ControlHandle, ProposeError},
-        metrics::EntryMetrics,
-    },
+    crate::{clock::BootClock, control::ControlHandle, metrics::EntryMetrics},
     bytes::Bytes,
     goldcreststall_callers::{
         request::{CallerRequest, RequestError, TARGET},
         server::{CallerAnswer, CallerHandler, JobRequest},
     },
     goldcreststall_core::{
-        claims::{CLAIM_MAX_AGE, ClaimRecord, IssuedKeys, KeyUse},
         error::{ErrorKind, OutcomeClass},
-        ids::{LocalTime, Millis, RequestKey},
-        ledger::{RecordBody, Rejection},
+        ids::{LocalTime, RequestKey},
         traffic::{RequestSpec, RoutingView, SendOutcome, TargetKey},
     },
     goldcreststall_targets::transport::{
         RequestBody, SendError, TargetAnswer, TargetEndpoint, TargetRequest, TargetTransport,
     },
     http::{HeaderMap, Method},
-    parking_lot::Mutex,
     slog::{Logger, info},
     std::{
         sync::{
@@ -36,29 +30,18 @@
         },
         time::Duration,
     },
-    tokio_util::task::TaskTracker,
 };
 
-/// Longest wait for a claim to be read back from the log.
-const CLAIM_WAIT: Millis = Millis(3_000);
-/// Longest time by which a refusal is held back for the release of its claim.
-const RELEASE_WAIT: Millis = Millis(1_000);
-
-/// Longest wait at shutdown for releases of claims to be read back from the log.
-const LAST_RELEASES_WAIT: Millis = Millis(5_000);
-
 /// Takes each request from its arrival to its answer.
 pub struct RequestRouter {
+    claims: Arc<RequestClaims>,
     clock: BootClock,
     control: ControlHandle,
     draining: AtomicBool,
     gate: Arc<PolicyGate>,
-    issued: Mutex<IssuedKeys>,
     jobs: JobIntake,
     logger: Logger,
     metrics: EntryMetrics,
-    /// Releases of claims that were not read back yet.
-    releases: TaskTracker,
     transport: Arc<dyn TargetTransport>,
 }
 
@@ -82,18 +65,17 @@
         metrics: EntryMetrics,
         logger: Logger,
     ) -> Self {
-        let issued = IssuedKeys::new(control.entry().clone());
+        let claims = RequestClaims::new(control.clone());
         let jobs = JobIntake::new(control.clone(), logger.clone());
         Self {
+            claims,
             clock: BootClock,
             control,
             draining: AtomicBool::new(false),
             gate,
-            issued: Mutex::new(issued),
             jobs,
             logger,
             metrics,
-            releases: TaskTracker::new(),
             transport,
         }
     }
@@ -104,13 +86,9 @@
         self.gate.drain();
     }
 
-    /// Waits until the keys of refused requests are free again, or for `LAST_RELEASES_WAIT`. A key that stays
-    /// claimed would make every other entry host answer `unknown` to a request that did not run.
+    /// Waits for a limited time until the keys of refused requests are free again.
     pub async fn finish_releases(&self) {
-        self.releases.close();
-        let limit = Duration::from_millis(LAST_RELEASES_WAIT.0);
-        let finished = tokio::time::timeout(limit, self.releases.wait());
-        let complete = finished.await.is_ok();
+        let complete = self.claims.finish_releases().await;
         info!(self.logger, "drain: claims of refused requests are released"; "complete" => complete);
     }
 
@@ -132,100 +110,52 @@
         let body = body.await.map_err(|_| ErrorKind::DeadlineUnreachable)??;
         // A request that is refused at once needs no claim, so a flood costs no appends.
         let queued = self.gate.enqueue(spec)?;
-        self.claim(&routed).await?;
-        let result = self.attempt(&routed, queued, body).await;
-        if let Err(error) = &result {
-            self.give_back(&routed, error.kind).await;
-        }
-        result
-    }
-
-    /// Makes sure that a non-idempotent request is sent by nobody else.
-    async fn claim(&self, routed: &RoutedRequest) -> Result<(), RequestError> {
-        if routed.spec.idempotent {
-            return Ok(());
+        if spec.idempotent {
+            return self.attempt(&routed, queued, None, body).await;
         }
-        match &routed.key {
-            None => Err(ErrorKind::KeyMissing.into()),
-            Some(RequestKey::Issued { issuer, number }) => {
-                let used = self.issued.lock().take(self.clock.now(), issuer, *number);
-                key_use(used)
-            }
-            Some(RequestKey::Caller(key)) => self.claim_in_log(*key, routed.spec.deadline).await,
-        }
-    }
-
-    async fn claim_in_log(&self, key: u128, deadline: LocalTime) -> Result<(), RequestError> {
-        if !self.control.log_is_up() {
-            return Err(ErrorKind::StoreUnavailable.into());
-        }
-        // Waiting longer would leave the caller no time to go elsewhere.
-        let deadline = deadline.min(self.clock.now() + CLAIM_WAIT);
-        let take = ClaimRecord::Take {
-            holder: self.control.entry().clone(),
-            key,
-        };
-        let proposed = self.control.propose(RecordBody::Claim(take), deadline);
-        proposed.await.map_err(|error| claim_error(error).into())
-    }
-
-    /// Frees the key of a request that did not run, so that it can be sent through another entry host.
-    async fn give_back(&self, routed: &RoutedRequest, kind: ErrorKind) {
-        if routed.spec.idempotent || kind.answer().class != OutcomeClass::NotRun {
-            return;
+        let mut key = self
+            .claims
+            .claim(routed.key.as_ref(), spec.deadline)
+            .await?;
+        let result = self.attempt(&routed, queued, Some(&mut key), body).await;
+        if let Err(error) = &result
+            && error.kind.answer().class == OutcomeClass::NotRun
+        {
+            key.free().await;
         }
-        match &routed.key {
-            Some(RequestKey::Issued { number, .. }) => {
-                self.issued.lock().give_back(self.clock.now(), *number);
-            }
-            Some(RequestKey::Caller(key)) => self.release(*key).await,
-            None => {}
-        }
-    }
-
-    /// Releases a claim. The caller may send its request elsewhere as soon as it is answered, so the answer
-    /// waits a while for the release to be in the log.
-    async fn release(&self, key: u128) {
-        let release = ClaimRecord::Release {
-            holder: self.control.entry().clone(),
-            key,
-        };
-        let control = self.control.clone();
-        let deadline = self.clock.now() + CLAIM_MAX_AGE;
-        let released = self.releases.spawn(async move {
-            // A release that is lost leaves the key claimed, which is safe.
-            let _ = control.propose(RecordBody::Claim(release), deadline).await;
-        });
-        let wait = Duration::from_millis(RELEASE_WAIT.0);
-        let _ = tokio::time::timeout(wait, released).await;
+        result
     }
 
+    /// Sends a request until it is answered or may not be sent again.
     async fn attempt(
         &self,
         routed: &RoutedRequest,
         queued: QueuedRequest,
+        mut key: Option<&mut ClaimedKey>,
         body: RequestBody,
     ) -> Result<CallerAnswer, RequestError> {
-        let mut body = Some(body);
-        let mut queued = Some(queued);
+        let (mut queued, mut body) = (queued, body);
+        let mut unknown = None;
         let mut attempts = 0;
         loop {
             attempts += 1;
-            let place = match queued.take() {
-                Some(queued) => queued,
-                None => self.gate.enqueue(routed.spec)?,
-            };
-            let spare = body.as_ref().and_then(RequestBody::try_clone);
-            let current = body.take().ok_or(ErrorKind::ConnectFailed)?;
-            let error = match self.attempt_once(routed, place, current).await {
+            let spare = body.try_clone();
+            let sent = self.attempt_once(routed, queued, key.as_deref_mut(), body);
+            let error = match sent.await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => error,
             };
+            let again = self.may_repeat(routed, error.kind, attempts);
+            let result = keep_unknown(&mut unknown, error);
+            let Some(spare) = spare.filter(|_| again) else {
+                return Err(result);
+            };
+            info!(self.logger, "route: a request is sent again"; "service" => &routed.service, "tenant" => &routed.tenant, "reason" => %result.kind, "attempts" => attempts);
             body = spare;
-            if body.is_none() || !self.may_repeat(routed, error.kind, attempts) {
-                return Err(error);
-            }
-            info!(self.logger, "route: a request is sent again"; "service" => &routed.service, "tenant" => &routed.tenant, "reason" => %error.kind, "attempts" => attempts);
+            queued = self
+                .gate
+                .enqueue(routed.spec)
+                .map_err(|kind| keep_unknown(&mut unknown, kind.into()))?;
         }
     }
 
@@ -245,6 +175,7 @@
         &self,
         routed: &RoutedRequest,
         queued: QueuedRequest,
+        key: Option<&mut ClaimedKey>,
         body: RequestBody,
     ) -> Result<CallerAnswer, RequestError> {
         let mut slot = queued.wait().await?;
@@ -265,6 +196,9 @@
         };
         let left = Duration::from_millis(routed.spec.deadline.since(sent).0);
         slot.mark_sent();
+        if let Some(key) = key {
+            key.mark_sent();
+        }
         let exchange = self.transport.send(&endpoint, request);
         match tokio::time::timeout(left, exchange).await {
             Ok(Ok(answer)) => {
@@ -331,7 +265,7 @@
         if !self.healthy() {
             return Err(ErrorKind::NotReady.into());
         }
-        Ok(self.issued.lock().issue(self.clock.now()))
+        Ok(self.claims.issue())
     }
 
     async fn job(&self, request: JobRequest) -> Result<Bytes, RequestError> {
@@ -399,22 +333,12 @@
     })
 }
 
-fn key_use(used: KeyUse) -> Result<(), RequestError> {
-    match used {
-        KeyUse::First => Ok(()),
-        KeyUse::Repeated => Err(ErrorKind::KeyClaimed.into()),
-        KeyUse::Expired => Err(ErrorKind::KeyExpired.into()),
-        KeyUse::Foreign => Err(ErrorKind::KeyForeign.into()),
-    }
-}
-
-fn claim_error(error: ProposeError) -> ErrorKind {
-    match error {
-        ProposeError::Rejected(Rejection::KeyClaimed) => ErrorKind::KeyClaimed,
-        ProposeError::Rejected(Rejection::KeyTooOld) => ErrorKind::KeyExpired,
-        ProposeError::Rejected(Rejection::KeyTooNew) => ErrorKind::InvalidRequest,
-        ProposeError::Rejected(_) | ProposeError::Unconfirmed => ErrorKind::StoreUnavailable,
+/// Returns the error to answer with. Once an attempt may have run, a later refusal must not say otherwise.
+fn keep_unknown(unknown: &mut Option<RequestError>, error: RequestError) -> RequestError {
+    if error.kind.answer().class == OutcomeClass::Unknown {
+        *unknown = Some(error.clone());
     }
+    unknown.clone().unwrap_or(error)
 }
 
 fn endpoint(view: &RoutingView, target: TargetKey) -> Option<TargetEndpoint> {
--- a/crates/standins/tests/not_run.rs
+++ b/crates/standins/tests/not_run.rs
@@ -155,3 +155,28 @@
     assert_eq!(second.outcome(), "done", "{second:?}");
     assert_eq!(fleet.runs_of("returned").await, 1);
 }
+
+/// The first attempt ran and its answer was lost; the second is refused. The refusal must not hide that the
+/// request may have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_then_refused() {
+    let fleet = start(&layout(1, 1)).await;
+    // Each ten requests pay for one retry.
+    for number in 0..40 {
+        let request = idempotent(&format!("before-{number}"));
+        assert_eq!(fleet.send(0, &request).await.outcome(), "done");
+    }
+    let lose = "{\"lose_answers\":1}";
+    fleet.set_target_faults(0, lose).await.unwrap();
+    let request = ClientRequest {
+        run_ms: 1_500,
+        ..idempotent("lost-then-refused")
+    };
+    let sent = fleet.spawn(0, &request);
+    fleet.wait_runs(&request.work).await;
+    let both = "{\"lose_answers\":1,\"leaving\":true}";
+    fleet.set_target_faults(0, both).await.unwrap();
+    let answer = sent.await.unwrap();
+    assert_eq!(fleet.runs_of(&request.work).await, 1);
+    assert_eq!(answer.outcome(), "unknown", "{answer:?}");
+}
--- a/crates/standins/tests/run_once.rs
+++ b/crates/standins/tests/run_once.rs
@@ -147,3 +147,28 @@
     let other = idempotent("after-restart");
     assert_eq!(fleet.send(0, &other).await.outcome(), "done");
 }
+
+/// A caller that leaves while its request is queued leaves its key free: the request never ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_leaves_queue() {
+    let mut layout = layout(1, 1);
+    layout.slots = 1;
+    let fleet = start(&layout).await;
+    let busy = ClientRequest {
+        run_ms: 3_000,
+        ..idempotent("busy")
+    };
+    let busy = fleet.spawn(0, &busy);
+    fleet.wait_runs("busy").await;
+    let request = once("left");
+    let key = request.key.clone().unwrap();
+    let left = fleet.spawn(0, &request);
+    fleet.wait_claim(&key).await;
+    left.abort();
+    until("the request runs under its key", async || {
+        fleet.send(0, &request).await.outcome() == "done"
+    })
+    .await;
+    busy.await.unwrap();
+    assert_eq!(fleet.runs_of("left").await, 1);
+}
