Keep proposals in a table of their own, and look once more when a wait ends

Cause: the control actor held the waiters among ten other things; an outcome that came in the moment in which the wait for it ended was lost, so that a claim stayed held although its request was refused. Ruled out: releasing by id when a proposal is abandoned late, because the record with the key is gone by then. Change: ProposalTable; the receiver is closed and read once more before the record is abandoned; a record that nobody takes is released also when its first copy was applied before. The race itself has no test. Conclusion: either the proposer takes an accepted claim or it is released.

--- a/crates/entry/src/control/control_actor.rs
+++ b/crates/entry/src/control/control_actor.rs
@@ -6,6 +6,7 @@
             FetchLedger, FleetHosts, FoldPosition, ImageReply, LoadState, PlanDuties,
             ProposeRecord, ReadHosts, ReadState, StateOrigin, TakeImage, UpdateHosts,
         },
+        proposal_table::ProposalTable,
         view_builder::build_view,
     },
     crate::{
@@ -34,7 +35,7 @@
     },
     slog::{Logger, error, info, warn},
     std::sync::Arc,
-    tokio::sync::{mpsc, oneshot, watch},
+    tokio::sync::{mpsc, watch},
     uuid::Uuid,
 };
 
@@ -61,7 +62,6 @@
 
 /// Owns the folded state of the fleet.
 pub struct ControlActor {
-    abandoned: SortedMap<RecordId, ()>,
     args: ControlArgs,
     /// When the last entry was applied.
     applied: LocalTime,
@@ -72,6 +72,7 @@
     /// Whether there is any state: the log was reached once, or a state was loaded.
     known: bool,
     planner: DutyPlanner,
+    proposals: ProposalTable,
     ready: bool,
     relay: EntryRelay,
     /// Whether the log holds entries that this version cannot read.
@@ -79,7 +80,6 @@
     state: FleetState,
     /// Whether the configuration, the hosts or the list changed since the view was built.
     view_stale: bool,
-    waiters: SortedMap<RecordId, oneshot::Sender<Result<(), Rejection>>>,
 }
 
 impl Actor for ControlActor {
@@ -88,7 +88,6 @@
 
     async fn on_start(args: ControlArgs, _actor: ActorRef<Self>) -> Result<Self, Infallible> {
         Ok(Self {
-            abandoned: SortedMap::default(),
             args,
             applied: LocalTime(0),
             clock: BootClock,
@@ -96,12 +95,12 @@
             hosts: HostsReply::default(),
             known: false,
             planner: DutyPlanner::default(),
+            proposals: ProposalTable::default(),
             ready: false,
             relay: EntryRelay::new(LogIdentity(0), LogOffset(0)),
             state: FleetState::default(),
             view_stale: true,
             stuck: false,
-            waiters: SortedMap::default(),
         })
     }
 }
@@ -153,13 +152,9 @@
         }
         // A proposer that sent the record again learns what became of the first copy.
         let first = self.state.outcome(record.id);
-        let repeated = result == Err(Rejection::Duplicate);
         let result = first.map_or(result, |outcome| outcome.result);
-        if let Some(waiter) = self.waiters.remove(&record.id) {
-            if waiter.send(result).is_err() && result.is_ok() && !repeated {
-                self.release(record);
-            }
-        } else if self.abandoned.remove(&record.id).is_some() && result.is_ok() {
+        let taken = self.proposals.settle(record.id, result);
+        if !taken && result.is_ok() {
             self.release(record);
         }
     }
@@ -210,12 +205,6 @@
         });
     }
 
-    fn forget_abandoned(&mut self, now: LogTime) {
-        let oldest = now - CLAIM_MAX_AGE - CLAIM_MAX_AGE;
-        let limit = RecordId(u128::from(oldest.0) << 80);
-        self.abandoned.remove_below(&limit);
-    }
-
     /// Plans the duties, unless records of an earlier plan are still on their way.
     fn plan_duties(&mut self, watch: &WorkerWatch) -> DutyPlan {
         let now = self.clock.now();
@@ -283,7 +272,9 @@
         if before != after {
             info!(self.args.logger, "ledger: a configuration is in force"; "version" => after.0);
         }
-        self.forget_abandoned(self.state.time());
+        // A record that is older than twice the age of a claim is not accepted any more.
+        let oldest = self.state.time() - CLAIM_MAX_AGE - CLAIM_MAX_AGE;
+        self.proposals.forget_before(oldest);
         self.publish();
         self.show_position();
         self.position()
@@ -345,7 +336,7 @@
     type Reply = ();
 
     async fn handle(&mut self, message: ProposeRecord, _context: &mut Context<Self, ()>) {
-        self.waiters.insert(message.record.id, message.result);
+        self.proposals.wait(message.record.id, message.result);
         let queued = QueuedRecord {
             give_up: message.give_up,
             record: message.record,
@@ -358,9 +349,7 @@
     type Reply = ();
 
     async fn handle(&mut self, message: AbandonRecord, _context: &mut Context<Self, ()>) {
-        if self.waiters.remove(&message.id).is_some() {
-            self.abandoned.insert(message.id, ());
-        }
+        self.proposals.abandon(message.id);
     }
 }
 
--- a/crates/entry/src/control/control_handle.rs
+++ b/crates/entry/src/control/control_handle.rs
@@ -85,7 +85,7 @@
         record: LedgerRecord,
         deadline: LocalTime,
     ) -> Result<(), ProposeError> {
-        let (sender, receiver) = oneshot::channel();
+        let (sender, mut receiver) = oneshot::channel();
         let id = record.id;
         let message = ProposeRecord {
             give_up: deadline,
@@ -95,9 +95,14 @@
         let told = self.actor.tell(message).await;
         told.map_err(|_| ProposeError::Unconfirmed)?;
         let left = Duration::from_millis(deadline.since(self.clock.now()).0);
-        match tokio::time::timeout(left, receiver).await {
+        match tokio::time::timeout(left, &mut receiver).await {
             Ok(Ok(result)) => result.map_err(ProposeError::Rejected),
             _ => {
+                receiver.close();
+                // The outcome may have come while the wait ended; a claim must not be lost then.
+                if let Ok(result) = receiver.try_recv() {
+                    return result.map_err(ProposeError::Rejected);
+                }
                 // The record may still be accepted, so the actor has to know that nobody waits.
                 let _ = self.actor.tell(AbandonRecord { id }).await;
                 Err(ProposeError::Unconfirmed)
--- a/crates/entry/src/control/control_messages.rs
+++ b/crates/entry/src/control/control_messages.rs
@@ -1,13 +1,13 @@
 use {
+    super::proposal_table::OutcomeSender,
     crate::duty::{DutyPlan, WorkerWatch},
     bytes::Bytes,
     goldcreststall_core::{
         ids::{LocalTime, LogTime, PoolName, RecordId},
-        ledger::{FleetState, LedgerRecord, LogIdentity, LogOffset, Rejection},
+        ledger::{FleetState, LedgerRecord, LogIdentity, LogOffset},
     },
     goldcreststall_peers::wire::{EntriesAnswer, FetchEntries, LogPosition},
     goldcreststall_platform::{hosts::HostsReply, log::RawEntry},
-    tokio::sync::oneshot,
 };
 
 /// Entries read from the log or from a peer, in order.
@@ -43,7 +43,7 @@
 pub(super) struct ProposeRecord {
     pub(super) give_up: LocalTime,
     pub(super) record: LedgerRecord,
-    pub(super) result: oneshot::Sender<Result<(), Rejection>>,
+    pub(super) result: OutcomeSender,
 }
 
 /// The proposer of a record no longer waits. A claim that is still accepted is released.
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod control_thread;
 mod hosts_poll;
 mod log_tail;
+mod proposal_table;
 mod snapshot_reader;
 mod view_builder;
 
