Bound the bytes of one append

Cause: 512 configurations of 256 KiB in one batch would be an entry that no peer relays and no log takes. Ruled out: a bound on the number of records alone, because their sizes differ by four orders. Change: a batch is halved until it has at most 512 KiB or one record. Conclusion: an entry stays below the 768 KiB that peers relay.

--- a/crates/entry/src/control/append_queue.rs
+++ b/crates/entry/src/control/append_queue.rs
@@ -13,6 +13,8 @@
 
 /// Most records in one append.
 const MAX_BATCH: usize = 512;
+/// Most bytes in one append with several records. Peers do not relay entries above 768 KiB.
+const MAX_BYTES: usize = 512 * 1024;
 /// Pause after a failed append.
 const RETRY_PAUSE: Millis = Millis(100);
 
@@ -80,13 +82,12 @@
         if batch.is_empty() {
             return Millis(0);
         }
-        let records = batch.iter().map(|queued| &queued.record);
-        let payload = Bytes::from(encode_records(records));
+        let (count, payload) = encode_part(batch);
         match self.log.append(LogStream::Ledger, payload).await {
             Ok(receipt) => {
-                let (records, offset) = (batch.len(), receipt.offset.0);
-                debug!(self.logger, "ledger: records were appended"; "offset" => offset, "records" => records);
-                batch.clear();
+                let offset = receipt.offset.0;
+                debug!(self.logger, "ledger: records were appended"; "offset" => offset, "records" => count);
+                batch.drain(..count);
                 self.interval
             }
             Err(error) => self.retry_pause(&error),
@@ -99,3 +100,16 @@
         self.interval.max(RETRY_PAUSE)
     }
 }
+
+/// Encodes as many records of the batch as fit into an entry, and at least one.
+fn encode_part(batch: &[QueuedRecord]) -> (usize, Bytes) {
+    let mut count = batch.len();
+    loop {
+        let records = batch[..count].iter().map(|queued| &queued.record);
+        let payload = encode_records(records);
+        if payload.len() <= MAX_BYTES || count == 1 {
+            return (count, Bytes::from(payload));
+        }
+        count = count.div_ceil(2);
+    }
+}
