Say in log lines what a membership record asks for

Cause: lines of waves and moves printed records in their debug form, several hundred characters each. Ruled out: a line format in the entry package, because the audit and the command line can use the same words. Change: Display for membership records, used by the lines of the duties. Conclusion: one short sentence for each decision.

--- a/crates/core/src/membership/membership_record.rs
+++ b/crates/core/src/membership/membership_record.rs
@@ -4,6 +4,7 @@
         DataCentre, HostName, Incarnation, LogTime, Millis, PoolName, RackName, WaveName,
     },
     serde::{Deserialize, Serialize},
+    std::fmt,
 };
 
 /// Reboot limit of a planned stop that belongs to no wave.
@@ -151,3 +152,35 @@
         wave: WaveName,
     },
 }
+
+/// Says in short what the record asks for.
+impl fmt::Display for MembershipRecord {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::HostAdd { host, pool, .. } => write!(formatter, "add {host} to {pool}"),
+            Self::HostRemove { host, .. } => write!(formatter, "remove {host}"),
+            Self::HostDown { host, .. } => write!(formatter, "{host} is down"),
+            Self::HostUp {
+                host, incarnation, ..
+            } => write!(formatter, "{host} is up as run {incarnation}"),
+            Self::MoveStart { host, lend, to, .. } => {
+                let verb = if *lend { "lend" } else { "move" };
+                write!(formatter, "{verb} {host} to {to}")
+            }
+            Self::MoveFinish { host, .. } => write!(formatter, "{host} has drained and moves"),
+            Self::MoveCancel { host, .. } => write!(formatter, "leave {host} in its pool"),
+            Self::DrainStart { host, .. } => write!(formatter, "drain {host}"),
+            Self::DrainEnd { host, .. } => write!(formatter, "put {host} back into service"),
+            Self::StopStart { host, wave, .. } => match wave {
+                Some(seen) => write!(formatter, "stop {host} for {}", seen.wave),
+                None => write!(formatter, "stop {host}"),
+            },
+            Self::StopDrained { host, .. } => write!(formatter, "{host} has drained for its stop"),
+            Self::WaveStart { pool, wave, .. } => write!(formatter, "start {wave} over {pool}"),
+            Self::WavePause { wave, .. } => write!(formatter, "pause {wave}"),
+            Self::WaveResume { wave, .. } => write!(formatter, "resume {wave}"),
+            Self::WaveCancel { wave, .. } => write!(formatter, "cancel {wave}"),
+            Self::WaveFinish { wave, .. } => write!(formatter, "{wave} is complete"),
+        }
+    }
+}
--- a/crates/entry/src/duty/duty_planner.rs
+++ b/crates/entry/src/duty/duty_planner.rs
@@ -97,8 +97,7 @@
             membership: &input.state.membership,
         });
         for record in records {
-            plan.lines
-                .push(format!("wave: a host was observed: {record:?}"));
+            plan.lines.push(format!("wave: observed: {record}"));
             plan.records.push(RecordBody::Membership(record));
         }
         let hosts = input.state.membership.hosts().iter();
@@ -116,8 +115,7 @@
         for record in rollout.records {
             let pool = record_pool(input.state, &record);
             if pool.is_some_and(|pool| input.board.holds(&Duty::Waves(pool))) {
-                plan.lines
-                    .push(format!("wave: a step is planned: {record:?}"));
+                plan.lines.push(format!("wave: planned: {record}"));
                 plan.records.push(RecordBody::Membership(record));
             }
         }
@@ -154,8 +152,7 @@
             policy.observe(input.log_time, &need, lend.capacity(&pool.name));
         }
         for record in policy.plan(lend) {
-            plan.lines
-                .push(format!("move: a move is planned: {record:?}"));
+            plan.lines.push(format!("move: planned: {record}"));
             plan.records.push(RecordBody::Membership(record));
         }
     }
