--- a/crates/core/src/traffic/routing_view.rs
+++ b/crates/core/src/traffic/routing_view.rs
@@ -62,6 +62,15 @@
 }
 
 impl TargetView {
+    /// Returns the mark that says that this run of the host takes no new work.
+    pub fn leaving_mark(&self) -> LeavingMark {
+        LeavingMark {
+            activation: self.activation,
+            host: self.name.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
     /// Returns what tells the target apart from all others.
     pub(super) fn identity(&self) -> (&HostName, ServiceKey, Incarnation) {
         (&self.name, self.service, self.incarnation)
@@ -149,12 +158,7 @@
 
     /// Returns the mark that a target's own notice of leaving stands for.
     pub fn leaving_mark(&self, key: TargetKey) -> Option<LeavingMark> {
-        let target = self.target_at(key)?;
-        Some(LeavingMark {
-            activation: target.activation,
-            host: target.name.clone(),
-            incarnation: target.incarnation,
-        })
+        Some(self.target_at(key)?.leaving_mark())
     }
 
     /// Iterates over the places of the present targets in order of name and service.
--- a/crates/entry/src/duty/duty_planner.rs
+++ b/crates/entry/src/duty/duty_planner.rs
@@ -11,6 +11,7 @@
         membership::{HostState, MembershipRecord},
         observation::{HostObserver, ListedHost, ObservationInput},
         rollout::{RolloutInput, plan_waves},
+        traffic::PeerDemand,
     },
     goldcreststall_peers::wire::LogPosition,
     goldcreststall_platform::{
@@ -144,9 +145,10 @@
             membership: &input.state.membership,
             now: input.log_time,
         };
+        let demand = input.board.demand(input.entry);
         for pool in &fleet.pools {
             let need = PoolNeed {
-                hosts: needed_hosts(input, &pool.name),
+                hosts: needed_hosts(input, &demand, &pool.name),
                 pool: pool.name.clone(),
             };
             policy.observe(input.log_time, &need, lend.capacity(&pool.name));
@@ -198,13 +200,12 @@
 }
 
 /// Returns how many hosts the present demand for the services of a pool keeps busy.
-fn needed_hosts(input: &DutyInput<'_>, pool: &PoolName) -> f64 {
+fn needed_hosts(input: &DutyInput<'_>, demand: &[PeerDemand], pool: &PoolName) -> f64 {
     let fleet = input.state.config.fleet();
     let services = fleet
         .services
         .iter()
         .filter(|service| service.pool == *pool);
-    let demand = input.board.demand(input.entry);
     let names: Vec<&ServiceName> = services.map(|service| &service.name).collect();
     let rows = demand.iter().flat_map(|peer| &peer.services);
     let requests: u32 = rows
--- a/crates/entry/src/peering/peer_feed.rs
+++ b/crates/entry/src/peering/peer_feed.rs
@@ -1,7 +1,10 @@
 use {
     super::PeerBoard,
     crate::{control::ControlHandle, traffic::PolicyGate},
-    goldcreststall_core::{ids::Millis, traffic::LeavingMark},
+    goldcreststall_core::{
+        ids::Millis,
+        traffic::{LeavingMark, RoutingView, TargetView},
+    },
     goldcreststall_peers::wire::ServiceDemand,
     std::{sync::Arc, time::Duration},
 };
@@ -40,39 +43,22 @@
         }
         // Read before the view, which is published first, so the view is not older.
         let position = self.board.fold_position();
-        if let Some(view) = self.control.view() {
-            self.gate.update_view(view);
+        let view = self.control.view();
+        if let Some(view) = &view {
+            self.gate.update_view(Arc::clone(view));
         }
+        // Before the first view there are neither services nor targets.
+        let view = view.unwrap_or_default();
         let mut marks = self.gate.leaving_marks();
-        marks.extend(self.listed_marks());
+        marks.extend(listed_marks(&view));
         let busy = self.gate.busy_hosts();
-        self.board.set_traffic(self.demand(), marks, busy, position);
+        self.board
+            .set_traffic(self.demand(&view), marks, busy, position);
         let demand = self.board.demand(&self.control.entry().name);
         self.gate.update_peers(&demand);
     }
 
-    /// Returns marks for the hosts that the list or the log shows as leaving. A peer may be cut off from both.
-    fn listed_marks(&self) -> Vec<LeavingMark> {
-        let Some(view) = self.control.view() else {
-            return Vec::new();
-        };
-        let leaving = view
-            .targets
-            .iter()
-            .filter(|target| target.present && target.leaving);
-        leaving
-            .map(|target| LeavingMark {
-                activation: target.activation,
-                host: target.name.clone(),
-                incarnation: target.incarnation,
-            })
-            .collect()
-    }
-
-    fn demand(&self) -> Vec<ServiceDemand> {
-        let Some(view) = self.control.view() else {
-            return Vec::new();
-        };
+    fn demand(&self, view: &RoutingView) -> Vec<ServiceDemand> {
         let rows = view.services.iter().zip(self.gate.demand());
         rows.map(|(service, requests)| ServiceDemand {
             requests,
@@ -81,3 +67,10 @@
         .collect()
     }
 }
+
+/// Returns marks for the hosts that the list or the log shows as leaving. A peer may be cut off from both.
+fn listed_marks(view: &RoutingView) -> impl Iterator<Item = LeavingMark> {
+    let targets = view.targets.iter();
+    let leaving = targets.filter(|target| target.present && target.leaving);
+    leaving.map(TargetView::leaving_mark)
+}
