--- /dev/null
+++ b/crates/dispatch/src/jobs/mod.rs
@@ -0,0 +1,17 @@
+//! Jobs, their steps and work items.
+
+mod job_id;
+mod job_phase;
+mod job_spec;
+mod job_state;
+mod job_table;
+mod work_item;
+
+pub use {
+    job_id::{ItemName, JobId, JobIdError},
+    job_phase::JobPhase,
+    job_spec::{JobSpec, SpecError, StepSpec},
+    job_state::JobState,
+    job_table::JobTable,
+    work_item::{ItemKey, ItemRun, JobKey, RunPhase, WorkItem},
+};
--- /dev/null
+++ b/crates/dispatch/src/owner/caller_calls.rs
@@ -0,0 +1,145 @@
+use {
+    super::{OwnerOrder, OwnerState, journal_queue::StoredEffect},
+    crate::{
+        jobs::{JobId, JobKey, JobPhase, JobState},
+        records::JobSubmission,
+    },
+    goldcreststall_core::ids::LocalTime,
+    serde::{Deserialize, Serialize},
+};
+
+/// Names a call that waits for its answer.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct CallTicket(pub u64);
+
+/// A call about jobs, already routed to its queue.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum JobCall {
+    /// Cancel a job.
+    Cancel(JobId),
+    /// Count the jobs of the named queue that have not begun.
+    Pending(String),
+    /// Tell where a job stands.
+    State(JobId),
+    /// Accept a job.
+    Submit(JobId, Box<JobSubmission>),
+}
+
+/// The answer to a call.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum CallAnswer {
+    /// The submission or cancellation is stored.
+    Accepted,
+    /// No such job.
+    Gone,
+    /// Jobs that have not begun.
+    Pending(u32),
+    /// Where the job stands.
+    State(JobPhase),
+    /// Not run: the owner cannot take it now.
+    Unavailable,
+    /// The outcome is not known.
+    Unknown,
+}
+
+impl OwnerState {
+    /// Handles a call; its answer is an order, at once or when something is stored.
+    pub fn call(&mut self, ticket: CallTicket, call: JobCall, now: LocalTime) {
+        match call {
+            JobCall::Cancel(id) => self.cancel(ticket, id, now),
+            JobCall::Pending(queue) => {
+                self.reply(ticket, CallAnswer::Pending(self.pending(&queue)))
+            }
+            JobCall::State(id) => self.reply(ticket, self.job_state(id)),
+            JobCall::Submit(id, submission) => self.submit(ticket, id, *submission, now),
+        }
+    }
+
+    fn reply(&mut self, ticket: CallTicket, answer: CallAnswer) {
+        self.orders.push(OwnerOrder::Reply { ticket, answer });
+    }
+
+    fn submit(&mut self, ticket: CallTicket, id: JobId, submission: JobSubmission, now: LocalTime) {
+        if let Some(key) = self.jobs.find(id) {
+            self.submit_again(ticket, key);
+            return;
+        }
+        let job = JobState::new(id, submission.clone(), now);
+        let detail = format!(
+            "queue={} service={} steps={} items={} objective_ms={}",
+            job.queue.name,
+            job.queue.service,
+            job.spec.steps.len(),
+            job.items.len(),
+            job.objective().0
+        );
+        self.note("job submitted", id.to_string(), detail);
+        let key = self.jobs.insert(job);
+        self.journal.submit(key, id, submission);
+        self.journal
+            .then(StoredEffect::Reply(key, ticket, CallAnswer::Accepted));
+    }
+
+    fn submit_again(&mut self, ticket: CallTicket, key: JobKey) {
+        if self.jobs.get(key).is_some_and(|job| job.accepted) {
+            self.reply(ticket, CallAnswer::Accepted);
+            return;
+        }
+        self.journal
+            .then(StoredEffect::Reply(key, ticket, CallAnswer::Accepted));
+    }
+
+    fn cancel(&mut self, ticket: CallTicket, id: JobId, now: LocalTime) {
+        let Some(key) = self.jobs.find(id) else {
+            self.reply(ticket, CallAnswer::Gone);
+            return;
+        };
+        let stored = self.jobs.get(key).map(|job| job.stored_phase);
+        if stored.is_some_and(JobPhase::is_final) {
+            self.reply(ticket, CallAnswer::Accepted);
+            return;
+        }
+        self.end_job(key, JobPhase::Cancelled, "cancelled by its caller", now);
+        self.journal
+            .then(StoredEffect::Reply(key, ticket, CallAnswer::Accepted));
+    }
+
+    fn job_state(&self, id: JobId) -> CallAnswer {
+        let job = self.jobs.find(id).and_then(|key| self.jobs.get(key));
+        match job {
+            Some(job) => CallAnswer::State(job.shown_phase()),
+            None => CallAnswer::Gone,
+        }
+    }
+
+    fn pending(&self, queue: &str) -> u32 {
+        let waits = |job: &&JobState| job.accepted && !job.begun && job.queue.name == queue;
+        let jobs = self
+            .jobs
+            .open()
+            .iter()
+            .filter_map(|key| self.jobs.get(*key));
+        jobs.filter(waits).count() as u32
+    }
+
+    /// Ends a job: nothing of it starts any more, and what runs is stopped.
+    pub(super) fn end_job(&mut self, key: JobKey, phase: JobPhase, why: &str, now: LocalTime) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        if job.phase.is_final() {
+            return;
+        }
+        job.phase = phase;
+        job.ended = Some(now);
+        let id = job.id;
+        self.note(
+            "job ended",
+            id.to_string(),
+            format!("phase={phase:?} why={why}"),
+        );
+        self.journal.mark_dirty(key);
+        self.journal.then(StoredEffect::Show(key, phase));
+        self.stop_job_runs(key);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/owner/mod.rs
@@ -0,0 +1,23 @@
+//! The owner's state: jobs, runners, hosts and waves, and what follows from each event.
+
+mod caller_calls;
+mod fault_watch;
+mod hold_planner;
+mod host_duties;
+mod journal_queue;
+mod owner_order;
+mod owner_state;
+mod pace_control;
+mod placement;
+mod restore;
+mod run_book;
+mod runner_answers;
+
+pub use {
+    caller_calls::{CallAnswer, CallTicket, JobCall},
+    host_duties::{HostAnswer, HostReport, HostStatus, WaveRequest},
+    journal_queue::{BatchId, JournalBatch},
+    owner_order::{OwnerOrder, RunOrder, StartOrder},
+    owner_state::{OwnerNote, OwnerState},
+    runner_answers::StartAnswer,
+};
--- /dev/null
+++ b/crates/dispatch/src/owner/owner_order.rs
@@ -0,0 +1,91 @@
+use {
+    super::{CallAnswer, CallTicket},
+    crate::{
+        jobs::{ItemKey, ItemName},
+        runners::RunnerKey,
+    },
+    goldcreststall_core::ids::Millis,
+    std::sync::Arc,
+};
+
+/// Names one run of a work item on a runner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RunOrder {
+    /// The runner.
+    pub runner: RunnerKey,
+    /// The work item, where the owner knows it.
+    pub item: Option<ItemKey>,
+    /// Its name.
+    pub name: ItemName,
+    /// Number of the run.
+    pub run: u32,
+}
+
+/// Asks a runner to start a work item.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StartOrder {
+    /// The runner.
+    pub runner: RunnerKey,
+    /// The work item.
+    pub item: ItemKey,
+    /// Its name.
+    pub name: ItemName,
+    /// Number of the run.
+    pub run: u32,
+    /// The caller's description.
+    pub spec: Arc<str>,
+    /// End of the lease on the runner's clock, in milliseconds.
+    pub deadline_ms: u64,
+    /// Where to resume; empty for the beginning.
+    pub checkpoint: String,
+}
+
+/// What the owner wants done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OwnerOrder {
+    /// Prolong the lease of a runner's work and list it.
+    Hold {
+        /// The runner.
+        runner: RunnerKey,
+        /// New end of the lease on the runner's clock; none to leave it.
+        deadline_ms: Option<u64>,
+        /// Highest end that is acknowledged.
+        last_seen: u64,
+        /// Longest wait for an end.
+        wait: Millis,
+    },
+    /// Start a work item.
+    Start(StartOrder),
+    /// Stop a run.
+    Stop(RunOrder),
+    /// Let a run work at a share of its speed, in percent.
+    Pace(RunOrder, u32),
+    /// Move a host to another pool.
+    MoveHost {
+        /// The host.
+        host: String,
+        /// Its new pool.
+        pool: String,
+    },
+    /// Begin the maintenance of a host.
+    MaintainHost {
+        /// The host.
+        host: String,
+        /// The wave that asks for it.
+        wave: u64,
+    },
+    /// Tell operators where a wave stands.
+    ReportWave {
+        /// The wave.
+        wave: u64,
+        /// It is over.
+        completed: bool,
+    },
+    /// Answer a call.
+    Reply {
+        /// The call.
+        ticket: CallTicket,
+        /// The answer.
+        answer: CallAnswer,
+    },
+}
--- /dev/null
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -0,0 +1,163 @@
+use {
+    super::{
+        OwnerOrder,
+        host_duties::{HostTable, WaveTable},
+        journal_queue::JournalQueue,
+    },
+    crate::{
+        jobs::{JobKey, JobTable},
+        routes::FleetRules,
+        runners::{RunnerKey, RunnerTable, longest_lapse},
+    },
+    goldcreststall_core::ids::{LocalTime, Millis},
+    std::{net::SocketAddr, sync::Arc},
+};
+
+/// How long a job that is over can be asked for.
+const KEEP_ENDED: Millis = Millis(125_000);
+/// Time between two rounds of the decisions that are not urgent.
+const SLOW_ROUND: Millis = Millis(100);
+
+/// A decision or a change of belief, for the log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OwnerNote {
+    /// What was decided or learned.
+    pub event: &'static str,
+    /// The job, work item, runner or host.
+    pub subject: String,
+    /// The inputs that decided it.
+    pub detail: String,
+}
+
+/// Everything that the owner decides with.
+#[derive(Debug)]
+pub struct OwnerState {
+    pub(super) token: u64,
+    pub(super) rules: Arc<FleetRules>,
+    pub(super) jobs: JobTable,
+    pub(super) runners: RunnerTable,
+    pub(super) hosts: HostTable,
+    pub(super) waves: WaveTable,
+    pub(super) journal: JournalQueue,
+    pub(super) orders: Vec<OwnerOrder>,
+    pub(super) notes: Vec<OwnerNote>,
+    pub(super) started: LocalTime,
+    pub(super) settled: bool,
+    pub(super) listed: bool,
+    pub(super) place_due: bool,
+    slow_round: LocalTime,
+}
+
+impl OwnerState {
+    /// Creates the state of an owner whose term with `token` begins at `now`.
+    pub fn new(token: u64, rules: Arc<FleetRules>, now: LocalTime) -> Self {
+        Self {
+            token,
+            rules,
+            jobs: JobTable::default(),
+            runners: RunnerTable::default(),
+            hosts: HostTable::default(),
+            waves: WaveTable::default(),
+            journal: JournalQueue::default(),
+            orders: Vec::new(),
+            notes: Vec::new(),
+            started: now,
+            settled: false,
+            listed: false,
+            place_due: true,
+            slow_round: now,
+        }
+    }
+
+    /// Takes a newer configuration.
+    pub fn set_rules(&mut self, rules: Arc<FleetRules>) {
+        if rules.version > self.rules.version {
+            self.rules = rules;
+        }
+    }
+
+    /// Returns the orders that are due, and forgets them.
+    pub fn take_orders(&mut self) -> Vec<OwnerOrder> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Returns the notes since the last call, and forgets them.
+    pub fn take_notes(&mut self) -> Vec<OwnerNote> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Returns id and address of a runner.
+    pub fn runner_address(&self, key: RunnerKey) -> Option<(&str, SocketAddr)> {
+        let state = self.runners.get(key)?;
+        Some((&state.report.id, state.report.address))
+    }
+
+    /// Makes the decisions that are due. `wall_ms` is the time of day in Unix milliseconds.
+    pub fn tick(&mut self, now: LocalTime, wall_ms: u64) {
+        if now >= self.slow_round {
+            self.slow_round = now + SLOW_ROUND;
+            self.lapse_runs(now);
+            self.settle(now);
+            self.watch_faults(now);
+            self.decide_hosts(now);
+            self.forget_ended(now);
+            self.place_due = true;
+        }
+        if self.place_due {
+            self.place_due = false;
+            self.place_items(now, wall_ms);
+        }
+        self.plan_holds(now);
+    }
+
+    /// Returns whether recovered work may be started: no earlier owner's work can be unknown.
+    fn settle(&mut self, now: LocalTime) {
+        if self.settled || !self.listed {
+            return;
+        }
+        let answered = |fenced: bool, listed: bool| fenced || !listed;
+        let all = self
+            .runners
+            .all()
+            .all(|(_, runner)| answered(runner.fenced, runner.listed));
+        let waited = now >= self.started + longest_lapse();
+        // Entries lapse while the store is away, so that a short list proves nothing early on.
+        let complete = all && self.hosts.all_runners_known(&self.runners);
+        if !complete && !waited {
+            return;
+        }
+        self.settled = true;
+        let open = self.jobs.open().to_vec();
+        for key in open {
+            if let Some(job) = self.jobs.get_mut(key) {
+                job.unsettled = false;
+            }
+        }
+        let detail = format!("all_runners_answered={complete} lease_waited={waited}");
+        self.note("recovery settled", format!("token {}", self.token), detail);
+    }
+
+    fn forget_ended(&mut self, now: LocalTime) {
+        self.jobs.close_final();
+        let over: Vec<JobKey> = self
+            .jobs
+            .all()
+            .filter(|(_, job)| job.ended.is_some_and(|at| now.since(at) > KEEP_ENDED))
+            .filter(|(_, job)| job.items.iter().all(|item| item.runs.is_empty()))
+            .map(|(key, _)| key)
+            .collect();
+        for key in over {
+            if let Some(job) = self.jobs.remove(key) {
+                self.journal.forget(job.id);
+            }
+        }
+    }
+
+    pub(super) fn note(&mut self, event: &'static str, subject: String, detail: String) {
+        self.notes.push(OwnerNote {
+            event,
+            subject,
+            detail,
+        });
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/owner/restore.rs
@@ -0,0 +1,118 @@
+use {
+    super::OwnerState,
+    crate::{
+        jobs::{JobPhase, JobState},
+        records::{JobProgress, JobSubmission, StoreRecord, WaveProgress},
+        runners::{RunnerReport, longest_lapse},
+    },
+    goldcreststall_core::ids::LocalTime,
+    std::collections::BTreeMap,
+};
+
+/// Skips the run numbers that earlier owners may have used: the token rises faster than they do.
+const RUNS_PER_TOKEN: u64 = 16;
+
+impl OwnerState {
+    /// Takes what the store holds. Submissions and progress may come in any order.
+    pub fn restore(&mut self, records: Vec<StoreRecord>, now: LocalTime) {
+        let mut progress: BTreeMap<_, JobProgress> = BTreeMap::new();
+        let mut submissions: Vec<(crate::jobs::JobId, JobSubmission)> = Vec::new();
+        for record in records {
+            match record {
+                StoreRecord::Submission(id, submission) => submissions.push((id, submission)),
+                StoreRecord::Progress(id, stored) => {
+                    progress.insert(id, stored);
+                }
+                StoreRecord::Wave(number, stored) => self.restore_wave(number, stored),
+                StoreRecord::Forgotten(_) => {}
+            }
+        }
+        let restored = submissions.len();
+        for (id, submission) in submissions {
+            let mut job = JobState::new(id, submission, now);
+            job.accepted = true;
+            if let Some(stored) = progress.get(&id) {
+                job.restore(stored);
+            }
+            if job.phase.is_final() {
+                job.ended = Some(now);
+            } else if job.complete_if_done() {
+                job.ended = Some(now);
+                job.stored_phase = JobPhase::Completed;
+            }
+            job.unsettled = true;
+            let first_run = self.token.saturating_mul(RUNS_PER_TOKEN);
+            for item in &mut job.items {
+                item.last_run = u32::try_from(first_run).unwrap_or(u32::MAX / 2);
+            }
+            self.jobs.insert(job);
+        }
+        if restored == 0 {
+            // Nothing was accepted before this term, so that no run can be unknown.
+            self.settled = true;
+        }
+        let detail = format!("jobs={restored}");
+        self.note("store read", format!("token {}", self.token), detail);
+    }
+
+    fn restore_wave(&mut self, number: u64, stored: WaveProgress) {
+        self.waves.restore(number, stored);
+    }
+
+    /// Takes the complete list of runners.
+    pub fn runners_listed(&mut self, reports: Vec<RunnerReport>, now: LocalTime) {
+        let listed: Vec<String> = reports.iter().map(|report| report.id.clone()).collect();
+        for report in reports {
+            self.take_report(report, now);
+        }
+        for key in self.runners.keys() {
+            let Some(state) = self.runners.get_mut(key) else {
+                continue;
+            };
+            if state.listed && !listed.contains(&state.report.id) {
+                state.listed = false;
+                let id = state.report.id.clone();
+                let age = now.since(state.answered).0;
+                self.note(
+                    "runner gone from the list",
+                    id,
+                    format!("last_answer_ms={age}"),
+                );
+            }
+        }
+        self.listed = true;
+        self.place_due = true;
+    }
+
+    fn take_report(&mut self, report: RunnerReport, now: LocalTime) {
+        let found = self.runners.find(&report.id);
+        let state = found.and_then(|key| self.runners.get_mut(key));
+        if let Some(state) = state
+            && state.report.born_ms == report.born_ms
+        {
+            let changed = state.report.status != report.status || !state.listed;
+            state.listed = true;
+            state.report = report;
+            if changed {
+                let id = state.report.id.clone();
+                let detail = format!("status={:?}", state.report.status);
+                self.note("runner changed", id, detail);
+            }
+            return;
+        }
+        let detail = format!("service={} born={}", report.service, report.born_ms);
+        self.note("runner seen", report.id.clone(), detail);
+        let (_, replaced) = self.runners.insert(report, now);
+        if let Some(old) = replaced {
+            if let Some(state) = self.runners.get_mut(old) {
+                state.listed = false;
+            }
+            self.void_runner(old, "a new lifetime is listed", now);
+        }
+    }
+
+    /// Returns whether work of an earlier owner may still run on runners that were not looked at.
+    pub(super) fn in_doubt(&self, now: LocalTime) -> bool {
+        !self.settled && now < self.started + longest_lapse()
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/routes/mod.rs
@@ -0,0 +1,5 @@
+//! The operator's configuration: queues, services and limits of calls.
+
+mod fleet_rules;
+
+pub use fleet_rules::{CallLimits, FleetRules, RouteRule, ServiceRule};
--- /dev/null
+++ b/crates/dispatch/src/runners/mod.rs
@@ -0,0 +1,15 @@
+//! Runners: what they report, what they hold, and when their leases end.
+
+mod lease_clock;
+mod runner_report;
+mod runner_state;
+mod runner_table;
+
+pub use {
+    lease_clock::{LEASE, LeaseClock, longest_lapse},
+    runner_report::{
+        Capacity, EndKind, EndedRun, HoldAnswer, ListedRun, RunnerReport, RunnerStatus,
+    },
+    runner_state::{RunnerKey, RunnerState},
+    runner_table::RunnerTable,
+};
--- /dev/null
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -0,0 +1,100 @@
+use {
+    super::{Capacity, LeaseClock, RunnerReport, RunnerStatus},
+    crate::jobs::ItemKey,
+    goldcreststall_core::ids::LocalTime,
+};
+
+/// Place of a runner's lifetime in the [`super::RunnerTable`].
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RunnerKey(pub u32);
+
+/// One lifetime of a runner.
+#[derive(Clone, Debug)]
+pub struct RunnerState {
+    /// Its newest entry in the platform's list.
+    pub report: RunnerReport,
+    /// The entry is in the list.
+    pub listed: bool,
+    /// It has answered a hold call with this owner's token: older owners' orders have no effect there.
+    pub fenced: bool,
+    /// When it was first seen by this owner.
+    pub seen: LocalTime,
+    /// Its clock and the leases granted on it.
+    pub clock: LeaseClock,
+    /// When the hold call in flight was sent.
+    pub holding: Option<LocalTime>,
+    /// When the next hold call may be sent.
+    pub next_hold: LocalTime,
+    /// When it last answered.
+    pub answered: LocalTime,
+    /// Hold calls in a row without an answer.
+    pub misses: u32,
+    /// Highest end that was processed.
+    pub processed: u64,
+    /// Highest end whose outcome is stored, which may be acknowledged.
+    pub stored: u64,
+    /// Highest end that was acknowledged by a hold call with an answer.
+    pub acknowledged: u64,
+    /// Room taken by runs.
+    pub used: Capacity,
+    /// Work items with a run here, once for each run.
+    pub items: Vec<ItemKey>,
+    /// Lists runs of jobs that are not known; their room is not known either.
+    pub foreign: bool,
+    /// Takes no new work until then, after failures.
+    pub cooling: LocalTime,
+    /// Failed runs in a row.
+    pub strikes: u32,
+    /// Takes no new work, because the host is about to move or to be maintained.
+    pub cordoned: bool,
+    /// Since when nothing runs here.
+    pub empty_since: LocalTime,
+}
+
+impl RunnerState {
+    /// Creates the state of a lifetime that was just seen.
+    pub fn new(report: RunnerReport, now: LocalTime) -> Self {
+        Self {
+            report,
+            listed: true,
+            fenced: false,
+            seen: now,
+            clock: LeaseClock::default(),
+            holding: None,
+            next_hold: now,
+            answered: LocalTime(0),
+            misses: 0,
+            processed: 0,
+            stored: 0,
+            acknowledged: 0,
+            used: Capacity::default(),
+            items: Vec::new(),
+            foreign: false,
+            cooling: LocalTime(0),
+            strikes: 0,
+            cordoned: false,
+            empty_since: now,
+        }
+    }
+
+    /// Returns the room that is left.
+    pub fn free(&self) -> Capacity {
+        self.report.capacity.minus(&self.used)
+    }
+
+    /// Returns whether new work may be started here.
+    pub fn takes_work(&self, now: LocalTime) -> bool {
+        self.listed
+            && self.fenced
+            && !self.foreign
+            && !self.cordoned
+            && self.misses == 0
+            && self.report.status == RunnerStatus::Ready
+            && self.cooling <= now
+    }
+
+    /// Returns whether the runner has the label.
+    pub fn has_label(&self, label: &str) -> bool {
+        self.report.labels.iter().any(|own| own == label)
+    }
+}
--- a/crates/entry/src/logging/log_format.rs
+++ b/crates/entry/src/logging/log_format.rs
@@ -19,10 +19,7 @@
 pub fn build_logger(format: LogFormat, level: Level, entry: &str) -> Logger {
     let entry = entry.to_owned();
     match format {
-        LogFormat::Json => {
-            let drain = slog_json::Json::default(io::stderr()).fuse();
-            build(drain, level, entry)
-        }
+        LogFormat::Json => build_json(io::stderr(), level, entry),
         LogFormat::Plain => {
             let decorator = slog_term::PlainSyncDecorator::new(io::stderr());
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
@@ -31,6 +28,15 @@
     }
 }
 
+/// Builds a logger that writes one JSON object a line to standard output without blocking its callers.
+pub fn build_stdout_logger(level: Level, entry: &str) -> Logger {
+    build_json(io::stdout(), level, entry.to_owned())
+}
+
+fn build_json(output: impl io::Write + Send + 'static, level: Level, entry: String) -> Logger {
+    build(slog_json::Json::default(output).fuse(), level, entry)
+}
+
 fn build<D>(drain: D, level: Level, entry: String) -> Logger
 where
     D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
--- a/crates/entry/src/logging/mod.rs
+++ b/crates/entry/src/logging/mod.rs
@@ -2,4 +2,4 @@
 
 mod log_format;
 
-pub use log_format::{LogFormat, build_logger};
+pub use log_format::{LogFormat, build_logger, build_stdout_logger};
--- /dev/null
+++ b/crates/node/src/control/control_event.rs
@@ -0,0 +1,102 @@
+use {
+    crate::journal::{JobJournal, JournalEnd},
+    goldcreststall_core::ids::LocalTime,
+    goldcreststall_dispatch::{
+        owner::{
+            BatchId, CallAnswer, HostAnswer, HostReport, JobCall, RunOrder, StartAnswer,
+            StartOrder, WaveRequest,
+        },
+        records::StoreRecord,
+        routes::FleetRules,
+        runners::{HoldAnswer, RunnerKey, RunnerReport},
+    },
+    std::sync::Arc,
+    tokio::sync::oneshot,
+};
+
+/// What the control actor learns. Events of an earlier term name its token and are ignored.
+pub enum ControlEvent {
+    /// A batch was stored, or a newer owner writes.
+    BatchEnded {
+        /// Fencing token of the term.
+        token: u64,
+        /// The batch.
+        batch: BatchId,
+        /// How it ended.
+        end: JournalEnd,
+        /// The journal, for the next batch.
+        journal: Box<JobJournal>,
+    },
+    /// A call about a job.
+    Call {
+        /// The call.
+        call: JobCall,
+        /// Takes the answer.
+        reply: oneshot::Sender<CallAnswer>,
+    },
+    /// The term is over.
+    Deposed,
+    /// This process owns the fleet; a fencing token.
+    Elected(u64),
+    /// The host service answered an order.
+    HostAnswered {
+        /// Fencing token of the term.
+        token: u64,
+        /// The host.
+        host: String,
+        /// The answer.
+        answer: HostAnswer,
+    },
+    /// The list of hosts was read.
+    HostsListed(Vec<HostReport>),
+    /// A runner answered a hold call.
+    HoldAnswered {
+        /// Fencing token of the term.
+        token: u64,
+        /// The runner.
+        runner: RunnerKey,
+        /// When the call was sent.
+        sent: LocalTime,
+        /// Highest end that the call acknowledged.
+        last_seen: u64,
+        /// The answer; none when it did not come.
+        answer: Option<HoldAnswer>,
+    },
+    /// The store holds this of earlier terms.
+    Restored {
+        /// Fencing token of the term.
+        token: u64,
+        /// The records.
+        records: Vec<StoreRecord>,
+        /// The journal of the term.
+        journal: Box<JobJournal>,
+    },
+    /// A newer configuration.
+    Rules(Arc<FleetRules>),
+    /// The list of runners has changed.
+    RunnersListed(Vec<RunnerReport>),
+    /// A runner answered an order to start.
+    StartAnswered {
+        /// Fencing token of the term.
+        token: u64,
+        /// The order.
+        order: Box<StartOrder>,
+        /// The answer.
+        answer: StartAnswer,
+    },
+    /// A runner answered an order to stop, with the reading of its clock.
+    StopAnswered {
+        /// Fencing token of the term.
+        token: u64,
+        /// The order.
+        order: RunOrder,
+        /// The reading; none without an answer.
+        clock_ms: Option<u64>,
+    },
+    /// The store does not take a batch.
+    StoreTrouble(u64),
+    /// Time has passed.
+    Tick,
+    /// An operator asks for a wave.
+    Wave(WaveRequest),
+}
--- /dev/null
+++ b/crates/node/src/control/mod.rs
@@ -0,0 +1,11 @@
+//! The control actor: it owns the owner's state and carries out what that decides.
+
+mod control_event;
+mod order_runner;
+mod owner_actor;
+mod owner_term;
+
+pub use {
+    control_event::ControlEvent,
+    owner_actor::{ActorParts, OwnerActor},
+};
--- /dev/null
+++ b/crates/node/src/control/owner_actor.rs
@@ -0,0 +1,313 @@
+use {
+    super::{ControlEvent, order_runner::OrderRunner, owner_term::OwnerTerm},
+    crate::{
+        election::OwnerLease,
+        journal::{JobJournal, JournalEnd},
+        metrics::NodeMetrics,
+        ports::{HostService, PlatformStore, RunnerService},
+    },
+    goldcreststall_core::ids::{LocalTime, Millis},
+    goldcreststall_dispatch::{
+        owner::{CallAnswer, JobCall, OwnerOrder, OwnerState, WaveRequest},
+        routes::FleetRules,
+    },
+    goldcreststall_entry::clock::{BootClock, wall_time},
+    kameo::{
+        Actor,
+        actor::{ActorRef, WeakActorRef},
+        message::{Context, Message},
+    },
+    slog::{Logger, info},
+    std::{convert::Infallible, sync::Arc},
+    tokio::sync::oneshot,
+};
+
+/// Time without a stored batch after which submissions are refused.
+const TROUBLE_LIMIT: Millis = Millis(900);
+
+/// What the actor works with.
+#[derive(Clone)]
+pub struct ActorParts {
+    /// Until when orders may be given.
+    pub lease: OwnerLease,
+    /// Log of decisions.
+    pub logger: Logger,
+    /// Time that the maintenance of a host takes.
+    pub maintenance: Millis,
+    /// Counters and histograms.
+    pub metrics: Arc<NodeMetrics>,
+    /// The runners.
+    pub runners: Arc<dyn RunnerService>,
+    /// The host service.
+    pub hosts: Arc<dyn HostService>,
+    /// The store.
+    pub store: Arc<dyn PlatformStore>,
+}
+
+/// Owns the state of the owner, while this process is it.
+pub struct OwnerActor {
+    parts: ActorParts,
+    own: WeakActorRef<Self>,
+    rules: Arc<FleetRules>,
+    term: Option<OwnerTerm>,
+    waves: Vec<WaveRequest>,
+}
+
+impl Actor for OwnerActor {
+    type Args = ActorParts;
+    type Error = Infallible;
+
+    async fn on_start(parts: ActorParts, own: ActorRef<Self>) -> Result<Self, Infallible> {
+        Ok(Self {
+            own: own.downgrade(),
+            parts,
+            rules: Arc::default(),
+            term: None,
+            waves: Vec::new(),
+        })
+    }
+}
+
+impl Message<ControlEvent> for OwnerActor {
+    type Reply = ();
+
+    async fn handle(&mut self, event: ControlEvent, _context: &mut Context<Self, ()>) {
+        let now = BootClock.now();
+        self.take(event, now);
+        self.act(now);
+    }
+}
+
+impl OwnerActor {
+    fn take(&mut self, event: ControlEvent, now: LocalTime) {
+        match event {
+            ControlEvent::BatchEnded {
+                token,
+                batch,
+                end,
+                journal,
+            } => {
+                let Some(term) = self.term.as_mut().filter(|term| term.token == token) else {
+                    return;
+                };
+                if end == JournalEnd::Fenced {
+                    self.depose("a newer owner writes");
+                    return;
+                }
+                term.trouble = None;
+                term.journal = Some(journal);
+                if let Some(state) = &mut term.state {
+                    state.batch_stored(batch, now);
+                }
+            }
+            ControlEvent::Call { call, reply } => self.call(call, reply, now),
+            ControlEvent::Deposed => self.depose("the election says so"),
+            ControlEvent::Elected(token) => self.begin_term(token, now),
+            ControlEvent::HostAnswered {
+                token,
+                host,
+                answer,
+            } => {
+                let newest = self
+                    .state_of(token)
+                    .is_none_or(|state| state.host_answered(&host, answer, now));
+                if !newest {
+                    self.depose("the host service has seen a newer owner");
+                }
+            }
+            ControlEvent::HostsListed(reports) => {
+                let maintenance = self.parts.maintenance;
+                if let Some(state) = self.state() {
+                    state.hosts_listed(reports, now, maintenance);
+                }
+            }
+            ControlEvent::HoldAnswered {
+                token,
+                runner,
+                sent,
+                last_seen,
+                answer,
+            } => {
+                if let Some(state) = self.state_of(token) {
+                    match answer {
+                        Some(answer) => state.hold_answered(runner, sent, last_seen, answer, now),
+                        None => state.hold_missed(runner, now),
+                    }
+                }
+            }
+            ControlEvent::Restored {
+                token,
+                records,
+                journal,
+            } => self.restored(token, records, journal, now),
+            ControlEvent::Rules(rules) => {
+                self.rules = Arc::clone(&rules);
+                if let Some(state) = self.state() {
+                    state.set_rules(rules);
+                }
+            }
+            ControlEvent::RunnersListed(reports) => {
+                if let Some(state) = self.state() {
+                    state.runners_listed(reports, now);
+                }
+            }
+            ControlEvent::StartAnswered {
+                token,
+                order,
+                answer,
+            } => {
+                let newest = self
+                    .state_of(token)
+                    .is_none_or(|state| state.start_answered(&order, answer, now));
+                if !newest {
+                    self.depose("a runner has seen a newer owner");
+                }
+            }
+            ControlEvent::StopAnswered {
+                token,
+                order,
+                clock_ms,
+            } => {
+                if let Some(state) = self.state_of(token) {
+                    state.stop_answered(&order, clock_ms, now);
+                }
+            }
+            ControlEvent::StoreTrouble(token) => self.store_trouble(token, now),
+            ControlEvent::Tick => {}
+            ControlEvent::Wave(request) => {
+                self.waves.push(request.clone());
+                if let Some(state) = self.state() {
+                    state.wave_requested(request, now);
+                }
+            }
+        }
+    }
+
+    fn state(&mut self) -> Option<&mut OwnerState> {
+        self.term.as_mut()?.state.as_mut()
+    }
+
+    fn state_of(&mut self, token: u64) -> Option<&mut OwnerState> {
+        let term = self.term.as_mut().filter(|term| term.token == token)?;
+        term.state.as_mut()
+    }
+
+    fn begin_term(&mut self, token: u64, now: LocalTime) {
+        self.term = Some(OwnerTerm::new(token, now));
+        let store = Arc::clone(&self.parts.store);
+        let logger = self.parts.logger.clone();
+        let own = self.own.clone();
+        tokio::spawn(async move {
+            let begun = JobJournal::begin(store, token, logger).await;
+            let event = match begun {
+                Some((journal, records)) => ControlEvent::Restored {
+                    token,
+                    records,
+                    journal: Box::new(journal),
+                },
+                None => ControlEvent::Deposed,
+            };
+            tell(&own, event).await;
+        });
+    }
+
+    fn restored(
+        &mut self,
+        token: u64,
+        records: Vec<goldcreststall_dispatch::records::StoreRecord>,
+        journal: Box<JobJournal>,
+        now: LocalTime,
+    ) {
+        let Some(term) = self.term.as_mut().filter(|term| term.token == token) else {
+            return;
+        };
+        let mut state = OwnerState::new(token, Arc::clone(&self.rules), term.began);
+        state.restore(records, now);
+        for wave in &self.waves {
+            state.wave_requested(wave.clone(), now);
+        }
+        term.state = Some(state);
+        term.journal = Some(journal);
+        for (call, reply) in std::mem::take(&mut term.early) {
+            self.call(call, reply, now);
+        }
+    }
+
+    fn depose(&mut self, why: &'static str) {
+        if let Some(term) = self.term.take() {
+            info!(self.parts.logger, "owner: the term has ended"; "token" => term.token, "why" => why);
+        }
+    }
+
+    fn call(&mut self, call: JobCall, reply: oneshot::Sender<CallAnswer>, now: LocalTime) {
+        let Some(term) = &mut self.term else {
+            // The caller's side turns this into a refusal: nothing was done.
+            let _ = reply.send(CallAnswer::Unavailable);
+            return;
+        };
+        let Some(state) = &mut term.state else {
+            term.early.push((call, reply));
+            return;
+        };
+        let submits = matches!(call, JobCall::Submit(..));
+        let troubled = |since: LocalTime| now.since(since) > TROUBLE_LIMIT;
+        if submits && term.trouble.is_some_and(troubled) {
+            let _ = reply.send(CallAnswer::Unavailable);
+            return;
+        }
+        let ticket = term.waiting.add(reply);
+        state.call(ticket, call, now);
+    }
+
+    fn store_trouble(&mut self, token: u64, now: LocalTime) {
+        let Some(term) = self.term.as_mut().filter(|term| term.token == token) else {
+            return;
+        };
+        let since = *term.trouble.get_or_insert(now);
+        if now.since(since) > TROUBLE_LIMIT
+            && let Some(state) = &mut term.state
+        {
+            state.refuse_unsent();
+        }
+    }
+
+    /// Carries out what is due.
+    fn act(&mut self, now: LocalTime) {
+        let holds = self.parts.lease.holds();
+        let Some(term) = &mut self.term else {
+            return;
+        };
+        let Some(state) = &mut term.state else {
+            return;
+        };
+        if holds {
+            state.tick(now, wall_time().0);
+        }
+        for note in state.take_notes() {
+            info!(self.parts.logger, "owner: {}", note.event;
+                "token" => term.token, "id" => note.subject, "inputs" => note.detail);
+        }
+        let runner = OrderRunner {
+            own: self.own.clone(),
+            parts: self.parts.clone(),
+            token: term.token,
+        };
+        for order in state.take_orders() {
+            match order {
+                OwnerOrder::Reply { ticket, answer } => term.waiting.answer(ticket, answer),
+                order => runner.run(order, state, now),
+            }
+        }
+        if let Some(journal) = term.journal.take() {
+            term.journal = runner.store_next(journal, state);
+        }
+    }
+}
+
+/// Tells the actor, unless the process ends.
+pub(super) async fn tell(own: &WeakActorRef<OwnerActor>, event: ControlEvent) {
+    if let Some(own) = own.upgrade() {
+        // The actor is gone only when the process ends.
+        let _ = own.tell(event).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/owner_term.rs
@@ -0,0 +1,68 @@
+use {
+    crate::journal::JobJournal,
+    goldcreststall_core::ids::LocalTime,
+    goldcreststall_dispatch::owner::{CallAnswer, CallTicket, JobCall, OwnerState},
+    tokio::sync::oneshot,
+};
+
+/// The running term of this process as owner.
+pub(super) struct OwnerTerm {
+    /// Fencing token.
+    pub(super) token: u64,
+    /// Decisions; none until the store was read.
+    pub(super) state: Option<OwnerState>,
+    /// The journal, while no batch is in flight.
+    pub(super) journal: Option<Box<JobJournal>>,
+    /// Calls that came before the store was read.
+    pub(super) early: Vec<(JobCall, oneshot::Sender<CallAnswer>)>,
+    /// When the store began to refuse batches or not to answer; none while it takes them.
+    pub(super) trouble: Option<LocalTime>,
+    /// When the term began.
+    pub(super) began: LocalTime,
+    /// Calls that wait for their answers.
+    pub(super) waiting: WaitingCalls,
+}
+
+impl OwnerTerm {
+    pub(super) fn new(token: u64, began: LocalTime) -> Self {
+        Self {
+            token,
+            state: None,
+            journal: None,
+            early: Vec::new(),
+            trouble: None,
+            began,
+            waiting: WaitingCalls::default(),
+        }
+    }
+}
+
+/// Calls that wait for their answers, by ticket.
+#[derive(Default)]
+pub(super) struct WaitingCalls {
+    calls: Vec<(CallTicket, oneshot::Sender<CallAnswer>)>,
+    last: u64,
+}
+
+impl WaitingCalls {
+    /// Numbers a call.
+    pub(super) fn add(&mut self, reply: oneshot::Sender<CallAnswer>) -> CallTicket {
+        self.last += 1;
+        let ticket = CallTicket(self.last);
+        // Tickets rise, so that the vector stays sorted.
+        self.calls.push((ticket, reply));
+        ticket
+    }
+
+    /// Answers a call.
+    pub(super) fn answer(&mut self, ticket: CallTicket, answer: CallAnswer) {
+        let place = self
+            .calls
+            .binary_search_by_key(&ticket, |(ticket, _)| *ticket);
+        if let Ok(place) = place {
+            let (_, reply) = self.calls.remove(place);
+            // A caller that has left needs no answer.
+            let _ = reply.send(answer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -0,0 +1,254 @@
+use {
+    crate::{
+        control::{ActorParts, ControlEvent, OwnerActor},
+        election::{ElectionEvent, ElectionTask, OwnerLease, OwnerPlace},
+        feeds::{OperatorFeed, RunnerFeed, follow_hosts},
+        front::{FrontDesk, OwnerCourier},
+        links::{LinkServer, OwnerLink},
+        metrics::NodeMetrics,
+        ports::{HostService, OperatorRecord, PlatformStore, RecordFeed, RunnerService},
+    },
+    anyhow::Context,
+    async_trait::async_trait,
+    goldcreststall_core::ids::Millis,
+    goldcreststall_dispatch::runners::RunnerReport,
+    goldcreststall_entry::clock::wall_time,
+    kameo::actor::{ActorRef, Spawn},
+    slog::{Logger, info},
+    std::{net::SocketAddr, sync::Arc, thread, time::Duration},
+    tokio::{
+        net::TcpListener,
+        runtime::Builder,
+        signal::unix::{SignalKind, signal},
+        sync::{mpsc, oneshot, watch},
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Time between two rounds of decisions while nothing happens.
+const TICK_PERIOD: Millis = Millis(10);
+/// How long callers are still served after SIGTERM: the load balancer needs two looks a second apart.
+const LAME_DUCK: Millis = Millis(2_500);
+/// Kept of the grace time for the end of the process.
+const EXIT_RESERVE: Millis = Millis(700);
+
+/// What the process is told at its start.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NodeSettings {
+    /// Name of the entry host.
+    pub name: String,
+    /// Where other entry hosts bring their calls.
+    pub link_address: SocketAddr,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: Millis,
+    /// Time that the maintenance of a host takes.
+    pub maintenance: Millis,
+}
+
+/// Serves callers and the load balancer.
+#[async_trait]
+pub trait NodeIngress: Send + Sync {
+    /// Serves until `stop` is cancelled, then finishes the exchanges in progress.
+    ///
+    /// # Errors
+    /// When an address cannot be bound.
+    async fn serve(&self, desk: Arc<FrontDesk>, stop: CancellationToken) -> anyhow::Result<()>;
+}
+
+/// The platform as the process sees it.
+pub struct NodePorts {
+    /// The host service.
+    pub hosts: Arc<dyn HostService>,
+    /// Callers and the load balancer.
+    pub ingress: Arc<dyn NodeIngress>,
+    /// Records of operators.
+    pub operators: Arc<dyn RecordFeed<OperatorRecord>>,
+    /// Entries of runners.
+    pub runner_entries: Arc<dyn RecordFeed<RunnerReport>>,
+    /// Orders to runners.
+    pub runners: Arc<dyn RunnerService>,
+    /// The store.
+    pub store: Arc<dyn PlatformStore>,
+}
+
+/// Runs an entry host until it is told to stop by SIGTERM or SIGINT.
+///
+/// # Errors
+/// When an address cannot be bound or a thread cannot be started.
+pub fn run(settings: &NodeSettings, ports: NodePorts, logger: &Logger) -> anyhow::Result<()> {
+    info!(logger, "node: start"; "settings" => ?settings);
+    let metrics = Arc::new(NodeMetrics::new()?);
+    let lease = OwnerLease::default();
+    let parts = ActorParts {
+        lease: lease.clone(),
+        logger: logger.clone(),
+        maintenance: settings.maintenance,
+        metrics: Arc::clone(&metrics),
+        runners: Arc::clone(&ports.runners),
+        hosts: Arc::clone(&ports.hosts),
+        store: Arc::clone(&ports.store),
+    };
+    let (owner, owners) = watch::channel(None);
+    let (rules, all_rules) = watch::channel(None);
+    let stop_claims = CancellationToken::new();
+    let (events, elections) = mpsc::unbounded_channel();
+    let election = ElectionTask {
+        claimant: format!("{}#{}", settings.name, wall_time().0),
+        address: settings.link_address,
+        store: Arc::clone(&ports.store),
+        events,
+        owner,
+        lease,
+        stop: stop_claims.clone(),
+        logger: logger.clone(),
+    };
+    let operators = Arc::clone(&ports.operators);
+    let follow = logger.clone();
+    let runner_feed = (Arc::clone(&ports.runner_entries), owners.clone());
+    let host_feed = (Arc::clone(&ports.hosts), owners.clone());
+    let actor = start_control(move || {
+        let actor = OwnerActor::spawn(parts);
+        let operator_feed = OperatorFeed {
+            feed: operators,
+            actor: actor.clone(),
+            rules,
+            logger: follow.clone(),
+        };
+        tokio::spawn(operator_feed.run());
+        let (feed, owner) = runner_feed;
+        let runner_feed = RunnerFeed {
+            feed,
+            actor: actor.clone(),
+            owner,
+            logger: follow.clone(),
+        };
+        tokio::spawn(runner_feed.run());
+        let (service, owner) = host_feed;
+        tokio::spawn(follow_hosts(service, actor.clone(), owner, follow));
+        tokio::spawn(pass_elections(actor.clone(), elections));
+        tokio::spawn(tick(actor.clone(), election));
+        actor
+    })?;
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("the traffic runtime was not built")?;
+    let link = OwnerLink::new(logger.clone());
+    let courier = OwnerCourier::new(actor.clone(), link, owners);
+    let desk = Arc::new(FrontDesk::new(courier, all_rules, metrics, logger.clone()));
+    runtime.block_on(serve(
+        settings,
+        ports.ingress,
+        actor,
+        desk,
+        stop_claims,
+        logger,
+    ))
+}
+
+/// Starts the thread of the control state and returns its actor.
+fn start_control(
+    spawn: impl FnOnce() -> ActorRef<OwnerActor> + Send + 'static,
+) -> anyhow::Result<ActorRef<OwnerActor>> {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("the control runtime was not built")?;
+    let (started, actor) = oneshot::channel();
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            runtime.block_on(async move {
+                let actor = spawn();
+                // The receiver is gone only when the process ends.
+                let _ = started.send(actor.clone());
+                actor.wait_for_shutdown().await;
+            });
+        })
+        .context("the control thread was not started")?;
+    actor
+        .blocking_recv()
+        .context("the control thread has ended")
+}
+
+async fn pass_elections(
+    actor: ActorRef<OwnerActor>,
+    mut elections: mpsc::UnboundedReceiver<ElectionEvent>,
+) {
+    while let Some(event) = elections.recv().await {
+        let event = match event {
+            ElectionEvent::Elected(token) => ControlEvent::Elected(token),
+            ElectionEvent::Deposed => ControlEvent::Deposed,
+        };
+        // The actor is gone only when the process ends.
+        let _ = actor.tell(event).await;
+    }
+}
+
+/// Runs the election, and wakes the actor regularly during a term.
+async fn tick(actor: ActorRef<OwnerActor>, election: ElectionTask) {
+    let mut owner = election.owner.subscribe();
+    tokio::spawn(election.run());
+    let own = |owner: &Option<OwnerPlace>| owner.as_ref().is_some_and(|owner| owner.own);
+    while owner.wait_for(own).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(TICK_PERIOD.0)).await;
+        // The actor is gone only when the process ends.
+        let _ = actor.tell(ControlEvent::Tick).await;
+    }
+}
+
+async fn serve(
+    settings: &NodeSettings,
+    ingress: Arc<dyn NodeIngress>,
+    actor: ActorRef<OwnerActor>,
+    desk: Arc<FrontDesk>,
+    stop_claims: CancellationToken,
+    logger: &Logger,
+) -> anyhow::Result<()> {
+    let listener = TcpListener::bind(settings.link_address)
+        .await
+        .with_context(|| format!("{} cannot be bound", settings.link_address))?;
+    let server = LinkServer {
+        actor,
+        logger: logger.clone(),
+    };
+    tokio::spawn(server.serve(listener));
+    let stop = CancellationToken::new();
+    let served = tokio::spawn({
+        let (desk, stop) = (Arc::clone(&desk), stop.clone());
+        async move { ingress.serve(desk, stop).await }
+    });
+    tokio::pin!(served);
+    tokio::select! {
+        ended = &mut served => return ended.context("the server of callers ended")?,
+        signal = wait_for_signal(logger) => signal?,
+    }
+    info!(logger, "node: told to stop"; "grace_ms" => settings.grace.0);
+    desk.start_drain();
+    stop_claims.cancel();
+    tokio::time::sleep(Duration::from_millis(LAME_DUCK.0)).await;
+    stop.cancel();
+    let left = settings
+        .grace
+        .0
+        .saturating_sub(LAME_DUCK.0 + EXIT_RESERVE.0);
+    let complete = tokio::time::timeout(Duration::from_millis(left), served)
+        .await
+        .is_ok();
+    info!(logger, "node: stop"; "all_answered" => complete);
+    Ok(())
+}
+
+/// Waits for SIGTERM or SIGINT. SIGHUP is noted: the settings name only addresses, which need a new process.
+async fn wait_for_signal(logger: &Logger) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("SIGTERM cannot be handled")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT cannot be handled")?;
+    let mut reload = signal(SignalKind::hangup()).context("SIGHUP cannot be handled")?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = reload.recv() => info!(logger, "node: reload; nothing in the settings changes at run time"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/election/claim_record.rs
@@ -0,0 +1,17 @@
+use {
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// A record of the ownership topic.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClaimRecord {
+    /// The claiming process: name of the entry host and start of the process.
+    pub claimant: String,
+    /// Where the claimant answers other entry hosts.
+    pub address: SocketAddr,
+    /// The fencing token of the term.
+    pub token: u64,
+    /// The term is over; another entry host may claim at once.
+    pub released: bool,
+}
--- /dev/null
+++ b/crates/node/src/election/election_task.rs
@@ -0,0 +1,277 @@
+use {
+    super::{ClaimRecord, OwnerLease},
+    crate::ports::{AppendGuard, PlatformStore, StoreFailure, StoreTopic},
+    bytes::Bytes,
+    goldcreststall_core::ids::{LocalTime, Millis},
+    goldcreststall_entry::clock::BootClock,
+    slog::{Logger, info, warn},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::sync::{mpsc, watch},
+    tokio_util::sync::CancellationToken,
+};
+
+/// Time from the send of a renewal until the owner stops giving orders.
+const OWNER_LEASE: Millis = Millis(2_000);
+/// Silence after which another entry host claims; longer than the owner's lease.
+const CLAIM_SILENCE: Millis = Millis(2_300);
+/// Time between renewals; three fit into a lease.
+const RENEW_PERIOD: Millis = Millis(600);
+/// Longest wait of a read for the next record.
+const READ_WAIT: Millis = Millis(700);
+/// Longest wait for the answer to a claim or renewal.
+const APPEND_TIMEOUT: Millis = Millis(700);
+/// Pause after a failed call of the store.
+const FAILURE_PAUSE: Millis = Millis(150);
+
+/// Who owns the fleet, as far as this entry host has read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OwnerPlace {
+    /// Where the owner answers.
+    pub address: SocketAddr,
+    /// Fencing token of its term.
+    pub token: u64,
+    /// This process is the owner.
+    pub own: bool,
+}
+
+/// A change of this process's role.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ElectionEvent {
+    /// This process owns the fleet, with a fencing token.
+    Elected(u64),
+    /// The term is over.
+    Deposed,
+}
+
+/// Follows the ownership topic, claims when it is silent, and renews the own claim.
+pub struct ElectionTask {
+    /// Name of this process.
+    pub claimant: String,
+    /// Where this process answers other entry hosts.
+    pub address: SocketAddr,
+    /// The store.
+    pub store: Arc<dyn PlatformStore>,
+    /// Told of changes of the role.
+    pub events: mpsc::UnboundedSender<ElectionEvent>,
+    /// Told who owns the fleet.
+    pub owner: watch::Sender<Option<OwnerPlace>>,
+    /// Prolonged by renewals.
+    pub lease: OwnerLease,
+    /// Cancelled when this process stops: the claim is released and none is made.
+    pub stop: CancellationToken,
+    /// Log of decisions.
+    pub logger: Logger,
+}
+
+/// What was read of the topic.
+struct Watch {
+    next: u64,
+    heard: LocalTime,
+    released: bool,
+}
+
+impl ElectionTask {
+    /// Runs until the process stops.
+    pub async fn run(self) {
+        let mut watch = Watch {
+            next: 0,
+            heard: BootClock.now(),
+            released: false,
+        };
+        while !self.stop.is_cancelled() {
+            if let Some(token) = self.follow(&mut watch).await {
+                self.hold_term(token).await;
+                watch.heard = BootClock.now();
+                watch.released = false;
+            }
+        }
+    }
+
+    /// Reads the topic until a claim of this process succeeds.
+    async fn follow(&self, watch: &mut Watch) -> Option<u64> {
+        let heard_late = BootClock.now().since(watch.heard) >= CLAIM_SILENCE;
+        let wait = if watch.released || heard_late {
+            Millis(0)
+        } else {
+            READ_WAIT
+        };
+        match self
+            .store
+            .read(StoreTopic::Ownership, watch.next, wait)
+            .await
+        {
+            Ok(batch) => {
+                let fresh_topic = watch.next == 0 && batch.end == 0;
+                let empty = batch.records.is_empty();
+                for record in &batch.records {
+                    self.hear(watch, record);
+                }
+                watch.next += batch.records.len() as u64;
+                let caught_up = watch.next >= batch.end;
+                let silent = BootClock.now().since(watch.heard) >= CLAIM_SILENCE;
+                if empty && caught_up && (fresh_topic || silent || watch.released) {
+                    return self.claim(batch.end).await;
+                }
+            }
+            Err(StoreFailure::Expired { first }) => watch.next = first,
+            Err(failure) => {
+                warn!(self.logger, "election: the ownership topic was not read";
+                    "failure" => %failure, "next" => watch.next);
+                tokio::time::sleep(Duration::from_millis(FAILURE_PAUSE.0)).await;
+            }
+        }
+        if BootClock.now().since(watch.heard) >= CLAIM_SILENCE {
+            self.owner.send_if_modified(|owner| owner.take().is_some());
+        }
+        None
+    }
+
+    fn hear(&self, watch: &mut Watch, record: &Bytes) {
+        watch.heard = BootClock.now();
+        let claim: ClaimRecord = match postcard::from_bytes(record) {
+            Ok(claim) => claim,
+            Err(error) => {
+                warn!(self.logger, "election: a record cannot be read"; "error" => %error);
+                return;
+            }
+        };
+        watch.released = claim.released;
+        let place = (!claim.released).then_some(OwnerPlace {
+            address: claim.address,
+            token: claim.token,
+            own: false,
+        });
+        let changed = self.owner.send_if_modified(|owner| {
+            let changed = *owner != place;
+            owner.clone_from(&place);
+            changed
+        });
+        if changed {
+            info!(self.logger, "election: the owner has changed"; "claimant" => claim.claimant,
+                "token" => claim.token, "released" => claim.released);
+        }
+    }
+
+    async fn claim(&self, end: u64) -> Option<u64> {
+        if self.stop.is_cancelled() {
+            return None;
+        }
+        let token = end + 1;
+        let sent = BootClock.now();
+        let claimed = self.append(token, end, false).await;
+        info!(self.logger, "election: claim"; "token" => token, "outcome" => ?claimed);
+        match claimed {
+            Ok(()) => {
+                self.lease.prolong(sent + OWNER_LEASE);
+                Some(token)
+            }
+            Err(StoreFailure::Unknown | StoreFailure::Refused) => {
+                tokio::time::sleep(Duration::from_millis(FAILURE_PAUSE.0)).await;
+                None
+            }
+            Err(_) => None,
+        }
+    }
+
+    /// Appends a record at the offset `at`. Every record is conditional on its offset, so that one claim at most
+    /// succeeds at an offset and an older owner's renewal fails after it. A producer and sequence number would
+    /// not do: the store answers a second process that uses the same ones as if it had repeated the first.
+    async fn append(&self, token: u64, at: u64, released: bool) -> Result<(), StoreFailure> {
+        let guard = AppendGuard {
+            at: Some(at),
+            fence: None,
+        };
+        let record = ClaimRecord {
+            claimant: self.claimant.clone(),
+            address: self.address,
+            token,
+            released,
+        };
+        // The record holds only plain fields, so that serialization cannot fail.
+        let bytes = postcard::to_stdvec(&record).expect("a claim is serializable");
+        let records = [Bytes::from(bytes)];
+        self.store
+            .append(StoreTopic::Ownership, &records, guard, APPEND_TIMEOUT)
+            .await
+            .map(|_| ())
+    }
+
+    /// Renews the claim until a newer owner exists or the process stops.
+    async fn hold_term(&self, token: u64) {
+        let place = OwnerPlace {
+            address: self.address,
+            token,
+            own: true,
+        };
+        self.owner.send_replace(Some(place));
+        self.send_event(ElectionEvent::Elected(token));
+        // The token is one above the offset of the claim.
+        let mut end = token;
+        loop {
+            let stopped = tokio::select! {
+                () = self.stop.cancelled() => true,
+                () = tokio::time::sleep(Duration::from_millis(RENEW_PERIOD.0)) => false,
+            };
+            let sent = BootClock.now();
+            match self.append(token, end, stopped).await {
+                Ok(()) => {
+                    end += 1;
+                    if stopped {
+                        info!(self.logger, "election: the claim is released"; "token" => token);
+                        break;
+                    }
+                    self.lease.prolong(sent + OWNER_LEASE);
+                }
+                Err(StoreFailure::NotAtEnd { .. }) => match self.own_records(token, end).await {
+                    // A renewal whose answer was lost has been carried out. Its send time is not known any more,
+                    // so that it does not prolong the lease.
+                    Some(own) if own > 0 => end += own,
+                    Some(_) => break,
+                    None => {}
+                },
+                Err(failure) => {
+                    warn!(self.logger, "election: a renewal has failed"; "token" => token,
+                        "failure" => %failure, "lease_holds" => self.lease.holds());
+                    if stopped {
+                        break;
+                    }
+                }
+            }
+        }
+        self.lease.end();
+        self.owner.send_replace(None);
+        info!(self.logger, "election: the term is over"; "token" => token);
+        self.send_event(ElectionEvent::Deposed);
+    }
+
+    /// Counts the records of this term from the offset `from` on; none when they cannot be read, 0 when
+    /// another process has written there.
+    async fn own_records(&self, token: u64, from: u64) -> Option<u64> {
+        let batch = match self
+            .store
+            .read(StoreTopic::Ownership, from, Millis(0))
+            .await
+        {
+            Ok(batch) => batch,
+            Err(failure) => {
+                warn!(self.logger, "election: the own renewals were not read";
+                    "failure" => %failure, "from" => from);
+                return None;
+            }
+        };
+        let own = |record: &Bytes| {
+            postcard::from_bytes::<ClaimRecord>(record)
+                .is_ok_and(|claim| claim.token == token && claim.claimant == self.claimant)
+        };
+        if !batch.records.iter().all(own) {
+            return Some(0);
+        }
+        Some(batch.records.len() as u64)
+    }
+
+    fn send_event(&self, event: ElectionEvent) {
+        if self.events.send(event).is_err() {
+            warn!(self.logger, "election: nobody listens any more"; "event" => ?event);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/election/mod.rs
@@ -0,0 +1,11 @@
+//! Election of the owner through the store.
+
+mod claim_record;
+mod election_task;
+mod owner_lease;
+
+pub use {
+    claim_record::ClaimRecord,
+    election_task::{ElectionEvent, ElectionTask, OwnerPlace},
+    owner_lease::OwnerLease,
+};
--- /dev/null
+++ b/crates/node/src/feeds/host_feed.rs
@@ -0,0 +1,37 @@
+use {
+    crate::{
+        control::{ControlEvent, OwnerActor},
+        election::OwnerPlace,
+        ports::HostService,
+    },
+    goldcreststall_core::ids::Millis,
+    kameo::actor::ActorRef,
+    slog::{Logger, warn},
+    std::{sync::Arc, time::Duration},
+    tokio::sync::watch,
+};
+
+/// Time between two reads of the list of hosts.
+const READ_PERIOD: Millis = Millis(400);
+
+/// Reads the list of hosts while this process owns the fleet, until the process ends.
+pub async fn follow_hosts(
+    service: Arc<dyn HostService>,
+    actor: ActorRef<OwnerActor>,
+    mut owner: watch::Receiver<Option<OwnerPlace>>,
+    logger: Logger,
+) {
+    let own = |owner: &Option<OwnerPlace>| owner.as_ref().is_some_and(|owner| owner.own);
+    while owner.wait_for(own).await.is_ok() {
+        match service.list().await {
+            Ok(reports) => {
+                // The actor is gone only when the process ends.
+                let _ = actor.tell(ControlEvent::HostsListed(reports)).await;
+            }
+            Err(failure) => {
+                warn!(logger, "hosts: the list was not read"; "failure" => %failure);
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(READ_PERIOD.0)).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/feeds/runner_feed.rs
@@ -0,0 +1,104 @@
+use {
+    crate::{
+        control::{ControlEvent, OwnerActor},
+        election::OwnerPlace,
+        ports::{RecordFeed, StoreFailure},
+    },
+    goldcreststall_core::ids::Millis,
+    goldcreststall_dispatch::runners::RunnerReport,
+    kameo::actor::ActorRef,
+    slog::{Logger, warn},
+    std::{sync::Arc, time::Duration},
+    tokio::sync::watch,
+};
+
+/// Time between two reads of the runners' entries; they change with every heartbeat.
+const READ_PERIOD: Millis = Millis(250);
+
+/// Follows the entries of runners while this process owns the fleet.
+pub struct RunnerFeed {
+    /// The entries.
+    pub feed: Arc<dyn RecordFeed<RunnerReport>>,
+    /// Told of changes.
+    pub actor: ActorRef<OwnerActor>,
+    /// Who owns the fleet.
+    pub owner: watch::Receiver<Option<OwnerPlace>>,
+    /// Log of failures.
+    pub logger: Logger,
+}
+
+impl RunnerFeed {
+    /// Follows the entries until the process ends.
+    pub async fn run(mut self) {
+        loop {
+            let own = |owner: &Option<OwnerPlace>| owner.as_ref().is_some_and(|owner| owner.own);
+            if self.owner.wait_for(own).await.is_err() {
+                return;
+            }
+            self.follow_term().await;
+        }
+    }
+
+    async fn follow_term(&mut self) {
+        let mut next = None;
+        let mut entries: Vec<(String, RunnerReport)> = Vec::new();
+        while self.owner.borrow().as_ref().is_some_and(|owner| owner.own) {
+            let anew = next.is_none();
+            let read = match next {
+                Some(from) => self.feed.follow(from, Millis(0)).await,
+                None => self.feed.newest().await,
+            };
+            match read {
+                Ok(batch) => {
+                    next = Some(batch.next);
+                    if anew {
+                        entries.clear();
+                    }
+                    let mut changed = anew;
+                    for (id, report) in batch.records {
+                        changed |= put(&mut entries, id, report);
+                    }
+                    if changed {
+                        let reports = entries.iter().map(|(_, report)| report.clone()).collect();
+                        let event = ControlEvent::RunnersListed(reports);
+                        // The actor is gone only when the process ends.
+                        let _ = self.actor.tell(event).await;
+                    }
+                }
+                Err(StoreFailure::Expired { .. }) => {
+                    next = None;
+                    continue;
+                }
+                Err(failure) => {
+                    warn!(self.logger, "runners: their entries were not read"; "failure" => %failure);
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(READ_PERIOD.0)).await;
+        }
+    }
+}
+
+/// Puts an entry in its place, and returns whether anything has changed.
+fn put(
+    entries: &mut Vec<(String, RunnerReport)>,
+    id: String,
+    report: Option<RunnerReport>,
+) -> bool {
+    let place = entries.binary_search_by(|(own, _)| own.cmp(&id));
+    match (place, report) {
+        (Ok(place), Some(report)) => {
+            let changed = entries[place].1 != report;
+            entries[place].1 = report;
+            changed
+        }
+        (Ok(place), None) => {
+            entries.remove(place);
+            true
+        }
+        (Err(place), Some(report)) => {
+            entries.insert(place, (id, report));
+            true
+        }
+        (Err(_), None) => false,
+    }
+}
--- /dev/null
+++ b/crates/node/src/front/front_desk.rs
@@ -0,0 +1,161 @@
+use {
+    super::{FrontAction, FrontAnswer, FrontCall, OwnerCourier},
+    crate::metrics::NodeMetrics,
+    goldcreststall_core::ids::Millis,
+    goldcreststall_dispatch::{
+        jobs::{JobId, JobSpec, SpecError},
+        owner::{CallAnswer, JobCall},
+        records::JobSubmission,
+        routes::{CallLimits, FleetRules, RouteRule},
+    },
+    goldcreststall_entry::clock::BootClock,
+    slog::{Logger, info},
+    std::sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    tokio::sync::watch,
+};
+
+/// When a caller should come back while there is no owner: elections take about this long.
+const RETRY_NO_OWNER: Millis = Millis(1_000);
+/// When a caller should come back with a job that cannot be run at all.
+const RETRY_UNSUPPORTED: Millis = Millis(60_000);
+/// Kept of a caller's time for the way back.
+const ANSWER_RESERVE: Millis = Millis(150);
+/// How long a caller is taken to wait when it does not say so.
+const DEFAULT_PATIENCE: Millis = Millis(3_000);
+
+/// Answers callers on one entry host.
+pub struct FrontDesk {
+    courier: OwnerCourier,
+    draining: AtomicBool,
+    logger: Logger,
+    metrics: Arc<NodeMetrics>,
+    rules: watch::Receiver<Option<Arc<FleetRules>>>,
+}
+
+impl FrontDesk {
+    /// Creates a desk that passes calls on by `courier`.
+    pub fn new(
+        courier: OwnerCourier,
+        rules: watch::Receiver<Option<Arc<FleetRules>>>,
+        metrics: Arc<NodeMetrics>,
+        logger: Logger,
+    ) -> Self {
+        Self {
+            courier,
+            draining: AtomicBool::new(false),
+            logger,
+            metrics,
+            rules,
+        }
+    }
+
+    /// Returns whether new callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        let has_rules = self.rules.borrow().is_some();
+        has_rules && self.courier.has_owner() && !self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Lets the load balancer send new callers elsewhere; calls are still answered.
+    pub fn start_drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the limits of calls in force.
+    pub fn limits(&self) -> CallLimits {
+        let rules = self.rules.borrow();
+        rules.as_ref().map(|rules| rules.limits).unwrap_or_default()
+    }
+
+    /// Returns all metrics in the Prometheus text format.
+    pub fn metrics(&self) -> String {
+        self.metrics.text()
+    }
+
+    /// Answers a call.
+    pub async fn answer(&self, call: FrontCall) -> FrontAnswer {
+        let began = BootClock.now();
+        let (host, path) = (call.host.clone(), call.path.clone());
+        let rules = self.rules.borrow().clone();
+        let version = rules.as_ref().map(|rules| rules.version);
+        let answer = match rules {
+            None => FrontAnswer::Unavailable(RETRY_NO_OWNER),
+            Some(rules) => self.route(&rules, call).await,
+        };
+        let took = BootClock.now().since(began);
+        self.metrics.count_answer(answer.name(), took.0);
+        let looks = matches!(answer, FrontAnswer::State(_) | FrontAnswer::Pending(_));
+        if !looks {
+            info!(self.logger, "call: answered"; "host" => host, "id" => path,
+                "config" => ?version, "answer" => ?answer, "took_ms" => took.0);
+        }
+        answer
+    }
+
+    async fn route(&self, rules: &FleetRules, call: FrontCall) -> FrontAnswer {
+        let Some((route, rest)) = rules.route(&call.host, &call.path) else {
+            return FrontAnswer::NoRoute;
+        };
+        let patience = call.patience.unwrap_or(DEFAULT_PATIENCE);
+        let limit = Millis(
+            patience
+                .0
+                .min(route.timeout.0)
+                .saturating_sub(ANSWER_RESERVE.0),
+        );
+        let look = matches!(call.action, FrontAction::Look);
+        if rest.is_empty() && look {
+            let call = JobCall::Pending(route.name.clone());
+            return self.ask(call, limit).await;
+        }
+        let Ok(id) = JobId::try_from(rest) else {
+            return FrontAnswer::NoRoute;
+        };
+        match call.action {
+            FrontAction::Cancel => self.ask(JobCall::Cancel(id), limit).await,
+            FrontAction::Look => self.ask(JobCall::State(id), limit).await,
+            FrontAction::Submit(Ok(job)) => self.submit(id, route, job, limit).await,
+            FrontAction::Submit(Err(why)) => FrontAnswer::Invalid(why),
+        }
+    }
+
+    async fn submit(
+        &self,
+        id: JobId,
+        route: &RouteRule,
+        job: JobSpec,
+        limit: Millis,
+    ) -> FrontAnswer {
+        let checked = job.check();
+        let advised = if route.needs_advice {
+            Err(SpecError::Unsupported("a queue with advice"))
+        } else {
+            Ok(())
+        };
+        match checked.and(advised) {
+            Ok(()) => {
+                let queue = route.clone();
+                let submission = Box::new(JobSubmission { queue, job });
+                self.ask(JobCall::Submit(id, submission), limit).await
+            }
+            Err(error @ SpecError::Unsupported(_)) => {
+                info!(self.logger, "call: a job cannot be run"; "id" => %id, "why" => %error);
+                FrontAnswer::Unavailable(RETRY_UNSUPPORTED)
+            }
+            Err(error) => FrontAnswer::Invalid(error.to_string()),
+        }
+    }
+
+    async fn ask(&self, call: JobCall, limit: Millis) -> FrontAnswer {
+        match self.courier.ask(call, limit).await {
+            CallAnswer::Accepted => FrontAnswer::Accepted,
+            CallAnswer::Gone => FrontAnswer::Gone,
+            CallAnswer::Pending(count) => FrontAnswer::Pending(count),
+            CallAnswer::State(phase) => FrontAnswer::State(phase),
+            CallAnswer::Unavailable => FrontAnswer::Unavailable(RETRY_NO_OWNER),
+            CallAnswer::Unknown => FrontAnswer::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/front/owner_courier.rs
@@ -0,0 +1,121 @@
+use {
+    crate::{
+        control::{ControlEvent, OwnerActor},
+        election::OwnerPlace,
+        links::{LinkFailure, OwnerLink},
+    },
+    goldcreststall_core::ids::{LocalTime, Millis},
+    goldcreststall_dispatch::owner::{CallAnswer, JobCall},
+    goldcreststall_entry::clock::BootClock,
+    kameo::actor::ActorRef,
+    std::time::Duration,
+    tokio::sync::{oneshot, watch},
+};
+
+/// Longest wait for another owner before a call that failed is tried again.
+const OWNER_WAIT: Millis = Millis(200);
+/// Attempts of one call.
+const MOST_TRIES: u32 = 4;
+
+/// Brings calls to the owner, in this process or at another entry host.
+pub struct OwnerCourier {
+    actor: ActorRef<OwnerActor>,
+    link: OwnerLink,
+    owner: watch::Receiver<Option<OwnerPlace>>,
+}
+
+/// How one attempt failed.
+enum Attempt {
+    /// An answer came, which may be that the process is not the owner.
+    Answered(CallAnswer),
+    /// The call may have been taken; no answer came.
+    Lost,
+    /// The call did not reach the owner.
+    NotSent,
+}
+
+impl OwnerCourier {
+    /// Creates a courier.
+    pub fn new(
+        actor: ActorRef<OwnerActor>,
+        link: OwnerLink,
+        owner: watch::Receiver<Option<OwnerPlace>>,
+    ) -> Self {
+        Self { actor, link, owner }
+    }
+
+    /// Returns whether the owner is known.
+    pub fn has_owner(&self) -> bool {
+        self.owner.borrow().is_some()
+    }
+
+    /// Brings a call to the owner and returns its answer, at most `limit` later. Calls name their job, so that
+    /// a repeated one has no further effect.
+    pub async fn ask(&self, call: JobCall, limit: Millis) -> CallAnswer {
+        let end = BootClock.now() + limit;
+        let changes = matches!(call, JobCall::Submit(..) | JobCall::Cancel(_));
+        let mut lost = false;
+        for _ in 0..MOST_TRIES {
+            let Some(place) = self.owner.borrow().clone() else {
+                break;
+            };
+            match self.attempt(&place, call.clone(), end).await {
+                Attempt::Answered(CallAnswer::Unavailable) | Attempt::NotSent => {}
+                Attempt::Answered(answer) => return answer,
+                Attempt::Lost => lost = true,
+            }
+            if !self.wait_for_owner(&place, end).await {
+                break;
+            }
+        }
+        if lost && changes {
+            return CallAnswer::Unknown;
+        }
+        CallAnswer::Unavailable
+    }
+
+    async fn attempt(&self, place: &OwnerPlace, call: JobCall, end: LocalTime) -> Attempt {
+        let left = Duration::from_millis(end.since(BootClock.now()).0);
+        let answered = async {
+            if place.own {
+                return self.ask_own(call).await;
+            }
+            match self.link.ask(place.address, call).await {
+                Ok(answer) => Attempt::Answered(answer),
+                Err(LinkFailure::NotSent) => Attempt::NotSent,
+                Err(LinkFailure::Lost) => Attempt::Lost,
+            }
+        };
+        tokio::time::timeout(left, answered)
+            .await
+            .unwrap_or(Attempt::Lost)
+    }
+
+    async fn ask_own(&self, call: JobCall) -> Attempt {
+        let (reply, answer) = oneshot::channel();
+        if self
+            .actor
+            .tell(ControlEvent::Call { call, reply })
+            .await
+            .is_err()
+        {
+            return Attempt::NotSent;
+        }
+        answer.await.map_or(Attempt::Lost, Attempt::Answered)
+    }
+
+    /// Waits a short time for another owner; returns false when the time is over.
+    async fn wait_for_owner(&self, before: &OwnerPlace, end: LocalTime) -> bool {
+        let left = end.since(BootClock.now());
+        let wait = Duration::from_millis(left.0.min(OWNER_WAIT.0));
+        let mut owner = self.owner.clone();
+        let other = |owner: &Option<OwnerPlace>| {
+            owner
+                .as_ref()
+                .is_some_and(|owner| owner.token != before.token)
+        };
+        // The same owner is asked again when no other appears.
+        let _ = tokio::time::timeout(wait, owner.wait_for(other)).await;
+        left.0 > OWNER_WAIT.0
+    }
+}
--- /dev/null
+++ b/crates/node/src/journal/mod.rs
@@ -0,0 +1,5 @@
+//! Storage of the owner's records.
+
+mod job_journal;
+
+pub use job_journal::{JobJournal, JournalEnd};
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,12 @@
+//! The daemon of an entry host on a platform whose runners take orders: election of the owner, journal, feeds,
+//! the control actor, calls of callers, and links between entry hosts.
+
+pub mod control;
+pub mod daemon;
+pub mod election;
+pub mod feeds;
+pub mod front;
+pub mod journal;
+pub mod links;
+pub mod metrics;
+pub mod ports;
--- /dev/null
+++ b/crates/node/src/links/link_messages.rs
@@ -0,0 +1,33 @@
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// Longest frame without its length, in bytes; above the longest body of a call.
+const MAX_FRAME_BYTES: usize = 1024 * 1024;
+
+/// A call for the owner; without a call it only asks for a sign of life.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub(super) struct RawCall {
+    /// Number on this connection, from 1.
+    #[prost(uint64, tag = "1")]
+    pub(super) number: u64,
+    /// The encoded call.
+    #[prost(bytes = "vec", tag = "2")]
+    pub(super) call: Vec<u8>,
+}
+
+/// The answer to a call.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub(super) struct RawAnswer {
+    /// Number of the call.
+    #[prost(uint64, tag = "1")]
+    pub(super) number: u64,
+    /// The encoded answer; empty for a sign of life or a call that cannot be read.
+    #[prost(bytes = "vec", tag = "2")]
+    pub(super) answer: Vec<u8>,
+}
+
+/// Builds the codec that cuts a byte stream into frames.
+pub(super) fn frame_codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_codec()
+}
--- /dev/null
+++ b/crates/node/src/links/mod.rs
@@ -0,0 +1,10 @@
+//! Connections between entry hosts: calls for the owner, one frame each.
+
+mod link_messages;
+mod link_server;
+mod owner_link;
+
+pub use {
+    link_server::LinkServer,
+    owner_link::{LinkFailure, OwnerLink},
+};
--- /dev/null
+++ b/crates/node/src/links/owner_link.rs
@@ -0,0 +1,204 @@
+use {
+    super::link_messages::{RawAnswer, RawCall, frame_codec},
+    bytes::Bytes,
+    futures_util::{SinkExt, StreamExt},
+    goldcreststall_core::ids::Millis,
+    goldcreststall_dispatch::owner::{CallAnswer, JobCall},
+    parking_lot::Mutex,
+    prost::Message,
+    slog::{Logger, info},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        net::{TcpStream, tcp::OwnedReadHalf},
+        sync::{mpsc, oneshot},
+        time::Instant,
+    },
+    tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec},
+};
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Millis = Millis(500);
+/// Time between signs of life that are asked for while calls wait.
+const PING_PERIOD: Millis = Millis(300);
+/// Silence after which a connection with waiting calls is given up.
+const SILENCE_LIMIT: Millis = Millis(1_000);
+/// Calls that wait to be written.
+const CALL_QUEUE: usize = 1_024;
+
+/// Why a call got no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum LinkFailure {
+    /// The owner may have taken it.
+    #[error("the connection to the owner was lost")]
+    Lost,
+    /// It did not reach the owner.
+    #[error("no connection to the owner")]
+    NotSent,
+}
+
+type Waiting = Arc<Mutex<WaitingCalls>>;
+
+#[derive(Default)]
+struct WaitingCalls {
+    calls: Vec<(u64, oneshot::Sender<CallAnswer>)>,
+    last: u64,
+    closed: bool,
+}
+
+#[derive(Clone)]
+struct LiveLink {
+    address: SocketAddr,
+    frames: mpsc::Sender<Bytes>,
+    waiting: Waiting,
+}
+
+/// The connection to the owner's entry host.
+pub struct OwnerLink {
+    link: tokio::sync::Mutex<Option<LiveLink>>,
+    logger: Logger,
+}
+
+impl OwnerLink {
+    /// Creates a link that connects at the first call.
+    pub fn new(logger: Logger) -> Self {
+        Self {
+            link: tokio::sync::Mutex::new(None),
+            logger,
+        }
+    }
+
+    /// Asks the owner at `address`.
+    ///
+    /// # Errors
+    /// When no connection could be opened, or the connection was lost before the answer.
+    pub async fn ask(&self, address: SocketAddr, call: JobCall) -> Result<CallAnswer, LinkFailure> {
+        let link = self.connect(address).await?;
+        let call = postcard::to_stdvec(&call).map_err(|_| LinkFailure::NotSent)?;
+        let (reply, answer) = oneshot::channel();
+        let number = {
+            let mut waiting = link.waiting.lock();
+            if waiting.closed {
+                return Err(LinkFailure::NotSent);
+            }
+            waiting.last += 1;
+            let number = waiting.last;
+            waiting.calls.push((number, reply));
+            number
+        };
+        let frame = Bytes::from(RawCall { number, call }.encode_to_vec());
+        link.frames
+            .send(frame)
+            .await
+            .map_err(|_| LinkFailure::NotSent)?;
+        answer.await.map_err(|_| LinkFailure::Lost)
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<LiveLink, LinkFailure> {
+        let mut slot = self.link.lock().await;
+        if let Some(link) = &*slot
+            && link.address == address
+            && !link.waiting.lock().closed
+        {
+            return Ok(link.clone());
+        }
+        let limit = Duration::from_millis(CONNECT_TIMEOUT.0);
+        let connected = tokio::time::timeout(limit, TcpStream::connect(address)).await;
+        let stream = match connected {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => {
+                info!(self.logger, "link: no connection to the owner"; "address" => %address,
+                    "error" => %error);
+                return Err(LinkFailure::NotSent);
+            }
+            Err(_) => {
+                info!(self.logger, "link: no connection to the owner in time";
+                    "address" => %address);
+                return Err(LinkFailure::NotSent);
+            }
+        };
+        info!(self.logger, "link: connected to the owner"; "address" => %address);
+        let link = self.open(address, stream);
+        *slot = Some(link.clone());
+        Ok(link)
+    }
+
+    fn open(&self, address: SocketAddr, stream: TcpStream) -> LiveLink {
+        // Small calls must not wait for the acknowledgement of earlier ones.
+        let _ = stream.set_nodelay(true);
+        let (read, write) = stream.into_split();
+        let (frames, mut queue) = mpsc::channel::<Bytes>(CALL_QUEUE);
+        let mut sink = FramedWrite::new(write, frame_codec());
+        tokio::spawn(async move {
+            while let Some(frame) = queue.recv().await {
+                if sink.send(frame).await.is_err() {
+                    return;
+                }
+            }
+        });
+        let link = LiveLink {
+            address,
+            frames,
+            waiting: Waiting::default(),
+        };
+        let frames = FramedRead::new(read, frame_codec());
+        tokio::spawn(read_answers(link.clone(), frames, self.logger.clone()));
+        link
+    }
+}
+
+async fn read_answers(
+    link: LiveLink,
+    mut frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    logger: Logger,
+) {
+    let mut heard = Instant::now();
+    let why = loop {
+        let ping = Duration::from_millis(PING_PERIOD.0);
+        match tokio::time::timeout(ping, frames.next()).await {
+            Ok(Some(Ok(frame))) => {
+                heard = Instant::now();
+                let Ok(raw) = RawAnswer::decode(frame) else {
+                    break "a frame cannot be read";
+                };
+                take_answer(&link.waiting, &raw);
+            }
+            Ok(_) => break "closed",
+            Err(_) => {
+                if link.waiting.lock().calls.is_empty() {
+                    heard = Instant::now();
+                    continue;
+                }
+                if heard.elapsed() > Duration::from_millis(SILENCE_LIMIT.0) {
+                    break "silent";
+                }
+                let ping = Bytes::from(RawCall::default().encode_to_vec());
+                // A full queue of frames means that the connection does not move; silence ends it.
+                let _ = link.frames.try_send(ping);
+            }
+        }
+    };
+    let mut waiting = link.waiting.lock();
+    waiting.closed = true;
+    let lost = waiting.calls.len();
+    waiting.calls.clear();
+    info!(logger, "link: the connection to the owner has ended"; "address" => %link.address,
+        "why" => why, "lost_calls" => lost);
+}
+
+fn take_answer(waiting: &Waiting, raw: &RawAnswer) {
+    if raw.answer.is_empty() {
+        return;
+    }
+    let mut waiting = waiting.lock();
+    let place = waiting
+        .calls
+        .binary_search_by_key(&raw.number, |(number, _)| *number);
+    let Ok(place) = place else {
+        return;
+    };
+    let (_, reply) = waiting.calls.remove(place);
+    if let Ok(answer) = postcard::from_bytes(&raw.answer) {
+        // The caller may have left.
+        let _ = reply.send(answer);
+    }
+}
--- /dev/null
+++ b/crates/node/src/metrics/mod.rs
@@ -0,0 +1,5 @@
+//! Counters and histograms of an entry host.
+
+mod node_metrics;
+
+pub use node_metrics::NodeMetrics;
--- /dev/null
+++ b/crates/node/src/ports/hosts.rs
@@ -0,0 +1,21 @@
+use {
+    super::StoreFailure,
+    async_trait::async_trait,
+    goldcreststall_dispatch::owner::{HostAnswer, HostReport},
+};
+
+/// The platform's service that moves and maintains hosts.
+#[async_trait]
+pub trait HostService: Send + Sync {
+    /// Lists all hosts.
+    ///
+    /// # Errors
+    /// When the list could not be read whole.
+    async fn list(&self) -> Result<Vec<HostReport>, StoreFailure>;
+
+    /// Moves a host to another pool, in the name of the owner with `token`.
+    async fn move_host(&self, host: &str, pool: &str, token: u64) -> HostAnswer;
+
+    /// Begins the maintenance of a host for a wave, in the name of the owner with `token`.
+    async fn maintain(&self, host: &str, wave: u64, token: u64) -> HostAnswer;
+}
--- a/crates/platform/src/http/http_caller.rs
+++ b/crates/platform/src/http/http_caller.rs
@@ -13,39 +13,46 @@
 /// Largest reply that is read, in bytes; bounds the memory of a reply from a faulty service.
 const MAX_REPLY_BYTES: usize = 64 * 1024 * 1024;
 
+/// Time without an acknowledgement after which the system closes a connection: a host without power answers
+/// nothing, and a connection to it would hang for minutes.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// A complete reply.
 #[derive(Debug)]
-pub(crate) struct HttpReply {
+pub struct HttpReply {
     /// The body.
-    pub(crate) body: Bytes,
+    pub body: Bytes,
     /// The headers.
-    pub(crate) headers: HeaderMap,
+    pub headers: HeaderMap,
     /// The status code.
-    pub(crate) status: StatusCode,
+    pub status: StatusCode,
 }
 
 /// Why a call got no complete reply.
-#[derive(Debug)]
-pub(crate) enum CallFailure {
+#[derive(Debug, thiserror::Error)]
+pub enum CallFailure {
     /// The request was not sent.
+    #[error("not sent: {0}")]
     NotSent(String),
     /// The request may have taken effect.
+    #[error("no complete reply: {0}")]
     Unconfirmed(String),
 }
 
-/// Calls one service of the platform.
+/// Calls one service of the platform. Clones share their connections.
 #[derive(Clone, Debug)]
-pub(crate) struct HttpCaller {
+pub struct HttpCaller {
     address: SocketAddr,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
 impl HttpCaller {
     /// Creates a caller of the service at `address`.
-    pub(crate) fn new(address: SocketAddr, connect_timeout: Millis) -> Self {
+    pub fn new(address: SocketAddr, connect_timeout: Millis) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(Duration::from_millis(connect_timeout.0)));
         connector.set_nodelay(true);
+        connector.set_tcp_user_timeout(Some(USER_TIMEOUT));
         // A retry by the client would hide that an append may have taken effect twice.
         let client = Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
@@ -53,11 +60,38 @@
         Self { address, client }
     }
 
+    /// Returns a caller of the service at another address that shares the connections of this one.
+    pub fn at(&self, address: SocketAddr) -> Self {
+        Self {
+            address,
+            client: self.client.clone(),
+        }
+    }
+
+    /// Sends a request with headers and reads the whole reply.
+    ///
+    /// # Errors
+    /// As [`HttpCaller::call`].
+    pub async fn call_with(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+        timeout: Millis,
+    ) -> Result<HttpReply, CallFailure> {
+        let request = Request::builder().method(method);
+        let request = headers.iter().fold(request, |request, (name, value)| {
+            request.header(*name, *value)
+        });
+        self.send(request, path, body, timeout).await
+    }
+
     /// Sends a request and reads the whole reply.
     ///
     /// # Errors
     /// `NotSent` when no connection could be opened, `Unconfirmed` for every later failure.
-    pub(crate) async fn call(
+    pub async fn call(
         &self,
         method: Method,
         path: &str,
@@ -72,7 +106,7 @@
     ///
     /// # Errors
     /// As [`HttpCaller::call`].
-    pub(crate) async fn get_unless(
+    pub async fn get_unless(
         &self,
         path: &str,
         etag: Option<&str>,
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -2,4 +2,4 @@
 
 mod http_caller;
 
-pub(crate) use http_caller::{CallFailure, HttpCaller, HttpReply};
+pub use http_caller::{CallFailure, HttpCaller, HttpReply};
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! `docs/PLATFORM.md` states what is assumed of each.
 
-mod http;
+pub mod http;
 
 pub mod hosts;
 pub mod log;
