--- a/crates/dispatch/src/owner/host_duties.rs
+++ b/crates/dispatch/src/owner/host_duties.rs
@@ -4,6 +4,7 @@
         jobs::{ItemKey, RunPhase},
         pools::{HostMove, PoolFigures, plan_moves},
         records::WaveProgress,
+        routes::FleetRules,
         runners::{Capacity, RunnerKey, RunnerTable},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
@@ -113,13 +114,20 @@
         Some(&mut self.hosts[place])
     }
 
-    /// Returns whether every runner that the list of hosts names is known.
-    pub(super) fn all_runners_known(&self, runners: &RunnerTable) -> bool {
-        let known = |state: &HostState| {
-            let id = state.report.runner.as_deref();
-            id.is_none_or(|id| runners.find(id).is_some())
+    /// Returns whether every host that may run work of an earlier owner has a runner that has answered. A host
+    /// without a registered runner may have one that is cut off and whose entry has lapsed.
+    pub(super) fn all_answered(&self, runners: &RunnerTable, rules: &FleetRules) -> bool {
+        let answered = |state: &HostState| {
+            let report = &state.report;
+            let off = matches!(report.status, HostStatus::Moving | HostStatus::Maintenance);
+            if off || rules.is_spare(&report.pool) {
+                return true;
+            }
+            let key = report.runner.as_deref().and_then(|id| runners.find(id));
+            let runner = key.and_then(|key| runners.get(key));
+            runner.is_some_and(|runner| runner.fenced)
         };
-        self.listed.is_some() && self.hosts.iter().all(known)
+        self.listed.is_some() && self.hosts.iter().all(answered)
     }
 }
 
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -122,7 +122,7 @@
             .all(|(_, runner)| answered(runner.fenced, runner.listed));
         let waited = now >= self.started + longest_lapse();
         // Entries lapse while the store is away, so that a short list proves nothing early on.
-        let complete = all && self.hosts.all_runners_known(&self.runners);
+        let complete = all && self.hosts.all_answered(&self.runners, &self.rules);
         if !complete && !waited {
             return;
         }
--- a/crates/node/src/control/owner_actor.rs
+++ b/crates/node/src/control/owner_actor.rs
@@ -10,6 +10,7 @@
     goldcreststall_dispatch::{
         owner::{CallAnswer, JobCall, OwnerOrder, OwnerState, WaveRequest},
         routes::FleetRules,
+        runners::RunnerReport,
     },
     goldcreststall_entry::clock::{BootClock, wall_time},
     kameo::{
@@ -51,6 +52,9 @@
     rules: Arc<FleetRules>,
     term: Option<OwnerTerm>,
     waves: Vec<WaveRequest>,
+    /// The newest list of runners of this term; it may come before the store was read, and comes again only
+    /// when it has changed.
+    runners: Option<Vec<RunnerReport>>,
 }
 
 impl Actor for OwnerActor {
@@ -64,6 +68,7 @@
             rules: Arc::default(),
             term: None,
             waves: Vec::new(),
+            runners: None,
         })
     }
 }
@@ -147,6 +152,7 @@
                 }
             }
             ControlEvent::RunnersListed(reports) => {
+                self.runners = Some(reports.clone());
                 if let Some(state) = self.state() {
                     state.runners_listed(reports, now);
                 }
@@ -226,6 +232,9 @@
         for wave in &self.waves {
             state.wave_requested(wave.clone(), now);
         }
+        if let Some(reports) = &self.runners {
+            state.runners_listed(reports.clone(), now);
+        }
         term.state = Some(state);
         term.journal = Some(journal);
         for (call, reply) in std::mem::take(&mut term.early) {
@@ -234,13 +243,16 @@
     }
 
     fn depose(&mut self, why: &'static str) {
+        self.runners = None;
         if let Some(term) = self.term.take() {
             info!(self.parts.logger, "owner: the term has ended"; "token" => term.token, "why" => why);
         }
     }
 
     fn call(&mut self, call: JobCall, reply: oneshot::Sender<CallAnswer>, now: LocalTime) {
-        let Some(term) = &mut self.term else {
+        // Without a lease there may be a newer owner, which knows of jobs and cancellations that this one does not.
+        let holds = self.parts.lease.holds();
+        let Some(term) = self.term.as_mut().filter(|_| holds) else {
             // The caller's side turns this into a refusal: nothing was done.
             let _ = reply.send(CallAnswer::Unavailable);
             return;
--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -4,7 +4,7 @@
         election::{ElectionEvent, ElectionTask, OwnerLease, OwnerPlace},
         feeds::{OperatorFeed, RunnerFeed, follow_hosts},
         front::{FrontDesk, OwnerCourier},
-        links::{LinkServer, OwnerLink},
+        links::{LinkServer, OwnerLink, PeerBook},
         metrics::NodeMetrics,
         ports::{HostService, OperatorRecord, PlatformStore, RecordFeed, RunnerService},
     },
@@ -90,6 +90,7 @@
     };
     let (owner, owners) = watch::channel(None);
     let (rules, all_rules) = watch::channel(None);
+    let peers = PeerBook::new(settings.link_address, owner.clone());
     let stop_claims = CancellationToken::new();
     let (events, elections) = mpsc::unbounded_channel();
     let election = ElectionTask {
@@ -98,6 +99,7 @@
         store: Arc::clone(&ports.store),
         events,
         owner,
+        peers: peers.clone(),
         lease,
         stop: stop_claims.clone(),
         logger: logger.clone(),
@@ -133,13 +135,18 @@
         .enable_all()
         .build()
         .context("the traffic runtime was not built")?;
-    let link = OwnerLink::new(logger.clone());
+    let link = OwnerLink::new(peers.clone(), logger.clone());
     let courier = OwnerCourier::new(actor.clone(), link, owners);
     let desk = Arc::new(FrontDesk::new(courier, all_rules, metrics, logger.clone()));
+    let server = LinkServer {
+        actor,
+        peers,
+        logger: logger.clone(),
+    };
     runtime.block_on(serve(
         settings,
         ports.ingress,
-        actor,
+        server,
         desk,
         stop_claims,
         logger,
@@ -200,7 +207,7 @@
 async fn serve(
     settings: &NodeSettings,
     ingress: Arc<dyn NodeIngress>,
-    actor: ActorRef<OwnerActor>,
+    server: LinkServer,
     desk: Arc<FrontDesk>,
     stop_claims: CancellationToken,
     logger: &Logger,
@@ -208,10 +215,6 @@
     let listener = TcpListener::bind(settings.link_address)
         .await
         .with_context(|| format!("{} cannot be bound", settings.link_address))?;
-    let server = LinkServer {
-        actor,
-        logger: logger.clone(),
-    };
     tokio::spawn(server.serve(listener));
     let stop = CancellationToken::new();
     let served = tokio::spawn({
--- a/crates/node/src/election/election_task.rs
+++ b/crates/node/src/election/election_task.rs
@@ -1,6 +1,9 @@
 use {
     super::{ClaimRecord, OwnerLease},
-    crate::ports::{AppendGuard, PlatformStore, StoreFailure, StoreTopic},
+    crate::{
+        links::PeerBook,
+        ports::{AppendGuard, PlatformStore, StoreFailure, StoreTopic},
+    },
     bytes::Bytes,
     goldcreststall_core::ids::{LocalTime, Millis},
     goldcreststall_entry::clock::BootClock,
@@ -55,6 +58,8 @@
     pub events: mpsc::UnboundedSender<ElectionEvent>,
     /// Told who owns the fleet.
     pub owner: watch::Sender<Option<OwnerPlace>>,
+    /// Told of claimants.
+    pub peers: PeerBook,
     /// Prolonged by renewals.
     pub lease: OwnerLease,
     /// Cancelled when this process stops: the claim is released and none is made.
@@ -109,6 +114,10 @@
                 watch.next += batch.records.len() as u64;
                 let caught_up = watch.next >= batch.end;
                 let silent = BootClock.now().since(watch.heard) >= CLAIM_SILENCE;
+                if empty && caught_up && silent {
+                    // Without the store the last owner stays known: it refuses by itself when its lease ends.
+                    self.owner.send_if_modified(|owner| owner.take().is_some());
+                }
                 if empty && caught_up && (fresh_topic || silent || watch.released) {
                     return self.claim(batch.end).await;
                 }
@@ -120,9 +129,6 @@
                 tokio::time::sleep(Duration::from_millis(FAILURE_PAUSE.0)).await;
             }
         }
-        if BootClock.now().since(watch.heard) >= CLAIM_SILENCE {
-            self.owner.send_if_modified(|owner| owner.take().is_some());
-        }
         None
     }
 
@@ -136,6 +142,7 @@
             }
         };
         watch.released = claim.released;
+        self.peers.add(claim.address);
         let place = (!claim.released).then_some(OwnerPlace {
             address: claim.address,
             token: claim.token,
--- a/crates/node/src/front/owner_courier.rs
+++ b/crates/node/src/front/owner_courier.rs
@@ -14,8 +14,8 @@
 
 /// Longest wait for another owner before a call that failed is tried again.
 const OWNER_WAIT: Millis = Millis(200);
-/// Attempts of one call.
-const MOST_TRIES: u32 = 4;
+/// Attempts of a call that no owner has taken.
+const MOST_TRIES: u32 = 2;
 
 /// Brings calls to the owner, in this process or at another entry host.
 pub struct OwnerCourier {
@@ -55,8 +55,15 @@
         let end = BootClock.now() + limit;
         let changes = matches!(call, JobCall::Submit(..) | JobCall::Cancel(_));
         let mut lost = false;
-        for _ in 0..MOST_TRIES {
+        for tries in 1_u32.. {
+            if self.owner.borrow().is_none() {
+                self.link.seek_owner().await;
+            }
             let Some(place) = self.owner.borrow().clone() else {
+                if lost && changes && BootClock.now() + OWNER_WAIT < end {
+                    tokio::time::sleep(Duration::from_millis(OWNER_WAIT.0)).await;
+                    continue;
+                }
                 break;
             };
             match self.attempt(&place, call.clone(), end).await {
@@ -64,7 +71,10 @@
                 Attempt::Answered(answer) => return answer,
                 Attempt::Lost => lost = true,
             }
-            if !self.wait_for_owner(&place, end).await {
+            // A call that may have been taken is tried until its time is over, because only an owner's answer tells
+            // what became of it; one that was not taken is refused soon, so that the caller can come back.
+            let spent = tries >= MOST_TRIES && !(lost && changes);
+            if spent || !self.wait_for_owner(&place, end).await {
                 break;
             }
         }
@@ -114,8 +124,13 @@
                 .as_ref()
                 .is_some_and(|owner| owner.token != before.token)
         };
-        // The same owner is asked again when no other appears.
-        let _ = tokio::time::timeout(wait, owner.wait_for(other)).await;
+        let changed = tokio::time::timeout(wait, owner.wait_for(other))
+            .await
+            .is_ok();
+        if !changed {
+            // The same owner is asked again when nobody knows of another.
+            self.link.seek_owner().await;
+        }
         left.0 > OWNER_WAIT.0
     }
 }
--- a/crates/node/src/links/link_messages.rs
+++ b/crates/node/src/links/link_messages.rs
@@ -23,6 +23,12 @@
     /// The encoded answer; empty for a sign of life or a call that cannot be read.
     #[prost(bytes = "vec", tag = "2")]
     pub(super) answer: Vec<u8>,
+    /// Fencing token of the newest owner that the sender knows; 0 for none.
+    #[prost(uint64, tag = "3")]
+    pub(super) owner_token: u64,
+    /// Where that owner answers.
+    #[prost(string, tag = "4")]
+    pub(super) owner_address: String,
 }
 
 /// Builds the codec that cuts a byte stream into frames.
--- a/crates/node/src/links/link_server.rs
+++ b/crates/node/src/links/link_server.rs
@@ -1,5 +1,8 @@
 use {
-    super::link_messages::{RawAnswer, RawCall, frame_codec},
+    super::{
+        PeerBook,
+        link_messages::{RawAnswer, RawCall, frame_codec},
+    },
     crate::control::{ControlEvent, OwnerActor},
     bytes::{Bytes, BytesMut},
     futures_util::{SinkExt, StreamExt},
@@ -25,6 +28,8 @@
 pub struct LinkServer {
     /// The control actor.
     pub actor: ActorRef<OwnerActor>,
+    /// Known entry hosts.
+    pub peers: PeerBook,
     /// Log of failures.
     pub logger: Logger,
 }
@@ -34,7 +39,10 @@
     pub async fn serve(self, listener: TcpListener) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => self.spawn(stream),
+                Ok((stream, from)) => {
+                    self.peers.add_host(from.ip());
+                    self.spawn(stream);
+                }
                 Err(error) => {
                     warn!(self.logger, "link: a connection was not accepted"; "error" => %error);
                     tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE.0)).await;
@@ -58,12 +66,13 @@
             }
         });
         let actor = self.actor.clone();
+        let peers = self.peers.clone();
         let logger = self.logger.clone();
         tokio::spawn(async move {
             while let Some(Ok(frame)) = frames.next().await {
                 match RawCall::decode(frame) {
                     Ok(call) => {
-                        tokio::spawn(answer(actor.clone(), call, answers.clone()));
+                        tokio::spawn(answer(actor.clone(), peers.clone(), call, answers.clone()));
                     }
                     Err(error) => {
                         warn!(logger, "link: a frame cannot be read"; "error" => %error);
@@ -75,7 +84,12 @@
     }
 }
 
-async fn answer(actor: ActorRef<OwnerActor>, raw: RawCall, answers: mpsc::Sender<Bytes>) {
+async fn answer(
+    actor: ActorRef<OwnerActor>,
+    peers: PeerBook,
+    raw: RawCall,
+    answers: mpsc::Sender<Bytes>,
+) {
     let answer = match postcard::from_bytes::<JobCall>(&raw.call) {
         Ok(call) => ask(&actor, call).await,
         Err(_) => None,
@@ -85,9 +99,12 @@
         // The caller's side gives up at its own limit: the outcome is not known.
         return;
     };
+    let owner = peers.owner();
     let raw = RawAnswer {
         number: raw.number,
         answer,
+        owner_token: owner.as_ref().map_or(0, |owner| owner.token),
+        owner_address: owner.map_or_else(String::new, |owner| owner.address.to_string()),
     };
     let frame = BytesMut::from(raw.encode_to_vec().as_slice()).freeze();
     // The connection is gone; the caller finds out by itself.
--- a/crates/node/src/links/owner_link.rs
+++ b/crates/node/src/links/owner_link.rs
@@ -1,5 +1,8 @@
 use {
-    super::link_messages::{RawAnswer, RawCall, frame_codec},
+    super::{
+        PeerBook,
+        link_messages::{RawAnswer, RawCall, frame_codec},
+    },
     bytes::Bytes,
     futures_util::{SinkExt, StreamExt},
     goldcreststall_core::ids::Millis,
@@ -22,6 +25,12 @@
 const PING_PERIOD: Millis = Millis(300);
 /// Silence after which a connection with waiting calls is given up.
 const SILENCE_LIMIT: Millis = Millis(1_000);
+/// Longest wait for another entry host's word on who owns the fleet.
+const SEEK_TIMEOUT: Millis = Millis(300);
+/// Least time between two rounds in which the others are asked who owns the fleet.
+const SEEK_PERIOD: Millis = Millis(300);
+/// Entry hosts that are asked in one round.
+const SEEK_WIDTH: usize = 4;
 /// Calls that wait to be written.
 const CALL_QUEUE: usize = 1_024;
 
@@ -56,17 +65,47 @@
 pub struct OwnerLink {
     link: tokio::sync::Mutex<Option<LiveLink>>,
     logger: Logger,
+    peers: PeerBook,
+    sought: tokio::sync::Mutex<SeekRound>,
+}
+
+/// When the other entry hosts were last asked, and with which of them the next round begins.
+#[derive(Default)]
+struct SeekRound {
+    at: Option<Instant>,
+    next: usize,
 }
 
 impl OwnerLink {
     /// Creates a link that connects at the first call.
-    pub fn new(logger: Logger) -> Self {
+    pub fn new(peers: PeerBook, logger: Logger) -> Self {
         Self {
             link: tokio::sync::Mutex::new(None),
             logger,
+            peers,
+            sought: tokio::sync::Mutex::default(),
         }
     }
 
+    /// Asks some of the other entry hosts who owns the fleet, unless that was done a moment ago. The answer
+    /// reaches the book of peers.
+    pub async fn seek_owner(&self) {
+        let mut round = self.sought.lock().await;
+        let recent = |at: Instant| at.elapsed() < Duration::from_millis(SEEK_PERIOD.0);
+        if round.at.is_some_and(recent) {
+            return;
+        }
+        let addresses = self.peers.addresses();
+        let width = addresses.len().min(SEEK_WIDTH);
+        let asked = (0..width).map(|offset| addresses[(round.next + offset) % addresses.len()]);
+        let words = asked.map(|address| ask_for_owner(address, self.peers.clone()));
+        futures_util::future::join_all(words).await;
+        round.next = round.next.wrapping_add(width);
+        round.at = Some(Instant::now());
+        info!(self.logger, "link: asked who owns the fleet"; "asked" => width,
+            "owner" => ?self.peers.owner());
+    }
+
     /// Asks the owner at `address`.
     ///
     /// # Errors
@@ -141,7 +180,13 @@
             waiting: Waiting::default(),
         };
         let frames = FramedRead::new(read, frame_codec());
-        tokio::spawn(read_answers(link.clone(), frames, self.logger.clone()));
+        let peers = self.peers.clone();
+        tokio::spawn(read_answers(
+            link.clone(),
+            frames,
+            peers,
+            self.logger.clone(),
+        ));
         link
     }
 }
@@ -149,6 +194,7 @@
 async fn read_answers(
     link: LiveLink,
     mut frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    peers: PeerBook,
     logger: Logger,
 ) {
     let mut heard = Instant::now();
@@ -160,6 +206,7 @@
                 let Ok(raw) = RawAnswer::decode(frame) else {
                     break "a frame cannot be read";
                 };
+                take_owner(&peers, &raw);
                 take_answer(&link.waiting, &raw);
             }
             Ok(_) => break "closed",
@@ -185,6 +232,31 @@
         "why" => why, "lost_calls" => lost);
 }
 
+/// Asks one entry host who owns the fleet; a host that does not answer in time adds nothing.
+async fn ask_for_owner(address: SocketAddr, peers: PeerBook) {
+    let asked = async {
+        let stream = TcpStream::connect(address).await.ok()?;
+        let (read, write) = stream.into_split();
+        let call = Bytes::from(RawCall::default().encode_to_vec());
+        let mut sink = FramedWrite::new(write, frame_codec());
+        sink.send(call).await.ok()?;
+        let frame = FramedRead::new(read, frame_codec()).next().await?.ok()?;
+        RawAnswer::decode(frame).ok()
+    };
+    let limit = Duration::from_millis(SEEK_TIMEOUT.0);
+    if let Ok(Some(raw)) = tokio::time::timeout(limit, asked).await {
+        take_owner(&peers, &raw);
+    }
+}
+
+fn take_owner(peers: &PeerBook, raw: &RawAnswer) {
+    if raw.owner_token > 0
+        && let Ok(address) = raw.owner_address.parse()
+    {
+        peers.hear_owner(raw.owner_token, address);
+    }
+}
+
 fn take_answer(waiting: &Waiting, raw: &RawAnswer) {
     if raw.answer.is_empty() {
         return;
--- a/crates/platform/src/http/http_caller.rs
+++ b/crates/platform/src/http/http_caller.rs
@@ -1,4 +1,5 @@
 use {
+    super::reset_connector::ResetConnector,
     bytes::Bytes,
     goldcreststall_core::ids::Millis,
     http::{HeaderMap, Method, Request, StatusCode, header, request::Builder},
@@ -43,7 +44,7 @@
 #[derive(Clone, Debug)]
 pub struct HttpCaller {
     address: SocketAddr,
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<ResetConnector, Full<Bytes>>,
 }
 
 impl HttpCaller {
@@ -56,7 +57,7 @@
         // A retry by the client would hide that an append may have taken effect twice.
         let client = Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
-            .build(connector);
+            .build(ResetConnector(connector));
         Self { address, client }
     }
 
