Finish begun jobs first, and plan pools for the arrivals during a move

Change: ranks of work: serving, begun, fresh with a reserve, late, overdue, filling; a runner is left to empty for serving work that does not fit; durations of ended work items replace a step's estimate; pools are planned for 70% use.

--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -164,6 +164,20 @@
         self.spec.steps.iter().any(|step| step.long_running)
     }
 
+    /// Returns the longest chain from the start of a step to the end of the job, in milliseconds. Where work
+    /// items of the step have ended, their mean duration replaces the caller's estimate of the step: work items
+    /// of a step are alike, and estimates are off by factors.
+    pub fn chain_from(&self, occurrence: u32, step: u32) -> u64 {
+        let estimate = u64::from(self.spec.steps[step as usize].estimate_ms);
+        let ran = self
+            .step_items(occurrence, step)
+            .iter()
+            .filter_map(|item| item.ran);
+        let (count, sum) = ran.fold((0, 0), |(count, sum), ran| (count + 1, sum + ran.0));
+        let own = if count == 0 { estimate } else { sum / count };
+        self.spec.chain_from(step as usize) - estimate + own
+    }
+
     /// Returns the objective of the job: the time from its submission in which it should be completed.
     pub fn objective(&self) -> Millis {
         let chain = self.spec.longest_chain() as f64;
--- a/crates/dispatch/src/jobs/work_item.rs
+++ b/crates/dispatch/src/jobs/work_item.rs
@@ -1,4 +1,7 @@
-use {crate::runners::RunnerKey, goldcreststall_core::ids::LocalTime};
+use {
+    crate::runners::RunnerKey,
+    goldcreststall_core::ids::{LocalTime, Millis},
+};
 
 /// Place of a job in the [`super::JobTable`].
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -70,6 +73,8 @@
     pub fails: u32,
     /// A run ended as done.
     pub done: bool,
+    /// How long the run that ended as done took.
+    pub ran: Option<Millis>,
     /// Newest checkpoint; empty for none.
     pub checkpoint: String,
     /// Runner of the last failed run, which is avoided.
--- a/crates/dispatch/src/owner/host_duties.rs
+++ b/crates/dispatch/src/owner/host_duties.rs
@@ -20,6 +20,8 @@
 const MAINTENANCE_SLACK: Millis = Millis(400);
 /// Time of a wave that is kept for hosts that take long to become empty.
 const WAVE_RESERVE: Millis = Millis(3_000);
+/// Multiple of its objective up to which a late job is still of use to its caller.
+pub(super) const LATE_FACTOR: u64 = 3;
 /// Full work of a serving work item, in percent.
 const AT_WORK: u32 = 100;
 
@@ -640,7 +642,8 @@
     if !job.accepted || job.phase.is_final() {
         return 0;
     }
-    let late = !job.lasts() && now > job.seen + job.objective();
+    let age = now.since(job.seen).0;
+    let hopeless = !job.lasts() && age > job.objective().0 * LATE_FACTOR;
     let wants = |item: &&crate::jobs::WorkItem| {
         !item.done && (!item.runs.is_empty() || job.step_is_open(item.occurrence, item.step))
     };
@@ -650,6 +653,6 @@
         .filter(wants)
         .map(|item| u64::from(job.step_of(item).counted_cpu()))
         .sum();
-    // Late work earns little and uses what others leave.
-    if late { cpu / 4 } else { cpu }
+    // Work that nobody waits for any more uses what others leave.
+    if hopeless { cpu / 4 } else { cpu }
 }
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -1,23 +1,42 @@
 use {
-    super::{OwnerOrder, OwnerState, StartOrder},
+    super::{OwnerOrder, OwnerState, StartOrder, host_duties::LATE_FACTOR},
     crate::{
         jobs::{ItemKey, ItemRun, JobKey, JobState, RunPhase, StepSpec, WorkItem},
+        routes::RouteRule,
         runners::{Capacity, RunnerKey, RunnerState},
     },
-    goldcreststall_core::ids::LocalTime,
+    goldcreststall_core::ids::{LocalTime, Millis},
     std::{cmp::Reverse, sync::Arc},
 };
 
-/// Order in which work items of one service get room: smaller first.
+/// Order in which work items get room: smaller first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct PlaceRank {
-    /// Work that serves goes first, then work that can be in time, then late work.
-    tier: u8,
+    tier: PlaceTier,
     priority: u32,
     /// Latest start, in milliseconds of the local clock, at which the job can be in time.
     latest_start: u64,
 }
 
+/// Classes of work items, first come first. In a flood a job that was begun is finished before others are begun, and
+/// a job that would only just be late gets no room that one in time could use: otherwise every job of the flood starts
+/// at its last moment, and all are late.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum PlaceTier {
+    /// Work that lasts and serves others.
+    Serving,
+    /// The job was begun and can be in time.
+    Begun,
+    /// The job was not begun and can be in time with some reserve.
+    Fresh,
+    /// The job is late, or will be, but still of use to its caller.
+    Late,
+    /// The caller has no use for the job any more; it is completed all the same.
+    Overdue,
+    /// Work that uses what others leave.
+    Filling,
+}
+
 /// A work item that can start now.
 #[derive(Clone, Copy, Debug)]
 struct ReadyItem {
@@ -25,38 +44,80 @@
     key: ItemKey,
 }
 
-const TIER_SERVING: u8 = 0;
-const TIER_IN_TIME: u8 = 1;
-const TIER_LATE: u8 = 2;
-const TIER_FILLING: u8 = 3;
+/// Room that is not there in this pass.
+#[derive(Debug, Default)]
+struct PassLimits {
+    /// Queues whose service has no room for the demand beside them.
+    full: Vec<(Arc<RouteRule>, Capacity)>,
+    /// Runners that are left to empty until a serving work item fits.
+    reserved: Vec<RunnerKey>,
+}
+
+/// Share of the remaining chain that a job which was not begun needs as reserve, as a divisor.
+const RESERVE_DIVISOR: u64 = 8;
+/// Least reserve of a job that was not begun: placing, starting and noticing ends take this long.
+const LEAST_RESERVE: Millis = Millis(100);
 
 impl OwnerState {
     /// Starts ready work items where there is room.
     pub(super) fn place_items(&mut self, now: LocalTime, wall_ms: u64) {
         let mut ready = self.ready_items(now, wall_ms);
         ready.sort_unstable_by_key(|ready| (ready.rank, ready.key));
-        let mut full: Vec<(Arc<crate::routes::RouteRule>, Capacity)> = Vec::new();
-        for ReadyItem { key, .. } in ready {
-            let demand = self.demand(key);
-            let Some(job) = self.jobs.get(key.job) else {
-                continue;
-            };
-            let queue = Arc::clone(&job.queue);
-            // Without room for a smaller work item of the service there is none for this one.
-            let hopeless = full
-                .iter()
-                .any(|(other, least)| other.service == queue.service && demand.holds(least));
-            if hopeless {
-                continue;
-            }
-            match self.choose_runner(key, demand, now) {
-                Some(runner) => self.order_start(key, runner, now),
-                None if !self.is_picky(key) => full.push((queue, demand)),
-                None => {}
+        let mut limits = PassLimits::default();
+        for ReadyItem { key, rank } in ready {
+            self.place_item(key, rank.tier, &mut limits, now);
+        }
+    }
+
+    fn place_item(
+        &mut self,
+        key: ItemKey,
+        tier: PlaceTier,
+        limits: &mut PassLimits,
+        now: LocalTime,
+    ) {
+        let demand = self.demand(key);
+        let Some(job) = self.jobs.get(key.job) else {
+            return;
+        };
+        let queue = Arc::clone(&job.queue);
+        // Without room for a smaller work item of the service there is none for this one.
+        let hopeless = limits
+            .full
+            .iter()
+            .any(|(other, least)| other.service == queue.service && demand.holds(least));
+        if hopeless {
+            return;
+        }
+        let eligible = self.eligible_runners(key, now);
+        let fits = |runner: &RunnerKey| {
+            let state = self.runners.get(*runner);
+            let free = !limits.reserved.contains(runner);
+            free && state.is_some_and(|state| state.free().holds(&demand))
+        };
+        let chosen = eligible.iter().copied().find(fits);
+        match chosen {
+            Some(runner) => self.order_start(key, runner, now),
+            None if tier == PlaceTier::Serving => {
+                limits
+                    .reserved
+                    .extend(self.emptiest(&eligible, &limits.reserved));
             }
+            None if !self.is_picky(key) => limits.full.push((queue, demand)),
+            None => {}
         }
     }
 
+    /// Returns the runner that will soonest have room.
+    fn emptiest(&self, eligible: &[RunnerKey], reserved: &[RunnerKey]) -> Option<RunnerKey> {
+        let used = |runner: &RunnerKey| self.runners.get(*runner).map(|state| state.used.cpu);
+        eligible
+            .iter()
+            .copied()
+            .filter(|runner| !reserved.contains(runner))
+            .min_by_key(used)
+    }
+
     /// Returns whether the work item may lack a runner although there is room.
     fn is_picky(&self, key: ItemKey) -> bool {
         let Some((job, item)) = self.jobs.item(key) else {
@@ -79,19 +140,29 @@
         ready
     }
 
-    fn choose_runner(&self, key: ItemKey, demand: Capacity, now: LocalTime) -> Option<RunnerKey> {
-        let (job, item) = self.jobs.item(key)?;
+    /// Returns the runners that may run a work item, whether they have room now or not, best first.
+    fn eligible_runners(&self, key: ItemKey, now: LocalTime) -> Vec<RunnerKey> {
+        let Some((job, item)) = self.jobs.item(key) else {
+            return Vec::new();
+        };
+        let demand = self.demand(key);
         let step = job.step_of(item);
         let siblings = job.step_items(item.occurrence, item.step);
-        self.runners
+        let mut eligible: Vec<(bool, u32, Reverse<RunnerKey>)> = self
+            .runners
             .all()
             .filter(|(_, state)| state.report.service == job.queue.service)
-            .filter(|(_, state)| state.takes_work(now) && state.free().holds(&demand))
+            .filter(|(_, state)| state.takes_work(now) && state.report.capacity.holds(&demand))
             .filter(|(_, state)| label_fits(step, state))
             .filter(|(runner, _)| spread_fits(step, siblings, *runner))
             .filter(|(runner, _)| item.failed_on != Some(*runner) || self.is_only_runner(job, now))
-            .max_by_key(|(runner, state)| (near_data(step, state), fit(state), Reverse(*runner)))
-            .map(|(runner, _)| runner)
+            .map(|(runner, state)| (near_data(step, state), fit(state), Reverse(runner)))
+            .collect();
+        eligible.sort_unstable_by(|left, right| right.cmp(left));
+        eligible
+            .into_iter()
+            .map(|(_, _, Reverse(runner))| runner)
+            .collect()
     }
 
     fn is_only_runner(&self, job: &JobState, now: LocalTime) -> bool {
@@ -172,17 +243,22 @@
 
 fn rank(job: &JobState, item: &WorkItem, now: LocalTime) -> PlaceRank {
     let step = job.step_of(item);
-    let chain = job.spec.chain_from(item.step as usize);
+    let chain = job.chain_from(item.occurrence, item.step);
     let due = job.seen + job.objective();
     let latest_start = due.0.saturating_sub(chain);
+    let reserve = LEAST_RESERVE.0.max(chain / RESERVE_DIVISOR);
     let tier = if step.fills {
-        TIER_FILLING
+        PlaceTier::Filling
     } else if step.long_running {
-        TIER_SERVING
-    } else if latest_start >= now.0 {
-        TIER_IN_TIME
+        PlaceTier::Serving
+    } else if job.begun && latest_start >= now.0 {
+        PlaceTier::Begun
+    } else if latest_start >= now.0 + reserve {
+        PlaceTier::Fresh
+    } else if now.0 + chain <= job.seen.0 + job.objective().0 * LATE_FACTOR {
+        PlaceTier::Late
     } else {
-        TIER_LATE
+        PlaceTier::Overdue
     };
     PlaceRank {
         tier,
--- a/crates/dispatch/src/owner/runner_answers.rs
+++ b/crates/dispatch/src/owner/runner_answers.rs
@@ -213,6 +213,7 @@
             );
             return;
         };
+        let sent = self.run_mut(key, runner, end.run).map(|booked| booked.sent);
         let booked = self.detach_run(key, runner, end.run, now);
         if !matches!(end.kind, EndKind::Done) {
             let detail = format!("run={} how={:?} booked={booked}", end.run, end.kind);
@@ -220,6 +221,9 @@
         }
         if let Some(item) = self.jobs.item_mut(key) {
             item.last_run = item.last_run.max(end.run);
+            if end.kind == EndKind::Done && item.checkpoint.is_empty() {
+                item.ran = sent.map(|sent| now.since(sent));
+            }
             if !end.checkpoint.is_empty() {
                 item.checkpoint = end.checkpoint;
             }
--- a/crates/dispatch/src/pools/pool_planner.rs
+++ b/crates/dispatch/src/pools/pool_planner.rs
@@ -1,7 +1,8 @@
 use goldcreststall_core::ids::LocalTime;
 
-/// Share of a pool's room that is planned as used, in percent; room comes in pieces that work does not fill.
-const PLANNED_USE: u64 = 90;
+/// Share of a pool's room that is planned as used, in percent. The rest takes the arrivals of the two seconds that
+/// a host needs to move, and room comes in pieces that work does not fill.
+const PLANNED_USE: u64 = 70;
 /// Hosts that a pool keeps beyond its need when it gives some away.
 const KEPT: usize = 2;
 
--- a/crates/node/src/feeds/runner_feed.rs
+++ b/crates/node/src/feeds/runner_feed.rs
@@ -12,8 +12,9 @@
     tokio::sync::watch,
 };
 
-/// Time between two reads of the runners' entries; they change with every heartbeat.
-const READ_PERIOD: Millis = Millis(250);
+/// Time between two reads of the runners' entries. A moved host takes work only when its entry is read, and one
+/// long read would return with every heartbeat.
+const READ_PERIOD: Millis = Millis(120);
 
 /// Follows the entries of runners while this process owns the fleet.
 pub struct RunnerFeed {
