Give every pool a target size, and empty hosts beyond it

Cause: a pool gave only hosts that happened to be empty. Ruled out: slow moves; orders were answered within 20 ms and hosts worked 2 s later. Change: targets for all pools at once from work that can be in time, then from late work; equal shares beyond the floor when there are too few hosts; hosts beyond a target take no new work until they are empty and move.

--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -8,6 +8,9 @@
     std::sync::Arc,
 };
 
+/// Multiple of its objective up to which a late job is still of use to its caller.
+const LATE_FACTOR: u64 = 3;
+
 /// A job that the owner knows.
 #[derive(Debug)]
 pub struct JobState {
@@ -185,6 +188,17 @@
         Millis(stretched as u64 + self.queue.target_latency.0)
     }
 
+    /// Returns the latest time at which a work item can start for its job to be in time.
+    pub fn latest_start(&self, item: &WorkItem) -> LocalTime {
+        let chain = self.chain_from(item.occurrence, item.step);
+        self.seen + self.objective() - Millis(chain)
+    }
+
+    /// Returns until when a late job is still of use to its caller.
+    pub fn useful_until(&self) -> LocalTime {
+        self.seen + Millis(self.objective().0 * LATE_FACTOR)
+    }
+
     /// Marks the job as completed when all work items are done, and returns whether it is new.
     pub fn complete_if_done(&mut self) -> bool {
         if self.phase.is_final() || !self.items.iter().all(|item| item.done) {
--- a/crates/dispatch/src/owner/host_duties.rs
+++ b/crates/dispatch/src/owner/host_duties.rs
@@ -2,7 +2,7 @@
     super::{OwnerOrder, OwnerState},
     crate::{
         jobs::{ItemKey, RunPhase},
-        pools::{HostMove, PoolFigures, plan_moves},
+        pools::{HostMove, PoolFigures, job_demand, plan_pools},
         records::WaveProgress,
         routes::FleetRules,
         runners::{Capacity, RunnerKey, RunnerTable},
@@ -20,8 +20,6 @@
 const MAINTENANCE_SLACK: Millis = Millis(400);
 /// Time of a wave that is kept for hosts that take long to become empty.
 const WAVE_RESERVE: Millis = Millis(3_000);
-/// Multiple of its objective up to which a late job is still of use to its caller.
-pub(super) const LATE_FACTOR: u64 = 3;
 /// Full work of a serving work item, in percent.
 const AT_WORK: u32 = 100;
 
@@ -574,9 +572,19 @@
 
     fn decide_moves(&mut self, now: LocalTime) {
         let figures = self.pool_figures(now);
-        for HostMove { host, pool, why } in plan_moves(&figures) {
+        let plan = plan_pools(&figures);
+        for HostMove { host, pool, why } in plan.moves {
             self.begin_task(&host, HostTask::Move { pool }, why, now);
         }
+        for host in plan.drains {
+            let runner = self
+                .hosts
+                .find(&host)
+                .and_then(|state| state.report.runner.clone());
+            if let Some(id) = runner {
+                self.cordon(&id);
+            }
+        }
     }
 
     fn pool_figures(&self, now: LocalTime) -> Vec<PoolFigures> {
@@ -603,8 +611,12 @@
                 pool.hosts += 1;
                 pool.host_cpu = pool.host_cpu.max(state.report.capacity.cpu);
             }
-            if let Some(since) = self.movable_since(state, pool.spare, now) {
-                pool.movable.push((since, state.report.host.clone()));
+            match self.host_use(state, pool.spare, now) {
+                HostUse::Empty(since) => {
+                    pool.movable.push((since, state.report.host.clone()));
+                }
+                HostUse::Busy(cpu) => pool.busy.push((cpu, state.report.host.clone())),
+                HostUse::Kept => {}
             }
         }
         for key in self.jobs.open() {
@@ -615,44 +627,45 @@
                 .iter_mut()
                 .find(|pool| pool.name == job.queue.service);
             if let Some(pool) = pool {
-                pool.demand_cpu += demand_of(job, now);
+                let demand = job_demand(job, now);
+                pool.demand_cpu += demand.in_time;
+                pool.late_cpu += demand.late;
             }
         }
         figures
     }
 
-    /// Returns since when a host could move: nothing runs there and nothing is ordered.
-    fn movable_since(&self, state: &HostState, spare: bool, now: LocalTime) -> Option<LocalTime> {
+    fn host_use(&self, state: &HostState, spare: bool, now: LocalTime) -> HostUse {
         let idle = state.task.is_none() && state.maintained.is_none() && state.moved.is_none();
         if !idle || state.report.status != HostStatus::Up || state.pause > now {
-            return None;
+            return HostUse::Kept;
         }
         if spare {
-            return Some(LocalTime(0));
+            return HostUse::Empty(LocalTime(0));
+        }
+        let id = state.report.runner.as_deref();
+        let Some(key) = id.and_then(|id| self.runners.find(id)) else {
+            return HostUse::Kept;
+        };
+        let Some(runner) = self.runners.get(key) else {
+            return HostUse::Kept;
+        };
+        if !runner.takes_work(now) || self.has_lasting(Some(key)) {
+            return HostUse::Kept;
         }
-        let key = self.runners.find(state.report.runner.as_deref()?)?;
-        let runner = self.runners.get(key)?;
-        let empty = runner.items.is_empty() && !runner.foreign && runner.takes_work(now);
-        empty.then_some(runner.empty_since)
+        if runner.items.is_empty() {
+            return HostUse::Empty(runner.empty_since);
+        }
+        HostUse::Busy(runner.used.cpu)
     }
 }
 
-/// Returns the processor time that a job's ready and running work items ask for, in thousandths of a core.
-fn demand_of(job: &crate::jobs::JobState, now: LocalTime) -> u64 {
-    if !job.accepted || job.phase.is_final() {
-        return 0;
-    }
-    let age = now.since(job.seen).0;
-    let hopeless = !job.lasts() && age > job.objective().0 * LATE_FACTOR;
-    let wants = |item: &&crate::jobs::WorkItem| {
-        !item.done && (!item.runs.is_empty() || job.step_is_open(item.occurrence, item.step))
-    };
-    let cpu: u64 = job
-        .items
-        .iter()
-        .filter(wants)
-        .map(|item| u64::from(job.step_of(item).counted_cpu()))
-        .sum();
-    // Work that nobody waits for any more uses what others leave.
-    if hopeless { cpu / 4 } else { cpu }
+/// What a host could be used for in another pool.
+enum HostUse {
+    /// Nothing runs there, since that time.
+    Empty(LocalTime),
+    /// Its work ends by itself; the processor time in use.
+    Busy(u32),
+    /// It stays.
+    Kept,
 }
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -1,5 +1,5 @@
 use {
-    super::{OwnerOrder, OwnerState, StartOrder, host_duties::LATE_FACTOR},
+    super::{OwnerOrder, OwnerState, StartOrder},
     crate::{
         jobs::{ItemKey, ItemRun, JobKey, JobState, RunPhase, StepSpec, WorkItem},
         routes::RouteRule,
@@ -244,8 +244,7 @@
 fn rank(job: &JobState, item: &WorkItem, now: LocalTime) -> PlaceRank {
     let step = job.step_of(item);
     let chain = job.chain_from(item.occurrence, item.step);
-    let due = job.seen + job.objective();
-    let latest_start = due.0.saturating_sub(chain);
+    let latest_start = job.latest_start(item).0;
     let reserve = LEAST_RESERVE.0.max(chain / RESERVE_DIVISOR);
     let tier = if step.fills {
         PlaceTier::Filling
@@ -255,7 +254,7 @@
         PlaceTier::Begun
     } else if latest_start >= now.0 + reserve {
         PlaceTier::Fresh
-    } else if now.0 + chain <= job.seen.0 + job.objective().0 * LATE_FACTOR {
+    } else if now.0 + chain <= job.useful_until().0 {
         PlaceTier::Late
     } else {
         PlaceTier::Overdue
--- a/crates/dispatch/src/pools/mod.rs
+++ b/crates/dispatch/src/pools/mod.rs
@@ -1,5 +1,9 @@
 //! How many hosts each pool should have, and which hosts move.
 
+mod job_demand;
 mod pool_planner;
 
-pub use pool_planner::{HostMove, PoolFigures, plan_moves};
+pub use {
+    job_demand::{JobDemand, job_demand},
+    pool_planner::{HostMove, PoolFigures, PoolPlan, plan_pools},
+};
--- a/crates/dispatch/src/pools/pool_planner.rs
+++ b/crates/dispatch/src/pools/pool_planner.rs
@@ -1,10 +1,10 @@
 use goldcreststall_core::ids::LocalTime;
 
-/// Share of a pool's room that is planned as used, in percent. The rest takes the arrivals of the two seconds that
-/// a host needs to move, and room comes in pieces that work does not fill.
+/// Share of a pool's room that is planned as used, in percent. The rest takes the arrivals of the two seconds that a
+/// host needs to move, and room comes in pieces that work does not fill.
 const PLANNED_USE: u64 = 70;
-/// Hosts that a pool keeps beyond its need when it gives some away.
-const KEPT: usize = 2;
+/// Hosts that a pool keeps in any case, for the first seconds of its next turn of demand.
+const FLOOR: usize = 4;
 
 /// What a pool has and needs.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -15,21 +15,39 @@
     pub spare: bool,
     /// Hosts that are in the pool or on their way to it.
     pub hosts: usize,
-    /// Processor time that its work asks for, in thousandths of a core.
+    /// Processor time that work which can be in time asks for, in thousandths of a core.
     pub demand_cpu: u64,
+    /// Processor time that late work asks for, in thousandths of a core.
+    pub late_cpu: u64,
     /// Processor time of one host, in thousandths of a core.
     pub host_cpu: u32,
     /// Hosts that can move, with the time since when they are empty.
     pub movable: Vec<(LocalTime, String)>,
+    /// Hosts whose work will end by itself, with the processor time in use.
+    pub busy: Vec<(u32, String)>,
 }
 
 impl PoolFigures {
+    fn hosts_for(&self, cpu: u64) -> usize {
+        let planned = u64::from(self.host_cpu.max(1)) * PLANNED_USE / 100;
+        cpu.div_ceil(planned.max(1)) as usize
+    }
+
+    /// Returns the hosts that the pool needs for work that can be in time.
     fn needed(&self) -> usize {
         if self.spare {
             return 0;
         }
-        let planned = u64::from(self.host_cpu.max(1)) * PLANNED_USE / 100;
-        self.demand_cpu.div_ceil(planned.max(1)) as usize
+        self.hosts_for(self.demand_cpu).max(FLOOR)
+    }
+
+    /// Returns the hosts that late work would use besides.
+    fn wanted_late(&self) -> usize {
+        if self.spare {
+            return 0;
+        }
+        self.hosts_for(self.demand_cpu + self.late_cpu)
+            .saturating_sub(self.needed())
     }
 }
 
@@ -44,65 +62,144 @@
     pub why: String,
 }
 
-/// A pool that can give hosts away.
-struct GiverPool {
-    place: usize,
-    surplus: usize,
-    movable: Vec<(LocalTime, String)>,
-}
-
-impl GiverPool {
-    fn new(place: usize, pool: &PoolFigures) -> Self {
-        let kept = if pool.spare { 0 } else { pool.needed() + KEPT };
-        let mut movable = pool.movable.clone();
-        movable.sort_unstable();
-        Self {
-            place,
-            surplus: pool.hosts.saturating_sub(kept).min(movable.len()),
-            movable,
-        }
-    }
+/// What should be done with the hosts now.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PoolPlan {
+    /// Hosts that move.
+    pub moves: Vec<HostMove>,
+    /// Hosts that take no new work, so that they can move when they are empty.
+    pub drains: Vec<String>,
 }
 
-/// Decides which hosts move now.
-pub fn plan_moves(pools: &[PoolFigures]) -> Vec<HostMove> {
-    let mut givers: Vec<GiverPool> = pools
+/// Decides which hosts move now and which are emptied for a move.
+///
+/// Every pool gets what its work in time needs. When that is more than there is, the pools get equal shares of their
+/// needs beyond the floor: otherwise the pool whose flood came first keeps its hosts for late work while the next
+/// pool's work becomes late for want of them.
+pub fn plan_pools(pools: &[PoolFigures]) -> PoolPlan {
+    let targets = targets(pools);
+    let mut plan = PoolPlan::default();
+    let mut givers: Vec<HostGiver> = pools
         .iter()
-        .enumerate()
-        .map(|(place, pool)| GiverPool::new(place, pool))
+        .zip(&targets)
+        .map(|(pool, target)| HostGiver::new(pool, *target))
         .collect();
-    let mut moves = Vec::new();
     let mut short: Vec<(usize, usize)> = pools
         .iter()
+        .zip(&targets)
         .enumerate()
-        .map(|(place, pool)| (pool.needed().saturating_sub(pool.hosts), place))
+        .filter(|(_, (pool, _))| !pool.spare)
+        .map(|(place, (pool, target))| (target.saturating_sub(pool.hosts), place))
         .filter(|(missing, _)| *missing > 0)
         .collect();
     short.sort_unstable_by(|left, right| right.cmp(left));
     for (missing, place) in short {
         for _ in 0..missing {
-            let giver = givers
-                .iter_mut()
-                .filter(|giver| giver.place != place && giver.surplus > 0)
-                .max_by_key(|giver| giver.surplus);
-            let Some(giver) = giver else {
-                return moves;
+            let Some((giver, given)) = next_host(&mut givers) else {
+                return plan;
             };
-            giver.surplus -= 1;
-            let (_, host) = giver.movable.remove(0);
-            moves.push(HostMove {
-                host,
-                pool: pools[place].name.clone(),
-                why: format!(
-                    "need={} have={} from={} its_need={} its_hosts={}",
-                    pools[place].needed(),
-                    pools[place].hosts,
-                    pools[giver.place].name,
-                    pools[giver.place].needed(),
-                    pools[giver.place].hosts
-                ),
-            });
+            match given {
+                GivenHost::Empty(host) => plan.moves.push(HostMove {
+                    host,
+                    pool: pools[place].name.clone(),
+                    why: format!(
+                        "target={} have={} from={} its_target={} its_hosts={}",
+                        targets[place],
+                        pools[place].hosts,
+                        pools[giver].name,
+                        targets[giver],
+                        pools[giver].hosts
+                    ),
+                }),
+                GivenHost::Busy(host) => plan.drains.push(host),
+            }
+        }
+    }
+    plan
+}
+
+/// Returns how many hosts each pool should have.
+fn targets(pools: &[PoolFigures]) -> Vec<usize> {
+    let total: usize = pools.iter().map(|pool| pool.hosts).sum();
+    let needed: usize = pools.iter().map(PoolFigures::needed).sum();
+    if needed > total {
+        return shares(pools, total);
+    }
+    let late: usize = pools.iter().map(PoolFigures::wanted_late).sum();
+    let left = total - needed;
+    let extra = |pool: &PoolFigures| match late {
+        0 => 0,
+        late => pool.wanted_late() * left.min(late) / late,
+    };
+    pools
+        .iter()
+        .map(|pool| pool.needed() + extra(pool))
+        .collect()
+}
+
+/// Shares the hosts when there are fewer than needed.
+fn shares(pools: &[PoolFigures], total: usize) -> Vec<usize> {
+    let floor = |pool: &PoolFigures| if pool.spare { 0 } else { FLOOR };
+    let floors: usize = pools.iter().map(floor).sum();
+    let left = total.saturating_sub(floors);
+    let beyond = |pool: &PoolFigures| pool.needed() - floor(pool);
+    let all: usize = pools.iter().map(beyond).sum();
+    pools
+        .iter()
+        .map(|pool| floor(pool) + beyond(pool) * left / all.max(1))
+        .collect()
+}
+
+/// A pool that can give hosts away.
+struct HostGiver {
+    surplus: usize,
+    movable: Vec<(LocalTime, String)>,
+    busy: Vec<(u32, String)>,
+}
+
+/// A host that a pool gives away.
+enum GivenHost {
+    Empty(String),
+    Busy(String),
+}
+
+impl HostGiver {
+    fn new(pool: &PoolFigures, target: usize) -> Self {
+        let mut movable = pool.movable.clone();
+        movable.sort_unstable_by(|left, right| right.cmp(left));
+        let mut busy = pool.busy.clone();
+        busy.sort_unstable_by(|left, right| right.cmp(left));
+        Self {
+            surplus: pool.hosts.saturating_sub(target),
+            movable,
+            busy,
+        }
+    }
+
+    fn rank(&self) -> (bool, usize) {
+        (!self.movable.is_empty(), self.surplus)
+    }
+
+    /// Takes the host that has been empty longest, else the one with the least work.
+    fn take(&mut self) -> Option<GivenHost> {
+        self.surplus = self.surplus.checked_sub(1)?;
+        if let Some((_, host)) = self.movable.pop() {
+            return Some(GivenHost::Empty(host));
         }
+        let (_, host) = self.busy.pop()?;
+        Some(GivenHost::Busy(host))
     }
-    moves
+}
+
+/// Takes a host from the pool with the most to spare, empty hosts first.
+fn next_host(givers: &mut [HostGiver]) -> Option<(usize, GivenHost)> {
+    let can_give = |giver: &HostGiver| {
+        giver.surplus > 0 && (!giver.movable.is_empty() || !giver.busy.is_empty())
+    };
+    let (place, giver) = givers
+        .iter_mut()
+        .enumerate()
+        .filter(|(_, giver)| can_give(giver))
+        .max_by_key(|(_, giver)| giver.rank())?;
+    Some((place, giver.take()?))
 }
