Elect a new owner in 1.5 s, and at once after an own predecessor

Ruled out: the reading of the store (160 ms for 830 jobs). Change: leases of 1.3 s renewed every 400 ms; claims after 1.5 s; a process claims at once when the last claimant was its predecessor on the same address, which it has bound before; work leases of 3.5 s.

--- a/crates/dispatch/src/owner/hold_planner.rs
+++ b/crates/dispatch/src/owner/hold_planner.rs
@@ -8,7 +8,7 @@
 };
 
 /// Longest wait of a hold call for an end. The lease outlives several such waits.
-const HOLD_WAIT: Millis = Millis(900);
+const HOLD_WAIT: Millis = Millis(700);
 /// Time after which a stop that was not acknowledged is sent again.
 const STOP_REPEAT: Millis = Millis(600);
 
--- a/crates/dispatch/src/runners/lease_clock.rs
+++ b/crates/dispatch/src/runners/lease_clock.rs
@@ -2,7 +2,7 @@
 
 /// How long a runner keeps its work after the last order or hold call that reached it. Longer than an election
 /// and the reading of the store, so that work survives a change of the owner.
-pub const LEASE: Millis = Millis(4_500);
+pub const LEASE: Millis = Millis(3_500);
 /// Added to the end of a lease: the runner needs this long to end its work.
 const KILL_SLACK: Millis = Millis(300);
 /// Share by which a runner's clock may be slow, as a divisor: one fiftieth.
--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -77,6 +77,11 @@
 /// When an address cannot be bound or a thread cannot be started.
 pub fn run(settings: &NodeSettings, ports: NodePorts, logger: &Logger) -> anyhow::Result<()> {
     info!(logger, "node: start"; "settings" => ?settings);
+    // Bound before the election begins: a process that holds this address is the only one of its host, so that a
+    // claim of an earlier process has nobody behind it any more.
+    let listener = std::net::TcpListener::bind(settings.link_address)
+        .with_context(|| format!("{} cannot be bound", settings.link_address))?;
+    listener.set_nonblocking(true)?;
     let metrics = Arc::new(NodeMetrics::new()?);
     let lease = OwnerLease::default();
     let parts = ActorParts {
@@ -146,7 +151,7 @@
     runtime.block_on(serve(
         settings,
         ports.ingress,
-        server,
+        (server, listener),
         desk,
         stop_claims,
         logger,
@@ -207,14 +212,12 @@
 async fn serve(
     settings: &NodeSettings,
     ingress: Arc<dyn NodeIngress>,
-    server: LinkServer,
+    (server, listener): (LinkServer, std::net::TcpListener),
     desk: Arc<FrontDesk>,
     stop_claims: CancellationToken,
     logger: &Logger,
 ) -> anyhow::Result<()> {
-    let listener = TcpListener::bind(settings.link_address)
-        .await
-        .with_context(|| format!("{} cannot be bound", settings.link_address))?;
+    let listener = TcpListener::from_std(listener)?;
     tokio::spawn(server.serve(listener));
     let stop = CancellationToken::new();
     let served = tokio::spawn({
--- a/crates/node/src/election/election_task.rs
+++ b/crates/node/src/election/election_task.rs
@@ -14,13 +14,13 @@
 };
 
 /// Time from the send of a renewal until the owner stops giving orders.
-const OWNER_LEASE: Millis = Millis(2_000);
+const OWNER_LEASE: Millis = Millis(1_300);
 /// Silence after which another entry host claims; longer than the owner's lease.
-const CLAIM_SILENCE: Millis = Millis(2_300);
+const CLAIM_SILENCE: Millis = Millis(1_500);
 /// Time between renewals; three fit into a lease.
-const RENEW_PERIOD: Millis = Millis(600);
+const RENEW_PERIOD: Millis = Millis(400);
 /// Longest wait of a read for the next record.
-const READ_WAIT: Millis = Millis(700);
+const READ_WAIT: Millis = Millis(600);
 /// Longest wait for the answer to a claim or renewal.
 const APPEND_TIMEOUT: Millis = Millis(700);
 /// Pause after a failed call of the store.
@@ -141,9 +141,11 @@
                 return;
             }
         };
-        watch.released = claim.released;
+        // An earlier process of this host has ended, or this one could not listen on its address.
+        let predecessor = claim.address == self.address && claim.claimant != self.claimant;
+        watch.released = claim.released || predecessor;
         self.peers.add(claim.address);
-        let place = (!claim.released).then_some(OwnerPlace {
+        let place = (!watch.released).then_some(OwnerPlace {
             address: claim.address,
             token: claim.token,
             own: false,
