Place work in passes, and let small hosts own the fleet last

Each answer of a runner led to a pass over all work and all runners of the fleet. Ruled out: the store (0.003 GB, 15 ms an append). Change: passes at most every 4 ms with one list of runners for each pool; hosts below 0.2 of a core or 50 Mbit/s claim 400 ms later; after a stall of the owner the silence of runners does not count as a lapsed lease.

--- a/crates/core/src/ids/time.rs
+++ b/crates/core/src/ids/time.rs
@@ -15,6 +15,14 @@
     }
 }
 
+impl ops::Add for Millis {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
 macro_rules! point_in_time {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
--- a/crates/dispatch/src/owner/hold_planner.rs
+++ b/crates/dispatch/src/owner/hold_planner.rs
@@ -67,7 +67,8 @@
             };
             let silent = state.misses > 0 || !state.listed;
             let lapse = state.clock.lapse().unwrap_or(state.seen + longest_lapse());
-            if silent && now > lapse && !state.items.is_empty() {
+            let certain = now > lapse && now > self.doubt_until;
+            if silent && certain && !state.items.is_empty() {
                 self.void_runner(key, "the lease has ended", now);
             }
             self.repeat_stops(key, now);
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -17,6 +17,12 @@
 const KEEP_ENDED: Millis = Millis(125_000);
 /// Time between two rounds of the decisions that are not urgent.
 const SLOW_ROUND: Millis = Millis(100);
+/// Least time between two passes of placement; answers of runners come by the thousand in a second.
+const PLACE_PERIOD: Millis = Millis(4);
+/// Time between two ticks from which on this process counts as stalled.
+const STALL: Millis = Millis(400);
+/// How long after a stall silence of runners proves nothing: their answers may still wait here.
+const STALL_DOUBT: Millis = Millis(2_000);
 
 /// A decision or a change of belief, for the log.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -45,6 +51,9 @@
     pub(super) settled: bool,
     pub(super) listed: bool,
     pub(super) place_due: bool,
+    pub(super) doubt_until: LocalTime,
+    last_place: LocalTime,
+    last_tick: LocalTime,
     slow_round: LocalTime,
 }
 
@@ -65,6 +74,9 @@
             settled: false,
             listed: false,
             place_due: true,
+            doubt_until: now,
+            last_place: LocalTime(0),
+            last_tick: now,
             slow_round: now,
         }
     }
@@ -94,6 +106,12 @@
 
     /// Makes the decisions that are due. `wall_ms` is the time of day in Unix milliseconds.
     pub fn tick(&mut self, now: LocalTime, wall_ms: u64) {
+        if now.since(self.last_tick) > STALL {
+            let detail = format!("stalled_ms={}", now.since(self.last_tick).0);
+            self.note("owner stalled", format!("token {}", self.token), detail);
+            self.doubt_until = now + STALL_DOUBT;
+        }
+        self.last_tick = now;
         if now >= self.slow_round {
             self.slow_round = now + SLOW_ROUND;
             self.lapse_runs(now);
@@ -103,8 +121,9 @@
             self.forget_ended(now);
             self.place_due = true;
         }
-        if self.place_due {
+        if self.place_due && now.since(self.last_place) >= PLACE_PERIOD {
             self.place_due = false;
+            self.last_place = now;
             self.place_items(now, wall_ms);
         }
         self.plan_holds(now);
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -44,9 +44,11 @@
     key: ItemKey,
 }
 
-/// Room that is not there in this pass.
+/// What one pass of placement works with.
 #[derive(Debug, Default)]
-struct PassLimits {
+struct PlacePass {
+    /// Runners that take work, by service; the fullest first at the start of the pass.
+    pools: Vec<(Arc<RouteRule>, Vec<RunnerKey>)>,
     /// Queues whose service has no room for the demand beside them.
     full: Vec<(Arc<RouteRule>, Capacity)>,
     /// Runners that are left to empty until a serving work item fits.
@@ -63,58 +65,97 @@
     pub(super) fn place_items(&mut self, now: LocalTime, wall_ms: u64) {
         let mut ready = self.ready_items(now, wall_ms);
         ready.sort_unstable_by_key(|ready| (ready.rank, ready.key));
-        let mut limits = PassLimits::default();
+        let mut pass = PlacePass::default();
         for ReadyItem { key, rank } in ready {
-            self.place_item(key, rank.tier, &mut limits, now);
+            self.place_item(key, rank.tier, &mut pass, now);
         }
     }
 
-    fn place_item(
-        &mut self,
-        key: ItemKey,
-        tier: PlaceTier,
-        limits: &mut PassLimits,
-        now: LocalTime,
-    ) {
+    fn place_item(&mut self, key: ItemKey, tier: PlaceTier, pass: &mut PlacePass, now: LocalTime) {
         let demand = self.demand(key);
         let Some(job) = self.jobs.get(key.job) else {
             return;
         };
         let queue = Arc::clone(&job.queue);
         // Without room for a smaller work item of the service there is none for this one.
-        let hopeless = limits
+        let hopeless = pass
             .full
             .iter()
             .any(|(other, least)| other.service == queue.service && demand.holds(least));
         if hopeless {
             return;
         }
-        let eligible = self.eligible_runners(key, now);
+        let place = self.pass_pool(&queue, pass, now);
+        let eligible = |runner: &RunnerKey| self.is_eligible(key, *runner, demand, now);
         let fits = |runner: &RunnerKey| {
             let state = self.runners.get(*runner);
-            let free = !limits.reserved.contains(runner);
-            free && state.is_some_and(|state| state.free().holds(&demand))
+            let free = !pass.reserved.contains(runner);
+            free && state.is_some_and(|state| state.free().holds(&demand)) && eligible(runner)
+        };
+        let pool = &pass.pools[place].1;
+        let chosen = match self.data_rack(key) {
+            Some(rack) => pool
+                .iter()
+                .copied()
+                .filter(fits)
+                .max_by_key(|runner| self.has_label(*runner, rack)),
+            None => pool.iter().copied().find(fits),
         };
-        let chosen = eligible.iter().copied().find(fits);
         match chosen {
             Some(runner) => self.order_start(key, runner, now),
             None if tier == PlaceTier::Serving => {
-                limits
-                    .reserved
-                    .extend(self.emptiest(&eligible, &limits.reserved));
+                let emptiest = self.emptiest(pool, &pass.reserved, eligible);
+                pass.reserved.extend(emptiest);
             }
-            None if !self.is_picky(key) => limits.full.push((queue, demand)),
+            None if !self.is_picky(key) => pass.full.push((queue, demand)),
             None => {}
         }
     }
 
+    /// Returns the place of the queue's pool in the pass, which is formed at its first use.
+    fn pass_pool(&self, queue: &Arc<RouteRule>, pass: &mut PlacePass, now: LocalTime) -> usize {
+        let known = pass
+            .pools
+            .iter()
+            .position(|(other, _)| other.service == queue.service);
+        if let Some(place) = known {
+            return place;
+        }
+        let mut pool: Vec<(u32, RunnerKey)> = self
+            .runners
+            .all()
+            .filter(|(_, state)| state.report.service == queue.service && state.takes_work(now))
+            .map(|(runner, state)| (state.used.cpu, runner))
+            .collect();
+        // The fullest runner first, so that others become empty and can move.
+        pool.sort_unstable_by_key(|(used, runner)| (Reverse(*used), *runner));
+        let pool = pool.into_iter().map(|(_, runner)| runner).collect();
+        pass.pools.push((Arc::clone(queue), pool));
+        pass.pools.len() - 1
+    }
+
+    fn data_rack(&self, key: ItemKey) -> Option<&str> {
+        let (job, item) = self.jobs.item(key)?;
+        job.step_of(item).data_rack.as_deref()
+    }
+
+    fn has_label(&self, runner: RunnerKey, label: &str) -> bool {
+        self.runners
+            .get(runner)
+            .is_some_and(|state| state.has_label(label))
+    }
+
     /// Returns the runner that will soonest have room.
-    fn emptiest(&self, eligible: &[RunnerKey], reserved: &[RunnerKey]) -> Option<RunnerKey> {
+    fn emptiest(
+        &self,
+        pool: &[RunnerKey],
+        reserved: &[RunnerKey],
+        eligible: impl Fn(&RunnerKey) -> bool,
+    ) -> Option<RunnerKey> {
         let used = |runner: &RunnerKey| self.runners.get(*runner).map(|state| state.used.cpu);
-        eligible
-            .iter()
+        pool.iter()
             .copied()
-            .filter(|runner| !reserved.contains(runner))
+            .filter(|runner| !reserved.contains(runner) && eligible(runner))
             .min_by_key(used)
     }
 
@@ -140,29 +181,25 @@
         ready
     }
 
-    /// Returns the runners that may run a work item, whether they have room now or not, best first.
-    fn eligible_runners(&self, key: ItemKey, now: LocalTime) -> Vec<RunnerKey> {
+    /// Returns whether a runner may run a work item, whether it has room now or not.
+    fn is_eligible(
+        &self,
+        key: ItemKey,
+        runner: RunnerKey,
+        demand: Capacity,
+        now: LocalTime,
+    ) -> bool {
+        let Some(state) = self.runners.get(runner) else {
+            return false;
+        };
         let Some((job, item)) = self.jobs.item(key) else {
-            return Vec::new();
+            return false;
         };
-        let demand = self.demand(key);
         let step = job.step_of(item);
-        let siblings = job.step_items(item.occurrence, item.step);
-        let mut eligible: Vec<(bool, u32, Reverse<RunnerKey>)> = self
-            .runners
-            .all()
-            .filter(|(_, state)| state.report.service == job.queue.service)
-            .filter(|(_, state)| state.takes_work(now) && state.report.capacity.holds(&demand))
-            .filter(|(_, state)| label_fits(step, state))
-            .filter(|(runner, _)| spread_fits(step, siblings, *runner))
-            .filter(|(runner, _)| item.failed_on != Some(*runner) || self.is_only_runner(job, now))
-            .map(|(runner, state)| (near_data(step, state), fit(state), Reverse(runner)))
-            .collect();
-        eligible.sort_unstable_by(|left, right| right.cmp(left));
-        eligible
-            .into_iter()
-            .map(|(_, _, Reverse(runner))| runner)
-            .collect()
+        state.report.capacity.holds(&demand)
+            && label_fits(step, state)
+            && spread_fits(step, job, item, runner)
+            && (item.failed_on != Some(runner) || self.is_only_runner(job, now))
     }
 
     fn is_only_runner(&self, job: &JobState, now: LocalTime) -> bool {
@@ -272,11 +309,12 @@
         .is_none_or(|label| state.has_label(label))
 }
 
-fn spread_fits(step: &StepSpec, siblings: &[WorkItem], runner: RunnerKey) -> bool {
+fn spread_fits(step: &StepSpec, job: &JobState, item: &WorkItem, runner: RunnerKey) -> bool {
     if step.anti_affinity == 0 {
         return true;
     }
     let here = |booked: &&ItemRun| booked.runner == runner;
+    let siblings = job.step_items(item.occurrence, item.step);
     let count = siblings
         .iter()
         .flat_map(|item| &item.runs)
@@ -284,14 +322,3 @@
         .count();
     count < step.anti_affinity as usize
 }
-
-fn near_data(step: &StepSpec, state: &RunnerState) -> bool {
-    step.data_rack
-        .as_deref()
-        .is_none_or(|rack| state.has_label(rack))
-}
-
-/// Prefers the fullest runner, so that others become empty and can move.
-fn fit(state: &RunnerState) -> u32 {
-    state.used.cpu
-}
--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -27,6 +27,12 @@
 
 /// Time between two rounds of decisions while nothing happens.
 const TICK_PERIOD: Millis = Millis(10);
+/// Thousandths of a core that the owner's work needs with 350 runners.
+const OWNER_CPU: u32 = 200;
+/// Megabits a second that the owner's orders need with 350 runners.
+const OWNER_LINK_MBPS: u32 = 50;
+/// How much later a host claims that is too small for the owner's work; a claim takes some tens of milliseconds.
+const SMALL_DELAY: Millis = Millis(400);
 /// How long callers are still served after SIGTERM: the load balancer needs two looks a second apart.
 const LAME_DUCK: Millis = Millis(2_500);
 /// Kept of the grace time for the end of the process.
@@ -39,12 +45,24 @@
     pub name: String,
     /// Where other entry hosts bring their calls.
     pub link_address: SocketAddr,
+    /// Thousandths of a core that this process may use.
+    pub cpu: u32,
+    /// Megabits a second of the host's link.
+    pub link_mbps: u32,
     /// Time from SIGTERM to SIGKILL.
     pub grace: Millis,
     /// Time that the maintenance of a host takes.
     pub maintenance: Millis,
 }
 
+impl NodeSettings {
+    /// Returns how much later than others this host claims the ownership.
+    fn claim_delay(&self) -> Millis {
+        let small = self.cpu < OWNER_CPU || self.link_mbps < OWNER_LINK_MBPS;
+        if small { SMALL_DELAY } else { Millis(0) }
+    }
+}
+
 /// Serves callers and the load balancer.
 #[async_trait]
 pub trait NodeIngress: Send + Sync {
@@ -106,6 +124,7 @@
         owner,
         peers: peers.clone(),
         lease,
+        claim_delay: settings.claim_delay(),
         stop: stop_claims.clone(),
         logger: logger.clone(),
     };
--- a/crates/node/src/election/election_task.rs
+++ b/crates/node/src/election/election_task.rs
@@ -62,6 +62,8 @@
     pub peers: PeerBook,
     /// Prolonged by renewals.
     pub lease: OwnerLease,
+    /// How much later than others this host claims: hosts that are too small for the owner's work come last.
+    pub claim_delay: Millis,
     /// Cancelled when this process stops: the claim is released and none is made.
     pub stop: CancellationToken,
     /// Log of decisions.
@@ -78,6 +80,7 @@
 impl ElectionTask {
     /// Runs until the process stops.
     pub async fn run(self) {
+        tokio::time::sleep(Duration::from_millis(self.claim_delay.0)).await;
         let mut watch = Watch {
             next: 0,
             heard: BootClock.now(),
@@ -94,7 +97,8 @@
 
     /// Reads the topic until a claim of this process succeeds.
     async fn follow(&self, watch: &mut Watch) -> Option<u64> {
-        let heard_late = BootClock.now().since(watch.heard) >= CLAIM_SILENCE;
+        let limit = CLAIM_SILENCE + self.claim_delay;
+        let heard_late = BootClock.now().since(watch.heard) >= limit;
         let wait = if watch.released || heard_late {
             Millis(0)
         } else {
@@ -113,7 +117,7 @@
                 }
                 watch.next += batch.records.len() as u64;
                 let caught_up = watch.next >= batch.end;
-                let silent = BootClock.now().since(watch.heard) >= CLAIM_SILENCE;
+                let silent = BootClock.now().since(watch.heard) >= limit;
                 if empty && caught_up && silent {
                     // Without the store the last owner stays known: it refuses by itself when its lease ends.
                     self.owner.send_if_modified(|owner| owner.take().is_some());
