--- /dev/null
+++ b/crates/dispatch/tests/fleet/mod.rs
@@ -0,0 +1,261 @@
+//! A small fleet for tests: an owner whose store, runners and hosts answer when the test says so.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use {
+    goldcreststall_core::ids::{LocalTime, Millis},
+    goldcreststall_dispatch::{
+        jobs::{JobId, JobSpec, StepSpec},
+        owner::{
+            CallAnswer, CallTicket, HostReport, HostStatus, JobCall, JournalBatch, OwnerOrder,
+            OwnerState, StartAnswer, StartOrder,
+        },
+        records::JobSubmission,
+        routes::{FleetRules, RouteRule, ServiceRule},
+        runners::{
+            Capacity, EndKind, EndedRun, HoldAnswer, ListedRun, RunnerKey, RunnerReport,
+            RunnerStatus,
+        },
+    },
+    std::sync::Arc,
+};
+
+pub const POOL: &str = "press";
+pub const SPARE: &str = "spare";
+pub const MAINTENANCE: Millis = Millis(2_000);
+
+/// An owner and the orders that it has given.
+pub struct TestFleet {
+    pub owner: OwnerState,
+    pub now: LocalTime,
+    pub orders: Vec<OwnerOrder>,
+    pub runners: Vec<RunnerReport>,
+}
+
+pub fn rules() -> Arc<FleetRules> {
+    let service = |name: &str, spare| ServiceRule {
+        name: name.to_owned(),
+        spare,
+    };
+    Arc::new(FleetRules {
+        version: 1,
+        routes: vec![route()],
+        services: vec![
+            service(POOL, false),
+            service("bindery", false),
+            service(SPARE, true),
+        ],
+        ..FleetRules::default()
+    })
+}
+
+pub fn route() -> RouteRule {
+    RouteRule {
+        name: "proofs".to_owned(),
+        service: POOL.to_owned(),
+        attempts: 3,
+        stretch: 1.6,
+        target_latency: Millis(600),
+        timeout: Millis(3_000),
+        ..RouteRule::default()
+    }
+}
+
+pub fn step(count: u32, cpu: u32) -> StepSpec {
+    StepSpec {
+        count,
+        cpu,
+        mem_mb: 100,
+        estimate_ms: 1_000,
+        ..StepSpec::default()
+    }
+}
+
+pub fn job(steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        spec: "text".to_owned(),
+        steps,
+        ..JobSpec::default()
+    }
+}
+
+pub fn runner(id: &str) -> RunnerReport {
+    RunnerReport {
+        id: id.to_owned(),
+        born_ms: 1,
+        service: POOL.to_owned(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "a".to_owned(),
+        labels: Vec::new(),
+        capacity: Capacity {
+            cpu: 8_000,
+            mem_mb: 16_000,
+            gpu: 0,
+        },
+        status: RunnerStatus::Ready,
+    }
+}
+
+impl TestFleet {
+    /// An owner in the term with `token`, with runners that it has listed.
+    pub fn new(token: u64, ids: &[&str]) -> Self {
+        let now = LocalTime(100_000);
+        let mut fleet = Self {
+            owner: OwnerState::new(token, rules(), now),
+            now,
+            orders: Vec::new(),
+            runners: ids.iter().map(|id| runner(id)).collect(),
+        };
+        fleet.owner.restore(Vec::new(), now);
+        fleet.list_runners();
+        fleet
+    }
+
+    pub fn list_runners(&mut self) {
+        self.owner.runners_listed(self.runners.clone(), self.now);
+    }
+
+    /// Lets time pass and makes the decisions that are due.
+    pub fn pass(&mut self, millis: u64) {
+        self.now = self.now + Millis(millis);
+        self.owner.tick(self.now, 0);
+        self.orders.extend(self.owner.take_orders());
+    }
+
+    /// Answers every hold call with the list that `answer` gives for the runner.
+    pub fn answer_holds(&mut self, answer: impl Fn(RunnerKey) -> Option<HoldAnswer>) {
+        let holds: Vec<(RunnerKey, u64)> = self
+            .orders
+            .iter()
+            .filter_map(|order| match order {
+                OwnerOrder::Hold {
+                    runner, last_seen, ..
+                } => Some((*runner, *last_seen)),
+                _ => None,
+            })
+            .collect();
+        self.orders
+            .retain(|order| !matches!(order, OwnerOrder::Hold { .. }));
+        for (runner, last_seen) in holds {
+            match answer(runner) {
+                Some(answer) => {
+                    let now = self.now;
+                    self.owner
+                        .hold_answered(runner, now, last_seen, answer, now);
+                }
+                None => self.owner.hold_missed(runner, self.now),
+            }
+        }
+    }
+
+    /// Lets all runners answer with empty lists, so that they take work.
+    pub fn greet(&mut self) {
+        self.pass(1);
+        let clock = self.clock();
+        self.answer_holds(|_| Some(empty(clock)));
+    }
+
+    pub fn clock(&self) -> u64 {
+        self.now.0
+    }
+
+    pub fn submit(&mut self, id: u64, spec: JobSpec) {
+        let submission = JobSubmission {
+            queue: route(),
+            job: spec,
+        };
+        let call = JobCall::Submit(JobId(id), Box::new(submission));
+        self.owner.call(CallTicket(id), call, self.now);
+    }
+
+    pub fn call(&mut self, ticket: u64, call: JobCall) -> Option<CallAnswer> {
+        self.owner.call(CallTicket(ticket), call, self.now);
+        self.orders.extend(self.owner.take_orders());
+        self.reply(ticket)
+    }
+
+    pub fn reply(&self, wanted: u64) -> Option<CallAnswer> {
+        self.orders.iter().find_map(|order| match order {
+            OwnerOrder::Reply { ticket, answer } if ticket.0 == wanted => Some(*answer),
+            _ => None,
+        })
+    }
+
+    /// Stores everything that waits, and returns the batches.
+    pub fn store(&mut self) -> Vec<JournalBatch> {
+        let mut batches = Vec::new();
+        while let Some(batch) = self.owner.take_batch() {
+            self.owner.batch_stored(batch.id, self.now);
+            batches.push(batch);
+        }
+        self.orders.extend(self.owner.take_orders());
+        batches
+    }
+
+    /// Takes the orders to start that were given since the last call.
+    pub fn starts(&mut self) -> Vec<StartOrder> {
+        let mut starts = Vec::new();
+        self.orders.retain(|order| match order {
+            OwnerOrder::Start(start) => {
+                starts.push(start.clone());
+                false
+            }
+            _ => true,
+        });
+        starts
+    }
+
+    /// Lets the starts succeed.
+    pub fn begin(&mut self, starts: &[StartOrder]) {
+        let clock = self.clock();
+        for start in starts {
+            let answer = StartAnswer::Begun(clock);
+            assert!(self.owner.start_answered(start, answer, self.now));
+        }
+    }
+
+    pub fn list_hosts(&mut self, reports: Vec<HostReport>) {
+        self.owner.hosts_listed(reports, self.now, MAINTENANCE);
+    }
+}
+
+pub fn empty(clock_ms: u64) -> HoldAnswer {
+    HoldAnswer {
+        clock_ms,
+        ..HoldAnswer::default()
+    }
+}
+
+pub fn listed(start: &StartOrder) -> ListedRun {
+    ListedRun {
+        name: start.name,
+        run: start.run,
+        checkpoint: String::new(),
+        percent: 100,
+        load: 0,
+    }
+}
+
+pub fn ended(number: u64, start: &StartOrder, kind: EndKind) -> EndedRun {
+    EndedRun {
+        number,
+        name: start.name,
+        run: start.run,
+        kind,
+        checkpoint: String::new(),
+    }
+}
+
+pub fn host(name: &str, pool: &str, runner: Option<&str>) -> HostReport {
+    HostReport {
+        host: name.to_owned(),
+        pool: pool.to_owned(),
+        status: HostStatus::Up,
+        runner: runner.map(ToOwned::to_owned),
+        capacity: Capacity {
+            cpu: 8_000,
+            mem_mb: 16_000,
+            gpu: 0,
+        },
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/owner_change.rs
@@ -0,0 +1,137 @@
+//! Guards against work that runs twice after a change of the owner: what an earlier owner started may still run
+//! where the new one cannot look.
+
+mod fleet;
+
+use {
+    fleet::{TestFleet, empty, host, job, listed, route, rules, runner, step},
+    goldcreststall_core::ids::LocalTime,
+    goldcreststall_dispatch::{
+        jobs::{JobId, JobPhase},
+        owner::{CallAnswer, JobCall, OwnerState, StartOrder},
+        records::{JobProgress, JobSubmission, StoreRecord},
+        runners::longest_lapse,
+    },
+};
+
+const TOKEN: u64 = 50;
+
+fn restored(records: Vec<StoreRecord>, ids: &[&str]) -> TestFleet {
+    let now = LocalTime(100_000);
+    let mut fleet = TestFleet {
+        owner: OwnerState::new(TOKEN, rules(), now),
+        now,
+        orders: Vec::new(),
+        runners: ids.iter().map(|id| runner(id)).collect(),
+    };
+    fleet.owner.restore(records, now);
+    fleet.list_runners();
+    fleet
+}
+
+fn submission(id: u64) -> StoreRecord {
+    let job = job(vec![step(1, 1_000)]);
+    StoreRecord::Submission(
+        JobId(id),
+        JobSubmission {
+            queue: route(),
+            job,
+        },
+    )
+}
+
+fn pass_round(fleet: &mut TestFleet) -> Vec<StartOrder> {
+    fleet.pass(100);
+    let clock = fleet.clock();
+    fleet.answer_holds(|_| Some(empty(clock)));
+    fleet.pass(10);
+    fleet.starts()
+}
+
+#[test]
+fn unregistered_host() {
+    // The runner of h2 is cut off and its entry has lapsed: the work may run there.
+    let mut fleet = restored(vec![submission(7)], &["r1"]);
+    fleet.list_hosts(vec![
+        host("h1", fleet::POOL, Some("r1")),
+        host("h2", fleet::POOL, None),
+    ]);
+    let end = fleet.now + longest_lapse();
+    while fleet.now.0 + 200 < end.0 {
+        let starts = pass_round(&mut fleet);
+        assert!(
+            starts.is_empty(),
+            "work was started again while it may run on h2"
+        );
+    }
+    let starts: Vec<StartOrder> = (0..10).flat_map(|_| pass_round(&mut fleet)).collect();
+    assert_eq!(starts.len(), 1);
+}
+
+#[test]
+fn all_answered() {
+    let mut fleet = restored(vec![submission(7)], &["r1"]);
+    fleet.list_hosts(vec![host("h1", fleet::POOL, Some("r1"))]);
+    let starts: Vec<StartOrder> = (0..4).flat_map(|_| pass_round(&mut fleet)).collect();
+    assert_eq!(
+        starts.len(),
+        1,
+        "recovered work waits although every runner has answered"
+    );
+    assert!(
+        starts[0].run > 1,
+        "the number may have been used by an earlier owner"
+    );
+}
+
+#[test]
+fn fresh_job_at_once() {
+    let mut fleet = restored(vec![submission(7)], &["r1"]);
+    fleet.list_hosts(vec![
+        host("h1", fleet::POOL, Some("r1")),
+        host("h2", fleet::POOL, None),
+    ]);
+    pass_round(&mut fleet);
+    fleet.submit(8, job(vec![step(1, 1_000)]));
+    fleet.store();
+    fleet.pass(10);
+    let jobs: Vec<JobId> = fleet.starts().iter().map(|start| start.name.job).collect();
+    assert_eq!(jobs, [JobId(8)]);
+}
+
+#[test]
+fn running_is_adopted() {
+    let mut before = TestFleet::new(1, &["r1"]);
+    before.greet();
+    before.submit(7, job(vec![step(1, 1_000)]));
+    before.store();
+    before.pass(10);
+    let start = before.starts().remove(0);
+    let mut fleet = restored(vec![submission(7)], &["r1"]);
+    fleet.list_hosts(vec![host("h1", fleet::POOL, Some("r1"))]);
+    for _ in 0..10 {
+        fleet.pass(100);
+        let mut answer = empty(fleet.clock());
+        answer.running.push(listed(&start));
+        fleet.answer_holds(|_| Some(answer.clone()));
+    }
+    assert!(fleet.starts().is_empty(), "adopted work was started again");
+}
+
+#[test]
+fn stored_end_stands() {
+    let progress = JobProgress {
+        phase: JobPhase::Cancelled,
+        ..JobProgress::default()
+    };
+    let records = vec![StoreRecord::Progress(JobId(7), progress), submission(7)];
+    let mut fleet = restored(records, &["r1"]);
+    fleet.list_hosts(vec![host("h1", fleet::POOL, Some("r1"))]);
+    let starts: Vec<StartOrder> = (0..80).flat_map(|_| pass_round(&mut fleet)).collect();
+    assert!(
+        starts.is_empty(),
+        "a cancelled job was started by the next owner"
+    );
+    let shown = fleet.call(9, JobCall::State(JobId(7)));
+    assert_eq!(shown, Some(CallAnswer::State(JobPhase::Cancelled)));
+}
--- /dev/null
+++ b/crates/dispatch/tests/pool_targets.rs
@@ -0,0 +1,81 @@
+//! Answers demand that comes by turns: the pool whose turn has ended must give its hosts to the next one, also while
+//! it has late work.
+
+use goldcreststall_core::ids::LocalTime;
+use goldcreststall_dispatch::pools::{PoolFigures, plan_pools};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+const SEED: u64 = 20_261_204;
+
+fn pool(name: &str, hosts: usize, demand: u64, late: u64) -> PoolFigures {
+    PoolFigures {
+        name: name.to_owned(),
+        hosts,
+        demand_cpu: demand,
+        late_cpu: late,
+        host_cpu: 32_000,
+        busy: (0..hosts as u32)
+            .map(|host| (host, format!("{name}{host}")))
+            .collect(),
+        ..PoolFigures::default()
+    }
+}
+
+#[test]
+fn late_work_yields() {
+    let plan = plan_pools(&[
+        pool("ended", 34, 64_000, 900_000),
+        pool("begins", 3, 480_000, 0),
+    ]);
+    assert!(
+        plan.drains.len() >= 15,
+        "{} hosts are emptied",
+        plan.drains.len()
+    );
+    let from_ended = plan.drains.iter().all(|host| host.starts_with("ended"));
+    assert!(from_ended);
+}
+
+#[test]
+fn empty_before_busy() {
+    let mut ended = pool("ended", 12, 0, 0);
+    ended.movable = vec![(LocalTime(5), "idle".to_owned())];
+    let plan = plan_pools(&[ended, pool("begins", 4, 112_000, 0)]);
+    let moved: Vec<&str> = plan.moves.iter().map(|step| step.host.as_str()).collect();
+    assert_eq!(moved, ["idle"]);
+}
+
+#[test]
+fn no_need_no_move() {
+    let plan = plan_pools(&[pool("one", 9, 100_000, 0), pool("two", 12, 100_000, 0)]);
+    assert!(plan.moves.is_empty() && plan.drains.is_empty());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// No pool gives more than it has, no host is given twice, and no pool both gives and takes.
+    #[test]
+    fn hosts_are_kept(sizes in prop::collection::vec((0_usize..30, 0_u64..2_000_000, 0_u64..500_000), 2..6)) {
+        let pools: Vec<PoolFigures> = sizes
+            .iter()
+            .enumerate()
+            .map(|(place, (hosts, demand, late))| pool(&format!("p{place}-"), *hosts, *demand, *late))
+            .collect();
+        let plan = plan_pools(&pools);
+        let mut given: Vec<&str> = plan.drains.iter().map(String::as_str).collect();
+        given.extend(plan.moves.iter().map(|step| step.host.as_str()));
+        let count = given.len();
+        given.sort_unstable();
+        given.dedup();
+        prop_assert_eq!(given.len(), count);
+        for step in &plan.moves {
+            let prefix = format!("{}-", step.pool.trim_end_matches('-'));
+            prop_assert!(!given.iter().any(|host| host.starts_with(&prefix)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/record_bytes.rs
@@ -0,0 +1,68 @@
+//! Guards against records that a later owner cannot read, or reads as something else.
+
+mod fleet;
+
+use {
+    fleet::{job, route, step},
+    goldcreststall_dispatch::{
+        jobs::{ItemName, JobId, JobPhase},
+        records::{JobProgress, JobSubmission, RecordError, StoreRecord, WaveProgress},
+    },
+};
+
+fn round_trip(record: &StoreRecord) {
+    let rows = record.encode();
+    assert_eq!(rows.len(), 1);
+    let (key, value) = &rows[0];
+    assert_eq!(StoreRecord::decode(key, value).as_ref(), Ok(record));
+}
+
+#[test]
+fn round_trips() {
+    let submission = JobSubmission {
+        queue: route(),
+        job: job(vec![step(3, 1_000)]),
+    };
+    round_trip(&StoreRecord::Submission(JobId(7), submission));
+    let progress = JobProgress {
+        phase: JobPhase::Failed,
+        begun: true,
+        done: vec![0, 2],
+        fails: vec![(1, 3)],
+    };
+    round_trip(&StoreRecord::Progress(JobId(u64::MAX), progress));
+    let wave = WaveProgress {
+        begun: vec!["m-1".to_owned()],
+        completed: false,
+    };
+    round_trip(&StoreRecord::Wave(4, wave));
+}
+
+#[test]
+fn damaged_values() {
+    let unknown = StoreRecord::decode("x/1", &[1]);
+    assert_eq!(unknown, Err(RecordError::Key("x/1".to_owned())));
+    let other_format = StoreRecord::decode("w/1", &[9, 0, 0]);
+    assert_eq!(other_format, Err(RecordError::Value("w/1".to_owned())));
+    let cut = StoreRecord::decode("w/1", &[1, 5]);
+    assert_eq!(cut, Err(RecordError::Value("w/1".to_owned())));
+}
+
+#[test]
+fn item_names() {
+    let name = "5c0e7a21d94b36f8.0.1.17";
+    let parsed = ItemName::try_from(name).expect("a name");
+    assert_eq!((parsed.occurrence, parsed.step, parsed.index), (0, 1, 17));
+    assert_eq!(parsed.to_string(), name);
+    for wrong in [
+        "",
+        "5c0e7a21d94b36f8",
+        "5C0E7A21D94B36F8.0.1.17",
+        "5c0e7a21d94b36f8.0.1.17.1",
+    ] {
+        assert!(
+            ItemName::try_from(wrong).is_err(),
+            "{wrong} was taken for a name"
+        );
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/submit_stored.rs
@@ -0,0 +1,87 @@
+//! Guards against answers that are given, and work that is started, before the store has what they rest on.
+
+mod fleet;
+
+use {
+    fleet::{TestFleet, empty, ended, job, step},
+    goldcreststall_dispatch::{
+        jobs::{JobId, JobPhase},
+        owner::{CallAnswer, JobCall, OwnerOrder},
+        runners::EndKind,
+    },
+};
+
+#[test]
+fn accepted_when_stored() {
+    let mut fleet = TestFleet::new(1, &["r1"]);
+    fleet.greet();
+    fleet.submit(7, job(vec![step(1, 1_000)]));
+    fleet.pass(10);
+    assert_eq!(fleet.reply(7), None);
+    assert!(
+        fleet.starts().is_empty(),
+        "work of a job that may be refused has started"
+    );
+    fleet.store();
+    fleet.pass(10);
+    assert_eq!(fleet.reply(7), Some(CallAnswer::Accepted));
+    assert_eq!(fleet.starts().len(), 1);
+}
+
+#[test]
+fn refused_when_unsent() {
+    let mut fleet = TestFleet::new(1, &["r1"]);
+    fleet.greet();
+    fleet.submit(7, job(vec![step(1, 1_000)]));
+    let sent = fleet.owner.take_batch().expect("a batch");
+    fleet.submit(8, job(vec![step(1, 1_000)]));
+    fleet.owner.refuse_unsent();
+    fleet.pass(10);
+    assert_eq!(fleet.reply(8), Some(CallAnswer::Unavailable));
+    assert_eq!(fleet.reply(7), None, "a job that may be stored was refused");
+    fleet.owner.batch_stored(sent.id, fleet.now);
+    fleet.pass(10);
+    let names: Vec<JobId> = fleet.starts().iter().map(|start| start.name.job).collect();
+    assert_eq!(names, [JobId(7)]);
+}
+
+#[test]
+fn end_stored_first() {
+    let mut fleet = TestFleet::new(1, &["r1"]);
+    fleet.greet();
+    fleet.submit(7, job(vec![step(1, 1_000)]));
+    fleet.store();
+    fleet.pass(10);
+    let starts = fleet.starts();
+    fleet.begin(&starts);
+    fleet.pass(50);
+    let mut answer = empty(fleet.clock());
+    answer.ended.push(ended(1, &starts[0], EndKind::Done));
+    fleet.answer_holds(|_| Some(answer.clone()));
+    let state = JobCall::State(JobId(7));
+    let shown = fleet.call(20, state.clone());
+    assert_eq!(
+        shown,
+        Some(CallAnswer::State(JobPhase::Running)),
+        "shown before it is stored"
+    );
+    fleet.pass(300);
+    let seen = |fleet: &TestFleet| {
+        fleet.orders.iter().find_map(|order| match order {
+            OwnerOrder::Hold { last_seen, .. } => Some(*last_seen),
+            _ => None,
+        })
+    };
+    assert_eq!(
+        seen(&fleet),
+        Some(0),
+        "an end was acknowledged before it is stored"
+    );
+    let clock = fleet.clock();
+    fleet.answer_holds(|_| Some(empty(clock)));
+    fleet.store();
+    fleet.pass(300);
+    assert_eq!(seen(&fleet), Some(1));
+    let shown = fleet.call(21, state);
+    assert_eq!(shown, Some(CallAnswer::State(JobPhase::Completed)));
+}
