Count each failed run once, and bound the backlog

Ruled out: a lost submission; the record of the job was read by the next owner. Change: the numbers of failed runs are stored; passes visit only services with room, less often with a long backlog; a job whose turn would come after the time in which it is of use is refused at once, with the time to come back.

--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -81,9 +81,9 @@
                 item.done = true;
             }
         }
-        for (failed, fails) in &progress.fails {
+        for (failed, runs) in &progress.fails {
             if let Some(item) = self.items.get_mut(*failed as usize) {
-                item.fails = *fails;
+                item.failed_runs.clone_from(runs);
             }
         }
     }
@@ -99,8 +99,8 @@
                 .map(|(_, number)| number)
                 .collect(),
             fails: numbered()
-                .filter(|(item, _)| item.fails > 0)
-                .map(|(item, number)| (number, item.fails))
+                .filter(|(item, _)| !item.failed_runs.is_empty())
+                .map(|(item, number)| (number, item.failed_runs.clone()))
                 .collect(),
         }
     }
--- a/crates/dispatch/src/jobs/work_item.rs
+++ b/crates/dispatch/src/jobs/work_item.rs
@@ -69,8 +69,9 @@
     pub runs: Vec<ItemRun>,
     /// Highest run number used.
     pub last_run: u32,
-    /// Runs that ended as failed.
-    pub fails: u32,
+    /// Numbers of the runs that ended as failed. A runner lists an end until it is acknowledged, so that the next
+    /// owner sees ends that were counted before.
+    pub failed_runs: Vec<u32>,
     /// A run ended as done.
     pub done: bool,
     /// How long the run that ended as done took.
--- a/crates/dispatch/src/owner/caller_calls.rs
+++ b/crates/dispatch/src/owner/caller_calls.rs
@@ -4,7 +4,7 @@
         jobs::{JobId, JobKey, JobPhase, JobState},
         records::JobSubmission,
     },
-    goldcreststall_core::ids::LocalTime,
+    goldcreststall_core::ids::{LocalTime, Millis},
     serde::{Deserialize, Serialize},
 };
 
@@ -30,6 +30,8 @@
 pub enum CallAnswer {
     /// The submission or cancellation is stored.
     Accepted,
+    /// Not run: the job's turn would come too late. When to come back.
+    Busy(Millis),
     /// No such job.
     Gone,
     /// Jobs that have not begun.
@@ -65,6 +67,12 @@
             return;
         }
         let job = JobState::new(id, submission.clone(), now);
+        if let Some(after) = self.refusal(&job) {
+            let detail = format!("queue={} come_back_ms={}", job.queue.name, after.0);
+            self.note("job refused", id.to_string(), detail);
+            self.reply(ticket, CallAnswer::Busy(after));
+            return;
+        }
         let detail = format!(
             "queue={} service={} steps={} items={} objective_ms={}",
             job.queue.name,
--- a/crates/dispatch/src/owner/host_duties.rs
+++ b/crates/dispatch/src/owner/host_duties.rs
@@ -241,6 +241,7 @@
         for key in self.runners.keys() {
             if let Some(state) = self.runners.get_mut(key) {
                 state.cordoned = false;
+                state.due = false;
             }
         }
         let ordered: Vec<String> = self
@@ -398,6 +399,16 @@
             }
             return;
         }
+        for host in &left {
+            let runner = self
+                .hosts
+                .find(host)
+                .and_then(|state| state.report.runner.clone());
+            let key = runner.and_then(|id| self.runners.find(&id));
+            if let Some(state) = key.and_then(|key| self.runners.get_mut(key)) {
+                state.due = true;
+            }
+        }
         let rounds = left.len().div_ceil(request.cap.max(1) as usize) as u64;
         let needed = Millis(rounds * WAVE_RESERVE.0);
         let end = since + request.duration;
@@ -440,7 +451,9 @@
     ) {
         left.sort_by_cached_key(|host| self.emptying_cost(host));
         let mut room = request.cap.saturating_sub(away);
-        let mut preparing = request.cap;
+        let mut emptying = request.cap;
+        // Lasting work moves one work item of a step at a time, so that its hosts begin early beside the others.
+        let mut evacuating = request.cap;
         for host in left {
             let Some(state) = self.hosts.find(&host) else {
                 continue;
@@ -450,12 +463,22 @@
                 continue;
             }
             let runner = state.report.runner.clone();
+            let off = self.rules.is_spare(&state.report.pool);
             let key = runner.as_deref().and_then(|id| self.runners.find(id));
+            if key.is_none() && !off {
+                // A runner whose entry has lapsed may still work.
+                continue;
+            }
             if key.is_some_and(|key| self.has_work(key)) {
-                if preparing == 0 {
+                let budget = if self.has_lasting(key) {
+                    &mut evacuating
+                } else {
+                    &mut emptying
+                };
+                if *budget == 0 {
                     continue;
                 }
-                preparing -= 1;
+                *budget -= 1;
                 self.prepare_runner(key, runner.as_deref());
                 let force = late && !self.has_lasting(key);
                 if !force || room == 0 {
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -1,5 +1,6 @@
 //! The owner's state: jobs, runners, hosts and waves, and what follows from each event.
 
+mod admission;
 mod caller_calls;
 mod fault_watch;
 mod hold_planner;
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         OwnerOrder,
+        admission::PoolBacklog,
         host_duties::{HostTable, WaveTable},
         journal_queue::JournalQueue,
     },
@@ -19,6 +20,9 @@
 const SLOW_ROUND: Millis = Millis(100);
 /// Least time between two passes of placement; answers of runners come by the thousand in a second.
 const PLACE_PERIOD: Millis = Millis(4);
+/// Open jobs for which a pass of placement may take a millisecond more of the period, so that passes over a large
+/// backlog leave time for the answers of runners.
+const JOBS_PER_MILLI: u64 = 50;
 /// Time between two ticks from which on this process counts as stalled.
 const STALL: Millis = Millis(400);
 /// How long after a stall silence of runners proves nothing: their answers may still wait here.
@@ -48,6 +52,7 @@
     pub(super) orders: Vec<OwnerOrder>,
     pub(super) notes: Vec<OwnerNote>,
     pub(super) started: LocalTime,
+    pub(super) backlogs: Vec<PoolBacklog>,
     pub(super) settled: bool,
     pub(super) listed: bool,
     pub(super) place_due: bool,
@@ -71,6 +76,7 @@
             orders: Vec::new(),
             notes: Vec::new(),
             started: now,
+            backlogs: Vec::new(),
             settled: false,
             listed: false,
             place_due: true,
@@ -117,11 +123,12 @@
             self.lapse_runs(now);
             self.settle(now);
             self.watch_faults(now);
+            self.measure_backlogs(now);
             self.decide_hosts(now);
             self.forget_ended(now);
             self.place_due = true;
         }
-        if self.place_due && now.since(self.last_place) >= PLACE_PERIOD {
+        if self.place_due && now.since(self.last_place) >= self.place_period() {
             self.place_due = false;
             self.last_place = now;
             self.place_items(now, wall_ms);
@@ -129,6 +136,10 @@
         self.plan_holds(now);
     }
 
+    fn place_period(&self) -> Millis {
+        PLACE_PERIOD + Millis(self.jobs.open().len() as u64 / JOBS_PER_MILLI)
+    }
+
     /// Returns whether recovered work may be started: no earlier owner's work can be unknown.
     fn settle(&mut self, now: LocalTime) {
         if self.settled || !self.listed {
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -94,6 +94,11 @@
         };
         let pool = &pass.pools[place].1;
         let chosen = match self.data_rack(key) {
+            None if tier == PlaceTier::Serving => pool
+                .iter()
+                .copied()
+                .filter(fits)
+                .min_by_key(|runner| self.runners.get(*runner).is_some_and(|state| state.due)),
             Some(rack) => pool
                 .iter()
                 .copied()
@@ -169,18 +174,38 @@
     }
 
     fn ready_items(&self, now: LocalTime, wall_ms: u64) -> Vec<ReadyItem> {
+        let roomy = self.roomy_services(now);
         let mut ready = Vec::new();
         for key in self.jobs.open() {
             let Some(job) = self.jobs.get(*key) else {
                 continue;
             };
-            if job.accepted && !job.unsettled && !job.phase.is_final() {
+            let starts = job.accepted && !job.unsettled && !job.phase.is_final();
+            let has_room = roomy.binary_search(&job.queue.service.as_str()).is_ok();
+            if starts && (has_room || job.lasts()) {
                 collect_ready(*key, job, now, wall_ms, &mut ready);
             }
         }
         ready
     }
 
+    /// Returns the services with a runner that has room, so that a pass does not visit the backlog of full pools.
+    fn roomy_services(&self, now: LocalTime) -> Vec<&str> {
+        let has_room = |state: &RunnerState| {
+            let free = state.free();
+            state.takes_work(now) && free.cpu > 0 && free.mem_mb > 0
+        };
+        let mut services: Vec<&str> = self
+            .runners
+            .all()
+            .filter(|(_, state)| has_room(state))
+            .map(|(_, state)| state.report.service.as_str())
+            .collect();
+        services.sort_unstable();
+        services.dedup();
+        services
+    }
+
     /// Returns whether a runner may run a work item, whether it has room now or not.
     fn is_eligible(
         &self,
@@ -249,26 +274,21 @@
     wall_ms: u64,
     ready: &mut Vec<ReadyItem>,
 ) {
-    let mut open: Option<(u32, u32, bool)> = None;
+    // Work items of a step follow each other and have the same rank.
+    let mut step: Option<(u32, u32)> = None;
+    let mut rank = None;
     for (item, number) in job.items.iter().zip(0_u32..) {
         if !item.is_idle() {
             continue;
         }
-        let is_open = match open {
-            Some((occurrence, step, is_open))
-                if (occurrence, step) == (item.occurrence, item.step) =>
-            {
-                is_open
-            }
-            _ => {
-                let due = job.due_ms(item.occurrence) <= wall_ms;
-                let is_open = due && job.step_is_open(item.occurrence, item.step);
-                open = Some((item.occurrence, item.step, is_open));
-                is_open
-            }
-        };
-        if is_open {
-            let rank = rank(job, item, now);
+        let own = (item.occurrence, item.step);
+        if step != Some(own) {
+            step = Some(own);
+            let due = job.due_ms(item.occurrence) <= wall_ms;
+            let is_open = due && job.step_is_open(item.occurrence, item.step);
+            rank = is_open.then(|| rank_of(job, item, now));
+        }
+        if let Some(rank) = rank {
             let key = ItemKey {
                 job: key,
                 item: number,
@@ -278,10 +298,10 @@
     }
 }
 
-fn rank(job: &JobState, item: &WorkItem, now: LocalTime) -> PlaceRank {
+fn rank_of(job: &JobState, item: &WorkItem, now: LocalTime) -> PlaceRank {
     let step = job.step_of(item);
     let chain = job.chain_from(item.occurrence, item.step);
-    let latest_start = job.latest_start(item).0;
+    let latest_start = (job.seen + job.objective()).0.saturating_sub(chain);
     let reserve = LEAST_RESERVE.0.max(chain / RESERVE_DIVISOR);
     let tier = if step.fills {
         PlaceTier::Filling
--- a/crates/dispatch/src/owner/runner_answers.rs
+++ b/crates/dispatch/src/owner/runner_answers.rs
@@ -230,7 +230,7 @@
         }
         match end.kind {
             EndKind::Done => self.item_done(key, runner, now),
-            EndKind::Failed => self.item_failed(key, runner, now),
+            EndKind::Failed => self.item_failed(key, runner, end.run, now),
             EndKind::Alone | EndKind::Broken | EndKind::Lapsed | EndKind::Stopped => {}
         }
     }
@@ -266,7 +266,7 @@
         self.stop_item_runs(key);
     }
 
-    fn item_failed(&mut self, key: ItemKey, runner: RunnerKey, now: LocalTime) {
+    fn item_failed(&mut self, key: ItemKey, runner: RunnerKey, run: u32, now: LocalTime) {
         if let Some(state) = self.runners.get_mut(runner) {
             state.strikes += 1;
             if state.strikes > 1 {
@@ -285,11 +285,11 @@
         let item = &mut job.items[key.item as usize];
         item.failed_on = Some(runner);
         let lasts = job.spec.steps[item.step as usize].long_running;
-        if lasts || item.done {
+        if lasts || item.done || item.failed_runs.contains(&run) {
             return;
         }
-        item.fails += 1;
-        let hopeless = item.fails >= attempts;
+        item.failed_runs.push(run);
+        let hopeless = item.failed_runs.len() >= attempts as usize;
         self.journal.mark_dirty(key.job);
         if hopeless {
             self.end_job(
--- a/crates/dispatch/src/pools/mod.rs
+++ b/crates/dispatch/src/pools/mod.rs
@@ -4,6 +4,6 @@
 mod pool_planner;
 
 pub use {
-    job_demand::{JobDemand, job_demand},
+    job_demand::{JobDemand, job_demand, work_left},
     pool_planner::{HostMove, PoolFigures, PoolPlan, plan_pools},
 };
--- a/crates/dispatch/src/records/store_record.rs
+++ b/crates/dispatch/src/records/store_record.rs
@@ -38,8 +38,8 @@
     pub begun: bool,
     /// Places of the work items that are done, ascending.
     pub done: Vec<u32>,
-    /// Places of work items that have failed, with the number of failed runs.
-    pub fails: Vec<(u32, u32)>,
+    /// Places of work items that have failed, with the numbers of the failed runs.
+    pub fails: Vec<(u32, Vec<u32>)>,
 }
 
 /// What has been done of a wave.
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -47,6 +47,8 @@
     pub strikes: u32,
     /// Takes no new work, because the host is about to move or to be maintained.
     pub cordoned: bool,
+    /// The host is due for maintenance, so that work that lasts is better placed elsewhere.
+    pub due: bool,
     /// Since when nothing runs here.
     pub empty_since: LocalTime,
 }
@@ -73,6 +75,7 @@
             cooling: LocalTime(0),
             strikes: 0,
             cordoned: false,
+            due: false,
             empty_since: now,
         }
     }
--- a/crates/dispatch/tests/owner_change.rs
+++ b/crates/dispatch/tests/owner_change.rs
@@ -7,10 +7,10 @@
     fleet::{TestFleet, empty, host, job, listed, route, rules, runner, step},
     goldcreststall_core::ids::LocalTime,
     goldcreststall_dispatch::{
-        jobs::{JobId, JobPhase},
+        jobs::{ItemName, JobId, JobPhase},
         owner::{CallAnswer, JobCall, OwnerState, StartOrder},
         records::{JobProgress, JobSubmission, StoreRecord},
-        runners::longest_lapse,
+        runners::{EndKind, EndedRun, longest_lapse},
     },
 };
 
@@ -135,3 +135,34 @@
     let shown = fleet.call(9, JobCall::State(JobId(7)));
     assert_eq!(shown, Some(CallAnswer::State(JobPhase::Cancelled)));
 }
+
+#[test]
+fn failure_counts_once() {
+    // The earlier owner stored two failed runs and ended before it acknowledged the second one.
+    let progress = JobProgress {
+        begun: true,
+        fails: vec![(0, vec![1, 2])],
+        ..JobProgress::default()
+    };
+    let records = vec![StoreRecord::Progress(JobId(7), progress), submission(7)];
+    let mut fleet = restored(records, &["r1"]);
+    fleet.list_hosts(vec![host("h1", fleet::POOL, Some("r1"))]);
+    fleet.pass(100);
+    let mut answer = empty(fleet.clock());
+    answer.ended.push(EndedRun {
+        number: 5,
+        name: ItemName::try_from("0000000000000007.0.0.0").expect("a name"),
+        run: 2,
+        kind: EndKind::Failed,
+        checkpoint: String::new(),
+    });
+    fleet.answer_holds(|_| Some(answer.clone()));
+    let shown = fleet.call(9, JobCall::State(JobId(7)));
+    assert_eq!(
+        shown,
+        Some(CallAnswer::State(JobPhase::Running)),
+        "two failed runs of three were taken for three"
+    );
+    let starts: Vec<StartOrder> = (0..4).flat_map(|_| pass_round(&mut fleet)).collect();
+    assert_eq!(starts.len(), 1);
+}
--- a/crates/dispatch/tests/record_bytes.rs
+++ b/crates/dispatch/tests/record_bytes.rs
@@ -28,7 +28,7 @@
         phase: JobPhase::Failed,
         begun: true,
         done: vec![0, 2],
-        fails: vec![(1, 3)],
+        fails: vec![(1, vec![1, 17])],
     };
     round_trip(&StoreRecord::Progress(JobId(u64::MAX), progress));
     let wave = WaveProgress {
--- /dev/null
+++ b/crates/dispatch/tests/wave_limits.rs
@@ -0,0 +1,131 @@
+//! Guards against waves that take work or hosts beyond their limits.
+
+mod fleet;
+
+use {
+    fleet::{TestFleet, empty, host, job, listed, step},
+    goldcreststall_core::ids::Millis,
+    goldcreststall_dispatch::{
+        jobs::StepSpec,
+        owner::{HostAnswer, OwnerOrder, WaveRequest},
+    },
+};
+
+fn wave(hosts: &[&str], cap: u32) -> WaveRequest {
+    WaveRequest {
+        number: 1,
+        hosts: hosts.iter().map(|host| (*host).to_owned()).collect(),
+        duration: Millis(30_000),
+        cap,
+    }
+}
+
+fn maintained(fleet: &mut TestFleet) -> Vec<String> {
+    let mut hosts = Vec::new();
+    fleet.orders.retain(|order| match order {
+        OwnerOrder::MaintainHost { host, .. } => {
+            hosts.push(host.clone());
+            false
+        }
+        _ => true,
+    });
+    hosts
+}
+
+#[test]
+fn cap_holds() {
+    let mut fleet = TestFleet::new(1, &["r1", "r2", "r3"]);
+    let hosts = || {
+        vec![
+            host("h1", fleet::POOL, Some("r1")),
+            host("h2", fleet::POOL, Some("r2")),
+            host("h3", fleet::POOL, Some("r3")),
+        ]
+    };
+    fleet.list_hosts(hosts());
+    fleet
+        .owner
+        .wave_requested(wave(&["h1", "h2", "h3"], 2), fleet.now);
+    fleet.greet();
+    fleet.pass(200);
+    let first = maintained(&mut fleet);
+    assert_eq!(first.len(), 2);
+    // An order without an answer may be carried out: it counts.
+    fleet.pass(500);
+    assert!(maintained(&mut fleet).is_empty());
+    for host in &first {
+        fleet.owner.host_answered(host, HostAnswer::Done, fleet.now);
+    }
+    fleet.pass(1_000);
+    fleet.list_hosts(hosts());
+    fleet.pass(200);
+    assert!(
+        maintained(&mut fleet).is_empty(),
+        "the list lags: the hosts are still away"
+    );
+    fleet.pass(2_000);
+    fleet.list_hosts(hosts());
+    fleet.pass(200);
+    assert_eq!(maintained(&mut fleet).len(), 1);
+}
+
+#[test]
+fn unlisted_runner() {
+    // The runner's entry has lapsed with the store's history; the host still works.
+    let mut fleet = TestFleet::new(1, &["r1"]);
+    fleet.list_hosts(vec![host("h1", fleet::POOL, None)]);
+    fleet.owner.wave_requested(wave(&["h1"], 1), fleet.now);
+    fleet.greet();
+    for _ in 0..20 {
+        fleet.pass(200);
+    }
+    assert!(
+        maintained(&mut fleet).is_empty(),
+        "a host whose runner is not known was taken away"
+    );
+}
+
+#[test]
+fn may_miss_holds() {
+    let mut fleet = TestFleet::new(1, &["r1", "r2", "r3", "r4"]);
+    fleet.list_hosts(vec![
+        host("h1", fleet::POOL, Some("r1")),
+        host("h2", fleet::POOL, Some("r2")),
+        host("h3", fleet::POOL, Some("r3")),
+        host("h4", fleet::POOL, Some("r4")),
+    ]);
+    fleet.greet();
+    let serving = StepSpec {
+        long_running: true,
+        anti_affinity: 1,
+        may_miss: 1,
+        ..step(2, 1_000)
+    };
+    fleet.submit(1, job(vec![serving]));
+    fleet.store();
+    fleet.pass(10);
+    let starts = fleet.starts();
+    fleet.begin(&starts);
+    fleet
+        .owner
+        .wave_requested(wave(&["h1", "h2", "h3", "h4"], 4), fleet.now);
+    fleet.pass(100);
+    let clock = fleet.clock();
+    let runs = starts.clone();
+    fleet.answer_holds(|runner| {
+        let mut answer = empty(clock);
+        let here = runs.iter().filter(|start| start.runner == runner);
+        answer.running = here.map(listed).collect();
+        Some(answer)
+    });
+    fleet.pass(200);
+    let stops = fleet
+        .orders
+        .iter()
+        .filter(|order| matches!(order, OwnerOrder::Stop(_)))
+        .count();
+    assert!(
+        stops <= 1,
+        "{stops} of 2 work items were taken away at once"
+    );
+}
--- a/crates/node/src/front/front_desk.rs
+++ b/crates/node/src/front/front_desk.rs
@@ -151,6 +151,7 @@
     async fn ask(&self, call: JobCall, limit: Millis) -> FrontAnswer {
         match self.courier.ask(call, limit).await {
             CallAnswer::Accepted => FrontAnswer::Accepted,
+            CallAnswer::Busy(after) => FrontAnswer::Unavailable(after),
             CallAnswer::Gone => FrontAnswer::Gone,
             CallAnswer::Pending(count) => FrontAnswer::Pending(count),
             CallAnswer::State(phase) => FrontAnswer::State(phase),
--- /dev/null
+++ b/crates/node/tests/claim_race.rs
@@ -0,0 +1,96 @@
+//! Guards against two owners of one term: processes that claim at the same time, and one whose claim was answered
+//! too late.
+
+mod fakes;
+
+use {
+    fakes::{FakeStore, logger},
+    goldcreststall_core::ids::Millis,
+    goldcreststall_node::{
+        election::{ElectionEvent, ElectionTask, OwnerLease, OwnerPlace},
+        links::PeerBook,
+    },
+    std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::sync::{mpsc, watch},
+    tokio_util::sync::CancellationToken,
+};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+struct Candidate {
+    events: mpsc::UnboundedReceiver<ElectionEvent>,
+    owner: watch::Receiver<Option<OwnerPlace>>,
+    stop: CancellationToken,
+}
+
+fn spawn(store: &Arc<FakeStore>, port: u16, claimant: &str) -> Candidate {
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    let (events, heard) = mpsc::unbounded_channel();
+    let (owner, owners) = watch::channel(None);
+    let stop = CancellationToken::new();
+    let task = ElectionTask {
+        claimant: claimant.to_owned(),
+        address,
+        store: Arc::clone(store) as _,
+        events,
+        peers: PeerBook::new(address, owner.clone()),
+        owner,
+        lease: OwnerLease::default(),
+        claim_delay: Millis(0),
+        stop: stop.clone(),
+        logger: logger(),
+    };
+    tokio::spawn(task.run());
+    Candidate {
+        events: heard,
+        owner: owners,
+        stop,
+    }
+}
+
+async fn known_token(candidate: &mut Candidate) -> u64 {
+    let known = candidate.owner.wait_for(Option::is_some);
+    let owner = tokio::time::timeout(LIMIT, known)
+        .await
+        .expect("an owner")
+        .expect("the task runs");
+    owner.as_ref().map_or(0, |owner| owner.token)
+}
+
+#[tokio::test]
+async fn one_of_seven() {
+    let store = Arc::new(FakeStore::default());
+    let mut candidates: Vec<Candidate> = (0_u16..7)
+        .map(|place| spawn(&store, 7_000 + place, &format!("entry-{place}")))
+        .collect();
+    let mut tokens = BTreeSet::new();
+    for candidate in &mut candidates {
+        tokens.insert(known_token(candidate).await);
+    }
+    assert_eq!(tokens.len(), 1);
+    let elected = candidates
+        .iter_mut()
+        .filter_map(|candidate| candidate.events.try_recv().ok())
+        .filter(|event| matches!(event, ElectionEvent::Elected(_)))
+        .count();
+    assert_eq!(elected, 1);
+    for candidate in &candidates {
+        candidate.stop.cancel();
+    }
+}
+
+#[tokio::test]
+async fn predecessor_gone() {
+    let store = Arc::new(FakeStore::default());
+    let mut first = spawn(&store, 7_000, "entry-0#1");
+    let token = known_token(&mut first).await;
+    // The host is restarted at once; the claim of its predecessor need not fall silent.
+    let mut second = spawn(&store, 7_000, "entry-0#2");
+    let elected = tokio::time::timeout(Duration::from_millis(700), second.events.recv()).await;
+    let Ok(Some(ElectionEvent::Elected(next))) = elected else {
+        panic!("the restarted process did not claim");
+    };
+    assert!(next > token);
+    first.stop.cancel();
+    second.stop.cancel();
+}
--- /dev/null
+++ b/crates/node/tests/fakes/mod.rs
@@ -0,0 +1,250 @@
+//! The platform as small fakes: a store in memory, and runners and hosts that note what is asked of them.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use {
+    async_trait::async_trait,
+    bytes::Bytes,
+    goldcreststall_core::ids::Millis,
+    goldcreststall_dispatch::{
+        owner::{HostAnswer, HostReport, RunOrder, StartAnswer, StartOrder},
+        runners::{Capacity, HoldAnswer, RunnerReport, RunnerStatus},
+    },
+    goldcreststall_node::{
+        control::{ActorParts, OwnerActor},
+        election::OwnerLease,
+        metrics::NodeMetrics,
+        ports::{
+            AppendGuard, AppendPlace, HoldCall, HostService, NewestPage, PlatformStore, ReadBatch,
+            RunnerPeer, RunnerService, StoreFailure, StoreTopic,
+        },
+    },
+    kameo::actor::{ActorRef, Spawn},
+    parking_lot::Mutex,
+    slog::{Discard, Logger, o},
+    std::sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    tokio::sync::Notify,
+};
+
+/// A store in memory. Appends follow the platform's conditions.
+#[derive(Default)]
+pub struct FakeStore {
+    pub ownership: Mutex<Vec<Bytes>>,
+    pub jobs: Mutex<Vec<(String, Vec<u8>)>>,
+    epoch: Mutex<(u64, u64)>,
+    /// Loses the answer of the next append after it was carried out.
+    pub lose_answer: AtomicBool,
+    /// Keeps readers of jobs waiting.
+    pub hold_reads: AtomicBool,
+    pub released: Notify,
+}
+
+impl FakeStore {
+    fn check_fence(&self, guard: AppendGuard, records: usize) -> Result<bool, StoreFailure> {
+        let Some((epoch, sequence)) = guard.fence else {
+            return Ok(true);
+        };
+        let mut last = self.epoch.lock();
+        if epoch < last.0 {
+            return Err(StoreFailure::Fenced);
+        }
+        if epoch > last.0 {
+            *last = (epoch, sequence);
+        }
+        if records == 0 {
+            return Ok(false);
+        }
+        if sequence + 1 == last.1 {
+            return Ok(false);
+        }
+        if sequence != last.1 {
+            return Err(StoreFailure::Sequence { expected: last.1 });
+        }
+        last.1 += 1;
+        Ok(true)
+    }
+
+    fn answer(&self, end: usize) -> Result<AppendPlace, StoreFailure> {
+        if self.lose_answer.swap(false, Ordering::SeqCst) {
+            return Err(StoreFailure::Unknown);
+        }
+        Ok(AppendPlace {
+            offset: end.saturating_sub(1) as u64,
+            end: end as u64,
+        })
+    }
+}
+
+#[async_trait]
+impl PlatformStore for FakeStore {
+    async fn append(
+        &self,
+        _topic: StoreTopic,
+        records: &[Bytes],
+        guard: AppendGuard,
+        _timeout: Millis,
+    ) -> Result<AppendPlace, StoreFailure> {
+        let mut ownership = self.ownership.lock();
+        let end = ownership.len() as u64;
+        if guard.at.is_some_and(|at| at != end) {
+            return Err(StoreFailure::NotAtEnd { end });
+        }
+        ownership.extend_from_slice(records);
+        self.answer(ownership.len())
+    }
+
+    async fn append_keyed(
+        &self,
+        _topic: StoreTopic,
+        records: &[(String, Vec<u8>)],
+        guard: AppendGuard,
+        _timeout: Millis,
+    ) -> Result<AppendPlace, StoreFailure> {
+        let fresh = self.check_fence(guard, records.len())?;
+        let mut jobs = self.jobs.lock();
+        if fresh {
+            jobs.extend_from_slice(records);
+        }
+        self.answer(jobs.len())
+    }
+
+    async fn read(
+        &self,
+        _topic: StoreTopic,
+        from: u64,
+        _wait: Millis,
+    ) -> Result<ReadBatch, StoreFailure> {
+        tokio::task::yield_now().await;
+        let ownership = self.ownership.lock();
+        Ok(ReadBatch {
+            end: ownership.len() as u64,
+            records: ownership.iter().skip(from as usize).cloned().collect(),
+        })
+    }
+
+    async fn newest(
+        &self,
+        _topic: StoreTopic,
+        _after: Option<&str>,
+    ) -> Result<NewestPage, StoreFailure> {
+        while self.hold_reads.load(Ordering::SeqCst) {
+            self.released.notified().await;
+        }
+        let mut items: Vec<(String, Bytes)> = Vec::new();
+        for (key, value) in &*self.jobs.lock() {
+            items.retain(|(other, _)| other != key);
+            items.push((key.clone(), Bytes::from(value.clone())));
+        }
+        Ok(NewestPage {
+            items,
+            more: false,
+            end: 0,
+        })
+    }
+
+    async fn report_wave(&self, _wave: u64, _completed: bool) -> Result<(), StoreFailure> {
+        Ok(())
+    }
+}
+
+/// Runners that accept everything.
+#[derive(Default)]
+pub struct FakeRunners {
+    pub starts: Mutex<Vec<StartOrder>>,
+    pub started: Notify,
+}
+
+#[async_trait]
+impl RunnerService for FakeRunners {
+    async fn hold(&self, _peer: &RunnerPeer, _call: HoldCall) -> Option<HoldAnswer> {
+        Some(HoldAnswer {
+            clock_ms: 1,
+            ..HoldAnswer::default()
+        })
+    }
+
+    async fn start(&self, _peer: &RunnerPeer, order: &StartOrder) -> StartAnswer {
+        self.starts.lock().push(order.clone());
+        self.started.notify_one();
+        StartAnswer::Begun(1)
+    }
+
+    async fn stop(&self, _peer: &RunnerPeer, _order: &RunOrder) -> Option<u64> {
+        Some(1)
+    }
+
+    async fn pace(&self, _peer: &RunnerPeer, _order: &RunOrder, _percent: u32) -> bool {
+        true
+    }
+}
+
+/// Hosts that do nothing.
+pub struct FakeHosts;
+
+#[async_trait]
+impl HostService for FakeHosts {
+    async fn list(&self) -> Result<Vec<HostReport>, StoreFailure> {
+        Ok(Vec::new())
+    }
+
+    async fn move_host(&self, _host: &str, _pool: &str, _token: u64) -> HostAnswer {
+        HostAnswer::Busy
+    }
+
+    async fn maintain(&self, _host: &str, _wave: u64, _token: u64) -> HostAnswer {
+        HostAnswer::Busy
+    }
+}
+
+/// An actor on fakes.
+pub struct TestActor {
+    pub actor: ActorRef<OwnerActor>,
+    pub lease: OwnerLease,
+    pub runners: Arc<FakeRunners>,
+    pub store: Arc<FakeStore>,
+}
+
+pub fn spawn_actor() -> TestActor {
+    let lease = OwnerLease::default();
+    let runners = Arc::new(FakeRunners::default());
+    let store = Arc::new(FakeStore::default());
+    let actor = OwnerActor::spawn(ActorParts {
+        lease: lease.clone(),
+        logger: logger(),
+        maintenance: Millis(2_000),
+        metrics: Arc::new(NodeMetrics::new().expect("metrics")),
+        runners: Arc::clone(&runners) as _,
+        hosts: Arc::new(FakeHosts),
+        store: Arc::clone(&store) as _,
+    });
+    TestActor {
+        actor,
+        lease,
+        runners,
+        store,
+    }
+}
+
+pub fn logger() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+pub fn runner(id: &str) -> RunnerReport {
+    RunnerReport {
+        id: id.to_owned(),
+        born_ms: 1,
+        service: "press".to_owned(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "a".to_owned(),
+        labels: Vec::new(),
+        capacity: Capacity {
+            cpu: 8_000,
+            mem_mb: 16_000,
+            gpu: 0,
+        },
+        status: RunnerStatus::Ready,
+    }
+}
