--- a/crates/dispatch/src/owner/admission.rs
+++ b/crates/dispatch/src/owner/admission.rs
@@ -4,6 +4,9 @@
     goldcreststall_core::ids::{LocalTime, Millis},
 };
 
+/// Multiple of the time in which a job is of use beyond which it is refused. Fresh jobs go before late ones, so that a
+/// backlog alone does not make them late; far beyond it the owner would keep more jobs than it can serve.
+const BACKLOG_FACTOR: u64 = 4;
 /// Least room of a pool that is assumed, in thousandths of a core: hosts can move to a pool that has none.
 const LEAST_ROOM: u64 = 100_000;
 /// Part of the fleet's room that a pool can be expected to get in a flood, as a divisor.
@@ -81,7 +84,8 @@
             .iter()
             .find(|pool| pool.service == job.queue.service)?;
         let useful = job.useful_until().since(job.seen);
+        let limit = Millis(useful.0 * BACKLOG_FACTOR);
         let wait = pool.wait();
-        (wait > useful).then(|| Millis(wait.0 - useful.0))
+        (wait > limit).then(|| Millis(wait.0 - limit.0))
     }
 }
