Count work on silent runners as away before more is taken away

Change: only a run that an answering runner lists at full work counts; wave_limits::silent_runner_is_away failed before.

--- a/crates/dispatch/src/owner/host_duties.rs
+++ b/crates/dispatch/src/owner/host_duties.rs
@@ -1,7 +1,7 @@
 use {
     super::{OwnerOrder, OwnerState},
     crate::{
-        jobs::{ItemKey, RunPhase},
+        jobs::{ItemKey, ItemRun, RunPhase},
         pools::{HostMove, PoolFigures, job_demand, plan_pools},
         records::WaveProgress,
         routes::FleetRules,
@@ -542,16 +542,19 @@
         let siblings = job.step_items(item.occurrence, item.step);
         let others = siblings.iter().filter(|other| other.index != item.index);
         let away = others
-            .filter(|other| {
-                let at_work = other.runs.iter().any(|booked| {
-                    matches!(booked.phase, RunPhase::Running { .. }) && booked.percent >= AT_WORK
-                });
-                !at_work
-            })
+            .filter(|other| !other.runs.iter().any(|booked| self.is_serving(booked)))
             .count();
         (away as u32) < step.may_miss
     }
 
+    /// Returns whether a run of lasting work is known to be at full work: its runner answers and lists it so.
+    fn is_serving(&self, booked: &ItemRun) -> bool {
+        let runner = self.runners.get(booked.runner);
+        let answers = runner.is_some_and(|runner| runner.misses == 0 && runner.fenced);
+        let running = matches!(booked.phase, RunPhase::Running { .. });
+        answers && running && booked.percent >= AT_WORK
+    }
+
     fn has_other_room(&self, key: ItemKey, runner: RunnerKey) -> bool {
         let demand = self.demand(key);
         let Some((job, item)) = self.jobs.item(key) else {
--- a/crates/dispatch/tests/wave_limits.rs
+++ b/crates/dispatch/tests/wave_limits.rs
@@ -129,3 +129,56 @@
         "{stops} of 2 work items were taken away at once"
     );
 }
+
+#[test]
+fn silent_runner_is_away() {
+    // One of two work items is on a runner that has stopped to answer: the other must stay.
+    let mut fleet = TestFleet::new(1, &["r1", "r2", "r3"]);
+    fleet.list_hosts(vec![
+        host("h1", fleet::POOL, Some("r1")),
+        host("h2", fleet::POOL, Some("r2")),
+        host("h3", fleet::POOL, Some("r3")),
+    ]);
+    fleet.greet();
+    let serving = StepSpec {
+        long_running: true,
+        anti_affinity: 1,
+        may_miss: 1,
+        ..step(2, 1_000)
+    };
+    fleet.submit(1, job(vec![serving]));
+    fleet.store();
+    fleet.pass(10);
+    let starts = fleet.starts();
+    fleet.begin(&starts);
+    let silent = starts[0].runner;
+    for round in 0..8 {
+        fleet.pass(100);
+        let clock = fleet.clock();
+        let runs = starts.clone();
+        fleet.answer_holds(|runner| {
+            if runner == silent && round > 1 {
+                return None;
+            }
+            let mut answer = empty(clock);
+            let here = runs.iter().filter(|start| start.runner == runner);
+            answer.running = here.map(listed).collect();
+            Some(answer)
+        });
+    }
+    fleet.orders.clear();
+    fleet
+        .owner
+        .wave_requested(wave(&["h2"], 1), fleet.now);
+    fleet.pass(200);
+    fleet.pass(200);
+    let serving = starts[1].name;
+    let stopped = fleet
+        .orders
+        .iter()
+        .any(|order| matches!(order, OwnerOrder::Stop(stop) if stop.name == serving));
+    assert!(
+        !stopped,
+        "a work item was taken away while another may be away"
+    );
+}
