Bring calls back at once when a term ends

Ruled out: the store; it took the next owner's records 10 ms later. Change: a dropped call is answered as unknown, and the courier asks the next owner; ended_term covers it.

--- a/crates/dispatch/tests/wave_limits.rs
+++ b/crates/dispatch/tests/wave_limits.rs
@@ -167,9 +167,7 @@
         });
     }
     fleet.orders.clear();
-    fleet
-        .owner
-        .wave_requested(wave(&["h2"], 1), fleet.now);
+    fleet.owner.wave_requested(wave(&["h2"], 1), fleet.now);
     fleet.pass(200);
     fleet.pass(200);
     let serving = starts[1].name;
--- a/crates/node/src/front/owner_courier.rs
+++ b/crates/node/src/front/owner_courier.rs
@@ -68,8 +68,8 @@
             };
             match self.attempt(&place, call.clone(), end).await {
                 Attempt::Answered(CallAnswer::Unavailable) | Attempt::NotSent => {}
+                Attempt::Answered(CallAnswer::Unknown) | Attempt::Lost => lost = true,
                 Attempt::Answered(answer) => return answer,
-                Attempt::Lost => lost = true,
             }
             // A call that may have been taken is tried until its time is over, because only an owner's answer tells
             // what became of it; one that was not taken is refused soon, so that the caller can come back.
--- a/crates/node/src/links/link_server.rs
+++ b/crates/node/src/links/link_server.rs
@@ -114,5 +114,6 @@
 async fn ask(actor: &ActorRef<OwnerActor>, call: JobCall) -> Option<CallAnswer> {
     let (reply, answer) = oneshot::channel();
     actor.tell(ControlEvent::Call { call, reply }).await.ok()?;
-    answer.await.ok()
+    // A term that ends drops its calls. The next owner is asked at once when the other side hears of it.
+    Some(answer.await.unwrap_or(CallAnswer::Unknown))
 }
--- /dev/null
+++ b/crates/node/tests/ended_term.rs
@@ -0,0 +1,69 @@
+//! Guards against callers that wait in vain at an entry host whose term as owner has ended: the call must come back
+//! at once, so that the next owner can be asked.
+
+mod fakes;
+
+use {
+    fakes::{logger, spawn_actor},
+    goldcreststall_core::ids::LocalTime,
+    goldcreststall_dispatch::{
+        jobs::JobId,
+        owner::{CallAnswer, JobCall},
+    },
+    goldcreststall_node::{
+        control::ControlEvent,
+        links::{LinkServer, OwnerLink, PeerBook},
+    },
+    std::{
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::{net::TcpListener, sync::watch},
+};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+#[tokio::test]
+async fn call_comes_back() {
+    let test = spawn_actor();
+    let (owner, _owners) = watch::channel(None);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let server = LinkServer {
+        actor: test.actor.clone(),
+        peers: PeerBook::new(address, owner.clone()),
+        logger: logger(),
+    };
+    tokio::spawn(server.serve(listener));
+    test.lease.prolong(LocalTime(u64::MAX));
+    test.store.hold_reads.store(true, Ordering::SeqCst);
+    test.actor
+        .tell(ControlEvent::Elected(1))
+        .await
+        .expect("the actor runs");
+    let local = SocketAddr::from(([127, 0, 0, 1], 1));
+    let link = Arc::new(OwnerLink::new(PeerBook::new(local, owner), logger()));
+    let asked = tokio::spawn({
+        let link = Arc::clone(&link);
+        async move { link.ask(address, JobCall::State(JobId(7))).await }
+    });
+    while test.store.held.load(Ordering::SeqCst) == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    // The call waits for the reading of the store when the term ends.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    test.actor
+        .tell(ControlEvent::Deposed)
+        .await
+        .expect("the actor runs");
+    let answer = tokio::time::timeout(LIMIT, asked)
+        .await
+        .expect("in time")
+        .expect("no panic");
+    let answer = answer.expect("the connection stands");
+    assert!(matches!(
+        answer,
+        CallAnswer::Unknown | CallAnswer::Unavailable
+    ));
+}
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -24,7 +24,7 @@
     slog::{Discard, Logger, o},
     std::sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     tokio::sync::Notify,
 };
@@ -39,6 +39,8 @@
     pub lose_answer: AtomicBool,
     /// Keeps readers of jobs waiting.
     pub hold_reads: AtomicBool,
+    /// Readers of jobs that have come.
+    pub held: AtomicUsize,
     pub released: Notify,
 }
 
@@ -130,6 +132,7 @@
         _topic: StoreTopic,
         _after: Option<&str>,
     ) -> Result<NewestPage, StoreFailure> {
+        self.held.fetch_add(1, Ordering::SeqCst);
         while self.hold_reads.load(Ordering::SeqCst) {
             self.released.notified().await;
         }
