--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -176,8 +176,8 @@
             .step_items(occurrence, step)
             .iter()
             .filter_map(|item| item.ran);
-        let (count, sum) = ran.fold((0, 0), |(count, sum), ran| (count + 1, sum + ran.0));
-        let own = if count == 0 { estimate } else { sum / count };
+        let (count, sum) = ran.fold((0_u64, 0_u64), |(count, sum), ran| (count + 1, sum + ran.0));
+        let own = sum.checked_div(count).unwrap_or(estimate);
         self.spec.chain_from(step as usize) - estimate + own
     }
 
--- /dev/null
+++ b/crates/dispatch/src/owner/host_table.rs
@@ -0,0 +1,138 @@
+use {
+    crate::{
+        records::WaveProgress,
+        routes::FleetRules,
+        runners::{Capacity, RunnerTable},
+    },
+    goldcreststall_core::ids::{LocalTime, Millis},
+};
+
+/// What the platform says of a host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HostStatus {
+    /// It runs, or could run where its pool is off.
+    Up,
+    /// It is on its way to another pool.
+    Moving,
+    /// It is being maintained.
+    Maintenance,
+    /// It has failed.
+    Down,
+}
+
+/// A host in the platform's list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HostReport {
+    /// Name of the host.
+    pub host: String,
+    /// Its pool.
+    pub pool: String,
+    /// Where it stands.
+    pub status: HostStatus,
+    /// Its runner, once that is registered.
+    pub runner: Option<String>,
+    /// Room of its runner.
+    pub capacity: Capacity,
+}
+
+/// An operator's request to maintain hosts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WaveRequest {
+    /// Number of the wave.
+    pub number: u64,
+    /// The hosts.
+    pub hosts: Vec<String>,
+    /// Time in which all must be maintained.
+    pub duration: Millis,
+    /// Most hosts that are maintained at once.
+    pub cap: u32,
+}
+
+/// The answer of the host service to an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HostAnswer {
+    /// It is done, or was done before.
+    Done,
+    /// Not now: the host is busy or leaving, or too many calls came.
+    Busy,
+    /// Never: the host or the wave is unknown.
+    Refused,
+    /// A newer owner gives orders.
+    Fenced,
+    /// No answer: it may have been done.
+    Unknown,
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum HostTask {
+    Move { pool: String },
+    Maintain { wave: u64 },
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct HostState {
+    pub(super) report: HostReport,
+    /// The order in progress and when it was sent last.
+    pub(super) task: Option<(HostTask, LocalTime)>,
+    /// No order before then.
+    pub(super) pause: LocalTime,
+    /// Maintenance was accepted then and counts until the list shows the host up again.
+    pub(super) maintained: Option<LocalTime>,
+    /// The pool to which the host was moved and when, until the list shows it.
+    pub(super) moved: Option<(String, LocalTime)>,
+}
+
+/// The hosts, sorted by name.
+#[derive(Debug, Default)]
+pub(super) struct HostTable {
+    pub(super) hosts: Vec<HostState>,
+    pub(super) listed: Option<LocalTime>,
+}
+
+impl HostTable {
+    /// Returns a host for changes.
+    pub(super) fn find(&mut self, host: &str) -> Option<&mut HostState> {
+        let place = self
+            .hosts
+            .binary_search_by(|state| state.report.host.as_str().cmp(host))
+            .ok()?;
+        Some(&mut self.hosts[place])
+    }
+
+    /// Returns whether every host that may run work of an earlier owner has a runner that has answered. A host
+    /// without a registered runner may have one that is cut off and whose entry has lapsed.
+    pub(super) fn all_answered(&self, runners: &RunnerTable, rules: &FleetRules) -> bool {
+        let answered = |state: &HostState| {
+            let report = &state.report;
+            let off = matches!(report.status, HostStatus::Moving | HostStatus::Maintenance);
+            if off || rules.is_spare(&report.pool) {
+                return true;
+            }
+            let key = report.runner.as_deref().and_then(|id| runners.find(id));
+            let runner = key.and_then(|key| runners.get(key));
+            runner.is_some_and(|runner| runner.fenced)
+        };
+        self.listed.is_some() && self.hosts.iter().all(answered)
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct WaveState {
+    pub(super) request: WaveRequest,
+    pub(super) since: LocalTime,
+    pub(super) progress: WaveProgress,
+    pub(super) reported: bool,
+}
+
+/// The waves, by number.
+#[derive(Debug, Default)]
+pub(super) struct WaveTable {
+    pub(super) waves: Vec<WaveState>,
+    pub(super) restored: Vec<(u64, WaveProgress)>,
+}
+
+impl WaveTable {
+    pub(super) fn restore(&mut self, number: u64, progress: WaveProgress) {
+        self.restored.push((number, progress));
+    }
+}
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -5,7 +5,9 @@
 mod fault_watch;
 mod hold_planner;
 mod host_duties;
+mod host_table;
 mod journal_queue;
+mod move_duty;
 mod owner_order;
 mod owner_state;
 mod pace_control;
@@ -13,10 +15,11 @@
 mod restore;
 mod run_book;
 mod runner_answers;
+mod wave_duty;
 
 pub use {
     caller_calls::{CallAnswer, CallTicket, JobCall},
-    host_duties::{HostAnswer, HostReport, HostStatus, WaveRequest},
+    host_table::{HostAnswer, HostReport, HostStatus, WaveRequest},
     journal_queue::{BatchId, JournalBatch},
     owner_order::{OwnerOrder, RunOrder, StartOrder},
     owner_state::{OwnerNote, OwnerState},
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -2,7 +2,7 @@
     super::{
         OwnerOrder,
         admission::PoolBacklog,
-        host_duties::{HostTable, WaveTable},
+        host_table::{HostTable, WaveTable},
         journal_queue::JournalQueue,
     },
     crate::{
--- /dev/null
+++ b/crates/dispatch/src/owner/wave_duty.rs
@@ -0,0 +1,246 @@
+use {
+    super::{HostStatus, OwnerOrder, OwnerState, WaveRequest, host_table::HostTask},
+    crate::{
+        jobs::{ItemKey, ItemRun, RunPhase},
+        runners::RunnerKey,
+    },
+    goldcreststall_core::ids::{LocalTime, Millis},
+};
+
+/// Time of a wave that is kept for hosts that take long to become empty.
+const WAVE_RESERVE: Millis = Millis(3_000);
+/// Full work of a serving work item, in percent.
+const AT_WORK: u32 = 100;
+
+impl OwnerState {
+    pub(super) fn advance_wave(&mut self, place: usize, now: LocalTime) {
+        let wave = &mut self.waves.waves[place];
+        let number = wave.request.number;
+        if !wave.reported {
+            wave.reported = true;
+            let completed = wave.progress.completed;
+            self.orders.push(OwnerOrder::ReportWave {
+                wave: number,
+                completed,
+            });
+        }
+        let wave = &self.waves.waves[place];
+        if wave.progress.completed {
+            return;
+        }
+        let (begun, request, since) = (
+            wave.progress.begun.clone(),
+            wave.request.clone(),
+            wave.since,
+        );
+        let waits = |host: &String| begun.binary_search(host).is_err();
+        let left: Vec<String> = request
+            .hosts
+            .iter()
+            .filter(|host| waits(host) && self.hosts.find(host).is_some())
+            .cloned()
+            .collect();
+        let away = self.wave_away(&request);
+        if left.is_empty() {
+            if away == 0 {
+                self.complete_wave(place);
+            }
+            return;
+        }
+        for host in &left {
+            let runner = self
+                .hosts
+                .find(host)
+                .and_then(|state| state.report.runner.clone());
+            let key = runner.and_then(|id| self.runners.find(&id));
+            if let Some(state) = key.and_then(|key| self.runners.get_mut(key)) {
+                state.due = true;
+            }
+        }
+        let rounds = left.len().div_ceil(request.cap.max(1) as usize) as u64;
+        let needed = Millis(rounds * WAVE_RESERVE.0);
+        let end = since + request.duration;
+        let late = now + needed >= end;
+        self.start_maintenance(&request, left, away, late, now);
+    }
+
+    fn complete_wave(&mut self, place: usize) {
+        let wave = &mut self.waves.waves[place];
+        wave.progress.completed = true;
+        let number = wave.request.number;
+        self.journal.store_wave(number, wave.progress.clone());
+        self.orders.push(OwnerOrder::ReportWave {
+            wave: number,
+            completed: true,
+        });
+        self.note("wave completed", number.to_string(), String::new());
+    }
+
+    /// Counts the hosts of a wave that are, or may be, away for it.
+    fn wave_away(&mut self, request: &WaveRequest) -> u32 {
+        let mut away = 0;
+        for host in &request.hosts {
+            if let Some(state) = self.hosts.find(host) {
+                let ordered = matches!(state.task, Some((HostTask::Maintain { .. }, _)));
+                let listed = state.report.status == HostStatus::Maintenance;
+                away += u32::from(ordered || listed || state.maintained.is_some());
+            }
+        }
+        away
+    }
+
+    fn start_maintenance(
+        &mut self,
+        request: &WaveRequest,
+        mut left: Vec<String>,
+        away: u32,
+        late: bool,
+        now: LocalTime,
+    ) {
+        left.sort_by_cached_key(|host| self.emptying_cost(host));
+        let mut room = request.cap.saturating_sub(away);
+        let mut emptying = request.cap;
+        // Lasting work moves one work item of a step at a time, so that its hosts begin early beside the others.
+        let mut evacuating = request.cap;
+        for host in left {
+            let Some(state) = self.hosts.find(&host) else {
+                continue;
+            };
+            let up = state.report.status == HostStatus::Up;
+            if !up || state.task.is_some() || state.moved.is_some() || state.pause > now {
+                continue;
+            }
+            let runner = state.report.runner.clone();
+            let off = self.rules.is_spare(&state.report.pool);
+            let key = runner.as_deref().and_then(|id| self.runners.find(id));
+            if key.is_none() && !off {
+                // A runner whose entry has lapsed may still work.
+                continue;
+            }
+            if key.is_some_and(|key| self.has_work(key)) {
+                let budget = if self.has_lasting(key) {
+                    &mut evacuating
+                } else {
+                    &mut emptying
+                };
+                if *budget == 0 {
+                    continue;
+                }
+                *budget -= 1;
+                self.prepare_runner(key, runner.as_deref());
+                let force = late && !self.has_lasting(key);
+                if !force || room == 0 {
+                    continue;
+                }
+            }
+            if room > 0 {
+                room -= 1;
+                let wave = request.number;
+                let why = format!("away={away} cap={} late={late}", request.cap);
+                self.begin_task(&host, HostTask::Maintain { wave }, why, now);
+            }
+        }
+    }
+
+    fn has_work(&self, key: RunnerKey) -> bool {
+        self.runners
+            .get(key)
+            .is_some_and(|state| !state.items.is_empty() || state.foreign || !state.fenced)
+    }
+
+    pub(super) fn has_lasting(&self, key: Option<RunnerKey>) -> bool {
+        let Some(key) = key else {
+            return false;
+        };
+        self.runs_on(key).iter().any(|(item, _)| self.lasts(*item))
+    }
+
+    fn lasts(&self, key: ItemKey) -> bool {
+        self.jobs
+            .item(key)
+            .is_some_and(|(job, item)| job.step_of(item).long_running)
+    }
+
+    /// Takes new work off a runner and restarts lasting work elsewhere.
+    fn prepare_runner(&mut self, key: Option<RunnerKey>, id: Option<&str>) {
+        if let Some(id) = id {
+            self.cordon(id);
+        }
+        let Some(key) = key else {
+            return;
+        };
+        for (item, booked) in self.runs_on(key) {
+            let running = matches!(booked.phase, RunPhase::Running { .. });
+            if running && self.lasts(item) && self.may_miss(item) && self.has_other_room(item, key)
+            {
+                self.stop_run(item, key, booked.run);
+            }
+        }
+    }
+
+    /// Returns whether a lasting work item may be taken away now without too many of its step being away.
+    fn may_miss(&self, key: ItemKey) -> bool {
+        let Some((job, item)) = self.jobs.item(key) else {
+            return false;
+        };
+        let step = job.step_of(item);
+        if step.may_miss == 0 {
+            return true;
+        }
+        let siblings = job.step_items(item.occurrence, item.step);
+        let others = siblings.iter().filter(|other| other.index != item.index);
+        let away = others
+            .filter(|other| !other.runs.iter().any(|booked| self.is_serving(booked)))
+            .count();
+        (away as u32) < step.may_miss
+    }
+
+    /// Returns whether a run of lasting work is known to be at full work: its runner answers and lists it so.
+    fn is_serving(&self, booked: &ItemRun) -> bool {
+        let runner = self.runners.get(booked.runner);
+        let answers = runner.is_some_and(|runner| runner.misses == 0 && runner.fenced);
+        let running = matches!(booked.phase, RunPhase::Running { .. });
+        answers && running && booked.percent >= AT_WORK
+    }
+
+    fn has_other_room(&self, key: ItemKey, runner: RunnerKey) -> bool {
+        let demand = self.demand(key);
+        let Some((job, item)) = self.jobs.item(key) else {
+            return false;
+        };
+        let step = job.step_of(item);
+        let siblings = job.step_items(item.occurrence, item.step);
+        self.runners.all().any(|(other, state)| {
+            let used = siblings
+                .iter()
+                .flat_map(|item| &item.runs)
+                .filter(|booked| booked.runner == other)
+                .count();
+            let spread = step.anti_affinity == 0 || used < step.anti_affinity as usize;
+            other != runner
+                && state.report.service == job.queue.service
+                && state.takes_work(self.started)
+                && state.free().holds(&demand)
+                && spread
+        })
+    }
+
+    /// Orders hosts for maintenance: those that are off, then empty ones, then those with the least work.
+    fn emptying_cost(&mut self, host: &str) -> (u32, u32) {
+        let Some(state) = self.hosts.find(host) else {
+            return (u32::MAX, u32::MAX);
+        };
+        let runner = state.report.runner.clone();
+        let key = runner.and_then(|id| self.runners.find(&id));
+        let Some(key) = key else {
+            return (0, 0);
+        };
+        let lasting = self
+            .runs_on(key)
+            .iter()
+            .filter(|(item, _)| self.lasts(*item))
+            .count();
+        let used = self.runners.get(key).map_or(0, |state| state.used.cpu);
+        (lasting as u32, used)
+    }
+}
