Let leases follow the speed of the store

Ruled out: another owner; nobody claimed, because the renewals were in the topic. Change: a renewal found in the topic prolongs the lease from its first send; records name their lease, which grows with the answers of the store up to 3 s, and others wait for what the last record names.

--- a/crates/node/src/election/claim_record.rs
+++ b/crates/node/src/election/claim_record.rs
@@ -12,6 +12,8 @@
     pub address: SocketAddr,
     /// The fencing token of the term.
     pub token: u64,
+    /// How long the claimant may give orders after it sent this record, in milliseconds.
+    pub lease_ms: u64,
     /// The term is over; another entry host may claim at once.
     pub released: bool,
 }
--- a/crates/node/src/election/election_task.rs
+++ b/crates/node/src/election/election_task.rs
@@ -13,16 +13,18 @@
     tokio_util::sync::CancellationToken,
 };
 
-/// Time from the send of a renewal until the owner stops giving orders.
-const OWNER_LEASE: Millis = Millis(1_300);
-/// Silence after which another entry host claims; longer than the owner's lease.
-const CLAIM_SILENCE: Millis = Millis(1_500);
+/// Least time from the send of a renewal until the owner stops giving orders.
+const LEAST_LEASE: Millis = Millis(1_300);
+/// Most of it. A slow store must not end the term of an owner that nobody could replace any faster.
+const MOST_LEASE: Millis = Millis(3_000);
+/// Added to the owner's lease before another entry host claims.
+const CLAIM_SLACK: Millis = Millis(200);
 /// Time between renewals; three fit into a lease.
 const RENEW_PERIOD: Millis = Millis(400);
 /// Longest wait of a read for the next record.
 const READ_WAIT: Millis = Millis(600);
 /// Longest wait for the answer to a claim or renewal.
-const APPEND_TIMEOUT: Millis = Millis(700);
+const APPEND_TIMEOUT: Millis = Millis(1_200);
 /// Pause after a failed call of the store.
 const FAILURE_PAUSE: Millis = Millis(150);
 
@@ -70,10 +72,44 @@
     pub logger: Logger,
 }
 
+/// When renewals are sent and how long their leases are.
+#[derive(Default)]
+struct RenewalPace {
+    /// First send of the renewal that is not known to be stored.
+    first: Option<LocalTime>,
+    latency: Millis,
+}
+
+impl RenewalPace {
+    /// Returns the pause before the next renewal: a slow store takes part of the period itself.
+    fn pause(&self) -> Millis {
+        Millis(RENEW_PERIOD.0.saturating_sub(self.latency.0))
+    }
+
+    /// Returns a lease that outlives the next renewal, also when the store stays as slow as it was.
+    fn lease(&self) -> Millis {
+        let wanted = Millis(self.latency.0 * 2) + RENEW_PERIOD;
+        wanted.clamp(LEAST_LEASE, MOST_LEASE)
+    }
+
+    fn send(&mut self) {
+        self.first.get_or_insert_with(|| BootClock.now());
+    }
+
+    /// Takes note that the renewal is stored, and returns when it was first sent.
+    fn stored(&mut self) -> LocalTime {
+        let now = BootClock.now();
+        let first = self.first.take().unwrap_or(now);
+        self.latency = now.since(first);
+        first
+    }
+}
+
 /// What was read of the topic.
 struct Watch {
     next: u64,
     heard: LocalTime,
+    lease: Millis,
     released: bool,
 }
 
@@ -84,6 +120,7 @@
         let mut watch = Watch {
             next: 0,
             heard: BootClock.now(),
+            lease: LEAST_LEASE,
             released: false,
         };
         while !self.stop.is_cancelled() {
@@ -97,7 +134,7 @@
 
     /// Reads the topic until a claim of this process succeeds.
     async fn follow(&self, watch: &mut Watch) -> Option<u64> {
-        let limit = CLAIM_SILENCE + self.claim_delay;
+        let limit = watch.lease + CLAIM_SLACK + self.claim_delay;
         let heard_late = BootClock.now().since(watch.heard) >= limit;
         let wait = if watch.released || heard_late {
             Millis(0)
@@ -148,6 +185,7 @@
         // An earlier process of this host has ended, or this one could not listen on its address.
         let predecessor = claim.address == self.address && claim.claimant != self.claimant;
         watch.released = claim.released || predecessor;
+        watch.lease = Millis(claim.lease_ms);
         self.peers.add(claim.address);
         let place = (!watch.released).then_some(OwnerPlace {
             address: claim.address,
@@ -171,11 +209,11 @@
         }
         let token = end + 1;
         let sent = BootClock.now();
-        let claimed = self.append(token, end, false).await;
+        let claimed = self.append(token, end, LEAST_LEASE, false).await;
         info!(self.logger, "election: claim"; "token" => token, "outcome" => ?claimed);
         match claimed {
             Ok(()) => {
-                self.lease.prolong(sent + OWNER_LEASE);
+                self.lease.prolong(sent + LEAST_LEASE);
                 Some(token)
             }
             Err(StoreFailure::Unknown | StoreFailure::Refused) => {
@@ -189,7 +227,13 @@
     /// Appends a record at the offset `at`. Every record is conditional on its offset, so that one claim at most
     /// succeeds at an offset and an older owner's renewal fails after it. A producer and sequence number would
     /// not do: the store answers a second process that uses the same ones as if it had repeated the first.
-    async fn append(&self, token: u64, at: u64, released: bool) -> Result<(), StoreFailure> {
+    async fn append(
+        &self,
+        token: u64,
+        at: u64,
+        lease: Millis,
+        released: bool,
+    ) -> Result<(), StoreFailure> {
         let guard = AppendGuard {
             at: Some(at),
             fence: None,
@@ -198,6 +242,7 @@
             claimant: self.claimant.clone(),
             address: self.address,
             token,
+            lease_ms: lease.0,
             released,
         };
         // The record holds only plain fields, so that serialization cannot fail.
@@ -220,25 +265,29 @@
         self.send_event(ElectionEvent::Elected(token));
         // The token is one above the offset of the claim.
         let mut end = token;
+        let mut pace = RenewalPace::default();
         loop {
             let stopped = tokio::select! {
                 () = self.stop.cancelled() => true,
-                () = tokio::time::sleep(Duration::from_millis(RENEW_PERIOD.0)) => false,
+                () = tokio::time::sleep(Duration::from_millis(pace.pause().0)) => false,
             };
-            let sent = BootClock.now();
-            match self.append(token, end, stopped).await {
+            let lease = pace.lease();
+            pace.send();
+            match self.append(token, end, lease, stopped).await {
                 Ok(()) => {
                     end += 1;
                     if stopped {
                         info!(self.logger, "election: the claim is released"; "token" => token);
                         break;
                     }
-                    self.lease.prolong(sent + OWNER_LEASE);
+                    self.lease.prolong(pace.stored() + lease);
                 }
                 Err(StoreFailure::NotAtEnd { .. }) => match self.own_records(token, end).await {
-                    // A renewal whose answer was lost has been carried out. Its send time is not known any more,
-                    // so that it does not prolong the lease.
-                    Some(own) if own > 0 => end += own,
+                    // An earlier attempt, whose answer was lost or late, was carried out after its send.
+                    Some(own) if own > 0 => {
+                        end += own;
+                        self.lease.prolong(pace.stored() + lease.min(LEAST_LEASE));
+                    }
                     Some(_) => break,
                     None => {}
                 },
--- a/crates/node/tests/claim_race.rs
+++ b/crates/node/tests/claim_race.rs
@@ -10,7 +10,12 @@
         election::{ElectionEvent, ElectionTask, OwnerLease, OwnerPlace},
         links::PeerBook,
     },
-    std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        collections::BTreeSet,
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
     tokio::sync::{mpsc, watch},
     tokio_util::sync::CancellationToken,
 };
@@ -19,6 +24,7 @@
 
 struct Candidate {
     events: mpsc::UnboundedReceiver<ElectionEvent>,
+    lease: OwnerLease,
     owner: watch::Receiver<Option<OwnerPlace>>,
     stop: CancellationToken,
 }
@@ -28,6 +34,7 @@
     let (events, heard) = mpsc::unbounded_channel();
     let (owner, owners) = watch::channel(None);
     let stop = CancellationToken::new();
+    let lease = OwnerLease::default();
     let task = ElectionTask {
         claimant: claimant.to_owned(),
         address,
@@ -35,7 +42,7 @@
         events,
         peers: PeerBook::new(address, owner.clone()),
         owner,
-        lease: OwnerLease::default(),
+        lease: lease.clone(),
         claim_delay: Millis(0),
         stop: stop.clone(),
         logger: logger(),
@@ -43,6 +50,7 @@
     tokio::spawn(task.run());
     Candidate {
         events: heard,
+        lease,
         owner: owners,
         stop,
     }
@@ -94,3 +102,24 @@
     first.stop.cancel();
     second.stop.cancel();
 }
+
+#[tokio::test]
+async fn late_answers() {
+    // Every renewal is stored and its answer comes too late, as with a slow store.
+    let store = Arc::new(FakeStore::default());
+    let mut owner = spawn(&store, 7_000, "entry-0#1");
+    known_token(&mut owner).await;
+    store.lose_renewals.store(true, Ordering::SeqCst);
+    while owner.lease.holds() && store.ownership.lock().len() < 12 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let held = async {
+        while !owner.lease.holds() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, held)
+        .await
+        .expect("a lease from renewals that are stored");
+    owner.stop.cancel();
+}
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -37,6 +37,8 @@
     epoch: Mutex<(u64, u64)>,
     /// Loses the answer of the next append after it was carried out.
     pub lose_answer: AtomicBool,
+    /// Loses the answers of all records of the ownership after they were stored.
+    pub lose_renewals: AtomicBool,
     /// Keeps readers of jobs waiting.
     pub hold_reads: AtomicBool,
     /// Readers of jobs that have come.
@@ -95,6 +97,9 @@
             return Err(StoreFailure::NotAtEnd { end });
         }
         ownership.extend_from_slice(records);
+        if self.lose_renewals.load(Ordering::SeqCst) {
+            return Err(StoreFailure::Unknown);
+        }
         self.answer(ownership.len())
     }
 
