Keep hosts for the spread of lasting work, and small hosts from taking released terms

Ruled out: starvation by small work; the pool was in the low part of its turn. Change: a pool's need covers the spread of its lasting work; small hosts wait after a release and do not claim after their own predecessor.

--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -181,6 +181,16 @@
         self.spec.chain_from(step as usize) - estimate + own
     }
 
+    /// Returns the number of runners over which the job's lasting work must be spread.
+    pub fn lasting_spread(&self) -> usize {
+        let spread = |step: &StepSpec| match step.anti_affinity {
+            0 => 0,
+            most => step.count.div_ceil(most) as usize,
+        };
+        let lasting = self.spec.steps.iter().filter(|step| step.long_running);
+        lasting.map(spread).max().unwrap_or(0)
+    }
+
     /// Returns the objective of the job: the time from its submission in which it should be completed.
     pub fn objective(&self) -> Millis {
         let chain = self.spec.longest_chain() as f64;
--- a/crates/dispatch/src/owner/move_duty.rs
+++ b/crates/dispatch/src/owner/move_duty.rs
@@ -65,6 +65,7 @@
                 .iter_mut()
                 .find(|pool| pool.name == job.queue.service);
             if let Some(pool) = pool {
+                pool.spread = pool.spread.max(job.lasting_spread());
                 let demand = job_demand(job, now);
                 pool.demand_cpu += demand.in_time;
                 pool.late_cpu += demand.late;
--- a/crates/dispatch/src/pools/pool_planner.rs
+++ b/crates/dispatch/src/pools/pool_planner.rs
@@ -6,6 +6,10 @@
 /// Hosts that a pool keeps in any case, for the first seconds of its next turn of demand.
 const FLOOR: usize = 4;
 
+/// Hosts kept beyond those over which lasting work must be spread: a work item of it is restarted on a host without
+/// another one of its step, also while hosts are away for maintenance.
+const SPREAD_RESERVE: usize = 2;
+
 /// What a pool has and needs.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct PoolFigures {
@@ -21,6 +25,8 @@
     pub late_cpu: u64,
     /// Processor time of one host, in thousandths of a core.
     pub host_cpu: u32,
+    /// Hosts over which lasting work must be spread.
+    pub spread: usize,
     /// Hosts that can move, with the time since when they are empty.
     pub movable: Vec<(LocalTime, String)>,
     /// Hosts whose work will end by itself, with the processor time in use.
@@ -38,7 +44,12 @@
         if self.spare {
             return 0;
         }
-        self.hosts_for(self.demand_cpu).max(FLOOR)
+        let spread = if self.spread > 0 {
+            self.spread + SPREAD_RESERVE
+        } else {
+            0
+        };
+        self.hosts_for(self.demand_cpu).max(FLOOR).max(spread)
     }
 
     /// Returns the hosts that late work would use besides.
@@ -139,7 +150,12 @@
 
 /// Shares the hosts when there are fewer than needed.
 fn shares(pools: &[PoolFigures], total: usize) -> Vec<usize> {
-    let floor = |pool: &PoolFigures| if pool.spare { 0 } else { FLOOR };
+    let floor = |pool: &PoolFigures| {
+        if pool.spare {
+            return 0;
+        }
+        FLOOR.max(pool.spread).min(pool.needed())
+    };
     let floors: usize = pools.iter().map(floor).sum();
     let left = total.saturating_sub(floors);
     let beyond = |pool: &PoolFigures| pool.needed() - floor(pool);
--- a/crates/dispatch/tests/pool_targets.rs
+++ b/crates/dispatch/tests/pool_targets.rs
@@ -51,6 +51,15 @@
     assert!(plan.moves.is_empty() && plan.drains.is_empty());
 }
 
+/// A work item that lasts must find a host without another one of its step when it is restarted.
+#[test]
+fn spread_is_kept() {
+    let mut serves = pool("serves", 21, 50_000, 0);
+    serves.spread = 20;
+    let plan = plan_pools(&[serves, pool("begins", 4, 300_000, 0)]);
+    assert!(plan.moves.is_empty() && plan.drains.is_empty());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(SEED),
--- a/crates/node/src/election/election_task.rs
+++ b/crates/node/src/election/election_task.rs
@@ -136,8 +136,10 @@
     async fn follow(&self, watch: &mut Watch) -> Option<u64> {
         let limit = watch.lease + CLAIM_SLACK + self.claim_delay;
         let heard_late = BootClock.now().since(watch.heard) >= limit;
-        let wait = if watch.released || heard_late {
+        let wait = if heard_late {
             Millis(0)
+        } else if watch.released {
+            self.claim_delay
         } else {
             READ_WAIT
         };
@@ -159,7 +161,9 @@
                     // Without the store the last owner stays known: it refuses by itself when its lease ends.
                     self.owner.send_if_modified(|owner| owner.take().is_some());
                 }
-                if empty && caught_up && (fresh_topic || silent || watch.released) {
+                let released =
+                    watch.released && BootClock.now().since(watch.heard) >= self.claim_delay;
+                if empty && caught_up && (fresh_topic || silent || released) {
                     return self.claim(batch.end).await;
                 }
             }
@@ -183,7 +187,9 @@
             }
         };
         // An earlier process of this host has ended, or this one could not listen on its address.
-        let predecessor = claim.address == self.address && claim.claimant != self.claimant;
+        // A host that is too small for the owner's work lets others go first.
+        let fits = self.claim_delay == Millis(0);
+        let predecessor = claim.address == self.address && claim.claimant != self.claimant && fits;
         watch.released = claim.released || predecessor;
         watch.lease = Millis(claim.lease_ms);
         self.peers.add(claim.address);
--- a/crates/node/tests/claim_race.rs
+++ b/crates/node/tests/claim_race.rs
@@ -30,6 +30,15 @@
 }
 
 fn spawn(store: &Arc<FakeStore>, port: u16, claimant: &str) -> Candidate {
+    spawn_delayed(store, port, claimant, Millis(0))
+}
+
+fn spawn_delayed(
+    store: &Arc<FakeStore>,
+    port: u16,
+    claimant: &str,
+    claim_delay: Millis,
+) -> Candidate {
     let address = SocketAddr::from(([127, 0, 0, 1], port));
     let (events, heard) = mpsc::unbounded_channel();
     let (owner, owners) = watch::channel(None);
@@ -43,7 +52,7 @@
         peers: PeerBook::new(address, owner.clone()),
         owner,
         lease: lease.clone(),
-        claim_delay: Millis(0),
+        claim_delay,
         stop: stop.clone(),
         logger: logger(),
     };
@@ -123,3 +132,19 @@
         .expect("a lease from renewals that are stored");
     owner.stop.cancel();
 }
+
+/// A host that is too small for the owner's work must not take a released term before one that is not.
+#[tokio::test]
+async fn small_host_last() {
+    let store = Arc::new(FakeStore::default());
+    let mut owner = spawn(&store, 7_000, "entry-0#1");
+    known_token(&mut owner).await;
+    let small = spawn_delayed(&store, 7_001, "entry-1#1", Millis(5_000));
+    let mut large = spawn(&store, 7_002, "entry-2#1");
+    known_token(&mut large).await;
+    owner.stop.cancel();
+    let elected = tokio::time::timeout(LIMIT, large.events.recv()).await;
+    assert!(matches!(elected, Ok(Some(ElectionEvent::Elected(_)))));
+    large.stop.cancel();
+    small.stop.cancel();
+}
