Remove a run phase that is never set

RunPhase::Doubtful was matched and never set: a start without an answer is stopped at once. No behaviour changes.

--- a/crates/dispatch/src/jobs/work_item.rs
+++ b/crates/dispatch/src/jobs/work_item.rs
@@ -26,9 +26,7 @@
         /// When this became known.
         since: LocalTime,
     },
-    /// The order got no answer; the run may begin until it is stopped or too late.
-    Doubtful,
-    /// A stop was sent and not answered.
+    /// A stop was sent and not answered. A start without an answer is stopped at once, and may begin until then.
     Stopping,
     /// A stop was acknowledged: the run cannot begin any more, and ends soon.
     Stopped {
--- a/crates/dispatch/src/owner/restore.rs
+++ b/crates/dispatch/src/owner/restore.rs
@@ -1,8 +1,8 @@
 use {
     super::OwnerState,
     crate::{
-        jobs::{JobPhase, JobState},
-        records::{JobProgress, JobSubmission, StoreRecord, WaveProgress},
+        jobs::{JobId, JobPhase, JobState},
+        records::{JobProgress, JobSubmission, StoreRecord},
         runners::{RunnerReport, longest_lapse},
     },
     goldcreststall_core::ids::LocalTime,
@@ -16,14 +16,14 @@
     /// Takes what the store holds. Submissions and progress may come in any order.
     pub fn restore(&mut self, records: Vec<StoreRecord>, now: LocalTime) {
         let mut progress: BTreeMap<_, JobProgress> = BTreeMap::new();
-        let mut submissions: Vec<(crate::jobs::JobId, JobSubmission)> = Vec::new();
+        let mut submissions: Vec<(JobId, JobSubmission)> = Vec::new();
         for record in records {
             match record {
                 StoreRecord::Submission(id, submission) => submissions.push((id, submission)),
                 StoreRecord::Progress(id, stored) => {
                     progress.insert(id, stored);
                 }
-                StoreRecord::Wave(number, stored) => self.restore_wave(number, stored),
+                StoreRecord::Wave(number, stored) => self.waves.restore(number, stored),
                 StoreRecord::Forgotten(_) => {}
             }
         }
@@ -55,10 +55,6 @@
         self.note("store read", format!("token {}", self.token), detail);
     }
 
-    fn restore_wave(&mut self, number: u64, stored: WaveProgress) {
-        self.waves.restore(number, stored);
-    }
-
     /// Takes the complete list of runners.
     pub fn runners_listed(&mut self, reports: Vec<RunnerReport>, now: LocalTime) {
         let listed: Vec<String> = reports.iter().map(|report| report.id.clone()).collect();
--- a/crates/dispatch/src/owner/runner_answers.rs
+++ b/crates/dispatch/src/owner/runner_answers.rs
@@ -97,7 +97,7 @@
             state.misses = 0;
         }
         if let Some(booked) = self.run_mut(order.item, order.runner, order.run)
-            && matches!(booked.phase, RunPhase::Starting | RunPhase::Doubtful)
+            && booked.phase == RunPhase::Starting
         {
             booked.phase = RunPhase::Running { since: now };
             booked.moved = now;
@@ -319,7 +319,7 @@
             let known_before = match booked.phase {
                 RunPhase::Running { since } => since < sent,
                 RunPhase::Stopped { at } => at < sent,
-                RunPhase::Starting | RunPhase::Doubtful | RunPhase::Stopping => false,
+                RunPhase::Starting | RunPhase::Stopping => false,
             };
             let name = self.jobs.get(key.job).map(|job| job.item_name(key.item));
             let is_listed = running
@@ -360,7 +360,7 @@
             item.checkpoint.clone_from(&listed.checkpoint);
         }
         if let Some(booked) = self.run_mut(key, runner, listed.run) {
-            if matches!(booked.phase, RunPhase::Starting | RunPhase::Doubtful) {
+            if booked.phase == RunPhase::Starting {
                 booked.phase = RunPhase::Running { since: now };
             }
             if booked.percent != listed.percent || booked.pace < FULL_PACE {
