Let recovered work wait for the hosts of its own pool only

Ruled out: the zone that had been cut (its runners answered again), and the reading of the store (0.27 s). Change: a pool is known when every host in it has a runner that has answered; entries that no host names count for nothing, and one pool does not wait for another. owner_change::lingering_entry and other_pool_is_cut failed before.

--- a/crates/dispatch/src/owner/host_table.rs
+++ b/crates/dispatch/src/owner/host_table.rs
@@ -1,7 +1,6 @@
 use {
     crate::{
         records::WaveProgress,
-        routes::FleetRules,
         runners::{Capacity, RunnerTable},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
@@ -99,20 +98,24 @@
         Some(&mut self.hosts[place])
     }
 
-    /// Returns whether every host that may run work of an earlier owner has a runner that has answered. A host
-    /// without a registered runner may have one that is cut off and whose entry has lapsed.
-    pub(super) fn all_answered(&self, runners: &RunnerTable, rules: &FleetRules) -> bool {
+    /// Returns whether no runner of the pool can hold work of an earlier owner that this one has not seen; none when
+    /// no host of the pool is known.
+    ///
+    /// A host has one runner at a time, so that entries of earlier runners that linger in the list of runners prove
+    /// nothing. A host without a registered runner may have one that is cut off and whose entry has lapsed.
+    pub(super) fn pool_answered(&self, pool: &str, runners: &RunnerTable) -> Option<bool> {
         let answered = |state: &HostState| {
             let report = &state.report;
-            let off = matches!(report.status, HostStatus::Moving | HostStatus::Maintenance);
-            if off || rules.is_spare(&report.pool) {
+            if matches!(report.status, HostStatus::Moving | HostStatus::Maintenance) {
                 return true;
             }
             let key = report.runner.as_deref().and_then(|id| runners.find(id));
             let runner = key.and_then(|key| runners.get(key));
             runner.is_some_and(|runner| runner.fenced)
         };
-        self.listed.is_some() && self.hosts.iter().all(answered)
+        let mut members = self.hosts.iter().filter(|state| state.report.pool == pool);
+        let first = members.next()?;
+        Some(answered(first) && members.all(answered))
     }
 }
 
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -140,33 +140,61 @@
         PLACE_PERIOD + Millis(self.jobs.open().len() as u64 / JOBS_PER_MILLI)
     }
 
-    /// Returns whether recovered work may be started: no earlier owner's work can be unknown.
+    /// Lets recovered work start in each pool in which no work of an earlier owner can be unknown.
     fn settle(&mut self, now: LocalTime) {
         if self.settled || !self.listed {
             return;
         }
-        let answered = |fenced: bool, listed: bool| fenced || !listed;
-        let all = self
-            .runners
-            .all()
-            .all(|(_, runner)| answered(runner.fenced, runner.listed));
         let waited = now >= self.started + longest_lapse();
-        // Entries lapse while the store is away, so that a short list proves nothing early on.
-        let complete = all && self.hosts.all_answered(&self.runners, &self.rules);
-        if !complete && !waited {
-            return;
+        let mut services: Vec<String> = self.unsettled_services();
+        services.retain(|service| waited || self.pool_is_known(service));
+        for service in &services {
+            self.settle_pool(service, waited);
         }
-        self.settled = true;
-        let open = self.jobs.open().to_vec();
-        for key in open {
-            if let Some(job) = self.jobs.get_mut(key) {
+        let pools = self.rules.services.iter().filter(|service| !service.spare);
+        self.settled = waited || pools.into_iter().all(|pool| self.pool_is_known(&pool.name));
+    }
+
+    fn unsettled_services(&self) -> Vec<String> {
+        let jobs = self
+            .jobs
+            .open()
+            .iter()
+            .filter_map(|key| self.jobs.get(*key));
+        let mut services: Vec<String> = jobs
+            .filter(|job| job.unsettled)
+            .map(|job| job.queue.service.clone())
+            .collect();
+        services.sort_unstable();
+        services.dedup();
+        services
+    }
+
+    fn settle_pool(&mut self, service: &str, waited: bool) {
+        let mut jobs = 0;
+        for key in self.jobs.open().to_vec() {
+            if let Some(job) = self.jobs.get_mut(key)
+                && job.queue.service == service
+            {
+                jobs += u32::from(job.unsettled);
                 job.unsettled = false;
             }
         }
-        let detail = format!("all_runners_answered={complete} lease_waited={waited}");
+        let detail = format!("pool={service} jobs={jobs} lease_waited={waited}");
         self.note("recovery settled", format!("token {}", self.token), detail);
     }
 
+    /// Returns whether every runner that may run work of the pool has answered this owner.
+    fn pool_is_known(&self, service: &str) -> bool {
+        let all_fenced = || {
+            let mut members = self.runners.all().map(|(_, runner)| runner);
+            members
+                .all(|runner| runner.fenced || !runner.listed || runner.report.service != service)
+        };
+        let answered = self.hosts.pool_answered(service, &self.runners);
+        self.hosts.listed.is_some() && answered.unwrap_or_else(all_fenced)
+    }
+
     fn forget_ended(&mut self, now: LocalTime) {
         self.jobs.close_final();
         let over: Vec<JobKey> = self
--- a/crates/dispatch/tests/fleet/mod.rs
+++ b/crates/dispatch/tests/fleet/mod.rs
@@ -148,6 +148,23 @@
         }
     }
 
+    /// Answers every hold call with the list that `answer` gives for the runner's id.
+    pub fn answer_holds_of(&mut self, answer: impl Fn(&str) -> Option<HoldAnswer>) {
+        let ids: Vec<(RunnerKey, String)> = self
+            .orders
+            .iter()
+            .filter_map(|order| match order {
+                OwnerOrder::Hold { runner, .. } => Some(*runner),
+                _ => None,
+            })
+            .filter_map(|key| Some((key, self.owner.runner_address(key)?.0.to_owned())))
+            .collect();
+        self.answer_holds(|runner| {
+            let (_, id) = ids.iter().find(|(key, _)| *key == runner)?;
+            answer(id)
+        });
+    }
+
     /// Lets all runners answer with empty lists, so that they take work.
     pub fn greet(&mut self) {
         self.pass(1);
--- a/crates/dispatch/tests/owner_change.rs
+++ b/crates/dispatch/tests/owner_change.rs
@@ -84,6 +84,49 @@
     );
 }
 
+/// Answers the hold calls of one runner only.
+fn pass_with_silent(fleet: &mut TestFleet, silent: &str) -> Vec<StartOrder> {
+    fleet.pass(100);
+    let clock = fleet.clock();
+    fleet.answer_holds_of(|id| (id != silent).then(|| empty(clock)));
+    fleet.pass(10);
+    fleet.starts()
+}
+
+#[test]
+fn lingering_entry() {
+    // r0 was the runner of h1 before the host moved; its entry is removed seconds later.
+    let mut fleet = restored(vec![submission(7)], &["r0", "r1"]);
+    fleet.list_hosts(vec![host("h1", fleet::POOL, Some("r1"))]);
+    let starts: Vec<StartOrder> = (0..4)
+        .flat_map(|_| pass_with_silent(&mut fleet, "r0"))
+        .collect();
+    assert_eq!(
+        starts.len(),
+        1,
+        "a runner that has ended holds recovered work back"
+    );
+}
+
+#[test]
+fn other_pool_is_cut() {
+    let mut fleet = restored(vec![submission(7)], &["r1", "r2"]);
+    fleet.runners[1].service = "bindery".to_owned();
+    fleet.list_runners();
+    fleet.list_hosts(vec![
+        host("h1", fleet::POOL, Some("r1")),
+        host("h2", "bindery", Some("r2")),
+    ]);
+    let starts: Vec<StartOrder> = (0..4)
+        .flat_map(|_| pass_with_silent(&mut fleet, "r2"))
+        .collect();
+    assert_eq!(
+        starts.len(),
+        1,
+        "a cut host holds the work of another pool back"
+    );
+}
+
 #[test]
 fn fresh_job_at_once() {
     let mut fleet = restored(vec![submission(7)], &["r1"]);
