Do not count hosts that are cut off, leave or fail as room of their pool

Change: hosts with two unanswered hold calls, failing runs in a row, or a leaving runner are no room. The owner writes a line about each pool when its hosts or target change. host_moves::silent_is_no_room failed before.

--- a/crates/dispatch/src/owner/move_duty.rs
+++ b/crates/dispatch/src/owner/move_duty.rs
@@ -3,14 +3,26 @@
         HostStatus, OwnerState,
         host_table::{HostState, HostTask},
     },
-    crate::pools::{HostMove, PoolFigures, job_demand, plan_pools},
-    goldcreststall_core::ids::LocalTime,
+    crate::{
+        pools::{HostMove, PoolFigures, PoolPlan, job_demand, plan_pools},
+        runners::RunnerStatus,
+    },
+    goldcreststall_core::ids::{LocalTime, Millis},
 };
 
+/// Least time between two lines about a pool.
+const NOTE_PERIOD: Millis = Millis(1_000);
+/// Hold calls in a row without an answer from which on a host is not counted as room of its pool; a single one may be a
+/// lost connection.
+const SILENT_MISSES: u32 = 2;
+/// Failed runs in a row from which on a host is not counted as room of its pool.
+const FAILING_STRIKES: u32 = 3;
+
 impl OwnerState {
     pub(super) fn decide_moves(&mut self, now: LocalTime) {
         let figures = self.pool_figures(now);
         let plan = plan_pools(&figures);
+        self.note_pools(&figures, &plan, now);
         for HostMove { host, pool, why } in plan.moves {
             self.begin_task(&host, HostTask::Move { pool }, why, now);
         }
@@ -25,6 +37,30 @@
         }
     }
 
+    /// Writes down the pools whose hosts or target have changed since their last line, at most once a period.
+    fn note_pools(&mut self, figures: &[PoolFigures], plan: &PoolPlan, now: LocalTime) {
+        if now < self.pools_noted + NOTE_PERIOD {
+            return;
+        }
+        self.pools_noted = now;
+        let noted = std::mem::take(&mut self.noted_pools);
+        for (pool, target) in figures.iter().zip(&plan.targets) {
+            let line = (pool.name.clone(), pool.hosts, *target);
+            if !noted.contains(&line) {
+                let detail = format!(
+                    "hosts={} target={target} empty={} demand_cpu={} late_cpu={} spread={}",
+                    pool.hosts,
+                    pool.movable.len(),
+                    pool.demand_cpu,
+                    pool.late_cpu,
+                    pool.spread
+                );
+                self.note("pool figures", pool.name.clone(), detail);
+            }
+            self.noted_pools.push(line);
+        }
+    }
+
     fn pool_figures(&self, now: LocalTime) -> Vec<PoolFigures> {
         let mut figures: Vec<PoolFigures> = self
             .rules
@@ -45,7 +81,7 @@
             let Some(pool) = pool else {
                 continue;
             };
-            if state.report.status != HostStatus::Down {
+            if self.is_usable(state) {
                 pool.hosts += 1;
                 pool.host_cpu = pool.host_cpu.max(state.report.capacity.cpu);
             }
@@ -74,6 +110,23 @@
         figures
     }
 
+    /// Returns whether a host can be expected to take work of its pool soon. One that is cut off, leaves or fails its
+    /// work is no room for a flood, although the platform lists it as up.
+    fn is_usable(&self, state: &HostState) -> bool {
+        if state.report.status == HostStatus::Down {
+            return false;
+        }
+        let id = state.report.runner.as_deref();
+        let Some(runner) = id.and_then(|id| self.runners.find(id)) else {
+            return true;
+        };
+        self.runners.get(runner).is_none_or(|runner| {
+            runner.misses < SILENT_MISSES
+                && runner.strikes < FAILING_STRIKES
+                && runner.report.status == RunnerStatus::Ready
+        })
+    }
+
     fn host_use(&self, state: &HostState, spare: bool, now: LocalTime) -> HostUse {
         let idle = state.task.is_none() && state.maintained.is_none() && state.moved.is_none();
         if !idle || state.report.status != HostStatus::Up || state.pause > now {
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -57,6 +57,9 @@
     pub(super) listed: bool,
     pub(super) place_due: bool,
     pub(super) doubt_until: LocalTime,
+    /// Pool, hosts and target of the last lines about pools, and when these were written.
+    pub(super) noted_pools: Vec<(String, usize, usize)>,
+    pub(super) pools_noted: LocalTime,
     last_place: LocalTime,
     last_tick: LocalTime,
     slow_round: LocalTime,
@@ -81,6 +84,8 @@
             listed: false,
             place_due: true,
             doubt_until: now,
+            noted_pools: Vec::new(),
+            pools_noted: LocalTime(0),
             last_place: LocalTime(0),
             last_tick: now,
             slow_round: now,
--- a/crates/dispatch/src/pools/pool_planner.rs
+++ b/crates/dispatch/src/pools/pool_planner.rs
@@ -80,6 +80,8 @@
     pub moves: Vec<HostMove>,
     /// Hosts that take no new work, so that they can move when they are empty.
     pub drains: Vec<String>,
+    /// Hosts that each pool should have, in the order of the figures.
+    pub targets: Vec<usize>,
 }
 
 /// Decides which hosts move now and which are emptied for a move.
@@ -89,7 +91,10 @@
 /// pool's work becomes late for want of them.
 pub fn plan_pools(pools: &[PoolFigures]) -> PoolPlan {
     let targets = targets(pools);
-    let mut plan = PoolPlan::default();
+    let mut plan = PoolPlan {
+        targets: targets.clone(),
+        ..PoolPlan::default()
+    };
     let mut givers: Vec<HostGiver> = pools
         .iter()
         .zip(&targets)
--- /dev/null
+++ b/crates/dispatch/tests/host_moves.rs
@@ -0,0 +1,91 @@
+//! Guards against floods that wait for room which is not there: hosts that are cut off, and moves that are held back.
+
+mod fleet;
+
+use {
+    fleet::{POOL, TestFleet, empty, host, job, listed, step},
+    goldcreststall_dispatch::{
+        owner::{OwnerOrder, StartOrder},
+        runners::{HoldAnswer, RunnerReport},
+    },
+};
+
+const OTHER: &str = "bindery";
+const FIRST_TERM: u64 = 1;
+
+/// A runner of the other pool.
+fn other(id: &str) -> RunnerReport {
+    RunnerReport {
+        service: OTHER.to_owned(),
+        ..fleet::runner(id)
+    }
+}
+
+/// Eight hosts in each of two pools, all empty, and an owner in its first term.
+fn two_pools() -> TestFleet {
+    let mut fleet = two_pools_of(FIRST_TERM);
+    fleet.greet();
+    fleet
+}
+
+fn two_pools_of(token: u64) -> TestFleet {
+    let ids: Vec<String> = (1..=8).map(|number| format!("p{number}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut fleet = TestFleet::new(token, &ids);
+    fleet
+        .runners
+        .extend((1..=8).map(|number| other(&format!("b{number}"))));
+    fleet.list_runners();
+    let hosts = fleet
+        .runners
+        .iter()
+        .map(|report| {
+            host(
+                &format!("host-{}", report.id),
+                &report.service,
+                Some(&report.id),
+            )
+        })
+        .collect();
+    fleet.list_hosts(hosts);
+    fleet
+}
+
+fn moves_to_flood(fleet: &TestFleet) -> usize {
+    let to_pool =
+        |order: &&OwnerOrder| matches!(order, OwnerOrder::MoveHost { pool, .. } if pool == POOL);
+    fleet.orders.iter().filter(to_pool).count()
+}
+
+fn running(fleet: &TestFleet, id: &str, starts: &[StartOrder]) -> HoldAnswer {
+    let mut answer = empty(fleet.clock());
+    let here = |start: &&StartOrder| {
+        let address = fleet.owner.runner_address(start.runner);
+        address.is_some_and(|(own, _)| own == id)
+    };
+    answer.running = starts.iter().filter(here).map(listed).collect();
+    answer
+}
+
+/// Three of the six hosts at work are cut off during a flood: the pool must get as many from the other one.
+#[test]
+fn silent_is_no_room() {
+    let mut fleet = two_pools();
+    fleet.submit(1, job(vec![step(42, 1_000)]));
+    fleet.store();
+    fleet.pass(10);
+    let starts = fleet.starts();
+    fleet.begin(&starts);
+    for _ in 0..10 {
+        fleet.pass(120);
+        let answers: Vec<(String, HoldAnswer)> = ["p1", "p2", "p3"]
+            .iter()
+            .map(|id| ((*id).to_owned(), running(&fleet, id, &starts)))
+            .collect();
+        fleet.answer_holds_of(|id| {
+            let found = answers.iter().find(|(own, _)| own == id);
+            found.map(|(_, answer)| answer.clone())
+        });
+    }
+    assert_eq!(moves_to_flood(&fleet), 3);
+}
