Move hosts at once after a takeover where no earlier order can meet the new one

Ruled out: recovered work (most of the late jobs had come after the takeover), the start of the process (0.4 s). Change: the wait is for the orders of an earlier owner. Every order ends the runner of its host, so that a host whose runner has lived longer than the wait has none; such hosts move at once. Waves wait as before. host_moves::early_after_takeover failed before; young_hosts_wait guards the wait.

--- a/crates/dispatch/src/owner/host_duties.rs
+++ b/crates/dispatch/src/owner/host_duties.rs
@@ -87,19 +87,36 @@
     pub(super) fn decide_hosts(&mut self, now: LocalTime) {
         self.uncordon();
         self.repeat_host_orders(now);
-        let first_term = self.token <= 1;
-        if !first_term && now < self.started + ORDER_LEASE || self.in_doubt(now) {
-            return;
-        }
         if self.hosts.listed.is_none() {
             return;
         }
-        for wave in 0..self.waves.waves.len() {
-            self.advance_wave(wave, now);
+        if self.earlier_orders_are_over(now) && !self.in_doubt(now) {
+            for wave in 0..self.waves.waves.len() {
+                self.advance_wave(wave, now);
+            }
         }
         self.decide_moves(now);
     }
 
+    fn earlier_orders_are_over(&self, now: LocalTime) -> bool {
+        let first_term = self.token <= 1;
+        first_term || now >= self.started + ORDER_LEASE
+    }
+
+    /// Returns whether an order for the host cannot meet one of an earlier owner: that one's time is over, or the
+    /// host's runner, which ends with every order, has lived longer.
+    pub(super) fn may_order(&self, state: &HostState, now: LocalTime) -> bool {
+        if self.earlier_orders_are_over(now) {
+            return true;
+        }
+        let id = state.report.runner.as_deref();
+        let runner = id.and_then(|id| self.runners.find(id));
+        runner
+            .and_then(|key| self.runners.get(key))
+            .and_then(|runner| runner.clock.uptime())
+            .is_some_and(|uptime| uptime >= ORDER_LEASE)
+    }
+
     /// Lets runners work whose hosts have no order and belong to no wave that prepares them.
     fn uncordon(&mut self) {
         for key in self.runners.keys() {
--- a/crates/dispatch/src/owner/move_duty.rs
+++ b/crates/dispatch/src/owner/move_duty.rs
@@ -129,7 +129,8 @@
 
     fn host_use(&self, state: &HostState, spare: bool, now: LocalTime) -> HostUse {
         let idle = state.task.is_none() && state.maintained.is_none() && state.moved.is_none();
-        if !idle || state.report.status != HostStatus::Up || state.pause > now {
+        let up = state.report.status == HostStatus::Up;
+        if !idle || !up || state.pause > now || !self.may_order(state, now) {
             return HostUse::Kept;
         }
         if spare {
--- a/crates/dispatch/src/runners/lease_clock.rs
+++ b/crates/dispatch/src/runners/lease_clock.rs
@@ -38,6 +38,12 @@
         Some(deadline)
     }
 
+    /// Returns how long the runner had lived at the last reading: its clock starts anew with each lifetime.
+    pub fn uptime(&self) -> Option<Millis> {
+        let (clock, _) = self.reading?;
+        Some(Millis(clock))
+    }
+
     /// Returns when everything that was granted has lapsed for certain.
     pub fn lapse(&self) -> Option<LocalTime> {
         let (clock, at) = self.reading?;
--- a/crates/dispatch/tests/host_moves.rs
+++ b/crates/dispatch/tests/host_moves.rs
@@ -12,6 +12,9 @@
 
 const OTHER: &str = "bindery";
 const FIRST_TERM: u64 = 1;
+const LATER_TERM: u64 = 50;
+/// Time in which the host service may see only one owner's orders for a host, in milliseconds.
+const ORDER_LEASE_MS: u64 = 3_000;
 
 /// A runner of the other pool.
 fn other(id: &str) -> RunnerReport {
@@ -89,3 +92,28 @@
     }
     assert_eq!(moves_to_flood(&fleet), 3);
 }
+
+/// Moves in the first second of a later term, when the runners have lived for `uptime_ms`.
+fn early_moves(uptime_ms: u64) -> usize {
+    let mut fleet = two_pools_of(LATER_TERM);
+    fleet.pass(1);
+    fleet.answer_holds(|_| Some(empty(uptime_ms)));
+    fleet.submit(1, job(vec![step(60, 1_000)]));
+    fleet.store();
+    for _ in 0..10 {
+        fleet.pass(100);
+    }
+    moves_to_flood(&fleet)
+}
+
+/// The turn of demand changes while the owner does: hosts that no earlier owner can have ordered move at once.
+#[test]
+fn early_after_takeover() {
+    assert!(early_moves(ORDER_LEASE_MS * 10) > 0);
+}
+
+/// An earlier owner may just have ordered the hosts.
+#[test]
+fn young_hosts_wait() {
+    assert_eq!(early_moves(ORDER_LEASE_MS), 0);
+}
