Let the owner renew before others claim after an outage of the store

Ruled out: a lost owner (its renewals were refused like all calls). Change: a process whose reads have failed counts the silence of the topic anew: it claims 0.7 s after the first answer at the earliest, the owner renews within 0.4 s. claim_race::owner_survives_outage failed before.

--- a/crates/node/src/election/election_task.rs
+++ b/crates/node/src/election/election_task.rs
@@ -19,6 +19,9 @@
 const MOST_LEASE: Millis = Millis(3_000);
 /// Added to the owner's lease before another entry host claims.
 const CLAIM_SLACK: Millis = Millis(200);
+/// How long the topic must be silent after the store has answered again. The owner could not renew in the outage; it
+/// knows all runners, and any other process would have to read the jobs and ask each runner anew.
+const OUTAGE_GRACE: Millis = Millis(700);
 /// Time between renewals; three fit into a lease.
 const RENEW_PERIOD: Millis = Millis(400);
 /// Longest wait of a read for the next record.
@@ -111,6 +114,18 @@
     heard: LocalTime,
     lease: Millis,
     released: bool,
+    /// The last read has failed.
+    failed: bool,
+}
+
+impl Watch {
+    /// Takes note that the store answers a read.
+    fn answered(&mut self, limit: Millis) {
+        if std::mem::take(&mut self.failed) {
+            let now = BootClock.now();
+            self.heard = self.heard.max(now + OUTAGE_GRACE - limit);
+        }
+    }
 }
 
 impl ElectionTask {
@@ -122,6 +137,7 @@
             heard: BootClock.now(),
             lease: LEAST_LEASE,
             released: false,
+            failed: false,
         };
         while !self.stop.is_cancelled() {
             if let Some(token) = self.follow(&mut watch).await {
@@ -149,6 +165,7 @@
             .await
         {
             Ok(batch) => {
+                watch.answered(limit);
                 let fresh_topic = watch.next == 0 && batch.end == 0;
                 let empty = batch.records.is_empty();
                 for record in &batch.records {
@@ -169,6 +186,7 @@
             }
             Err(StoreFailure::Expired { first }) => watch.next = first,
             Err(failure) => {
+                watch.failed = true;
                 warn!(self.logger, "election: the ownership topic was not read";
                     "failure" => %failure, "next" => watch.next);
                 tokio::time::sleep(Duration::from_millis(FAILURE_PAUSE.0)).await;
--- a/crates/node/tests/claim_race.rs
+++ b/crates/node/tests/claim_race.rs
@@ -148,3 +148,33 @@
     large.stop.cancel();
     small.stop.cancel();
 }
+
+/// After an outage of the store the owner must renew before another process, which would have to learn everything anew.
+#[tokio::test]
+async fn owner_survives_outage() {
+    let store = Arc::new(FakeStore::default());
+    let mut owner = spawn(&store, 7_000, "entry-0#1");
+    let token = known_token(&mut owner).await;
+    let mut others: Vec<Candidate> = (1_u16..7)
+        .map(|place| spawn(&store, 7_000 + place, &format!("entry-{place}")))
+        .collect();
+    for other in &mut others {
+        assert_eq!(known_token(other).await, token);
+    }
+    store.refuses.store(true, Ordering::SeqCst);
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let before = store.ownership.lock().len();
+    store.refuses.store(false, Ordering::SeqCst);
+    let renewed = async {
+        while store.ownership.lock().len() < before + 3 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, renewed).await.expect("records");
+    let claims: usize = others
+        .iter_mut()
+        .filter_map(|other| other.events.try_recv().ok())
+        .count();
+    assert_eq!(claims, 0, "another process has claimed");
+    assert!(owner.lease.holds());
+}
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -39,6 +39,8 @@
     pub lose_answer: AtomicBool,
     /// Loses the answers of all records of the ownership after they were stored.
     pub lose_renewals: AtomicBool,
+    /// Refuses everything that concerns the ownership.
+    pub refuses: AtomicBool,
     /// Keeps readers of jobs waiting.
     pub hold_reads: AtomicBool,
     /// Readers of jobs that have come.
@@ -91,6 +93,9 @@
         guard: AppendGuard,
         _timeout: Millis,
     ) -> Result<AppendPlace, StoreFailure> {
+        if self.refuses.load(Ordering::SeqCst) {
+            return Err(StoreFailure::Refused);
+        }
         let mut ownership = self.ownership.lock();
         let end = ownership.len() as u64;
         if guard.at.is_some_and(|at| at != end) {
@@ -125,6 +130,9 @@
         _wait: Millis,
     ) -> Result<ReadBatch, StoreFailure> {
         tokio::task::yield_now().await;
+        if self.refuses.load(Ordering::SeqCst) {
+            return Err(StoreFailure::Refused);
+        }
         let ownership = self.ownership.lock();
         Ok(ReadBatch {
             end: ownership.len() as u64,
