--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -43,8 +43,10 @@
 pub struct NodeSettings {
     /// Name of the entry host.
     pub name: String,
-    /// Where other entry hosts bring their calls.
+    /// Where this process listens for the calls of other entry hosts.
     pub link_address: SocketAddr,
+    /// Where other entry hosts reach that address; another one where a relay stands between.
+    pub advertised_address: SocketAddr,
     /// Thousandths of a core that this process may use.
     pub cpu: u32,
     /// Megabits a second of the host's link.
@@ -113,12 +115,12 @@
     };
     let (owner, owners) = watch::channel(None);
     let (rules, all_rules) = watch::channel(None);
-    let peers = PeerBook::new(settings.link_address, owner.clone());
+    let peers = PeerBook::new(settings.advertised_address, owner.clone());
     let stop_claims = CancellationToken::new();
     let (events, elections) = mpsc::unbounded_channel();
     let election = ElectionTask {
         claimant: format!("{}#{}", settings.name, wall_time().0),
-        address: settings.link_address,
+        address: settings.advertised_address,
         store: Arc::clone(&ports.store),
         events,
         owner,
@@ -238,6 +240,8 @@
 ) -> anyhow::Result<()> {
     let listener = TcpListener::from_std(listener)?;
     tokio::spawn(server.serve(listener));
+    let reach = Arc::clone(&desk);
+    tokio::spawn(async move { reach.keep_reach().await });
     let stop = CancellationToken::new();
     let served = tokio::spawn({
         let (desk, stop) = (Arc::clone(&desk), stop.clone());
--- a/crates/node/src/front/front_desk.rs
+++ b/crates/node/src/front/front_desk.rs
@@ -10,9 +10,12 @@
     },
     goldcreststall_entry::clock::BootClock,
     slog::{Logger, info},
-    std::sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
     },
     tokio::sync::watch,
 };
@@ -23,6 +26,8 @@
 const RETRY_UNSUPPORTED: Millis = Millis(60_000);
 /// Kept of a caller's time for the way back.
 const ANSWER_RESERVE: Millis = Millis(150);
+/// Time between two tries of the way to an owner that is not reached.
+const PROBE_PERIOD: Millis = Millis(300);
 /// How long a caller is taken to wait when it does not say so.
 const DEFAULT_PATIENCE: Millis = Millis(3_000);
 
@@ -55,7 +60,19 @@
     /// Returns whether new callers should be sent here.
     pub fn is_ready(&self) -> bool {
         let has_rules = self.rules.borrow().is_some();
-        has_rules && self.courier.has_owner() && !self.draining.load(Ordering::Relaxed)
+        has_rules && self.courier.reaches_owner() && !self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Tries the way to the owner while it is not reached, until the process ends.
+    pub async fn keep_reach(&self) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(PROBE_PERIOD.0)).await;
+            let ready = self.is_ready();
+            self.courier.probe_owner().await;
+            if ready != self.is_ready() {
+                info!(self.logger, "call: readiness has changed"; "ready" => !ready);
+            }
+        }
     }
 
     /// Lets the load balancer send new callers elsewhere; calls are still answered.
--- a/crates/node/src/front/owner_courier.rs
+++ b/crates/node/src/front/owner_courier.rs
@@ -8,6 +8,7 @@
     goldcreststall_dispatch::owner::{CallAnswer, JobCall},
     goldcreststall_entry::clock::BootClock,
     kameo::actor::ActorRef,
+    parking_lot::Mutex,
     std::time::Duration,
     tokio::sync::{oneshot, watch},
 };
@@ -16,12 +17,19 @@
 const OWNER_WAIT: Millis = Millis(200);
 /// Attempts of a call that no owner has taken.
 const MOST_TRIES: u32 = 2;
+/// Time without an answer of the owner after which callers are better off at another entry host. An owner that is
+/// replaced is reached again sooner.
+const UNREACHED_LIMIT: Millis = Millis(1_000);
+/// Longest wait for the answer to a call that only tries the way to the owner.
+const PROBE_LIMIT: Millis = Millis(500);
 
 /// Brings calls to the owner, in this process or at another entry host.
 pub struct OwnerCourier {
     actor: ActorRef<OwnerActor>,
     link: OwnerLink,
     owner: watch::Receiver<Option<OwnerPlace>>,
+    /// When the first of the calls in a row was made that reached no owner.
+    unreached: Mutex<Option<LocalTime>>,
 }
 
 /// How one attempt failed.
@@ -41,12 +49,31 @@
         link: OwnerLink,
         owner: watch::Receiver<Option<OwnerPlace>>,
     ) -> Self {
-        Self { actor, link, owner }
+        Self {
+            actor,
+            link,
+            owner,
+            unreached: Mutex::new(None),
+        }
+    }
+
+    /// Returns whether an owner is known and, as far as tried, reached.
+    pub fn reaches_owner(&self) -> bool {
+        let now = BootClock.now();
+        let lasts = |since: LocalTime| now.since(since) > UNREACHED_LIMIT;
+        self.owner.borrow().is_some() && !self.unreached.lock().is_some_and(lasts)
     }
 
-    /// Returns whether the owner is known.
-    pub fn has_owner(&self) -> bool {
-        self.owner.borrow().is_some()
+    /// Tries the way to the owner, if the last call did not reach it.
+    pub async fn probe_owner(&self) {
+        let place = self.owner.borrow().clone();
+        let unreached = self.unreached.lock().is_some();
+        if let (Some(place), true) = (place, unreached) {
+            // Counts the jobs of no queue.
+            let call = JobCall::Pending(String::new());
+            self.attempt(&place, call, BootClock.now() + PROBE_LIMIT)
+                .await;
+        }
     }
 
     /// Brings a call to the owner and returns its answer, at most `limit` later. Calls name their job, so that
@@ -96,9 +123,17 @@
                 Err(LinkFailure::Lost) => Attempt::Lost,
             }
         };
-        tokio::time::timeout(left, answered)
+        let attempt = tokio::time::timeout(left, answered)
             .await
-            .unwrap_or(Attempt::Lost)
+            .unwrap_or(Attempt::Lost);
+        let mut unreached = self.unreached.lock();
+        match attempt {
+            Attempt::Answered(_) => *unreached = None,
+            Attempt::Lost | Attempt::NotSent => {
+                unreached.get_or_insert_with(|| BootClock.now());
+            }
+        }
+        attempt
     }
 
     async fn ask_own(&self, call: JobCall) -> Attempt {
