Count runners that have recovered as room for work that a wave moves

Whether another runner has room was asked for the begin of the term instead of now, so that a runner that was avoided once in the term never counted again, and lasting work was not moved off the hosts of the wave. Ruled out: lost orders to the host service; all were answered. Change: the question is asked for now; a line every two seconds tells what a wave waits for. wave_limits::avoided_runner_recovers failed before.

--- a/crates/dispatch/src/owner/host_table.rs
+++ b/crates/dispatch/src/owner/host_table.rs
@@ -132,6 +132,8 @@
 pub(super) struct WaveTable {
     pub(super) waves: Vec<WaveState>,
     pub(super) restored: Vec<(u64, WaveProgress)>,
+    /// When the hosts that a wave waits for were last written down.
+    pub(super) noted: LocalTime,
 }
 
 impl WaveTable {
--- a/crates/dispatch/src/owner/wave_duty.rs
+++ b/crates/dispatch/src/owner/wave_duty.rs
@@ -9,9 +9,24 @@
 
 /// Time of a wave that is kept for hosts that take long to become empty.
 const WAVE_RESERVE: Millis = Millis(3_000);
+/// Least time between two lines about the hosts that a wave waits for.
+const NOTE_PERIOD: Millis = Millis(2_000);
 /// Full work of a serving work item, in percent.
 const AT_WORK: u32 = 100;
 
+/// Why the maintenance of a host has not begun.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum WaveWait {
+    /// The host moves, is down, or has refused an order a moment ago.
+    Host,
+    /// Too many others are away, or are emptied first.
+    Others,
+    /// Its runner is not listed, and may still work.
+    Runner,
+    /// Work runs there that may not be ended yet.
+    Work,
+}
+
 impl OwnerState {
     pub(super) fn advance_wave(&mut self, place: usize, now: LocalTime) {
         let wave = &mut self.waves.waves[place];
@@ -102,12 +117,14 @@
         let mut emptying = request.cap;
         // Lasting work moves one work item of a step at a time, so that its hosts begin early beside the others.
         let mut evacuating = request.cap;
+        let mut waiting: Vec<(String, WaveWait)> = Vec::new();
         for host in left {
             let Some(state) = self.hosts.find(&host) else {
                 continue;
             };
             let up = state.report.status == HostStatus::Up;
             if !up || state.task.is_some() || state.moved.is_some() || state.pause > now {
+                waiting.push((host, WaveWait::Host));
                 continue;
             }
             let runner = state.report.runner.clone();
@@ -115,6 +132,7 @@
             let key = runner.as_deref().and_then(|id| self.runners.find(id));
             if key.is_none() && !off {
                 // A runner whose entry has lapsed may still work.
+                waiting.push((host, WaveWait::Runner));
                 continue;
             }
             if key.is_some_and(|key| self.has_work(key)) {
@@ -124,22 +142,51 @@
                     &mut emptying
                 };
                 if *budget == 0 {
+                    waiting.push((host, WaveWait::Others));
                     continue;
                 }
                 *budget -= 1;
-                self.prepare_runner(key, runner.as_deref());
+                self.prepare_runner(key, runner.as_deref(), now);
                 let force = late && !self.has_lasting(key);
                 if !force || room == 0 {
+                    waiting.push((host, WaveWait::Work));
                     continue;
                 }
             }
-            if room > 0 {
-                room -= 1;
-                let wave = request.number;
-                let why = format!("away={away} cap={} late={late}", request.cap);
-                self.begin_task(&host, HostTask::Maintain { wave }, why, now);
+            if room == 0 {
+                waiting.push((host, WaveWait::Others));
+                continue;
             }
+            room -= 1;
+            let wave = request.number;
+            let why = format!("away={away} cap={} late={late}", request.cap);
+            self.begin_task(&host, HostTask::Maintain { wave }, why, now);
         }
+        self.note_waiting(request.number, &waiting, now);
+    }
+
+    /// Writes down which hosts a wave waits for, at most once a period.
+    fn note_waiting(&mut self, number: u64, waiting: &[(String, WaveWait)], now: LocalTime) {
+        if waiting.is_empty() || now < self.waves.noted + NOTE_PERIOD {
+            return;
+        }
+        self.waves.noted = now;
+        let count = |wanted: WaveWait| {
+            let same = |(_, wait): &&(String, WaveWait)| *wait == wanted;
+            waiting.iter().filter(same).count()
+        };
+        let first = waiting
+            .last()
+            .map(|(host, wait)| format!("{host}:{wait:?}"));
+        let detail = format!(
+            "for_work={} for_runner={} for_host={} for_others={} one={}",
+            count(WaveWait::Work),
+            count(WaveWait::Runner),
+            count(WaveWait::Host),
+            count(WaveWait::Others),
+            first.unwrap_or_default()
+        );
+        self.note("wave waits", number.to_string(), detail);
     }
 
     fn has_work(&self, key: RunnerKey) -> bool {
@@ -162,7 +209,7 @@
     }
 
     /// Takes new work off a runner and restarts lasting work elsewhere.
-    fn prepare_runner(&mut self, key: Option<RunnerKey>, id: Option<&str>) {
+    fn prepare_runner(&mut self, key: Option<RunnerKey>, id: Option<&str>, now: LocalTime) {
         if let Some(id) = id {
             self.cordon(id);
         }
@@ -171,7 +218,10 @@
         };
         for (item, booked) in self.runs_on(key) {
             let running = matches!(booked.phase, RunPhase::Running { .. });
-            if running && self.lasts(item) && self.may_miss(item) && self.has_other_room(item, key)
+            if running
+                && self.lasts(item)
+                && self.may_miss(item)
+                && self.has_other_room(item, key, now)
             {
                 self.stop_run(item, key, booked.run);
             }
@@ -203,7 +253,7 @@
         answers && running && booked.percent >= AT_WORK
     }
 
-    fn has_other_room(&self, key: ItemKey, runner: RunnerKey) -> bool {
+    fn has_other_room(&self, key: ItemKey, runner: RunnerKey, now: LocalTime) -> bool {
         let demand = self.demand(key);
         let Some((job, item)) = self.jobs.item(key) else {
             return false;
@@ -219,7 +269,7 @@
             let spread = step.anti_affinity == 0 || used < step.anti_affinity as usize;
             other != runner
                 && state.report.service == job.queue.service
-                && state.takes_work(self.started)
+                && state.takes_work(now)
                 && state.free().holds(&demand)
                 && spread
         })
--- a/crates/dispatch/tests/wave_limits.rs
+++ b/crates/dispatch/tests/wave_limits.rs
@@ -6,8 +6,8 @@
     fleet::{TestFleet, empty, host, job, listed, step},
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::{
-        jobs::StepSpec,
-        owner::{HostAnswer, OwnerOrder, WaveRequest},
+        jobs::{JobId, StepSpec},
+        owner::{HostAnswer, JobCall, OwnerOrder, StartAnswer, WaveRequest},
     },
 };
 
@@ -180,3 +180,60 @@
         "a work item was taken away while another may be away"
     );
 }
+
+/// A runner that was avoided for a while after failed runs must count as room again for work that a wave moves.
+#[test]
+fn avoided_runner_recovers() {
+    let mut fleet = TestFleet::new(1, &["r1", "r2", "r3"]);
+    fleet.list_hosts(vec![
+        host("h1", fleet::POOL, Some("r1")),
+        host("h2", fleet::POOL, Some("r2")),
+        host("h3", fleet::POOL, Some("r3")),
+    ]);
+    fleet.greet();
+    let serving = StepSpec {
+        long_running: true,
+        anti_affinity: 1,
+        may_miss: 1,
+        ..step(2, 1_000)
+    };
+    fleet.submit(1, job(vec![serving]));
+    fleet.store();
+    fleet.pass(10);
+    let runs = fleet.starts();
+    fleet.begin(&runs);
+    let free = |fleet: &mut TestFleet| {
+        for _ in 0..10 {
+            fleet.pass(100);
+            let clock = fleet.clock();
+            fleet.answer_holds(|runner| {
+                let mut answer = empty(clock);
+                let here = runs.iter().filter(|start| start.runner == runner);
+                answer.running = here.map(listed).collect();
+                Some(answer)
+            });
+        }
+    };
+    // The third runner, the only one with room for it, refuses other work and is avoided for a moment.
+    fleet.submit(2, job(vec![step(1, 7_500)]));
+    fleet.store();
+    fleet.pass(10);
+    let refused = fleet.starts().remove(0);
+    let answer = StartAnswer::Unhealthy;
+    assert!(fleet.owner.start_answered(&refused, answer, fleet.now));
+    fleet.call(3, JobCall::Cancel(JobId(2)));
+    free(&mut fleet);
+    fleet.orders.clear();
+    let place = fleet.owner.runner_address(runs[0].runner);
+    let host = place
+        .map(|(id, _)| id.replace('r', "h"))
+        .unwrap_or_default();
+    fleet.owner.wave_requested(wave(&[&host], 1), fleet.now);
+    let serving = runs[0].name;
+    free(&mut fleet);
+    let stopped = fleet
+        .orders
+        .iter()
+        .any(|order| matches!(order, OwnerOrder::Stop(stop) if stop.name == serving));
+    assert!(stopped, "the wave waits for a runner that has recovered");
+}
