Size pools by the work that arrives, not only by the work at hand

Ruled out: a lack of hosts; 178 stood empty in the pool whose turn had ended. Change: the target counts the arrivals of the last 0.8 s as if they went on. host_moves::arrivals_count failed before.

--- a/crates/dispatch/src/owner/caller_calls.rs
+++ b/crates/dispatch/src/owner/caller_calls.rs
@@ -2,6 +2,7 @@
     super::{OwnerOrder, OwnerState, journal_queue::StoredEffect},
     crate::{
         jobs::{JobId, JobKey, JobPhase, JobState},
+        pools::work_left,
         records::JobSubmission,
     },
     goldcreststall_core::ids::{LocalTime, Millis},
@@ -82,6 +83,10 @@
             job.objective().0
         );
         self.note("job submitted", id.to_string(), detail);
+        if job.spec.times == 0 {
+            let (service, work) = (job.queue.service.clone(), work_left(&job));
+            self.arrivals.arrived(&service, work, now);
+        }
         let key = self.jobs.insert(job);
         self.journal.submit(key, id, submission);
         self.journal
--- a/crates/dispatch/src/owner/move_duty.rs
+++ b/crates/dispatch/src/owner/move_duty.rs
@@ -61,7 +61,7 @@
         }
     }
 
-    fn pool_figures(&self, now: LocalTime) -> Vec<PoolFigures> {
+    fn pool_figures(&mut self, now: LocalTime) -> Vec<PoolFigures> {
         let mut figures: Vec<PoolFigures> = self
             .rules
             .services
@@ -107,6 +107,10 @@
                 pool.late_cpu += demand.late;
             }
         }
+        for pool in &mut figures {
+            let arriving = self.arrivals.demand_cpu(&pool.name, now);
+            pool.demand_cpu = pool.demand_cpu.max(arriving);
+        }
         figures
     }
 
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -7,6 +7,7 @@
     },
     crate::{
         jobs::{JobKey, JobTable},
+        pools::ArrivalRate,
         routes::FleetRules,
         runners::{RunnerKey, RunnerTable, longest_lapse},
     },
@@ -53,6 +54,7 @@
     pub(super) notes: Vec<OwnerNote>,
     pub(super) started: LocalTime,
     pub(super) backlogs: Vec<PoolBacklog>,
+    pub(super) arrivals: ArrivalRate,
     pub(super) settled: bool,
     pub(super) listed: bool,
     pub(super) place_due: bool,
@@ -80,6 +82,7 @@
             notes: Vec::new(),
             started: now,
             backlogs: Vec::new(),
+            arrivals: ArrivalRate::default(),
             settled: false,
             listed: false,
             place_due: true,
--- a/crates/dispatch/src/pools/mod.rs
+++ b/crates/dispatch/src/pools/mod.rs
@@ -1,9 +1,11 @@
 //! How many hosts each pool should have, and which hosts move.
 
+mod arrival_rate;
 mod job_demand;
 mod pool_planner;
 
 pub use {
+    arrival_rate::ArrivalRate,
     job_demand::{JobDemand, job_demand, work_left},
     pool_planner::{HostMove, PoolFigures, PoolPlan, plan_pools},
 };
