Add a fault soak with separate processes

Change: goldcreststall-soak runs entry hosts as processes against the platform's stand-in, with relays before everything that they talk to. A seed draws the load and series of faults that overlap: processes killed, paused, stopped and reloaded; connections cut, delayed, held one way or silenced; a store that is down, slow, loses answers or carries appends out late; runners that crash, fail, hang or obey late; configurations, waves and bursts. Thirteen promises are checked from what runners and callers see.

--- /dev/null
+++ b/crates/soak/src/arguments/mod.rs
@@ -0,0 +1,5 @@
+//! The command line.
+
+mod soak_arguments;
+
+pub use soak_arguments::{HELP, ReportFormat, SoakArguments};
--- /dev/null
+++ b/crates/soak/src/load/caller_load.rs
@@ -0,0 +1,167 @@
+use {
+    super::{JobBook, JobDraw, JobEntry, JobKind},
+    crate::system::{POOLS, SoakSystem},
+    goldcreststall_adapter_standin::{CallOutcome, JobCaller},
+    goldcreststall_core::ids::Millis,
+    goldcreststall_dispatch::jobs::JobId,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{sync::mpsc::UnboundedReceiver, task::JoinSet},
+};
+
+/// How long a caller waits for an answer.
+const PATIENCE: Millis = Millis(3_000);
+/// Attempts to hand a job in.
+const SUBMIT_TRIES: usize = 6;
+/// Pause between two attempts.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// Time between two questions about the state of a job.
+const STATE_PERIOD: Duration = Duration::from_millis(900);
+/// Time after which a job is cancelled by its caller.
+const CANCEL_AFTER: Duration = Duration::from_millis(700);
+/// Jobs that last, for each pool.
+const LASTING_JOBS: usize = 1;
+
+/// The callers of a run.
+pub struct CallerLoad {
+    caller: JobCaller,
+    system: Arc<SoakSystem>,
+    book: Arc<JobBook>,
+    entries: Vec<SocketAddr>,
+    next: AtomicUsize,
+    ended: AtomicBool,
+}
+
+impl CallerLoad {
+    /// Creates callers that note what they learn in `book`.
+    pub fn new(system: Arc<SoakSystem>, book: Arc<JobBook>) -> Arc<Self> {
+        Arc::new(Self {
+            caller: JobCaller::new(PATIENCE),
+            entries: system.caller_addresses(),
+            system,
+            book,
+            next: AtomicUsize::new(0),
+            ended: AtomicBool::new(false),
+        })
+    }
+
+    /// Hands jobs in until the load is ended, at `rate` jobs a second and in bursts.
+    pub async fn run(
+        self: Arc<Self>,
+        mut draw: JobDraw,
+        rate: u32,
+        mut bursts: UnboundedReceiver<usize>,
+    ) {
+        let mut callers = JoinSet::new();
+        for _ in 0..LASTING_JOBS * POOLS.len() {
+            let entry = draw.lasting(&self.queues(), self.system.platform.now());
+            callers.spawn(Arc::clone(&self).follow(entry));
+        }
+        let gap = Duration::from_secs(1) / rate;
+        while !self.ended.load(Ordering::Relaxed) {
+            let jobs = tokio::select! {
+                () = tokio::time::sleep(gap) => 1,
+                burst = bursts.recv() => burst.unwrap_or(1),
+            };
+            for _ in 0..jobs {
+                let entry = draw.passing(&self.queues(), self.system.platform.now());
+                callers.spawn(Arc::clone(&self).follow(entry));
+            }
+        }
+        // Callers that still wait are ended: what became of their jobs is asked for after the load.
+        callers.shutdown().await;
+    }
+
+    /// Ends the load: no further job is handed in.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+    }
+
+    fn queues(&self) -> Vec<goldcreststall_adapter_standin::QueueShape> {
+        self.system.config.lock().queues[..POOLS.len()].to_vec()
+    }
+
+    fn entry_host(&self) -> SocketAddr {
+        let next = self.next.fetch_add(1, Ordering::Relaxed);
+        self.entries[next % self.entries.len()]
+    }
+
+    fn now(&self) -> Millis {
+        self.system.platform.now()
+    }
+
+    async fn follow(self: Arc<Self>, entry: JobEntry) {
+        let (id, kind) = (entry.id, entry.kind);
+        self.book.add(entry);
+        if !self.submit(id).await {
+            return;
+        }
+        if kind == JobKind::Cancelled {
+            tokio::time::sleep(CANCEL_AFTER).await;
+            self.cancel(id).await;
+        }
+        loop {
+            tokio::time::sleep(STATE_PERIOD).await;
+            self.ask_state(id).await;
+            let entry = self.book.get(id);
+            if entry.is_none_or(|entry| entry.shown.is_some()) {
+                return;
+            }
+        }
+    }
+
+    async fn submit(&self, id: JobId) -> bool {
+        for _ in 0..SUBMIT_TRIES {
+            let Some(entry) = self.book.get(id) else {
+                return false;
+            };
+            let host = self.entry_host();
+            let outcome = self.caller.submit(host, &entry.queue, id, &entry.job).await;
+            let now = self.now();
+            self.book.change(id, |entry| entry.submitted(outcome, now));
+            if outcome == CallOutcome::Accepted {
+                return true;
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        self.book.change(id, |entry| entry.given_up = true);
+        false
+    }
+
+    async fn cancel(&self, id: JobId) {
+        let sent = self.now();
+        self.book.change(id, |entry| entry.cancel_sent = Some(sent));
+        for _ in 0..SUBMIT_TRIES {
+            let Some(entry) = self.book.get(id) else {
+                return;
+            };
+            let host = self.entry_host();
+            let outcome = self.caller.cancel(host, &entry.queue, id).await;
+            if outcome == CallOutcome::Accepted {
+                let now = self.now();
+                self.book.change(id, |entry| entry.cancelled = Some(now));
+                return;
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Asks one entry host where a job stands.
+    pub async fn ask_state(&self, id: JobId) {
+        let Some(entry) = self.book.get(id) else {
+            return;
+        };
+        let asked = self.now();
+        let host = self.entry_host();
+        let outcome = self.caller.state(host, &entry.queue, id).await;
+        let now = self.now();
+        self.book
+            .change(id, |entry| entry.stated(outcome, asked, now));
+    }
+}
--- /dev/null
+++ b/crates/soak/src/plan/mod.rs
@@ -0,0 +1,9 @@
+//! Which faults come when: drawn from a seed.
+
+mod fault_plan;
+mod planned_fault;
+
+pub use {
+    fault_plan::{FaultPlan, PlanSize},
+    planned_fault::{Fault, HostTrouble, PlannedFault, StoreTrouble, WirePart},
+};
--- /dev/null
+++ b/crates/soak/src/system/mod.rs
@@ -0,0 +1,11 @@
+//! The system under test: entry hosts as processes, relays before everything that they talk to, and the platform.
+
+mod address_block;
+mod entry_process;
+mod fault_driver;
+mod soak_system;
+
+pub use {
+    fault_driver::FaultDriver,
+    soak_system::{POOLS, SoakSystem, SystemShape},
+};
