Do not acknowledge the ends of a runner's next lifetime

The owner went on with hold calls for the former lifetime; the new one, which numbers its ends anew, took the acknowledgements for its own and forgot ends that nobody had seen. Work that was done ran again, and failed runs were not counted. Ruled out: a change of the owner, and lost answers of the store; no other process claimed in that time. Change: a lifetime that has ended for certain gets no calls any more. reborn_runner::no_old_acknowledgement failed before.

--- a/crates/dispatch/src/owner/hold_planner.rs
+++ b/crates/dispatch/src/owner/hold_planner.rs
@@ -99,7 +99,7 @@
 }
 
 fn needs_hold(state: &RunnerState, now: LocalTime) -> bool {
-    if state.holding.is_some() || now < state.next_hold {
+    if state.over || state.holding.is_some() || now < state.next_hold {
         return false;
     }
     if !state.fenced {
--- a/crates/dispatch/src/owner/host_duties.rs
+++ b/crates/dispatch/src/owner/host_duties.rs
@@ -219,10 +219,7 @@
 
     fn host_done(&mut self, host: &str, task: &HostTask, runner: Option<String>, now: LocalTime) {
         if let Some(key) = runner.and_then(|id| self.runners.find(&id)) {
-            if let Some(state) = self.runners.get_mut(key) {
-                state.listed = false;
-            }
-            self.void_runner(key, "its host was moved or is maintained", now);
+            self.end_runner(key, "its host was moved or is maintained", now);
         }
         if let HostTask::Maintain { wave } = task {
             self.skip_in_wave(*wave, host);
--- a/crates/dispatch/src/owner/restore.rs
+++ b/crates/dispatch/src/owner/restore.rs
@@ -100,10 +100,7 @@
         self.note("runner seen", report.id.clone(), detail);
         let (_, replaced) = self.runners.insert(report, now);
         if let Some(old) = replaced {
-            if let Some(state) = self.runners.get_mut(old) {
-                state.listed = false;
-            }
-            self.void_runner(old, "a new lifetime is listed", now);
+            self.end_runner(old, "a new lifetime is listed", now);
         }
     }
 
--- a/crates/dispatch/src/owner/run_book.rs
+++ b/crates/dispatch/src/owner/run_book.rs
@@ -176,6 +176,15 @@
         runs
     }
 
+    /// Takes note that the lifetime of a runner has ended, with everything on it.
+    pub(super) fn end_runner(&mut self, runner: RunnerKey, why: &'static str, now: LocalTime) {
+        if let Some(state) = self.runners.get_mut(runner) {
+            state.listed = false;
+            state.over = true;
+        }
+        self.void_runner(runner, why, now);
+    }
+
     /// Frees everything that is booked on a runner, which is over for certain.
     pub(super) fn void_runner(&mut self, runner: RunnerKey, why: &'static str, now: LocalTime) {
         for (key, booked) in self.runs_on(runner) {
--- a/crates/dispatch/src/owner/runner_answers.rs
+++ b/crates/dispatch/src/owner/runner_answers.rs
@@ -162,9 +162,8 @@
             .born_ms
             .is_some_and(|born| born != state.report.born_ms)
         {
-            // The list will show the new lifetime; what was booked here is over.
-            state.listed = false;
-            self.void_runner(key, "a new lifetime answered", now);
+            // The list will show the new lifetime.
+            self.end_runner(key, "a new lifetime answered", now);
             return;
         }
         state.misses = 0;
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -15,6 +15,9 @@
     pub report: RunnerReport,
     /// The entry is in the list.
     pub listed: bool,
+    /// The lifetime has ended for certain. Another one may answer at its address under its id, and would take this one's
+    /// acknowledgements for its own.
+    pub over: bool,
     /// It has answered a hold call with this owner's token: older owners' orders have no effect there.
     pub fenced: bool,
     /// When it was first seen by this owner.
@@ -59,6 +62,7 @@
         Self {
             report,
             listed: true,
+            over: false,
             fenced: false,
             seen: now,
             clock: LeaseClock::default(),
--- /dev/null
+++ b/crates/dispatch/tests/reborn_runner.rs
@@ -0,0 +1,37 @@
+//! Guards against ends that nobody sees: a runner that starts again under its id numbers them anew, and must not get
+//! the acknowledgements of its former lifetime.
+
+mod fleet;
+
+use {
+    fleet::{TestFleet, empty, ended, job, step},
+    goldcreststall_dispatch::{owner::OwnerOrder, runners::EndKind},
+};
+
+#[test]
+fn no_old_acknowledgement() {
+    let mut fleet = TestFleet::new(1, &["r1"]);
+    fleet.greet();
+    fleet.submit(1, job(vec![step(1, 1_000)]));
+    fleet.store();
+    fleet.pass(10);
+    let starts = fleet.starts();
+    fleet.begin(&starts);
+    fleet.pass(100);
+    let mut answer = empty(fleet.clock());
+    answer.ended.push(ended(40, &starts[0], EndKind::Done));
+    fleet.answer_holds(|_| Some(answer.clone()));
+    // The end is stored and would be acknowledged by the next call; the runner starts again before.
+    fleet.store();
+    fleet.runners[0].born_ms += 1;
+    fleet.list_runners();
+    fleet.orders.clear();
+    for _ in 0..10 {
+        fleet.pass(100);
+    }
+    let wrong = fleet
+        .orders
+        .iter()
+        .find(|order| matches!(order, OwnerOrder::Hold { last_seen, .. } if *last_seen > 0));
+    assert_eq!(wrong, None);
+}
