--- a/crates/node/src/control/order_runner.rs
+++ b/crates/node/src/control/order_runner.rs
@@ -2,31 +2,28 @@
     super::{
         ControlEvent,
         owner_actor::{ActorParts, OwnerActor, tell},
+        wave_reports::WaveReports,
     },
     crate::{
         journal::JobJournal,
         ports::{HoldCall, RunnerPeer},
     },
-    goldcreststall_core::ids::{LocalTime, Millis},
+    goldcreststall_core::ids::LocalTime,
     goldcreststall_dispatch::{
         owner::{HostAnswer, OwnerOrder, OwnerState},
         runners::RunnerKey,
     },
     kameo::actor::WeakActorRef,
     slog::{info, warn},
-    std::{sync::Arc, time::Duration},
+    std::sync::Arc,
 };
 
-/// Times that a wave's report is sent until the store takes it.
-const REPORT_TRIES: u32 = 40;
-/// Pause before a wave's report is sent again.
-const REPORT_PAUSE: Millis = Millis(300);
-
-/// Carries out the orders of one term, each in a task of its own.
+/// Carries out the orders of one term, each in a task of its own but for the reports of waves.
 pub(super) struct OrderRunner {
     pub(super) own: WeakActorRef<OwnerActor>,
     pub(super) parts: ActorParts,
     pub(super) token: u64,
+    pub(super) reports: WaveReports,
 }
 
 impl OrderRunner {
@@ -51,7 +48,7 @@
             OwnerOrder::Pace(order, percent) => self.pace(state, order, percent),
             OwnerOrder::MoveHost { host, pool } => self.move_host(host, pool),
             OwnerOrder::MaintainHost { host, wave } => self.maintain(host, wave),
-            OwnerOrder::ReportWave { wave, completed } => self.report_wave(wave, completed),
+            OwnerOrder::ReportWave { wave, completed } => self.reports.report(wave, completed),
             OwnerOrder::Reply { .. } => {}
         }
     }
@@ -171,27 +168,6 @@
         });
     }
 
-    fn report_wave(&self, wave: u64, completed: bool) {
-        let store = Arc::clone(&self.parts.store);
-        let logger = self.parts.logger.clone();
-        let lease = self.parts.lease.clone();
-        tokio::spawn(async move {
-            for _ in 0..REPORT_TRIES {
-                match store.report_wave(wave, completed).await {
-                    Ok(()) => return,
-                    Err(failure) => {
-                        warn!(logger, "owner: the report of a wave was not stored";
-                            "wave" => wave, "failure" => %failure);
-                    }
-                }
-                tokio::time::sleep(Duration::from_millis(REPORT_PAUSE.0)).await;
-                if !lease.holds() {
-                    return;
-                }
-            }
-        });
-    }
-
     /// Stores the next batch if one waits; returns the journal when none does.
     pub(super) fn store_next(
         &self,
--- a/crates/node/src/control/owner_actor.rs
+++ b/crates/node/src/control/owner_actor.rs
@@ -1,5 +1,7 @@
 use {
-    super::{ControlEvent, order_runner::OrderRunner, owner_term::OwnerTerm},
+    super::{
+        ControlEvent, order_runner::OrderRunner, owner_term::OwnerTerm, wave_reports::WaveReports,
+    },
     crate::{
         election::OwnerLease,
         journal::{JobJournal, JournalEnd},
@@ -199,9 +201,10 @@
     }
 
     fn begin_term(&mut self, token: u64, now: LocalTime) {
-        self.term = Some(OwnerTerm::new(token, now));
         let store = Arc::clone(&self.parts.store);
         let logger = self.parts.logger.clone();
+        let reports = WaveReports::start(Arc::clone(&store), token, logger.clone());
+        self.term = Some(OwnerTerm::new(token, now, reports));
         let own = self.own.clone();
         tokio::spawn(async move {
             let begun = JobJournal::begin(store, token, logger).await;
@@ -303,6 +306,7 @@
             own: self.own.clone(),
             parts: self.parts.clone(),
             token: term.token,
+            reports: term.reports.clone(),
         };
         for order in state.take_orders() {
             match order {
--- a/crates/node/src/control/owner_term.rs
+++ b/crates/node/src/control/owner_term.rs
@@ -1,4 +1,5 @@
 use {
+    super::wave_reports::WaveReports,
     crate::journal::JobJournal,
     goldcreststall_core::ids::LocalTime,
     goldcreststall_dispatch::owner::{CallAnswer, CallTicket, JobCall, OwnerState},
@@ -13,6 +14,8 @@
     pub(super) state: Option<OwnerState>,
     /// The journal, while no batch is in flight.
     pub(super) journal: Option<Box<JobJournal>>,
+    /// Takes the reports of waves.
+    pub(super) reports: WaveReports,
     /// Calls that came before the store was read.
     pub(super) early: Vec<(JobCall, oneshot::Sender<CallAnswer>)>,
     /// When the store began to refuse batches or not to answer; none while it takes them.
@@ -24,11 +27,12 @@
 }
 
 impl OwnerTerm {
-    pub(super) fn new(token: u64, began: LocalTime) -> Self {
+    pub(super) fn new(token: u64, began: LocalTime, reports: WaveReports) -> Self {
         Self {
             token,
             state: None,
             journal: None,
+            reports,
             early: Vec::new(),
             trouble: None,
             began,
--- a/crates/node/src/ports/store.rs
+++ b/crates/node/src/ports/store.rs
@@ -129,9 +129,15 @@
         after: Option<&str>,
     ) -> Result<NewestPage, StoreFailure>;
 
-    /// Tells operators where a wave stands.
+    /// Tells operators where a wave stands. The epoch and sequence number of `fence` keep a report that is carried out
+    /// late from replacing a newer one.
     ///
     /// # Errors
     /// See [`StoreFailure`].
-    async fn report_wave(&self, wave: u64, completed: bool) -> Result<(), StoreFailure>;
+    async fn report_wave(
+        &self,
+        wave: u64,
+        completed: bool,
+        fence: (u64, u64),
+    ) -> Result<(), StoreFailure>;
 }
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -29,6 +29,9 @@
     tokio::sync::Notify,
 };
 
+/// A wave, whether it is reported as completed, and epoch and sequence number of the report.
+pub type WaveReport = (u64, bool, (u64, u64));
+
 /// A store in memory. Appends follow the platform's conditions.
 #[derive(Default)]
 pub struct FakeStore {
@@ -39,6 +42,9 @@
     pub lose_answer: AtomicBool,
     /// Loses the answers of all records of the ownership after they were stored.
     pub lose_renewals: AtomicBool,
+    pub reports: Mutex<Vec<WaveReport>>,
+    /// Loses the next report of a wave.
+    pub lose_reports: AtomicBool,
     /// Refuses everything that concerns the ownership.
     pub refuses: AtomicBool,
     /// Keeps readers of jobs waiting.
@@ -161,7 +167,16 @@
         })
     }
 
-    async fn report_wave(&self, _wave: u64, _completed: bool) -> Result<(), StoreFailure> {
+    async fn report_wave(
+        &self,
+        wave: u64,
+        completed: bool,
+        fence: (u64, u64),
+    ) -> Result<(), StoreFailure> {
+        if self.lose_reports.swap(false, Ordering::SeqCst) {
+            return Err(StoreFailure::Unknown);
+        }
+        self.reports.lock().push((wave, completed, fence));
         Ok(())
     }
 }
@@ -256,6 +271,7 @@
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: "a".to_owned(),
         labels: Vec::new(),
+        rack: None,
         capacity: Capacity {
             cpu: 8_000,
             mem_mb: 16_000,
