Run gangs, and queues with advice

Gangs: all members start in one pass under one run number, in one rack where they are slower on several, or none starts; runners are left to empty for the first gang that finds no room. A member that is refused, lost, stopped or failed ends the others; one end as done stands for all; attempts are counted by run; a checkpoint of one is given to all. A new owner ends gangs of which a member is missing. Advice: a step on a queue with advice asks about the 30 emptiest runners that it knows nothing of, at most four steps at a time; starts carry the ticket; one that is refused or old is asked for again. Without an advice service such jobs are refused as before. Records stay readable: the rule stands where a flag stood that was stored as false in every job.

--- a/crates/dispatch/src/jobs/job_id.rs
+++ b/crates/dispatch/src/jobs/job_id.rs
@@ -62,6 +62,28 @@
     }
 }
 
+/// Names one step of one occurrence of a job on the wire and in logs: `ID.K.STEP`.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct StepName {
+    /// The job.
+    pub job: JobId,
+    /// Number of the occurrence, from 0.
+    pub occurrence: u32,
+    /// Number of the step, from 0.
+    pub step: u32,
+}
+
+impl fmt::Display for StepName {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            job,
+            occurrence,
+            step,
+        } = self;
+        write!(formatter, "{job}.{occurrence}.{step}")
+    }
+}
+
 impl TryFrom<&str> for ItemName {
     type Error = JobIdError;
 
--- a/crates/dispatch/src/jobs/job_spec.rs
+++ b/crates/dispatch/src/jobs/job_spec.rs
@@ -100,8 +100,8 @@
             if !step.after.iter().all(earlier) {
                 return Err(SpecError::Dependency(number));
             }
-            if step.gang {
-                return Err(SpecError::Unsupported("a gang"));
+            if step.gang && step.long_running {
+                return Err(SpecError::Unsupported("a gang that lasts"));
             }
         }
         Ok(())
--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -127,22 +127,24 @@
         if name.occurrence >= self.spec.occurrences() || name.index >= step.count {
             return None;
         }
-        let before: u32 = self.spec.steps[..name.step as usize]
-            .iter()
-            .map(|step| step.count)
-            .sum();
-        Some(name.occurrence * self.width + before + name.index)
+        let places = self.step_places(name.occurrence, name.step);
+        Some(places.start + name.index)
     }
 
     /// Returns the work items of one step in one occurrence.
     pub fn step_items(&self, occurrence: u32, step: u32) -> &[WorkItem] {
+        let places = self.step_places(occurrence, step);
+        &self.items[places.start as usize..places.end as usize]
+    }
+
+    /// Returns the places of the work items of one step in one occurrence.
+    pub fn step_places(&self, occurrence: u32, step: u32) -> std::ops::Range<u32> {
         let before: u32 = self.spec.steps[..step as usize]
             .iter()
             .map(|step| step.count)
             .sum();
-        let first = (occurrence * self.width + before) as usize;
-        let count = self.spec.steps[step as usize].count as usize;
-        &self.items[first..first + count]
+        let first = occurrence * self.width + before;
+        first..first + self.spec.steps[step as usize].count
     }
 
     /// Returns whether all steps before `step` are done in the occurrence.
--- a/crates/dispatch/src/jobs/mod.rs
+++ b/crates/dispatch/src/jobs/mod.rs
@@ -8,10 +8,10 @@
 mod work_item;
 
 pub use {
-    job_id::{ItemName, JobId, JobIdError},
+    job_id::{ItemName, JobId, JobIdError, StepName},
     job_phase::JobPhase,
     job_spec::{JobSpec, SpecError, StepSpec},
     job_state::JobState,
     job_table::JobTable,
-    work_item::{ItemKey, ItemRun, JobKey, RunPhase, WorkItem},
+    work_item::{ItemKey, ItemRun, JobKey, RunPhase, StepKey, WorkItem},
 };
--- a/crates/dispatch/src/jobs/work_item.rs
+++ b/crates/dispatch/src/jobs/work_item.rs
@@ -16,6 +16,17 @@
     pub item: u32,
 }
 
+/// A step of one occurrence of a job.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct StepKey {
+    /// The job.
+    pub job: JobKey,
+    /// Number of the occurrence.
+    pub occurrence: u32,
+    /// Number of the step.
+    pub step: u32,
+}
+
 /// How far one run of a work item is known to be.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunPhase {
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -1,8 +1,10 @@
 //! The owner's state: jobs, runners, hosts and waves, and what follows from each event.
 
 mod admission;
+mod advice_duty;
 mod caller_calls;
 mod fault_watch;
+mod gang_duty;
 mod hold_planner;
 mod host_duties;
 mod host_table;
@@ -21,7 +23,7 @@
     caller_calls::{CallAnswer, CallTicket, JobCall},
     host_table::{HostAnswer, HostReport, HostStatus, WaveRequest},
     journal_queue::{BatchId, JournalBatch},
-    owner_order::{OwnerOrder, RunOrder, StartOrder},
+    owner_order::{AdviceOrder, OwnerOrder, RunOrder, StartOrder},
     owner_state::{OwnerNote, OwnerState},
     runner_answers::StartAnswer,
 };
--- a/crates/dispatch/src/owner/owner_order.rs
+++ b/crates/dispatch/src/owner/owner_order.rs
@@ -1,7 +1,7 @@
 use {
     super::{CallAnswer, CallTicket},
     crate::{
-        jobs::{ItemKey, ItemName},
+        jobs::{ItemKey, ItemName, StepKey, StepName},
         runners::RunnerKey,
     },
     goldcreststall_core::ids::Millis,
@@ -38,6 +38,19 @@
     pub deadline_ms: u64,
     /// Where to resume; empty for the beginning.
     pub checkpoint: String,
+    /// The advice service's approval of the runner; empty where none is needed.
+    pub ticket: String,
+}
+
+/// Asks the advice service which runners may run a step.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AdviceOrder {
+    /// The step.
+    pub step: StepKey,
+    /// Its name: job, occurrence and step.
+    pub name: StepName,
+    /// The runners that are asked about.
+    pub runners: Vec<RunnerKey>,
 }
 
 /// What the owner wants done.
@@ -54,6 +67,8 @@
         /// Longest wait for an end.
         wait: Millis,
     },
+    /// Ask which runners may run a step.
+    Advise(AdviceOrder),
     /// Start a work item.
     Start(StartOrder),
     /// Stop a run.
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -2,6 +2,7 @@
     super::{
         OwnerOrder,
         admission::PoolBacklog,
+        advice_duty::AdviceBook,
         host_table::{HostTable, WaveTable},
         journal_queue::JournalQueue,
     },
@@ -55,6 +56,7 @@
     pub(super) started: LocalTime,
     pub(super) backlogs: Vec<PoolBacklog>,
     pub(super) arrivals: ArrivalRate,
+    pub(super) advice: AdviceBook,
     pub(super) settled: bool,
     pub(super) listed: bool,
     pub(super) place_due: bool,
@@ -83,6 +85,7 @@
             started: now,
             backlogs: Vec::new(),
             arrivals: ArrivalRate::default(),
+            advice: AdviceBook::default(),
             settled: false,
             listed: false,
             place_due: true,
@@ -131,9 +134,11 @@
             self.lapse_runs(now);
             self.settle(now);
             self.watch_faults(now);
+            self.watch_gangs();
             self.measure_backlogs(now);
             self.decide_hosts(now);
             self.forget_ended(now);
+            self.advice.forget_old(now);
             self.place_due = true;
         }
         if self.place_due && now.since(self.last_place) >= self.place_period() {
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -51,8 +51,10 @@
     pools: Vec<(Arc<RouteRule>, Vec<RunnerKey>)>,
     /// Queues whose service has no room for the demand beside them.
     full: Vec<(Arc<RouteRule>, Capacity)>,
-    /// Runners that are left to empty until a serving work item fits.
+    /// Runners that are left to empty until a serving work item or a gang fits.
     reserved: Vec<RunnerKey>,
+    /// A gang has found no room.
+    gang_waits: bool,
 }
 
 /// Share of the remaining chain that a job which was not begun needs as reserve, as a divisor.
@@ -86,6 +88,10 @@
             return;
         }
         let place = self.pass_pool(&queue, pass, now);
+        if let Some(members) = self.gang_of(key) {
+            self.place_gang(&members, tier, place, pass, now);
+            return;
+        }
         let eligible = |runner: &RunnerKey| self.is_eligible(key, *runner, demand, now);
         let fits = |runner: &RunnerKey| {
             let state = self.runners.get(*runner);
@@ -106,6 +112,11 @@
                 .max_by_key(|runner| self.has_label(*runner, rack)),
             None => pool.iter().copied().find(fits),
         };
+        if chosen.is_none() && queue.advice.is_some() {
+            let pool = pool.clone();
+            self.ask_advice(key, &pool, now);
+            return;
+        }
         match chosen {
             Some(runner) => self.order_start(key, runner, now),
             None if tier == PlaceTier::Serving => {
@@ -117,6 +128,46 @@
         }
     }
 
+    /// Starts all members of a gang, or none. Runners are left to empty for the first gang that finds no room.
+    fn place_gang(
+        &mut self,
+        members: &[ItemKey],
+        tier: PlaceTier,
+        place: usize,
+        pass: &mut PlacePass,
+        now: LocalTime,
+    ) {
+        let reserved = &pass.reserved;
+        let pool: Vec<RunnerKey> = pass.pools[place]
+            .1
+            .iter()
+            .copied()
+            .filter(|runner| !reserved.contains(runner))
+            .collect();
+        if let Some(places) = self.gang_places(members, &pool, now) {
+            let last_run =
+                |key: &ItemKey| self.jobs.item(*key).map_or(0, |(_, item)| item.last_run);
+            let run = members.iter().map(last_run).max().unwrap_or(0) + 1;
+            for (member, runner) in places {
+                self.order_run(member, runner, run, now);
+            }
+            return;
+        }
+        if let Some(first) = members.first() {
+            self.ask_advice(*first, &pool, now);
+        }
+        let timely = matches!(tier, PlaceTier::Begun | PlaceTier::Fresh);
+        if timely && !pass.gang_waits {
+            pass.gang_waits = true;
+            for member in members {
+                let demand = self.demand(*member);
+                let eligible = |runner: &RunnerKey| self.is_eligible(*member, *runner, demand, now);
+                let emptiest = self.emptiest(&pool, &pass.reserved, eligible);
+                pass.reserved.extend(emptiest);
+            }
+        }
+    }
+
     /// Returns the place of the queue's pool in the pass, which is formed at its first use.
     fn pass_pool(&self, queue: &Arc<RouteRule>, pass: &mut PlacePass, now: LocalTime) -> usize {
         let known = pass
@@ -170,7 +221,8 @@
             return false;
         };
         let step = job.step_of(item);
-        step.anti_affinity > 0 || step.required_label.is_some() || item.failed_on.is_some()
+        let limited = step.anti_affinity > 0 || step.required_label.is_some();
+        limited || item.failed_on.is_some() || job.queue.advice.is_some()
     }
 
     fn ready_items(&self, now: LocalTime, wall_ms: u64) -> Vec<ReadyItem> {
@@ -207,7 +259,7 @@
     }
 
     /// Returns whether a runner may run a work item, whether it has room now or not.
-    fn is_eligible(
+    pub(super) fn is_eligible(
         &self,
         key: ItemKey,
         runner: RunnerKey,
@@ -225,6 +277,7 @@
             && label_fits(step, state)
             && spread_fits(step, job, item, runner)
             && (item.failed_on != Some(runner) || self.is_only_runner(job, now))
+            && self.ticket(key, runner, now).is_some()
     }
 
     fn is_only_runner(&self, job: &JobState, now: LocalTime) -> bool {
@@ -235,6 +288,14 @@
     }
 
     fn order_start(&mut self, key: ItemKey, runner: RunnerKey, now: LocalTime) {
+        let last_run = self.jobs.item(key).map_or(0, |(_, item)| item.last_run);
+        self.order_run(key, runner, last_run + 1, now);
+    }
+
+    fn order_run(&mut self, key: ItemKey, runner: RunnerKey, run: u32, now: LocalTime) {
+        let Some(ticket) = self.ticket(key, runner, now).map(ToOwned::to_owned) else {
+            return;
+        };
         let Some(state) = self.runners.get_mut(runner) else {
             return;
         };
@@ -250,10 +311,11 @@
             runner,
             item: key,
             name: job.item_name(key.item),
-            run: item.last_run + 1,
+            run,
             spec: Arc::from(job.spec.spec.as_str()),
             deadline_ms,
             checkpoint: item.checkpoint.clone(),
+            ticket,
         };
         let detail = format!(
             "runner={id} run={} free_cpu={} waited_ms={}",
@@ -278,7 +340,7 @@
     let mut step: Option<(u32, u32)> = None;
     let mut rank = None;
     for (item, number) in job.items.iter().zip(0_u32..) {
-        if !item.is_idle() {
+        if !item.is_idle() || !gang_is_idle(job, item) {
             continue;
         }
         let own = (item.occurrence, item.step);
@@ -298,6 +360,15 @@
     }
 }
 
+/// Returns whether a work item is placed now: the first one of a gang stands for all, once none of them runs.
+fn gang_is_idle(job: &JobState, item: &WorkItem) -> bool {
+    if !job.step_of(item).gang {
+        return true;
+    }
+    let members = job.step_items(item.occurrence, item.step);
+    item.index == 0 && members.iter().all(WorkItem::is_idle)
+}
+
 fn rank_of(job: &JobState, item: &WorkItem, now: LocalTime) -> PlaceRank {
     let step = job.step_of(item);
     let chain = job.chain_from(item.occurrence, item.step);
--- a/crates/dispatch/src/owner/runner_answers.rs
+++ b/crates/dispatch/src/owner/runner_answers.rs
@@ -4,7 +4,7 @@
         run_book::FULL_PACE,
     },
     crate::{
-        jobs::{ItemKey, JobPhase, RunPhase},
+        jobs::{ItemKey, JobPhase, JobState, RunPhase},
         runners::{EndKind, EndedRun, HoldAnswer, ListedRun, RunnerKey},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
@@ -40,6 +40,8 @@
     OldRun,
     /// There is no room.
     NoRoom,
+    /// The approval of the advice service is missing or no longer valid.
+    NoTicket,
     /// Another lifetime runs at the address.
     OtherLifetime,
     /// The runner refuses work because it is not healthy.
@@ -70,6 +72,7 @@
             StartAnswer::Unknown => self.start_unknown(order),
             StartAnswer::Late(_)
             | StartAnswer::NoRoom
+            | StartAnswer::NoTicket
             | StartAnswer::NotSent
             | StartAnswer::OldRun
             | StartAnswer::OtherLifetime
@@ -77,12 +80,17 @@
                 let detail = format!("run={run} answer={answer:?}");
                 self.note("start refused", order.name.to_string(), detail);
                 self.detach_run(item, runner, run, now);
+                self.break_gang(item, run);
                 if answer == StartAnswer::OldRun
                     && let Some(item) = self.jobs.item_mut(item)
                 {
                     item.last_run += RUN_SKIP;
                 }
-                if let Some(state) = self.runners.get_mut(runner) {
+                if answer == StartAnswer::NoTicket {
+                    if let Some(step) = self.step_key(item) {
+                        self.advice.drop_ticket(step, runner);
+                    }
+                } else if let Some(state) = self.runners.get_mut(runner) {
                     state.cooling = now + REFUSAL_PAUSE;
                     state.next_hold = state.next_hold.min(now);
                 }
@@ -112,6 +120,7 @@
         {
             booked.phase = RunPhase::Stopping;
             self.order_stop(order.item, order.runner, order.run);
+            self.break_gang(order.item, order.run);
         }
     }
 
@@ -224,9 +233,15 @@
                 item.ran = sent.map(|sent| now.since(sent));
             }
             if !end.checkpoint.is_empty() {
-                item.checkpoint = end.checkpoint;
+                item.checkpoint.clone_from(&end.checkpoint);
             }
         }
+        if !end.checkpoint.is_empty() {
+            self.share_checkpoint(key, &end.checkpoint);
+        }
+        if end.kind != EndKind::Done {
+            self.break_gang(key, end.run);
+        }
         match end.kind {
             EndKind::Done => self.item_done(key, runner, now),
             EndKind::Failed => self.item_failed(key, runner, end.run, now),
@@ -243,11 +258,18 @@
         };
         job.begun = true;
         let item = &mut job.items[key.item as usize];
-        let lasts = job.spec.steps[item.step as usize].long_running;
+        let (occurrence, step) = (item.occurrence, item.step);
+        let lasts = job.spec.steps[step as usize].long_running;
         if lasts || item.done {
             return;
         }
         item.done = true;
+        if job.spec.steps[step as usize].gang {
+            // One end of a gang stands for all members.
+            for place in job.step_places(occurrence, step) {
+                job.items[place as usize].done = true;
+            }
+        }
         let completed = job.complete_if_done();
         if completed {
             job.ended = Some(now);
@@ -288,7 +310,13 @@
             return;
         }
         item.failed_runs.push(run);
-        let hopeless = item.failed_runs.len() >= attempts as usize;
+        let (occurrence, step) = (item.occurrence, item.step);
+        let failed = if job.spec.steps[step as usize].gang {
+            failed_gang_runs(job, occurrence, step)
+        } else {
+            job.items[key.item as usize].failed_runs.len()
+        };
+        let hopeless = failed >= attempts as usize;
         self.journal.mark_dirty(key.job);
         if hopeless {
             self.end_job(
@@ -355,8 +383,10 @@
         }
         if let Some(item) = self.jobs.item_mut(key)
             && !listed.checkpoint.is_empty()
+            && item.checkpoint != listed.checkpoint
         {
             item.checkpoint.clone_from(&listed.checkpoint);
+            self.share_checkpoint(key, &listed.checkpoint);
         }
         if let Some(booked) = self.run_mut(key, runner, listed.run) {
             if booked.phase == RunPhase::Starting {
@@ -390,3 +420,15 @@
         }
     }
 }
+
+/// Counts the runs of a gang in which a member has failed.
+fn failed_gang_runs(job: &JobState, occurrence: u32, step: u32) -> usize {
+    let members = job.step_items(occurrence, step);
+    let mut runs: Vec<u32> = members
+        .iter()
+        .flat_map(|item| item.failed_runs.iter().copied())
+        .collect();
+    runs.sort_unstable();
+    runs.dedup();
+    runs.len()
+}
--- a/crates/dispatch/src/routes/fleet_rules.rs
+++ b/crates/dispatch/src/routes/fleet_rules.rs
@@ -24,8 +24,15 @@
     pub attempts: u32,
     /// Factor on the longest chain of work in the objective of a job.
     pub stretch: f64,
-    /// Runners must be approved by the advice service.
-    pub needs_advice: bool,
+    /// Runners must be approved by the advice service. Stored like the flag that stood here before.
+    pub advice: Option<AdviceRule>,
+}
+
+/// How a queue's runners are approved.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct AdviceRule {
+    /// How long an approval is valid.
+    pub valid: Millis,
 }
 
 /// A service: a pool of runners.
--- a/crates/dispatch/src/routes/mod.rs
+++ b/crates/dispatch/src/routes/mod.rs
@@ -2,4 +2,4 @@
 
 mod fleet_rules;
 
-pub use fleet_rules::{CallLimits, FleetRules, RouteRule, ServiceRule};
+pub use fleet_rules::{AdviceRule, CallLimits, FleetRules, RouteRule, ServiceRule};
--- a/crates/dispatch/src/runners/runner_report.rs
+++ b/crates/dispatch/src/runners/runner_report.rs
@@ -58,8 +58,10 @@
     pub address: SocketAddr,
     /// Data centre.
     pub zone: String,
-    /// Kind and rack.
+    /// Everything that work can require of the runner, its kind and rack among it.
     pub labels: Vec<String>,
+    /// The rack of its host.
+    pub rack: Option<String>,
     /// Room.
     pub capacity: Capacity,
     /// What it says of itself.
--- a/crates/dispatch/tests/fleet/mod.rs
+++ b/crates/dispatch/tests/fleet/mod.rs
@@ -87,6 +87,7 @@
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: "a".to_owned(),
         labels: Vec::new(),
+        rack: None,
         capacity: Capacity {
             cpu: 8_000,
             mem_mb: 16_000,
--- a/crates/node/src/control/control_event.rs
+++ b/crates/node/src/control/control_event.rs
@@ -3,8 +3,8 @@
     goldcreststall_core::ids::LocalTime,
     goldcreststall_dispatch::{
         owner::{
-            BatchId, CallAnswer, HostAnswer, HostReport, JobCall, RunOrder, StartAnswer,
-            StartOrder, WaveRequest,
+            AdviceOrder, BatchId, CallAnswer, HostAnswer, HostReport, JobCall, RunOrder,
+            StartAnswer, StartOrder, WaveRequest,
         },
         records::StoreRecord,
         routes::FleetRules,
@@ -16,6 +16,15 @@
 
 /// What the control actor learns. Events of an earlier term name its token and are ignored.
 pub enum ControlEvent {
+    /// The advice service answered.
+    Advised {
+        /// Fencing token of the term.
+        token: u64,
+        /// What was asked.
+        order: AdviceOrder,
+        /// Approved runners with their tickets; none without an answer.
+        answer: Option<Vec<(String, String)>>,
+    },
     /// A batch was stored, or a newer owner writes.
     BatchEnded {
         /// Fencing token of the term.
--- a/crates/node/src/control/order_runner.rs
+++ b/crates/node/src/control/order_runner.rs
@@ -10,7 +10,7 @@
     },
     goldcreststall_core::ids::LocalTime,
     goldcreststall_dispatch::{
-        owner::{HostAnswer, OwnerOrder, OwnerState},
+        owner::{AdviceOrder, HostAnswer, OwnerOrder, OwnerState},
         runners::RunnerKey,
     },
     kameo::actor::WeakActorRef,
@@ -43,6 +43,7 @@
                 };
                 self.hold(state, runner, call, now);
             }
+            OwnerOrder::Advise(order) => self.advise(state, order),
             OwnerOrder::Start(order) => self.start(state, order),
             OwnerOrder::Stop(order) => self.stop(state, order),
             OwnerOrder::Pace(order, percent) => self.pace(state, order, percent),
@@ -83,6 +84,27 @@
         });
     }
 
+    fn advise(&self, state: &OwnerState, order: AdviceOrder) {
+        let service = Arc::clone(&self.parts.advice);
+        let own = self.own.clone();
+        let token = self.token;
+        let ids = order
+            .runners
+            .iter()
+            .map(|runner| state.runner_address(*runner));
+        let ids: Vec<String> = ids.flatten().map(|(id, _)| id.to_owned()).collect();
+        self.parts.metrics.count_order("advise");
+        tokio::spawn(async move {
+            let answer = service.advise(order.name, &ids).await;
+            let event = ControlEvent::Advised {
+                token,
+                order,
+                answer,
+            };
+            tell(&own, event).await;
+        });
+    }
+
     fn start(&self, state: &OwnerState, order: goldcreststall_dispatch::owner::StartOrder) {
         let Some(peer) = self.peer(state, order.runner) else {
             return;
--- a/crates/node/src/control/owner_actor.rs
+++ b/crates/node/src/control/owner_actor.rs
@@ -6,7 +6,7 @@
         election::OwnerLease,
         journal::{JobJournal, JournalEnd},
         metrics::NodeMetrics,
-        ports::{HostService, PlatformStore, RunnerService},
+        ports::{AdviceService, HostService, PlatformStore, RunnerService},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
     goldcreststall_dispatch::{
@@ -39,6 +39,8 @@
     pub maintenance: Millis,
     /// Counters and histograms.
     pub metrics: Arc<NodeMetrics>,
+    /// The advice service.
+    pub advice: Arc<dyn AdviceService>,
     /// The runners.
     pub runners: Arc<dyn RunnerService>,
     /// The host service.
@@ -88,6 +90,15 @@
 impl OwnerActor {
     fn take(&mut self, event: ControlEvent, now: LocalTime) {
         match event {
+            ControlEvent::Advised {
+                token,
+                order,
+                answer,
+            } => {
+                if let Some(state) = self.state_of(token) {
+                    state.advised(&order, answer, now);
+                }
+            }
             ControlEvent::BatchEnded {
                 token,
                 batch,
--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -6,7 +6,9 @@
         front::{FrontDesk, OwnerCourier},
         links::{LinkServer, OwnerLink, PeerBook},
         metrics::NodeMetrics,
-        ports::{HostService, OperatorRecord, PlatformStore, RecordFeed, RunnerService},
+        ports::{
+            AdviceService, HostService, OperatorRecord, PlatformStore, RecordFeed, RunnerService,
+        },
     },
     anyhow::Context,
     async_trait::async_trait,
@@ -77,6 +79,8 @@
 
 /// The platform as the process sees it.
 pub struct NodePorts {
+    /// The advice service.
+    pub advice: Arc<dyn AdviceService>,
     /// The host service.
     pub hosts: Arc<dyn HostService>,
     /// Callers and the load balancer.
@@ -109,6 +113,7 @@
         logger: logger.clone(),
         maintenance: settings.maintenance,
         metrics: Arc::clone(&metrics),
+        advice: Arc::clone(&ports.advice),
         runners: Arc::clone(&ports.runners),
         hosts: Arc::clone(&ports.hosts),
         store: Arc::clone(&ports.store),
@@ -163,7 +168,13 @@
         .context("the traffic runtime was not built")?;
     let link = OwnerLink::new(peers.clone(), logger.clone());
     let courier = OwnerCourier::new(actor.clone(), link, owners);
-    let desk = Arc::new(FrontDesk::new(courier, all_rules, metrics, logger.clone()));
+    let desk = Arc::new(FrontDesk::new(
+        courier,
+        all_rules,
+        ports.advice.is_known(),
+        metrics,
+        logger.clone(),
+    ));
     let server = LinkServer {
         actor,
         peers,
--- a/crates/node/src/front/front_desk.rs
+++ b/crates/node/src/front/front_desk.rs
@@ -36,15 +36,17 @@
     courier: OwnerCourier,
     draining: AtomicBool,
     logger: Logger,
+    has_advice: bool,
     metrics: Arc<NodeMetrics>,
     rules: watch::Receiver<Option<Arc<FleetRules>>>,
 }
 
 impl FrontDesk {
-    /// Creates a desk that passes calls on by `courier`.
+    /// Creates a desk that passes calls on by `courier`; `has_advice` tells whether there is an advice service.
     pub fn new(
         courier: OwnerCourier,
         rules: watch::Receiver<Option<Arc<FleetRules>>>,
+        has_advice: bool,
         metrics: Arc<NodeMetrics>,
         logger: Logger,
     ) -> Self {
@@ -52,6 +54,7 @@
             courier,
             draining: AtomicBool::new(false),
             logger,
+            has_advice,
             metrics,
             rules,
         }
@@ -146,8 +149,10 @@
         limit: Millis,
     ) -> FrontAnswer {
         let checked = job.check();
-        let advised = if route.needs_advice {
-            Err(SpecError::Unsupported("a queue with advice"))
+        let advised = if route.advice.is_some() && !self.has_advice {
+            Err(SpecError::Unsupported(
+                "a queue with advice, without an advice service,",
+            ))
         } else {
             Ok(())
         };
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -7,6 +7,7 @@
     bytes::Bytes,
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::{
+        jobs::StepName,
         owner::{HostAnswer, HostReport, RunOrder, StartAnswer, StartOrder},
         runners::{Capacity, HoldAnswer, RunnerReport, RunnerStatus},
     },
@@ -15,8 +16,8 @@
         election::OwnerLease,
         metrics::NodeMetrics,
         ports::{
-            AppendGuard, AppendPlace, HoldCall, HostService, NewestPage, PlatformStore, ReadBatch,
-            RunnerPeer, RunnerService, StoreFailure, StoreTopic,
+            AdviceService, AppendGuard, AppendPlace, HoldCall, HostService, NewestPage,
+            PlatformStore, ReadBatch, RunnerPeer, RunnerService, StoreFailure, StoreTopic,
         },
     },
     kameo::actor::{ActorRef, Spawn},
@@ -212,6 +213,20 @@
     }
 }
 
+/// An advice service that is not there.
+pub struct NoAdvice;
+
+#[async_trait]
+impl AdviceService for NoAdvice {
+    fn is_known(&self) -> bool {
+        false
+    }
+
+    async fn advise(&self, _step: StepName, _runners: &[String]) -> Option<Vec<(String, String)>> {
+        None
+    }
+}
+
 /// Hosts that do nothing.
 pub struct FakeHosts;
 
@@ -247,6 +262,7 @@
         logger: logger(),
         maintenance: Millis(2_000),
         metrics: Arc::new(NodeMetrics::new().expect("metrics")),
+        advice: Arc::new(NoAdvice),
         runners: Arc::clone(&runners) as _,
         hosts: Arc::new(FakeHosts),
         store: Arc::clone(&store) as _,
--- a/crates/node/tests/owner_reach.rs
+++ b/crates/node/tests/owner_reach.rs
@@ -63,7 +63,7 @@
     let link = OwnerLink::new(PeerBook::new(local, owner.clone()), logger());
     let courier = OwnerCourier::new(actor.actor.clone(), link, owners);
     let metrics = Arc::new(NodeMetrics::new().expect("metrics"));
-    let desk = Arc::new(FrontDesk::new(courier, all_rules, metrics, logger()));
+    let desk = Arc::new(FrontDesk::new(courier, all_rules, false, metrics, logger()));
     let reach = Arc::clone(&desk);
     tokio::spawn(async move { reach.keep_reach().await });
     assert!(desk.is_ready());
