--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -14,9 +14,12 @@
 mod owner_state;
 mod pace_control;
 mod placement;
+mod ready_items;
 mod restore;
 mod run_book;
+mod run_ends;
 mod runner_answers;
+mod start_answers;
 mod wave_duty;
 
 pub use {
@@ -25,5 +28,5 @@
     journal_queue::{BatchId, JournalBatch},
     owner_order::{AdviceOrder, OwnerOrder, RunOrder, StartOrder},
     owner_state::{OwnerNote, OwnerState},
-    runner_answers::StartAnswer,
+    start_answers::StartAnswer,
 };
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -1,49 +1,17 @@
 use {
-    super::{OwnerOrder, OwnerState, StartOrder},
+    super::{
+        OwnerOrder, OwnerState, StartOrder,
+        ready_items::{PlaceTier, ReadyItem},
+    },
     crate::{
-        jobs::{ItemKey, ItemRun, JobKey, JobState, RunPhase, StepSpec, WorkItem},
+        jobs::{ItemKey, ItemRun, JobState, RunPhase, StepSpec, WorkItem},
         routes::RouteRule,
         runners::{Capacity, RunnerKey, RunnerState},
     },
-    goldcreststall_core::ids::{LocalTime, Millis},
+    goldcreststall_core::ids::LocalTime,
     std::{cmp::Reverse, sync::Arc},
 };
 
-/// Order in which work items get room: smaller first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct PlaceRank {
-    tier: PlaceTier,
-    priority: u32,
-    /// Latest start, in milliseconds of the local clock, at which the job can be in time.
-    latest_start: u64,
-}
-
-/// Classes of work items, first come first. In a flood a job that was begun is finished before others are begun, and
-/// a job that would only just be late gets no room that one in time could use: otherwise every job of the flood starts
-/// at its last moment, and all are late.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum PlaceTier {
-    /// Work that lasts and serves others.
-    Serving,
-    /// The job was begun and can be in time.
-    Begun,
-    /// The job was not begun and can be in time with some reserve.
-    Fresh,
-    /// The job is late, or will be, but still of use to its caller.
-    Late,
-    /// The caller has no use for the job any more; it is completed all the same.
-    Overdue,
-    /// Work that uses what others leave.
-    Filling,
-}
-
-/// A work item that can start now.
-#[derive(Clone, Copy, Debug)]
-struct ReadyItem {
-    rank: PlaceRank,
-    key: ItemKey,
-}
-
 /// What one pass of placement works with.
 #[derive(Debug, Default)]
 struct PlacePass {
@@ -57,11 +25,6 @@
     gang_waits: bool,
 }
 
-/// Share of the remaining chain that a job which was not begun needs as reserve, as a divisor.
-const RESERVE_DIVISOR: u64 = 8;
-/// Least reserve of a job that was not begun: placing, starting and noticing ends take this long.
-const LEAST_RESERVE: Millis = Millis(100);
-
 impl OwnerState {
     /// Starts ready work items where there is room.
     pub(super) fn place_items(&mut self, now: LocalTime, wall_ms: u64) {
@@ -225,39 +188,6 @@
         limited || item.failed_on.is_some() || job.queue.advice.is_some()
     }
 
-    fn ready_items(&self, now: LocalTime, wall_ms: u64) -> Vec<ReadyItem> {
-        let roomy = self.roomy_services(now);
-        let mut ready = Vec::new();
-        for key in self.jobs.open() {
-            let Some(job) = self.jobs.get(*key) else {
-                continue;
-            };
-            let starts = job.accepted && !job.unsettled && !job.phase.is_final();
-            let has_room = roomy.binary_search(&job.queue.service.as_str()).is_ok();
-            if starts && (has_room || job.lasts()) {
-                collect_ready(*key, job, now, wall_ms, &mut ready);
-            }
-        }
-        ready
-    }
-
-    /// Returns the services with a runner that has room, so that a pass does not visit the backlog of full pools.
-    fn roomy_services(&self, now: LocalTime) -> Vec<&str> {
-        let has_room = |state: &RunnerState| {
-            let free = state.free();
-            state.takes_work(now) && free.cpu > 0 && free.mem_mb > 0
-        };
-        let mut services: Vec<&str> = self
-            .runners
-            .all()
-            .filter(|(_, state)| has_room(state))
-            .map(|(_, state)| state.report.service.as_str())
-            .collect();
-        services.sort_unstable();
-        services.dedup();
-        services
-    }
-
     /// Returns whether a runner may run a work item, whether it has room now or not.
     pub(super) fn is_eligible(
         &self,
@@ -329,71 +259,6 @@
     }
 }
 
-fn collect_ready(
-    key: JobKey,
-    job: &JobState,
-    now: LocalTime,
-    wall_ms: u64,
-    ready: &mut Vec<ReadyItem>,
-) {
-    // Work items of a step follow each other and have the same rank.
-    let mut step: Option<(u32, u32)> = None;
-    let mut rank = None;
-    for (item, number) in job.items.iter().zip(0_u32..) {
-        if !item.is_idle() || !gang_is_idle(job, item) {
-            continue;
-        }
-        let own = (item.occurrence, item.step);
-        if step != Some(own) {
-            step = Some(own);
-            let due = job.due_ms(item.occurrence) <= wall_ms;
-            let is_open = due && job.step_is_open(item.occurrence, item.step);
-            rank = is_open.then(|| rank_of(job, item, now));
-        }
-        if let Some(rank) = rank {
-            let key = ItemKey {
-                job: key,
-                item: number,
-            };
-            ready.push(ReadyItem { rank, key });
-        }
-    }
-}
-
-/// Returns whether a work item is placed now: the first one of a gang stands for all, once none of them runs.
-fn gang_is_idle(job: &JobState, item: &WorkItem) -> bool {
-    if !job.step_of(item).gang {
-        return true;
-    }
-    let members = job.step_items(item.occurrence, item.step);
-    item.index == 0 && members.iter().all(WorkItem::is_idle)
-}
-
-fn rank_of(job: &JobState, item: &WorkItem, now: LocalTime) -> PlaceRank {
-    let step = job.step_of(item);
-    let chain = job.chain_from(item.occurrence, item.step);
-    let latest_start = (job.seen + job.objective()).0.saturating_sub(chain);
-    let reserve = LEAST_RESERVE.0.max(chain / RESERVE_DIVISOR);
-    let tier = if step.fills {
-        PlaceTier::Filling
-    } else if step.long_running {
-        PlaceTier::Serving
-    } else if job.begun && latest_start >= now.0 {
-        PlaceTier::Begun
-    } else if latest_start >= now.0 + reserve {
-        PlaceTier::Fresh
-    } else if now.0 + chain <= job.useful_until().0 {
-        PlaceTier::Late
-    } else {
-        PlaceTier::Overdue
-    };
-    PlaceRank {
-        tier,
-        priority: job.queue.priority,
-        latest_start,
-    }
-}
-
 fn label_fits(step: &StepSpec, state: &RunnerState) -> bool {
     step.required_label
         .as_deref()
--- /dev/null
+++ b/crates/dispatch/src/owner/run_ends.rs
@@ -0,0 +1,171 @@
+use {
+    super::{OwnerState, journal_queue::StoredEffect},
+    crate::{
+        jobs::{ItemKey, JobPhase, JobState},
+        runners::{EndKind, EndedRun, RunnerKey},
+    },
+    goldcreststall_core::ids::{LocalTime, Millis},
+};
+
+/// Longest wait of a hold call for the storage of the ends that the last one brought.
+const STORE_PAUSE: Millis = Millis(250);
+/// How long a runner takes no new work for each failed run in a row beyond the first.
+const STRIKE_PAUSE: Millis = Millis(1_500);
+/// Most failed runs in a row that prolong the pause.
+const MOST_STRIKES: u32 = 4;
+
+impl OwnerState {
+    /// Takes the ends that a runner lists; those that were taken before are listed again until they are acknowledged.
+    pub(super) fn take_ends(&mut self, key: RunnerKey, ended: Vec<EndedRun>, now: LocalTime) {
+        let processed = self.runners.get(key).map_or(0, |state| state.processed);
+        let mut highest = processed;
+        for end in ended {
+            if end.number <= processed {
+                continue;
+            }
+            highest = highest.max(end.number);
+            self.take_end(key, end, now);
+        }
+        if highest == processed {
+            return;
+        }
+        if let Some(state) = self.runners.get_mut(key) {
+            state.processed = highest;
+            state.next_hold = now + STORE_PAUSE;
+        }
+        // Also an end that needs no record waits, so that acknowledgements never pass one that does.
+        self.journal.then(StoredEffect::Acknowledge(key, highest));
+    }
+
+    fn take_end(&mut self, runner: RunnerKey, end: EndedRun, now: LocalTime) {
+        let found = self.jobs.find(end.name.job).and_then(|job| {
+            let item = self.jobs.get(job)?.find_item(&end.name)?;
+            Some(ItemKey { job, item })
+        });
+        let Some(key) = found else {
+            self.note(
+                "end of an unknown job",
+                end.name.to_string(),
+                format!("{:?}", end.kind),
+            );
+            return;
+        };
+        let sent = self.run_mut(key, runner, end.run).map(|booked| booked.sent);
+        let booked = self.detach_run(key, runner, end.run, now);
+        if !matches!(end.kind, EndKind::Done) {
+            let detail = format!("run={} how={:?} booked={booked}", end.run, end.kind);
+            self.note("run ended", end.name.to_string(), detail);
+        }
+        if let Some(item) = self.jobs.item_mut(key) {
+            item.last_run = item.last_run.max(end.run);
+            if end.kind == EndKind::Done && item.checkpoint.is_empty() {
+                item.ran = sent.map(|sent| now.since(sent));
+            }
+            if !end.checkpoint.is_empty() {
+                item.checkpoint.clone_from(&end.checkpoint);
+            }
+        }
+        if !end.checkpoint.is_empty() {
+            self.share_checkpoint(key, &end.checkpoint);
+        }
+        if end.kind != EndKind::Done {
+            self.break_gang(key, end.run);
+        }
+        match end.kind {
+            EndKind::Done => self.item_done(key, runner, now),
+            EndKind::Failed => self.item_failed(key, runner, end.run, now),
+            EndKind::Alone | EndKind::Broken | EndKind::Lapsed | EndKind::Stopped => {}
+        }
+    }
+
+    fn item_done(&mut self, key: ItemKey, runner: RunnerKey, now: LocalTime) {
+        if let Some(state) = self.runners.get_mut(runner) {
+            state.strikes = 0;
+        }
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
+        job.begun = true;
+        let item = &mut job.items[key.item as usize];
+        let (occurrence, step) = (item.occurrence, item.step);
+        let lasts = job.spec.steps[step as usize].long_running;
+        if lasts || item.done {
+            return;
+        }
+        item.done = true;
+        if job.spec.steps[step as usize].gang {
+            // One end of a gang stands for all members.
+            for place in job.step_places(occurrence, step) {
+                job.items[place as usize].done = true;
+            }
+        }
+        let completed = job.complete_if_done();
+        if completed {
+            job.ended = Some(now);
+            let id = job.id;
+            let detail = format!(
+                "phase=Completed took_ms={} objective_ms={}",
+                now.since(job.seen).0,
+                job.objective().0
+            );
+            self.note("job ended", id.to_string(), detail);
+            self.journal
+                .then(StoredEffect::Show(key.job, JobPhase::Completed));
+        }
+        self.journal.mark_dirty(key.job);
+        self.stop_item_runs(key);
+    }
+
+    fn item_failed(&mut self, key: ItemKey, runner: RunnerKey, run: u32, now: LocalTime) {
+        if let Some(state) = self.runners.get_mut(runner) {
+            state.strikes += 1;
+            if state.strikes > 1 {
+                let strikes = state.strikes.min(MOST_STRIKES);
+                state.cooling = now + Millis(STRIKE_PAUSE.0 * u64::from(strikes));
+                let id = state.report.id.clone();
+                let detail = format!("failed_runs_in_a_row={strikes}");
+                self.note("runner avoided", id, detail);
+            }
+        }
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
+        job.begun = true;
+        let attempts = job.queue.attempts;
+        let item = &mut job.items[key.item as usize];
+        item.failed_on = Some(runner);
+        let lasts = job.spec.steps[item.step as usize].long_running;
+        if lasts || item.done || item.failed_runs.contains(&run) {
+            return;
+        }
+        item.failed_runs.push(run);
+        let (occurrence, step) = (item.occurrence, item.step);
+        let failed = if job.spec.steps[step as usize].gang {
+            failed_gang_runs(job, occurrence, step)
+        } else {
+            job.items[key.item as usize].failed_runs.len()
+        };
+        let hopeless = failed >= attempts as usize;
+        self.journal.mark_dirty(key.job);
+        if hopeless {
+            self.end_job(
+                key.job,
+                JobPhase::Failed,
+                "a work item used up its attempts",
+                now,
+            );
+        }
+    }
+}
+
+/// Counts the runs of a gang in which a member has failed.
+fn failed_gang_runs(job: &JobState, occurrence: u32, step: u32) -> usize {
+    let members = job.step_items(occurrence, step);
+    let mut runs: Vec<u32> = members
+        .iter()
+        .flat_map(|item| item.failed_runs.iter().copied())
+        .collect();
+    runs.sort_unstable();
+    runs.dedup();
+    runs.len()
+}
