Repeat renewals soon that are not confirmed

Change: a renewal after one without success waits 0.6 s, or twice the time of the last answer, and follows 0.15 s later.

--- a/crates/node/src/election/election_task.rs
+++ b/crates/node/src/election/election_task.rs
@@ -28,6 +28,9 @@
 const READ_WAIT: Millis = Millis(600);
 /// Longest wait for the answer to a claim or renewal.
 const APPEND_TIMEOUT: Millis = Millis(1_200);
+/// Longest wait for the answer to a renewal that follows one without success. The store may have come back while the
+/// earlier one was still waiting on a silent connection.
+const RETRY_TIMEOUT: Millis = Millis(600);
 /// Pause after a failed call of the store.
 const FAILURE_PAUSE: Millis = Millis(150);
 
@@ -84,11 +87,23 @@
 }
 
 impl RenewalPace {
-    /// Returns the pause before the next renewal: a slow store takes part of the period itself.
+    /// Returns the pause before the next renewal: a slow store takes part of the period itself, and a renewal that is
+    /// not known to be stored is repeated soon.
     fn pause(&self) -> Millis {
+        if self.first.is_some() {
+            return FAILURE_PAUSE;
+        }
         Millis(RENEW_PERIOD.0.saturating_sub(self.latency.0))
     }
 
+    /// Returns the longest wait for the answer to the next renewal.
+    fn timeout(&self) -> Millis {
+        if self.first.is_some() {
+            return RETRY_TIMEOUT.max(self.latency + self.latency);
+        }
+        APPEND_TIMEOUT
+    }
+
     /// Returns a lease that outlives the next renewal, also when the store stays as slow as it was.
     fn lease(&self) -> Millis {
         let wanted = Millis(self.latency.0 * 2) + RENEW_PERIOD;
@@ -233,7 +248,9 @@
         }
         let token = end + 1;
         let sent = BootClock.now();
-        let claimed = self.append(token, end, LEAST_LEASE, false).await;
+        let claimed = self
+            .append((token, end), LEAST_LEASE, false, APPEND_TIMEOUT)
+            .await;
         info!(self.logger, "election: claim"; "token" => token, "outcome" => ?claimed);
         match claimed {
             Ok(()) => {
@@ -253,10 +270,10 @@
     /// not do: the store answers a second process that uses the same ones as if it had repeated the first.
     async fn append(
         &self,
-        token: u64,
-        at: u64,
+        (token, at): (u64, u64),
         lease: Millis,
         released: bool,
+        timeout: Millis,
     ) -> Result<(), StoreFailure> {
         let guard = AppendGuard {
             at: Some(at),
@@ -273,7 +290,7 @@
         let bytes = postcard::to_stdvec(&record).expect("a claim is serializable");
         let records = [Bytes::from(bytes)];
         self.store
-            .append(StoreTopic::Ownership, &records, guard, APPEND_TIMEOUT)
+            .append(StoreTopic::Ownership, &records, guard, timeout)
             .await
             .map(|_| ())
     }
@@ -295,9 +312,9 @@
                 () = self.stop.cancelled() => true,
                 () = tokio::time::sleep(Duration::from_millis(pace.pause().0)) => false,
             };
-            let lease = pace.lease();
+            let (lease, timeout) = (pace.lease(), pace.timeout());
             pace.send();
-            match self.append(token, end, lease, stopped).await {
+            match self.append((token, end), lease, stopped, timeout).await {
                 Ok(()) => {
                     end += 1;
                     if stopped {
