Keep the age of jobs over a change of the owner

Ruled out: the order of work itself; it is the same for all. Change: submissions are stored with the time of day at which an entry host took them; recovered jobs are ranked by their age, at most a minute. Records of format 1 are still read. owner_change::recovered_job_keeps_its_age failed before.

--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -42,7 +42,9 @@
 impl JobState {
     /// Creates a job that has not run.
     pub fn new(id: JobId, submission: JobSubmission, seen: LocalTime) -> Self {
-        let JobSubmission { queue, job: spec } = submission;
+        let JobSubmission {
+            queue, job: spec, ..
+        } = submission;
         let mut items = Vec::new();
         for occurrence in 0..spec.occurrences() {
             for (step, shape) in spec.steps.iter().enumerate() {
--- a/crates/dispatch/src/owner/restore.rs
+++ b/crates/dispatch/src/owner/restore.rs
@@ -5,16 +5,19 @@
         records::{JobProgress, JobSubmission, StoreRecord},
         runners::{RunnerReport, longest_lapse},
     },
-    goldcreststall_core::ids::LocalTime,
+    goldcreststall_core::ids::{LocalTime, Millis},
     std::collections::BTreeMap,
 };
 
+/// Most age of a recovered job. Clocks of entry hosts may be far apart; a job that is older is late in any case.
+const MOST_AGE: Millis = Millis(60_000);
 /// Skips the run numbers that earlier owners may have used: the token rises faster than they do.
 const RUNS_PER_TOKEN: u64 = 16;
 
 impl OwnerState {
-    /// Takes what the store holds. Submissions and progress may come in any order.
-    pub fn restore(&mut self, records: Vec<StoreRecord>, now: LocalTime) {
+    /// Takes what the store holds. Submissions and progress may come in any order. `wall_ms` is the time of day in Unix
+    /// milliseconds; it tells about how long ago jobs were taken, so that late ones do not pass for fresh.
+    pub fn restore(&mut self, records: Vec<StoreRecord>, now: LocalTime, wall_ms: u64) {
         let mut progress: BTreeMap<_, JobProgress> = BTreeMap::new();
         let mut submissions: Vec<(JobId, JobSubmission)> = Vec::new();
         for record in records {
@@ -29,7 +32,11 @@
         }
         let restored = submissions.len();
         for (id, submission) in submissions {
-            let mut job = JobState::new(id, submission, now);
+            let age = match submission.taken_ms {
+                0 => Millis(0),
+                taken_ms => Millis(wall_ms.saturating_sub(taken_ms)).min(MOST_AGE),
+            };
+            let mut job = JobState::new(id, submission, now - age);
             job.accepted = true;
             if let Some(stored) = progress.get(&id) {
                 job.restore(stored);
--- a/crates/dispatch/src/records/store_record.rs
+++ b/crates/dispatch/src/records/store_record.rs
@@ -8,6 +8,8 @@
 
 /// Format of the values; a value with another first byte is refused.
 const FORMAT: u8 = 1;
+/// Format of submissions that name their time of day; those of [`FORMAT`] do not.
+const TIMED_FORMAT: u8 = 2;
 
 /// A record that cannot be read.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -27,6 +29,15 @@
     pub queue: RouteRule,
     /// What the caller described.
     pub job: JobSpec,
+    /// Time of day at which an entry host took it, in Unix milliseconds; 0 when that is not known.
+    pub taken_ms: u64,
+}
+
+/// A submission as earlier versions stored it.
+#[derive(Deserialize)]
+struct UntimedSubmission {
+    queue: RouteRule,
+    job: JobSpec,
 }
 
 /// What has ended of a job.
@@ -68,9 +79,11 @@
     /// Returns keys and values to append; an empty value drops the key.
     pub fn encode(&self) -> Vec<(String, Vec<u8>)> {
         match self {
-            Self::Submission(id, submission) => vec![(format!("j/{id}"), encode(submission))],
-            Self::Progress(id, progress) => vec![(format!("p/{id}"), encode(progress))],
-            Self::Wave(number, progress) => vec![(format!("w/{number}"), encode(progress))],
+            Self::Submission(id, submission) => {
+                vec![(format!("j/{id}"), encode(TIMED_FORMAT, submission))]
+            }
+            Self::Progress(id, progress) => vec![(format!("p/{id}"), encode(FORMAT, progress))],
+            Self::Wave(number, progress) => vec![(format!("w/{number}"), encode(FORMAT, progress))],
             Self::Forgotten(id) => {
                 vec![
                     (format!("j/{id}"), Vec::new()),
@@ -90,31 +103,43 @@
         match kind {
             "j" => {
                 let id = JobId::try_from(name).map_err(|_| unknown())?;
-                Ok(Self::Submission(id, decode(key, value)?))
+                Ok(Self::Submission(id, decode_submission(key, value)?))
             }
             "p" => {
                 let id = JobId::try_from(name).map_err(|_| unknown())?;
-                Ok(Self::Progress(id, decode(key, value)?))
+                Ok(Self::Progress(id, decode(key, value, FORMAT)?))
             }
             "w" => {
                 let number = name.parse().map_err(|_| unknown())?;
-                Ok(Self::Wave(number, decode(key, value)?))
+                Ok(Self::Wave(number, decode(key, value, FORMAT)?))
             }
             _ => Err(unknown()),
         }
     }
 }
 
-fn encode(value: &impl Serialize) -> Vec<u8> {
-    let bytes = vec![FORMAT];
+fn decode_submission(key: &str, value: &[u8]) -> Result<JobSubmission, RecordError> {
+    if value.first() == Some(&TIMED_FORMAT) {
+        return decode(key, value, TIMED_FORMAT);
+    }
+    let UntimedSubmission { queue, job } = decode(key, value, FORMAT)?;
+    Ok(JobSubmission {
+        queue,
+        job,
+        taken_ms: 0,
+    })
+}
+
+fn encode(format: u8, value: &impl Serialize) -> Vec<u8> {
+    let bytes = vec![format];
     // The types hold no maps or unsized sequences, so that serialization cannot fail.
     postcard::to_extend(value, bytes).expect("a plain record is serializable")
 }
 
-fn decode<T: DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, RecordError> {
+fn decode<T: DeserializeOwned>(key: &str, value: &[u8], format: u8) -> Result<T, RecordError> {
     let damaged = || RecordError::Value(key.to_owned());
-    let (format, body) = value.split_first().ok_or_else(damaged)?;
-    if *format != FORMAT {
+    let (first, body) = value.split_first().ok_or_else(damaged)?;
+    if *first != format {
         return Err(damaged());
     }
     postcard::from_bytes(body).map_err(|_| damaged())
--- a/crates/dispatch/tests/fleet/mod.rs
+++ b/crates/dispatch/tests/fleet/mod.rs
@@ -107,7 +107,7 @@
             orders: Vec::new(),
             runners: ids.iter().map(|id| runner(id)).collect(),
         };
-        fleet.owner.restore(Vec::new(), now);
+        fleet.owner.restore(Vec::new(), now, 0);
         fleet.list_runners();
         fleet
     }
@@ -181,6 +181,7 @@
         let submission = JobSubmission {
             queue: route(),
             job: spec,
+            taken_ms: 0,
         };
         let call = JobCall::Submit(JobId(id), Box::new(submission));
         self.owner.call(CallTicket(id), call, self.now);
--- a/crates/dispatch/tests/owner_change.rs
+++ b/crates/dispatch/tests/owner_change.rs
@@ -15,6 +15,7 @@
 };
 
 const TOKEN: u64 = 50;
+const WALL_MS: u64 = 1_800_000_000_000;
 
 fn restored(records: Vec<StoreRecord>, ids: &[&str]) -> TestFleet {
     let now = LocalTime(100_000);
@@ -24,7 +25,7 @@
         orders: Vec::new(),
         runners: ids.iter().map(|id| runner(id)).collect(),
     };
-    fleet.owner.restore(records, now);
+    fleet.owner.restore(records, now, WALL_MS);
     fleet.list_runners();
     fleet
 }
@@ -36,6 +37,7 @@
         JobSubmission {
             queue: route(),
             job,
+            taken_ms: 0,
         },
     )
 }
@@ -209,3 +211,22 @@
     let starts: Vec<StartOrder> = (0..4).flat_map(|_| pass_round(&mut fleet)).collect();
     assert_eq!(starts.len(), 1);
 }
+
+/// Jobs that were late before the change of the owner must not take room from jobs that can be in time.
+#[test]
+fn recovered_job_keeps_its_age() {
+    let old = StoreRecord::Submission(
+        JobId(7),
+        JobSubmission {
+            queue: route(),
+            job: job(vec![step(1, 8_000)]),
+            taken_ms: WALL_MS - 10_000,
+        },
+    );
+    let mut fleet = restored(vec![old], &["r1"]);
+    fleet.list_hosts(vec![host("h1", fleet::POOL, Some("r1"))]);
+    fleet.submit(8, job(vec![step(1, 8_000)]));
+    fleet.store();
+    let starts: Vec<StartOrder> = (0..4).flat_map(|_| pass_round(&mut fleet)).collect();
+    assert_eq!(starts[0].name.job, JobId(8));
+}
--- a/crates/dispatch/tests/record_bytes.rs
+++ b/crates/dispatch/tests/record_bytes.rs
@@ -22,6 +22,7 @@
     let submission = JobSubmission {
         queue: route(),
         job: job(vec![step(3, 1_000)]),
+        taken_ms: 1_800_000_000_000,
     };
     round_trip(&StoreRecord::Submission(JobId(7), submission));
     let progress = JobProgress {
@@ -66,3 +67,17 @@
         );
     }
 }
+
+/// Records of the version before must not be lost: each holds an accepted job.
+#[test]
+fn untimed_submission() {
+    let submission = JobSubmission {
+        queue: route(),
+        job: job(vec![step(3, 1_000)]),
+        taken_ms: 0,
+    };
+    let mut value = vec![1];
+    value.extend(postcard::to_stdvec(&(&submission.queue, &submission.job)).expect("bytes"));
+    let decoded = StoreRecord::decode("j/0000000000000007", &value);
+    assert_eq!(decoded, Ok(StoreRecord::Submission(JobId(7), submission)));
+}
--- a/crates/entry/src/clock/boot_clock.rs
+++ b/crates/entry/src/clock/boot_clock.rs
@@ -22,7 +22,8 @@
     }
 }
 
-/// Returns the wall clock, which is used only in identities and never to judge age.
+/// Returns the wall clock. It is used in identities, for scheduled work, and to estimate the age of recovered jobs, and
+/// never to judge a lease or a timeout.
 pub fn wall_time() -> LogTime {
     let elapsed = SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/crates/node/src/control/owner_actor.rs
+++ b/crates/node/src/control/owner_actor.rs
@@ -242,7 +242,7 @@
             return;
         };
         let mut state = OwnerState::new(token, Arc::clone(&self.rules), term.began);
-        state.restore(records, now);
+        state.restore(records, now, wall_time().0);
         for wave in &self.waves {
             state.wave_requested(wave.clone(), now);
         }
--- a/crates/node/src/front/front_desk.rs
+++ b/crates/node/src/front/front_desk.rs
@@ -8,7 +8,7 @@
         records::JobSubmission,
         routes::{CallLimits, FleetRules, RouteRule},
     },
-    goldcreststall_entry::clock::BootClock,
+    goldcreststall_entry::clock::{BootClock, wall_time},
     slog::{Logger, info},
     std::{
         sync::{
@@ -159,7 +159,11 @@
         match checked.and(advised) {
             Ok(()) => {
                 let queue = route.clone();
-                let submission = Box::new(JobSubmission { queue, job });
+                let submission = Box::new(JobSubmission {
+                    queue,
+                    job,
+                    taken_ms: wall_time().0,
+                });
                 self.ask(JobCall::Submit(id, submission), limit).await
             }
             Err(error @ SpecError::Unsupported(_)) => {
--- a/crates/node/tests/owner_actor.rs
+++ b/crates/node/tests/owner_actor.rs
@@ -36,7 +36,14 @@
         steps: vec![step],
         ..JobSpec::default()
     };
-    JobCall::Submit(JobId(id), Box::new(JobSubmission { queue, job }))
+    JobCall::Submit(
+        JobId(id),
+        Box::new(JobSubmission {
+            queue,
+            job,
+            taken_ms: 0,
+        }),
+    )
 }
 
 async fn tell(test: &TestActor, event: ControlEvent) {
