Send no calls on a link that has gone silent

Ruled out: calls that found no connection; those are refused within 1.4 s and come back. Change: with calls waiting, signs of life are asked for every 0.15 s, and after 0.4 s of silence further calls count as not sent. silent_link::no_call_into_silence failed before.

--- a/crates/node/src/links/owner_link.rs
+++ b/crates/node/src/links/owner_link.rs
@@ -22,7 +22,10 @@
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Millis = Millis(500);
 /// Time between signs of life that are asked for while calls wait.
-const PING_PERIOD: Millis = Millis(300);
+const PING_PERIOD: Millis = Millis(150);
+/// Silence after which no further call is sent on a connection with waiting calls. One that was sent and got no answer
+/// may have been taken, and its caller cannot hand the job in again elsewhere.
+const SUSPECT_LIMIT: Millis = Millis(400);
 /// Silence after which a connection with waiting calls is given up.
 const SILENCE_LIMIT: Millis = Millis(1_000);
 /// Longest wait for another entry host's word on who owns the fleet.
@@ -52,6 +55,20 @@
     calls: Vec<(u64, oneshot::Sender<CallAnswer>)>,
     last: u64,
     closed: bool,
+    /// When the other side was last heard, or the first of the waiting calls was sent.
+    heard: Option<Instant>,
+}
+
+impl WaitingCalls {
+    fn hear(&mut self) {
+        self.heard = Some(Instant::now());
+    }
+
+    /// Returns whether calls wait although the other side should have been heard.
+    fn is_suspect(&self) -> bool {
+        let silent = |at: Instant| at.elapsed() > Duration::from_millis(SUSPECT_LIMIT.0);
+        !self.calls.is_empty() && self.heard.is_some_and(silent)
+    }
 }
 
 #[derive(Clone)]
@@ -116,9 +133,12 @@
         let (reply, answer) = oneshot::channel();
         let number = {
             let mut waiting = link.waiting.lock();
-            if waiting.closed {
+            if waiting.closed || waiting.is_suspect() {
                 return Err(LinkFailure::NotSent);
             }
+            if waiting.calls.is_empty() {
+                waiting.hear();
+            }
             waiting.last += 1;
             let number = waiting.last;
             waiting.calls.push((number, reply));
@@ -203,6 +223,7 @@
         match tokio::time::timeout(ping, frames.next()).await {
             Ok(Some(Ok(frame))) => {
                 heard = Instant::now();
+                link.waiting.lock().hear();
                 let Ok(raw) = RawAnswer::decode(frame) else {
                     break "a frame cannot be read";
                 };
--- /dev/null
+++ b/crates/node/tests/silent_link.rs
@@ -0,0 +1,42 @@
+//! Guards against calls that are sent into silence: their outcome would be unknown, and their callers could not try
+//! another entry host.
+
+mod fakes;
+
+use {
+    fakes::logger,
+    goldcreststall_dispatch::owner::JobCall,
+    goldcreststall_node::links::{LinkFailure, OwnerLink, PeerBook},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{net::TcpListener, sync::watch},
+};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+#[tokio::test]
+async fn no_call_into_silence() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+    let address = silent.local_addr().expect("an address");
+    let (owner, _owners) = watch::channel(None);
+    let local = SocketAddr::from(([127, 0, 0, 1], 1));
+    let link = Arc::new(OwnerLink::new(PeerBook::new(local, owner), logger()));
+    let call = || JobCall::Pending("proofs".to_owned());
+    let first = tokio::spawn({
+        let link = Arc::clone(&link);
+        async move { link.ask(address, call()).await }
+    });
+    // Until the first call is given up its connection stays open; no other call may be sent on it after a while.
+    let refused = async {
+        loop {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            let asked = tokio::time::timeout(Duration::from_millis(50), link.ask(address, call()));
+            match asked.await {
+                Ok(Err(LinkFailure::NotSent)) if !first.is_finished() => return true,
+                Ok(_) => return false,
+                Err(_) => {}
+            }
+        }
+    };
+    let refused = tokio::time::timeout(LIMIT, refused).await;
+    assert_eq!(refused, Ok(true), "a call was sent into silence");
+}
