Forget the work items of jobs that are over, and give waves of the soak their time

An ended job kept its work items and description for two minutes. The limit grows with the rounds that the waves need.

--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -222,6 +222,18 @@
         true
     }
 
+    /// Frees what only a job that runs needs. Callers ask for two minutes where an ended job stands, and jobs of that time
+    /// with their work items would not fit into the memory of a small entry host.
+    pub fn shrink(&mut self) {
+        self.items = Vec::new();
+        self.spec = JobSpec::default();
+    }
+
+    /// Returns whether the job has ended for callers too, and nothing of it runs.
+    pub fn is_over(&self) -> bool {
+        self.stored_phase.is_final() && self.items.iter().all(|item| item.runs.is_empty())
+    }
+
     /// Returns the phase that callers are shown: a final one only when it is stored.
     pub fn shown_phase(&self) -> JobPhase {
         if self.stored_phase.is_final() {
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -213,12 +213,16 @@
         let over: Vec<JobKey> = self
             .jobs
             .all()
-            .filter(|(_, job)| job.ended.is_some_and(|at| now.since(at) > KEEP_ENDED))
-            .filter(|(_, job)| job.items.iter().all(|item| item.runs.is_empty()))
+            .filter(|(_, job)| job.is_over())
             .map(|(key, _)| key)
             .collect();
         for key in over {
-            if let Some(job) = self.jobs.remove(key) {
+            let Some(job) = self.jobs.get_mut(key) else {
+                continue;
+            };
+            if job.ended.is_none_or(|at| now.since(at) <= KEEP_ENDED) {
+                job.shrink();
+            } else if let Some(job) = self.jobs.remove(key) {
                 self.journal.forget(job.id);
             }
         }
--- a/crates/dispatch/tests/fleet/mod.rs
+++ b/crates/dispatch/tests/fleet/mod.rs
@@ -112,6 +112,24 @@
         fleet
     }
 
+    /// An owner in its first term that has started all work items of job 1.
+    pub fn with_work(ids: &[&str], steps: Vec<StepSpec>) -> (Self, Vec<StartOrder>) {
+        let mut fleet = Self::new(1, ids);
+        fleet.greet();
+        let starts = fleet.start_work(1, steps);
+        (fleet, starts)
+    }
+
+    /// Submits a job and lets what the owner starts of it begin.
+    pub fn start_work(&mut self, id: u64, steps: Vec<StepSpec>) -> Vec<StartOrder> {
+        self.submit(id, job(steps));
+        self.store();
+        self.pass(10);
+        let starts = self.starts();
+        self.begin(&starts);
+        starts
+    }
+
     pub fn list_runners(&mut self) {
         self.owner.runners_listed(self.runners.clone(), self.now);
     }
--- a/crates/soak/src/plan/fault_plan.rs
+++ b/crates/soak/src/plan/fault_plan.rs
@@ -65,6 +65,15 @@
         faults.sort_by_key(|planned| planned.at);
         Self { faults }
     }
+
+    /// Returns the rounds of hosts that the waves need when they follow each other.
+    pub fn wave_rounds(&self) -> u32 {
+        let rounds = self.faults.iter().map(|planned| match &planned.fault {
+            Fault::Wave(hosts, cap) => (hosts.len() as u32).div_ceil(*cap),
+            _ => 0,
+        });
+        rounds.sum()
+    }
 }
 
 fn draw_fault(random: &mut StdRng, size: PlanSize) -> Fault {
--- a/crates/soak/src/run/soak_run.rs
+++ b/crates/soak/src/run/soak_run.rs
@@ -15,8 +15,11 @@
 const START_LIMIT: Duration = Duration::from_secs(20);
 /// Load without faults after the last one, so that a lasting effect of a fault shows.
 const CALM: Duration = Duration::from_secs(3);
-/// Time after the end of the load in which every job must have ended.
+/// Time after the end of the load in which every job and wave must have ended.
 const SETTLE_LIMIT: Duration = Duration::from_secs(40);
+/// Time that a wave may take for each round of hosts: maintenance, the lists that show it, and the moving of work. An
+/// operator can ask for more rounds than fit into the limit above.
+const ROUND_LIMIT: Duration = Duration::from_millis(2_500);
 /// Time between two looks at the runs.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 /// Jobs that are asked for at once after the end of the load.
@@ -100,7 +103,8 @@
         }
         self.load.end();
         load.await?;
-        self.settle(waves).await;
+        self.settle(waves, SETTLE_LIMIT + ROUND_LIMIT * plan.wave_rounds())
+            .await;
         Ok(self.report(plan.faults.len()))
     }
 
@@ -121,8 +125,8 @@
     }
 
     /// Waits until every job has ended and every wave is completed.
-    async fn settle(&mut self, waves: u64) {
-        let limit = Instant::now() + SETTLE_LIMIT;
+    async fn settle(&mut self, waves: u64, limit: Duration) {
+        let limit = Instant::now() + limit;
         while Instant::now() < limit && !(self.all_ended() && self.waves_completed(waves)) {
             self.ask_all().await;
             self.look().await;
