--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod order_runner;
 mod owner_actor;
 mod owner_term;
+mod start_gates;
 mod wave_reports;
 
 pub use {
--- a/crates/node/src/control/order_runner.rs
+++ b/crates/node/src/control/order_runner.rs
@@ -2,6 +2,7 @@
     super::{
         ControlEvent,
         owner_actor::{ActorParts, OwnerActor, tell},
+        start_gates::StartGates,
         wave_reports::WaveReports,
     },
     crate::{
@@ -10,7 +11,7 @@
     },
     goldcreststall_core::ids::LocalTime,
     goldcreststall_dispatch::{
-        owner::{AdviceOrder, HostAnswer, OwnerOrder, OwnerState},
+        owner::{AdviceOrder, HostAnswer, OwnerOrder, OwnerState, StartAnswer},
         runners::RunnerKey,
     },
     kameo::actor::WeakActorRef,
@@ -24,6 +25,7 @@
     pub(super) parts: ActorParts,
     pub(super) token: u64,
     pub(super) reports: WaveReports,
+    pub(super) gates: StartGates,
 }
 
 impl OrderRunner {
@@ -112,9 +114,17 @@
         let service = Arc::clone(&self.parts.runners);
         let own = self.own.clone();
         let token = self.token;
+        let gates = self.gates.clone();
+        let lease = self.parts.lease.clone();
         self.parts.metrics.count_order("start");
         tokio::spawn(async move {
-            let answer = service.start(&peer, &order).await;
+            let _turn = gates.enter(order.runner).await;
+            // The lease may have ended while the order waited.
+            let answer = if lease.holds() {
+                service.start(&peer, &order).await
+            } else {
+                StartAnswer::NotSent
+            };
             let event = ControlEvent::StartAnswered {
                 token,
                 order: Box::new(order),
--- a/crates/node/src/control/owner_actor.rs
+++ b/crates/node/src/control/owner_actor.rs
@@ -318,6 +318,7 @@
             parts: self.parts.clone(),
             token: term.token,
             reports: term.reports.clone(),
+            gates: term.gates.clone(),
         };
         for order in state.take_orders() {
             match order {
--- a/crates/node/src/control/owner_term.rs
+++ b/crates/node/src/control/owner_term.rs
@@ -1,5 +1,5 @@
 use {
-    super::wave_reports::WaveReports,
+    super::{start_gates::StartGates, wave_reports::WaveReports},
     crate::journal::JobJournal,
     goldcreststall_core::ids::LocalTime,
     goldcreststall_dispatch::owner::{CallAnswer, CallTicket, JobCall, OwnerState},
@@ -14,6 +14,8 @@
     pub(super) state: Option<OwnerState>,
     /// The journal, while no batch is in flight.
     pub(super) journal: Option<Box<JobJournal>>,
+    /// Limits the orders to start that are under way.
+    pub(super) gates: StartGates,
     /// Takes the reports of waves.
     pub(super) reports: WaveReports,
     /// Calls that came before the store was read.
@@ -32,6 +34,7 @@
             token,
             state: None,
             journal: None,
+            gates: StartGates::default(),
             reports,
             early: Vec::new(),
             trouble: None,
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -187,6 +187,9 @@
 pub struct FakeRunners {
     pub starts: Mutex<Vec<StartOrder>>,
     pub started: Notify,
+    /// Leaves orders to start unanswered until it is released.
+    pub hold_starts: AtomicBool,
+    pub released: Notify,
 }
 
 #[async_trait]
@@ -201,6 +204,9 @@
     async fn start(&self, _peer: &RunnerPeer, order: &StartOrder) -> StartAnswer {
         self.starts.lock().push(order.clone());
         self.started.notify_one();
+        while self.hold_starts.load(Ordering::SeqCst) {
+            self.released.notified().await;
+        }
         StartAnswer::Begun(1)
     }
 
