Release recovered work also when the configuration comes last

It knew no pools, so that all of no pools were known, and recovery counted as settled with every recovered job still held back. Ruled out: lost records; all 156 jobs were read. Change: recovery is settled when no job is held back and the pools of a configuration are known. owner_change::late_configuration failed before.

--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -164,8 +164,15 @@
         for service in &services {
             self.settle_pool(service, waited);
         }
-        let pools = self.rules.services.iter().filter(|service| !service.spare);
-        self.settled = waited || pools.into_iter().all(|pool| self.pool_is_known(&pool.name));
+        self.settled = self.unsettled_services().is_empty() && (waited || self.all_pools_known());
+    }
+
+    /// Returns whether the pools are known at all, which they are not before the configuration was read, and each is.
+    fn all_pools_known(&self) -> bool {
+        let pools = &self.rules.services;
+        let known = |name: &str| self.pool_is_known(name);
+        let mut working = pools.iter().filter(|pool| !pool.spare);
+        !pools.is_empty() && working.all(|pool| known(&pool.name))
     }
 
     fn unsettled_services(&self) -> Vec<String> {
--- a/crates/dispatch/tests/owner_change.rs
+++ b/crates/dispatch/tests/owner_change.rs
@@ -12,6 +12,7 @@
         records::{JobProgress, JobSubmission, StoreRecord},
         runners::{EndKind, EndedRun, longest_lapse},
     },
+    std::sync::Arc,
 };
 
 const TOKEN: u64 = 50;
@@ -230,3 +231,17 @@
     let starts: Vec<StartOrder> = (0..4).flat_map(|_| pass_round(&mut fleet)).collect();
     assert_eq!(starts[0].name.job, JobId(8));
 }
+
+/// The store may give the jobs before the configuration: recovered work must not be forgotten for want of known pools.
+#[test]
+fn late_configuration() {
+    let mut fleet = restored(vec![submission(7)], &["r1"]);
+    fleet.owner = OwnerState::new(TOKEN, Arc::default(), fleet.now);
+    fleet.owner.restore(vec![submission(7)], fleet.now, WALL_MS);
+    fleet.list_runners();
+    fleet.pass(200);
+    fleet.owner.set_rules(rules());
+    fleet.list_hosts(vec![host("h1", fleet::POOL, Some("r1"))]);
+    let starts: Vec<StartOrder> = (0..6).flat_map(|_| pass_round(&mut fleet)).collect();
+    assert_eq!(starts.len(), 1, "recovered work never starts");
+}
