--- a/crates/soak/src/checks/run_check.rs
+++ b/crates/soak/src/checks/run_check.rs
@@ -3,15 +3,16 @@
         BrokenPromise, Promise,
         item_history::{ItemHistory, OpenRun},
     },
-    crate::load::{JobBook, JobEntry},
+    crate::{
+        load::{JobBook, JobEntry},
+        system::CAPACITY,
+    },
     goldcreststall_adapter_standin::{RunChange, RunEvent},
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::{jobs::ItemName, runners::EndKind},
     std::sync::Arc,
 };
 
-/// Room of a host, in thousandths of a core.
-const HOST_CPU: u32 = 16_000;
 /// Time after the acknowledgement of a cancelling in which orders that were on their way may still be carried out:
 /// the bound of the pages, and the longest time by which the faults delay an order.
 const CANCEL_LIMIT: Millis = Millis(3_000 + 5_000);
@@ -191,8 +192,8 @@
             let same = item.name.job == event.name.job && item.name.step == event.name.step;
             siblings += u32::from(same && item.name != event.name);
         }
-        if used > HOST_CPU {
-            let detail = format!("{used} of {HOST_CPU} thousandths of a core are used");
+        if used > CAPACITY.cpu {
+            let detail = format!("{used} of {} thousandths of a core are used", CAPACITY.cpu);
             self.break_promise(Promise::Room, event, &detail);
         }
         if step.anti_affinity > 0 && siblings > step.anti_affinity {
--- a/crates/soak/src/load/caller_load.rs
+++ b/crates/soak/src/load/caller_load.rs
@@ -152,6 +152,23 @@
         }
     }
 
+    /// Returns whether every entry host knows the queue that configurations add and remove, or whether none does.
+    pub async fn all_know_extra(&self, known: bool) -> bool {
+        let queue = SoakSystem::extra_queue();
+        for host in &self.entries {
+            let outcome = self.caller.pending(*host, &queue).await;
+            let agrees = match outcome {
+                CallOutcome::NoQueue => !known,
+                CallOutcome::Pending(_) => known,
+                _ => false,
+            };
+            if !agrees {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Asks one entry host where a job stands.
     pub async fn ask_state(&self, id: JobId) {
         let Some(entry) = self.book.get(id) else {
--- a/crates/soak/src/run/soak_run.rs
+++ b/crates/soak/src/run/soak_run.rs
@@ -4,7 +4,7 @@
         load::{CallerLoad, JobBook, JobDraw, JobKind},
         plan::{FaultPlan, PlanSize},
         report::SoakReport,
-        system::{FaultDriver, SoakSystem, SystemShape},
+        system::{FaultDriver, POOLS, SoakSystem, SystemShape},
     },
     anyhow::ensure,
     std::{path::Path, sync::Arc, time::Duration},
@@ -20,6 +20,8 @@
 /// Time that a wave may take for each round of hosts: maintenance, the lists that show it, and the moving of work. An
 /// operator can ask for more rounds than fit into the limit above.
 const ROUND_LIMIT: Duration = Duration::from_millis(2_500);
+/// Time in which a configuration is in force everywhere.
+const CONFIG_LIMIT: Duration = Duration::from_secs(4);
 /// Time between two looks at the runs.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 /// Jobs that are asked for at once after the end of the load.
@@ -140,12 +142,27 @@
                 format!("wave {wave} is not completed; {maintained} hosts were maintained");
             self.break_promise(Promise::Waves, detail);
         }
+        self.check_config().await;
         let ends = self.system.own_ends();
         if ends > 0 {
             self.break_promise(Promise::Processes, format!("{ends} processes have ended"));
         }
     }
 
+    /// Checks that every entry host follows the newest configuration.
+    async fn check_config(&mut self) {
+        let known = self.system.config.lock().queues.len() > POOLS.len();
+        let limit = Instant::now() + CONFIG_LIMIT;
+        while !self.load.all_know_extra(known).await {
+            if Instant::now() > limit {
+                let detail = format!("an entry host disagrees; the added queue is there: {known}");
+                self.break_promise(Promise::Configuration, detail);
+                return;
+            }
+            tokio::time::sleep(CHECK_PERIOD).await;
+        }
+    }
+
     fn break_promise(&mut self, promise: Promise, detail: String) {
         let now = self.system.platform.now();
         self.broken.push(BrokenPromise::new(promise, now, detail));
--- a/crates/soak/src/system/mod.rs
+++ b/crates/soak/src/system/mod.rs
@@ -7,5 +7,5 @@
 
 pub use {
     fault_driver::FaultDriver,
-    soak_system::{POOLS, SoakSystem, SystemShape},
+    soak_system::{CAPACITY, POOLS, SoakSystem, SystemShape},
 };
--- a/crates/soak/src/system/soak_system.rs
+++ b/crates/soak/src/system/soak_system.rs
@@ -12,10 +12,11 @@
 /// Pools that run work; the spare pool is not among them.
 pub const POOLS: [&str; 2] = ["alpha", "beta"];
 const SPARE_POOL: &str = "spare";
+const EXTRA_QUEUE: &str = "extra";
 /// Part of the hosts that starts in the spare pool, as a divisor.
 const SPARE_DIVISOR: usize = 6;
 /// Room of a host.
-const CAPACITY: Capacity = Capacity {
+pub const CAPACITY: Capacity = Capacity {
     cpu: 16_000,
     mem_mb: 32_000,
     gpu: 0,
@@ -99,6 +100,11 @@
         ended.sum()
     }
 
+    /// Returns the queue that configurations add and remove.
+    pub fn extra_queue() -> QueueShape {
+        queue(EXTRA_QUEUE, POOLS[0])
+    }
+
     /// Publishes a configuration with a further queue, or without it, and with other timeouts.
     pub fn change_config(&self) {
         let mut config = self.config.lock();
@@ -107,7 +113,7 @@
         if config.queues.len() > POOLS.len() {
             config.queues.truncate(POOLS.len());
         } else {
-            config.queues.push(queue("extra", POOLS[0]));
+            config.queues.push(Self::extra_queue());
         }
         self.platform.publish(&config);
     }
