Let calls that have reached no owner wait for the next one

Calls that waited for a connection each tried the lost address in turn for 0.5 s, and kept those for the next owner waiting behind them. Ruled out: the election; it took 1.5 s. Change: a call that has reached no owner is refused after 1.9 s, the time of an election, unless an owner refuses it; a failed connection counts for all calls that waited for it. owner_reach::waits_for_next_owner failed before.

--- a/crates/node/src/front/owner_courier.rs
+++ b/crates/node/src/front/owner_courier.rs
@@ -15,8 +15,11 @@
 
 /// Longest wait for another owner before a call that failed is tried again.
 const OWNER_WAIT: Millis = Millis(200);
-/// Attempts of a call that no owner has taken.
-const MOST_TRIES: u32 = 2;
+/// Attempts of a call that the owner has refused.
+const MOST_REFUSALS: u32 = 2;
+/// How long a call that has reached no owner waits for one. The next owner is there within this time of the loss of the
+/// last one, sooner than a caller that is refused would come back.
+const OWNER_PATIENCE: Millis = Millis(1_900);
 /// Time without an answer of the owner after which callers are better off at another entry host. An owner that is
 /// replaced is reached again sooner.
 const UNREACHED_LIMIT: Millis = Millis(1_000);
@@ -79,29 +82,31 @@
     /// Brings a call to the owner and returns its answer, at most `limit` later. Calls name their job, so that
     /// a repeated one has no further effect.
     pub async fn ask(&self, call: JobCall, limit: Millis) -> CallAnswer {
-        let end = BootClock.now() + limit;
+        let began = BootClock.now();
+        let end = began + limit;
+        let unsent_end = end.min(began + OWNER_PATIENCE);
         let changes = matches!(call, JobCall::Submit(..) | JobCall::Cancel(_));
         let mut lost = false;
-        for tries in 1_u32.. {
+        let mut refusals = 0;
+        loop {
             if self.owner.borrow().is_none() {
                 self.link.seek_owner().await;
             }
-            let Some(place) = self.owner.borrow().clone() else {
-                if lost && changes && BootClock.now() + OWNER_WAIT < end {
-                    tokio::time::sleep(Duration::from_millis(OWNER_WAIT.0)).await;
-                    continue;
+            let place = self.owner.borrow().clone();
+            if let Some(place) = &place {
+                match self.attempt(place, call.clone(), end).await {
+                    Attempt::Answered(CallAnswer::Unavailable) => refusals += 1,
+                    Attempt::Answered(CallAnswer::Unknown) | Attempt::Lost => lost = true,
+                    Attempt::Answered(answer) => return answer,
+                    Attempt::NotSent => {}
                 }
-                break;
-            };
-            match self.attempt(&place, call.clone(), end).await {
-                Attempt::Answered(CallAnswer::Unavailable) | Attempt::NotSent => {}
-                Attempt::Answered(CallAnswer::Unknown) | Attempt::Lost => lost = true,
-                Attempt::Answered(answer) => return answer,
             }
             // A call that may have been taken is tried until its time is over, because only an owner's answer tells
-            // what became of it; one that was not taken is refused soon, so that the caller can come back.
-            let spent = tries >= MOST_TRIES && !(lost && changes);
-            if spent || !self.wait_for_owner(&place, end).await {
+            // what became of it.
+            let may_be_taken = lost && changes;
+            let until = if may_be_taken { end } else { unsent_end };
+            let refused = refusals >= MOST_REFUSALS && !may_be_taken;
+            if refused || !self.wait_for_owner(place.as_ref(), until).await {
                 break;
             }
         }
@@ -149,15 +154,14 @@
         answer.await.map_or(Attempt::Lost, Attempt::Answered)
     }
 
-    /// Waits a short time for another owner; returns false when the time is over.
-    async fn wait_for_owner(&self, before: &OwnerPlace, end: LocalTime) -> bool {
+    /// Waits a short time for another owner than the one before; returns false when the time is over.
+    async fn wait_for_owner(&self, before: Option<&OwnerPlace>, end: LocalTime) -> bool {
         let left = end.since(BootClock.now());
         let wait = Duration::from_millis(left.0.min(OWNER_WAIT.0));
         let mut owner = self.owner.clone();
         let other = |owner: &Option<OwnerPlace>| {
-            owner
-                .as_ref()
-                .is_some_and(|owner| owner.token != before.token)
+            let token = owner.as_ref().map(|owner| owner.token);
+            token.is_some() && token != before.map(|before| before.token)
         };
         let changed = tokio::time::timeout(wait, owner.wait_for(other))
             .await
--- a/crates/node/src/links/owner_link.rs
+++ b/crates/node/src/links/owner_link.rs
@@ -20,7 +20,10 @@
 };
 
 /// Longest wait for a connection.
-const CONNECT_TIMEOUT: Millis = Millis(500);
+const CONNECT_TIMEOUT: Millis = Millis(300);
+/// Time after a failed connection in which no other one is tried to the same address: the calls that waited for it would
+/// each try in turn, and keep those for the next owner waiting.
+const RECONNECT_PAUSE: Millis = Millis(200);
 /// Time between signs of life that are asked for while calls wait.
 const PING_PERIOD: Millis = Millis(150);
 /// Silence after which no further call is sent on a connection with waiting calls. One that was sent and got no answer
@@ -78,9 +81,25 @@
     waiting: Waiting,
 }
 
+/// The connection in use, and the last one that could not be opened.
+#[derive(Default)]
+struct LinkSlot {
+    live: Option<LiveLink>,
+    failed: Option<(SocketAddr, Instant)>,
+}
+
+impl LinkSlot {
+    /// Returns whether a connection to the address has failed a moment ago.
+    fn has_failed(&self, address: SocketAddr) -> bool {
+        let pause = Duration::from_millis(RECONNECT_PAUSE.0);
+        self.failed
+            .is_some_and(|(failed, at)| failed == address && at.elapsed() < pause)
+    }
+}
+
 /// The connection to the owner's entry host.
 pub struct OwnerLink {
-    link: tokio::sync::Mutex<Option<LiveLink>>,
+    slot: tokio::sync::Mutex<LinkSlot>,
     logger: Logger,
     peers: PeerBook,
     sought: tokio::sync::Mutex<SeekRound>,
@@ -97,7 +116,7 @@
     /// Creates a link that connects at the first call.
     pub fn new(peers: PeerBook, logger: Logger) -> Self {
         Self {
-            link: tokio::sync::Mutex::new(None),
+            slot: tokio::sync::Mutex::default(),
             logger,
             peers,
             sought: tokio::sync::Mutex::default(),
@@ -153,32 +172,31 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<LiveLink, LinkFailure> {
-        let mut slot = self.link.lock().await;
-        if let Some(link) = &*slot
+        let mut slot = self.slot.lock().await;
+        if let Some(link) = &slot.live
             && link.address == address
             && !link.waiting.lock().closed
         {
             return Ok(link.clone());
         }
+        if slot.has_failed(address) {
+            return Err(LinkFailure::NotSent);
+        }
         let limit = Duration::from_millis(CONNECT_TIMEOUT.0);
         let connected = tokio::time::timeout(limit, TcpStream::connect(address)).await;
-        let stream = match connected {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => {
-                info!(self.logger, "link: no connection to the owner"; "address" => %address,
-                    "error" => %error);
-                return Err(LinkFailure::NotSent);
-            }
-            Err(_) => {
-                info!(self.logger, "link: no connection to the owner in time";
-                    "address" => %address);
-                return Err(LinkFailure::NotSent);
+        let why = match connected {
+            Ok(Ok(stream)) => {
+                info!(self.logger, "link: connected to the owner"; "address" => %address);
+                let link = self.open(address, stream);
+                slot.live = Some(link.clone());
+                return Ok(link);
             }
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "no answer in time".to_owned(),
         };
-        info!(self.logger, "link: connected to the owner"; "address" => %address);
-        let link = self.open(address, stream);
-        *slot = Some(link.clone());
-        Ok(link)
+        info!(self.logger, "link: no connection to the owner"; "address" => %address, "why" => why);
+        slot.failed = Some((address, Instant::now()));
+        Err(LinkFailure::NotSent)
     }
 
     fn open(&self, address: SocketAddr, stream: TcpStream) -> LiveLink {
--- a/crates/node/tests/owner_reach.rs
+++ b/crates/node/tests/owner_reach.rs
@@ -3,9 +3,15 @@
 mod fakes;
 
 use {
-    fakes::{logger, spawn_actor},
-    goldcreststall_dispatch::routes::{FleetRules, RouteRule},
+    fakes::{TestActor, logger, spawn_actor},
+    goldcreststall_core::ids::{LocalTime, Millis},
+    goldcreststall_dispatch::{
+        jobs::JobId,
+        owner::{CallAnswer, JobCall},
+        routes::{FleetRules, RouteRule},
+    },
     goldcreststall_node::{
+        control::ControlEvent,
         election::OwnerPlace,
         front::{FrontAction, FrontAnswer, FrontCall, FrontDesk, OwnerCourier},
         links::{OwnerLink, PeerBook},
@@ -52,16 +58,32 @@
     );
 }
 
+fn courier(actor: &TestActor, owner: &watch::Sender<Option<OwnerPlace>>) -> OwnerCourier {
+    let link = OwnerLink::new(PeerBook::new(local(), owner.clone()), logger());
+    OwnerCourier::new(actor.actor.clone(), link, owner.subscribe())
+}
+
+fn local() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+/// This process as the owner.
+fn own_place() -> Option<OwnerPlace> {
+    Some(OwnerPlace {
+        address: local(),
+        token: 2,
+        own: true,
+    })
+}
+
 #[tokio::test]
 async fn cut_off_is_not_ready() {
     let actor = spawn_actor();
     let silent = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
     let address = silent.local_addr().expect("an address");
-    let (owner, owners) = watch::channel(place(address));
+    let (owner, _owners) = watch::channel(place(address));
     let (_rules, all_rules) = watch::channel(Some(Arc::new(rules())));
-    let local = SocketAddr::from(([127, 0, 0, 1], 1));
-    let link = OwnerLink::new(PeerBook::new(local, owner.clone()), logger());
-    let courier = OwnerCourier::new(actor.actor.clone(), link, owners);
+    let courier = courier(&actor, &owner);
     let metrics = Arc::new(NodeMetrics::new().expect("metrics"));
     let desk = Arc::new(FrontDesk::new(courier, all_rules, false, metrics, logger()));
     let reach = Arc::clone(&desk);
@@ -76,12 +98,33 @@
     let answer = desk.answer(call).await;
     assert!(matches!(answer, FrontAnswer::Unavailable(_)));
     wait_until(&desk, false).await;
-    // A new owner that can be reached: this process.
-    let own = OwnerPlace {
-        address: local,
-        token: 2,
-        own: true,
-    };
-    owner.send_replace(Some(own));
+    // A new owner that can be reached.
+    owner.send_replace(own_place());
     wait_until(&desk, true).await;
 }
+
+/// A call that reaches no owner must wait for the next one, which is there sooner than a refused caller comes back.
+#[tokio::test]
+async fn waits_for_next_owner() {
+    let actor = spawn_actor();
+    actor.lease.prolong(LocalTime(u64::MAX));
+    let tell = async |event| actor.actor.tell(event).await.expect("the actor runs");
+    tell(ControlEvent::Elected(2)).await;
+    // Nobody listens there any more.
+    let former = SocketAddr::from(([127, 0, 0, 1], 1));
+    let (owner, _owners) = watch::channel(place(former));
+    let courier = Arc::new(courier(&actor, &owner));
+    let asked = tokio::spawn({
+        let courier = Arc::clone(&courier);
+        let call = JobCall::State(JobId(7));
+        async move { courier.ask(call, Millis(10_000)).await }
+    });
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    assert!(!asked.is_finished(), "refused before the next owner came");
+    owner.send_replace(own_place());
+    let answer = tokio::time::timeout(LIMIT, asked).await;
+    assert_eq!(
+        answer.expect("in time").expect("an answer"),
+        CallAnswer::Gone
+    );
+}
