--- a/crates/soak/src/run/program.rs
+++ b/crates/soak/src/run/program.rs
@@ -3,7 +3,8 @@
     crate::arguments::{HELP, SoakArguments},
     anyhow::Context,
     lexopt::Parser,
-    std::{fs, path::Path, process::ExitCode},
+    std::{fs, future::pending, path::Path, process::ExitCode},
+    tokio::signal::unix::{SignalKind, signal},
 };
 
 const EXIT_BROKEN: u8 = 1;
@@ -52,8 +53,14 @@
             duration: arguments.duration,
             only: arguments.only.clone(),
         };
+        // The processes of a run end with it, so that none is left when the soak is told to stop.
         let report = runtime
-            .block_on(SoakRun::play(seed, shape, folder.path()))
+            .block_on(async {
+                tokio::select! {
+                    report = SoakRun::play(seed, shape, folder.path()) => report,
+                    stopped = wait_for_signal() => Err(stopped),
+                }
+            })
             .with_context(|| format!("seed {seed}"))?;
         println!("{}", report.text(arguments.format));
         if !report.broken.is_empty() {
@@ -66,6 +73,20 @@
     Ok(broken)
 }
 
+/// Waits for SIGTERM or SIGINT, and tells of it as the reason of the end.
+async fn wait_for_signal() -> anyhow::Error {
+    let terminate = async {
+        match signal(SignalKind::terminate()) {
+            Ok(mut terminate) => terminate.recv().await,
+            Err(_) => pending().await,
+        }
+    };
+    tokio::select! {
+        _ = terminate => anyhow::anyhow!("told to stop"),
+        _ = tokio::signal::ctrl_c() => anyhow::anyhow!("interrupted"),
+    }
+}
+
 fn keep_logs(from: &Path, to: &Path) -> anyhow::Result<()> {
     fs::create_dir_all(to).with_context(|| format!("{} not created", to.display()))?;
     for file in fs::read_dir(from)? {
