--- a/crates/soak/src/load/caller_load.rs
+++ b/crates/soak/src/load/caller_load.rs
@@ -152,21 +152,20 @@
         }
     }
 
-    /// Returns whether every entry host knows the queue that configurations add and remove, or whether none does.
-    pub async fn all_know_extra(&self, known: bool) -> bool {
+    /// Returns the entry hosts that contradict a configuration: they do not know the queue that configurations add and
+    /// remove although it is there, or know it although it is not. One that gives no answer contradicts nothing.
+    pub async fn contradicting_entries(&self, known: bool) -> Vec<SocketAddr> {
         let queue = SoakSystem::extra_queue();
+        let mut contradicting = Vec::new();
         for host in &self.entries {
-            let outcome = self.caller.pending(*host, &queue).await;
-            let agrees = match outcome {
-                CallOutcome::NoQueue => !known,
-                CallOutcome::Pending(_) => known,
+            let contradicts = match self.caller.pending(*host, &queue).await {
+                CallOutcome::NoQueue => known,
+                CallOutcome::Pending(_) => !known,
                 _ => false,
             };
-            if !agrees {
-                return false;
-            }
+            contradicting.extend(contradicts.then_some(*host));
         }
-        true
+        contradicting
     }
 
     /// Asks one entry host where a job stands.
--- a/crates/soak/src/run/soak_run.rs
+++ b/crates/soak/src/run/soak_run.rs
@@ -153,9 +153,13 @@
     async fn check_config(&mut self) {
         let known = self.system.config.lock().queues.len() > POOLS.len();
         let limit = Instant::now() + CONFIG_LIMIT;
-        while !self.load.all_know_extra(known).await {
+        loop {
+            let entries = self.load.contradicting_entries(known).await;
+            if entries.is_empty() {
+                return;
+            }
             if Instant::now() > limit {
-                let detail = format!("an entry host disagrees; the added queue is there: {known}");
+                let detail = format!("{entries:?} contradict; the added queue is there: {known}");
                 self.break_promise(Promise::Configuration, detail);
                 return;
             }
