Take a runner for ended only when the list shows its host away

The owner took the host's runner, a newer one at work, for ended: its work counted as lost, though it ran on, and since ended lifetimes get no calls any more, what was placed there later was stuck for good (eleven jobs). Ruled out: a lost call to the runner; it was never sent one after the answer. Change: the answer only keeps work off the host; the runner that was there before the order has ended when the list shows the host as moving or in maintenance, or by its silence as any other. wave_limits::done_before_is_no_end failed before; listed_maintenance_is_an_end guards the other side.

--- a/crates/dispatch/src/owner/host_duties.rs
+++ b/crates/dispatch/src/owner/host_duties.rs
@@ -3,7 +3,7 @@
         HostAnswer, HostReport, HostStatus, OwnerOrder, OwnerState, WaveRequest,
         host_table::{HostState, HostTask, WaveState},
     },
-    crate::records::WaveProgress,
+    crate::{records::WaveProgress, runners::RunnerKey},
     goldcreststall_core::ids::{LocalTime, Millis},
 };
 
@@ -26,6 +26,7 @@
     ) {
         reports.sort_unstable_by(|left, right| left.host.cmp(&right.host));
         let mut hosts = Vec::with_capacity(reports.len());
+        let mut ended = Vec::new();
         for report in reports {
             let known = self.hosts.find(&report.host).cloned();
             let mut state = known.unwrap_or(HostState {
@@ -45,11 +46,27 @@
             if state.moved.as_ref().is_some_and(arrived) {
                 state.moved = None;
             }
+            ended.extend(self.ended_runner(&state, report.status));
             state.report = report;
             hosts.push(state);
         }
         self.hosts.hosts = hosts;
         self.hosts.listed = Some(now);
+        for key in ended {
+            self.end_runner(key, "its host moves or is maintained", now);
+        }
+    }
+
+    /// Returns the runner that ended with our order for a host, once the list shows that the order is carried out. An
+    /// answer alone does not tell: the host service gives the same one when an earlier owner's order has done it all,
+    /// and then the runner is a newer one and works.
+    fn ended_runner(&self, state: &HostState, status: HostStatus) -> Option<RunnerKey> {
+        let moved = state.moved.as_ref().map(|(_, at)| *at);
+        let ordered = state.maintained.or(moved)?;
+        let away = matches!(status, HostStatus::Moving | HostStatus::Maintenance);
+        let key = self.runners.find(state.report.runner.as_deref()?)?;
+        let runner = self.runners.get(key)?;
+        (away && !runner.over && runner.seen < ordered).then_some(key)
     }
 
     /// Takes an operator's request for a wave.
@@ -189,7 +206,6 @@
         let Some((task, _)) = state.task.clone() else {
             return true;
         };
-        let runner = state.report.runner.clone();
         match answer {
             HostAnswer::Done => {
                 state.task = None;
@@ -197,7 +213,9 @@
                     HostTask::Move { pool } => state.moved = Some((pool.clone(), now)),
                     HostTask::Maintain { .. } => state.maintained = Some(now),
                 }
-                self.host_done(host, &task, runner, now);
+                if let HostTask::Maintain { wave } = task {
+                    self.skip_in_wave(wave, host);
+                }
             }
             HostAnswer::Busy | HostAnswer::Refused => {
                 state.task = None;
@@ -217,15 +235,6 @@
         true
     }
 
-    fn host_done(&mut self, host: &str, task: &HostTask, runner: Option<String>, now: LocalTime) {
-        if let Some(key) = runner.and_then(|id| self.runners.find(&id)) {
-            self.end_runner(key, "its host was moved or is maintained", now);
-        }
-        if let HostTask::Maintain { wave } = task {
-            self.skip_in_wave(*wave, host);
-        }
-    }
-
     /// Records that a host of a wave needs nothing more.
     pub(super) fn skip_in_wave(&mut self, number: u64, host: &str) {
         let wave = self
--- a/crates/dispatch/tests/wave_limits.rs
+++ b/crates/dispatch/tests/wave_limits.rs
@@ -7,7 +7,9 @@
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::{
         jobs::{JobId, StepSpec},
-        owner::{HostAnswer, JobCall, OwnerOrder, StartAnswer, StartOrder, WaveRequest},
+        owner::{
+            HostAnswer, HostStatus, JobCall, OwnerOrder, StartAnswer, StartOrder, WaveRequest,
+        },
     },
 };
 
@@ -222,3 +224,70 @@
         .any(|order| matches!(order, OwnerOrder::Stop(stop) if stop.name == serving));
     assert!(stopped, "the wave waits for a runner that has recovered");
 }
+
+/// Orders maintenance of the host of a runner with work on it, and gets the answer that it is done.
+fn maintained_fleet() -> (TestFleet, Vec<StartOrder>) {
+    let (mut fleet, starts) = TestFleet::with_work(&["r1"], vec![step(1, 1_000)]);
+    fleet.list_hosts(vec![host("h1", fleet::POOL, Some("r1"))]);
+    let request = WaveRequest {
+        duration: Millis(100),
+        ..wave(&["h1"], 1)
+    };
+    fleet.owner.wave_requested(request, fleet.now);
+    fleet.pass(200);
+    assert_eq!(maintained(&mut fleet), ["h1"]);
+    fleet.owner.host_answered("h1", HostAnswer::Done, fleet.now);
+    (fleet, starts)
+}
+
+/// Restarts of the work while its runner, the first one, lists it as at work.
+fn restarts(fleet: &mut TestFleet, starts: &[StartOrder]) -> usize {
+    for _ in 0..8 {
+        fleet.pass(100);
+        let idle = empty(fleet.clock());
+        let mut busy = idle.clone();
+        busy.running = starts.iter().map(listed).collect();
+        fleet.answer_holds_of(|id| {
+            Some(if id == "r1" {
+                busy.clone()
+            } else {
+                idle.clone()
+            })
+        });
+    }
+    fleet.starts().len()
+}
+
+/// The host service answers that maintenance is done also when an earlier owner's order has done it: the runner that is
+/// there now is a newer one, and its work must not be taken for lost.
+#[test]
+fn done_before_is_no_end() {
+    let (mut fleet, starts) = maintained_fleet();
+    fleet.runners.push(fleet::runner("r2"));
+    fleet.list_runners();
+    fleet.list_hosts(vec![
+        host("h1", fleet::POOL, Some("r1")),
+        host("h2", fleet::POOL, Some("r2")),
+    ]);
+    assert_eq!(restarts(&mut fleet, &starts), 0, "work runs twice");
+    let notes = fleet.owner.take_notes();
+    let lost = notes.iter().find(|note| note.event == "run lost");
+    assert_eq!(lost, None, "work that runs is taken for lost");
+}
+
+#[test]
+fn listed_maintenance_is_an_end() {
+    let (mut fleet, starts) = maintained_fleet();
+    fleet.runners.push(fleet::runner("r2"));
+    fleet.list_runners();
+    let mut away = host("h1", fleet::POOL, None);
+    away.status = HostStatus::Maintenance;
+    fleet.list_hosts(vec![away, host("h2", fleet::POOL, Some("r2"))]);
+    fleet.pass(10);
+    let clock = fleet.clock();
+    fleet.answer_holds_of(|id| (id == "r2").then(|| empty(clock)));
+    fleet.pass(200);
+    let again = fleet.starts();
+    assert_eq!(again.len(), 1, "lost work is not started again");
+    assert_eq!(again[0].name, starts[0].name);
+}
