Keep held bytes back when a relay cuts its connections

A held direction waits for a mode that does not hold it. `Cut` did not count as holding, so the change to it woke both the gate and the branch that closes the connection, and the answer passed when the gate came first.

Ruled out: the product. The test expects the answer to be lost and the relay delivered it; the outcome itself was the right one.

Change: `Cut` holds both directions until the connection is closed. `relay_modes` holds a reply and cuts the connection, fifty times: it failed in the first round before, and passes now. The check of publisher_cut_off stays as it was.

--- a/crates/standins/src/process/tcp_relay.rs
+++ b/crates/standins/src/process/tcp_relay.rs
@@ -42,8 +42,9 @@
         match self {
             Self::HoldReplies => way == RelayWay::ToClient,
             Self::HoldRequests => way == RelayWay::ToServer,
-            Self::Silent => true,
-            Self::Open | Self::Delay(_) | Self::Cut => false,
+            // A connection that is about to close must not pass what was held before.
+            Self::Cut | Self::Silent => true,
+            Self::Open | Self::Delay(_) => false,
         }
     }
 }
