Look up work items and runners of hosts in one place

The wire name of a work item was resolved twice, the runner of a host in eight places, and the limit of work items of a step on one runner was counted in placement and again in the preparation of a wave. JobTable, HostState and spread_fits now serve all of them. A wave looks once instead of twice whether lasting work runs on a host, and takes work off a runner by its key instead of finding it by its id again. Behaviour is unchanged.

--- a/crates/dispatch/src/jobs/job_table.rs
+++ b/crates/dispatch/src/jobs/job_table.rs
@@ -1,4 +1,4 @@
-use super::{ItemKey, JobId, JobKey, JobState, WorkItem};
+use super::{ItemKey, ItemName, JobId, JobKey, JobState, WorkItem};
 
 /// All jobs that the owner knows: an arena with an index by id.
 #[derive(Debug, Default)]
@@ -39,6 +39,13 @@
         self.jobs.get_mut(key.0 as usize)?.as_mut()
     }
 
+    /// Finds a work item by its wire name.
+    pub fn find_item(&self, name: &ItemName) -> Option<ItemKey> {
+        let job = self.find(name.job)?;
+        let item = self.get(job)?.find_item(name)?;
+        Some(ItemKey { job, item })
+    }
+
     /// Returns a work item with its job.
     pub fn item(&self, key: ItemKey) -> Option<(&JobState, &WorkItem)> {
         let job = self.get(key.job)?;
--- a/crates/dispatch/src/owner/host_duties.rs
+++ b/crates/dispatch/src/owner/host_duties.rs
@@ -28,7 +28,7 @@
         let mut hosts = Vec::with_capacity(reports.len());
         let mut ended = Vec::new();
         for report in reports {
-            let known = self.hosts.find(&report.host).cloned();
+            let known = self.hosts.get(&report.host).cloned();
             let mut state = known.unwrap_or(HostState {
                 report: report.clone(),
                 task: None,
@@ -64,7 +64,7 @@
         let moved = state.moved.as_ref().map(|(_, at)| *at);
         let ordered = state.maintained.or(moved)?;
         let away = matches!(status, HostStatus::Moving | HostStatus::Maintenance);
-        let key = self.runners.find(state.report.runner.as_deref()?)?;
+        let key = state.runner_key(&self.runners)?;
         let runner = self.runners.get(key)?;
         (away && !runner.over && runner.seen < ordered).then_some(key)
     }
@@ -126,9 +126,8 @@
         if self.earlier_orders_are_over(now) {
             return true;
         }
-        let id = state.report.runner.as_deref();
-        let runner = id.and_then(|id| self.runners.find(id));
-        runner
+        state
+            .runner_key(&self.runners)
             .and_then(|key| self.runners.get(key))
             .and_then(|runner| runner.clock.uptime())
             .is_some_and(|uptime| uptime >= ORDER_LEASE)
--- a/crates/dispatch/src/owner/host_table.rs
+++ b/crates/dispatch/src/owner/host_table.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         records::WaveProgress,
-        runners::{Capacity, RunnerTable},
+        runners::{Capacity, RunnerKey, RunnerTable},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
 };
@@ -81,6 +81,13 @@
     pub(super) moved: Option<(String, LocalTime)>,
 }
 
+impl HostState {
+    /// Returns the host's runner, if it is registered and listed.
+    pub(super) fn runner_key(&self, runners: &RunnerTable) -> Option<RunnerKey> {
+        runners.find(self.report.runner.as_deref()?)
+    }
+}
+
 /// The hosts, sorted by name.
 #[derive(Debug, Default)]
 pub(super) struct HostTable {
@@ -89,15 +96,23 @@
 }
 
 impl HostTable {
+    /// Returns a host.
+    pub(super) fn get(&self, host: &str) -> Option<&HostState> {
+        Some(&self.hosts[self.place(host)?])
+    }
+
     /// Returns a host for changes.
     pub(super) fn find(&mut self, host: &str) -> Option<&mut HostState> {
-        let place = self
-            .hosts
-            .binary_search_by(|state| state.report.host.as_str().cmp(host))
-            .ok()?;
+        let place = self.place(host)?;
         Some(&mut self.hosts[place])
     }
 
+    fn place(&self, host: &str) -> Option<usize> {
+        self.hosts
+            .binary_search_by(|state| state.report.host.as_str().cmp(host))
+            .ok()
+    }
+
     /// Returns whether no runner of the pool can hold work of an earlier owner that this one has not seen; none when
     /// no host of the pool is known.
     ///
@@ -109,8 +124,7 @@
             if matches!(report.status, HostStatus::Moving | HostStatus::Maintenance) {
                 return true;
             }
-            let key = report.runner.as_deref().and_then(|id| runners.find(id));
-            let runner = key.and_then(|key| runners.get(key));
+            let runner = state.runner_key(runners).and_then(|key| runners.get(key));
             runner.is_some_and(|runner| runner.fenced)
         };
         let mut members = self.hosts.iter().filter(|state| state.report.pool == pool);
--- a/crates/dispatch/src/owner/move_duty.rs
+++ b/crates/dispatch/src/owner/move_duty.rs
@@ -29,7 +29,7 @@
         for host in plan.drains {
             let runner = self
                 .hosts
-                .find(&host)
+                .get(&host)
                 .and_then(|state| state.report.runner.clone());
             if let Some(id) = runner {
                 self.cordon(&id);
@@ -120,11 +120,10 @@
         if state.report.status == HostStatus::Down {
             return false;
         }
-        let id = state.report.runner.as_deref();
-        let Some(runner) = id.and_then(|id| self.runners.find(id)) else {
-            return true;
-        };
-        self.runners.get(runner).is_none_or(|runner| {
+        let runner = state
+            .runner_key(&self.runners)
+            .and_then(|key| self.runners.get(key));
+        runner.is_none_or(|runner| {
             runner.misses < SILENT_MISSES
                 && runner.strikes < FAILING_STRIKES
                 && runner.report.status == RunnerStatus::Ready
@@ -140,14 +139,13 @@
         if spare {
             return HostUse::Empty(LocalTime(0));
         }
-        let id = state.report.runner.as_deref();
-        let Some(key) = id.and_then(|id| self.runners.find(id)) else {
+        let Some(key) = state.runner_key(&self.runners) else {
             return HostUse::Kept;
         };
         let Some(runner) = self.runners.get(key) else {
             return HostUse::Kept;
         };
-        if !runner.takes_work(now) || self.has_lasting(Some(key)) {
+        if !runner.takes_work(now) || self.has_lasting(key) {
             return HostUse::Kept;
         }
         if runner.items.is_empty() {
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -205,7 +205,7 @@
         let step = job.step_of(item);
         state.report.capacity.holds(&demand)
             && label_fits(step, state)
-            && spread_fits(step, job, item, runner)
+            && spread_fits(job, item, runner)
             && (item.failed_on != Some(runner) || self.is_only_runner(job, now))
             && self.ticket(key, runner, now).is_some()
     }
@@ -265,7 +265,9 @@
         .is_none_or(|label| state.has_label(label))
 }
 
-fn spread_fits(step: &StepSpec, job: &JobState, item: &WorkItem, runner: RunnerKey) -> bool {
+/// Returns whether a runner has fewer work items of a step than it may have, so that one more fits.
+pub(super) fn spread_fits(job: &JobState, item: &WorkItem, runner: RunnerKey) -> bool {
+    let step = job.step_of(item);
     if step.anti_affinity == 0 {
         return true;
     }
--- a/crates/dispatch/src/owner/run_ends.rs
+++ b/crates/dispatch/src/owner/run_ends.rs
@@ -38,11 +38,7 @@
     }
 
     fn take_end(&mut self, runner: RunnerKey, end: EndedRun, now: LocalTime) {
-        let found = self.jobs.find(end.name.job).and_then(|job| {
-            let item = self.jobs.get(job)?.find_item(&end.name)?;
-            Some(ItemKey { job, item })
-        });
-        let Some(key) = found else {
+        let Some(key) = self.jobs.find_item(&end.name) else {
             self.note(
                 "end of an unknown job",
                 end.name.to_string(),
--- a/crates/dispatch/src/owner/runner_answers.rs
+++ b/crates/dispatch/src/owner/runner_answers.rs
@@ -93,11 +93,7 @@
 
     /// Takes one run that a runner lists; returns false when its room is not known.
     fn take_listed(&mut self, runner: RunnerKey, listed: &ListedRun, now: LocalTime) -> bool {
-        let found = self.jobs.find(listed.name.job).and_then(|job| {
-            let item = self.jobs.get(job)?.find_item(&listed.name)?;
-            Some(ItemKey { job, item })
-        });
-        let Some(key) = found else {
+        let Some(key) = self.jobs.find_item(&listed.name) else {
             self.orders.push(OwnerOrder::Stop(RunOrder {
                 runner,
                 item: None,
--- a/crates/dispatch/src/owner/wave_duty.rs
+++ b/crates/dispatch/src/owner/wave_duty.rs
@@ -1,5 +1,8 @@
 use {
-    super::{HostStatus, OwnerOrder, OwnerState, WaveRequest, host_table::HostTask},
+    super::{
+        HostStatus, OwnerOrder, OwnerState, WaveRequest, host_table::HostTask,
+        placement::spread_fits,
+    },
     crate::{
         jobs::{ItemKey, ItemRun, RunPhase},
         runners::RunnerKey,
@@ -52,7 +55,7 @@
         let left: Vec<String> = request
             .hosts
             .iter()
-            .filter(|host| waits(host) && self.hosts.find(host).is_some())
+            .filter(|host| waits(host) && self.hosts.get(host).is_some())
             .cloned()
             .collect();
         let away = self.wave_away(&request);
@@ -63,11 +66,8 @@
             return;
         }
         for host in &left {
-            let runner = self
-                .hosts
-                .find(host)
-                .and_then(|state| state.report.runner.clone());
-            let key = runner.and_then(|id| self.runners.find(&id));
+            let listed = self.hosts.get(host);
+            let key = listed.and_then(|state| state.runner_key(&self.runners));
             if let Some(state) = key.and_then(|key| self.runners.get_mut(key)) {
                 state.due = true;
             }
@@ -92,10 +92,10 @@
     }
 
     /// Counts the hosts of a wave that are, or may be, away for it.
-    fn wave_away(&mut self, request: &WaveRequest) -> u32 {
+    fn wave_away(&self, request: &WaveRequest) -> u32 {
         let mut away = 0;
         for host in &request.hosts {
-            if let Some(state) = self.hosts.find(host) {
+            if let Some(state) = self.hosts.get(host) {
                 let ordered = matches!(state.task, Some((HostTask::Maintain { .. }, _)));
                 let listed = state.report.status == HostStatus::Maintenance;
                 away += u32::from(ordered || listed || state.maintained.is_some());
@@ -119,7 +119,7 @@
         let mut evacuating = request.cap;
         let mut waiting: Vec<(String, WaveWait)> = Vec::new();
         for host in left {
-            let Some(state) = self.hosts.find(&host) else {
+            let Some(state) = self.hosts.get(&host) else {
                 continue;
             };
             let up = state.report.status == HostStatus::Up;
@@ -127,16 +127,16 @@
                 waiting.push((host, WaveWait::Host));
                 continue;
             }
-            let runner = state.report.runner.clone();
             let off = self.rules.is_spare(&state.report.pool);
-            let key = runner.as_deref().and_then(|id| self.runners.find(id));
+            let key = state.runner_key(&self.runners);
             if key.is_none() && !off {
                 // A runner whose entry has lapsed may still work.
                 waiting.push((host, WaveWait::Runner));
                 continue;
             }
-            if key.is_some_and(|key| self.has_work(key)) {
-                let budget = if self.has_lasting(key) {
+            if let Some(key) = key.filter(|key| self.has_work(*key)) {
+                let lasting = self.has_lasting(key);
+                let budget = if lasting {
                     &mut evacuating
                 } else {
                     &mut emptying
@@ -146,8 +146,8 @@
                     continue;
                 }
                 *budget -= 1;
-                self.prepare_runner(key, runner.as_deref(), now);
-                let force = late && !self.has_lasting(key);
+                self.prepare_runner(key, now);
+                let force = late && !lasting;
                 if !force || room == 0 {
                     waiting.push((host, WaveWait::Work));
                     continue;
@@ -195,10 +195,7 @@
             .is_some_and(|state| !state.items.is_empty() || state.foreign || !state.fenced)
     }
 
-    pub(super) fn has_lasting(&self, key: Option<RunnerKey>) -> bool {
-        let Some(key) = key else {
-            return false;
-        };
+    pub(super) fn has_lasting(&self, key: RunnerKey) -> bool {
         self.runs_on(key).iter().any(|(item, _)| self.lasts(*item))
     }
 
@@ -209,13 +206,10 @@
     }
 
     /// Takes new work off a runner and restarts lasting work elsewhere.
-    fn prepare_runner(&mut self, key: Option<RunnerKey>, id: Option<&str>, now: LocalTime) {
-        if let Some(id) = id {
-            self.cordon(id);
+    fn prepare_runner(&mut self, key: RunnerKey, now: LocalTime) {
+        if let Some(state) = self.runners.get_mut(key) {
+            state.cordoned = true;
         }
-        let Some(key) = key else {
-            return;
-        };
         for (item, booked) in self.runs_on(key) {
             let running = matches!(booked.phase, RunPhase::Running { .. });
             if running
@@ -258,31 +252,21 @@
         let Some((job, item)) = self.jobs.item(key) else {
             return false;
         };
-        let step = job.step_of(item);
-        let siblings = job.step_items(item.occurrence, item.step);
         self.runners.all().any(|(other, state)| {
-            let used = siblings
-                .iter()
-                .flat_map(|item| &item.runs)
-                .filter(|booked| booked.runner == other)
-                .count();
-            let spread = step.anti_affinity == 0 || used < step.anti_affinity as usize;
             other != runner
                 && state.report.service == job.queue.service
                 && state.takes_work(now)
                 && state.free().holds(&demand)
-                && spread
+                && spread_fits(job, item, other)
         })
     }
 
     /// Orders hosts for maintenance: those that are off, then empty ones, then those with the least work.
-    fn emptying_cost(&mut self, host: &str) -> (u32, u32) {
-        let Some(state) = self.hosts.find(host) else {
+    fn emptying_cost(&self, host: &str) -> (u32, u32) {
+        let Some(state) = self.hosts.get(host) else {
             return (u32::MAX, u32::MAX);
         };
-        let runner = state.report.runner.clone();
-        let key = runner.and_then(|id| self.runners.find(&id));
-        let Some(key) = key else {
+        let Some(key) = state.runner_key(&self.runners) else {
             return (0, 0);
         };
         let lasting = self
