--- a/crates/dispatch/src/owner/fault_watch.rs
+++ b/crates/dispatch/src/owner/fault_watch.rs
@@ -1,6 +1,9 @@
 use {
     super::OwnerState,
-    crate::{jobs::RunPhase, runners::RunnerStatus},
+    crate::{
+        jobs::RunPhase,
+        runners::{RunnerKey, RunnerStatus},
+    },
     goldcreststall_core::ids::{LocalTime, Millis},
 };
 
@@ -42,7 +45,7 @@
         }
     }
 
-    fn avoid_stuck(&mut self, runner: crate::runners::RunnerKey, now: LocalTime) {
+    fn avoid_stuck(&mut self, runner: RunnerKey, now: LocalTime) {
         if let Some(state) = self.runners.get_mut(runner) {
             state.cooling = now + STUCK_PAUSE;
         }
--- a/crates/dispatch/src/owner/gang_duty.rs
+++ b/crates/dispatch/src/owner/gang_duty.rs
@@ -1,7 +1,7 @@
 use {
     super::OwnerState,
     crate::{
-        jobs::{ItemKey, JobState, RunPhase},
+        jobs::{ItemKey, ItemRun, JobState, RunPhase},
         runners::{Capacity, RunnerKey},
     },
     goldcreststall_core::ids::LocalTime,
@@ -154,7 +154,7 @@
             let Some(newest) = newest else {
                 continue;
             };
-            let here = |run: &crate::jobs::ItemRun| run.run == newest && works(run.phase);
+            let here = |run: &ItemRun| run.run == newest && works(run.phase);
             let complete = members.iter().all(|item| item.runs.iter().any(here));
             if !complete {
                 places.extend(job.step_places(occurrence, step));
--- a/crates/node/src/control/order_runner.rs
+++ b/crates/node/src/control/order_runner.rs
@@ -11,7 +11,9 @@
     },
     goldcreststall_core::ids::LocalTime,
     goldcreststall_dispatch::{
-        owner::{AdviceOrder, HostAnswer, OwnerOrder, OwnerState, StartAnswer},
+        owner::{
+            AdviceOrder, HostAnswer, OwnerOrder, OwnerState, RunOrder, StartAnswer, StartOrder,
+        },
         runners::RunnerKey,
     },
     kameo::actor::WeakActorRef,
@@ -107,7 +109,7 @@
         });
     }
 
-    fn start(&self, state: &OwnerState, order: goldcreststall_dispatch::owner::StartOrder) {
+    fn start(&self, state: &OwnerState, order: StartOrder) {
         let Some(peer) = self.peer(state, order.runner) else {
             return;
         };
@@ -134,7 +136,7 @@
         });
     }
 
-    fn stop(&self, state: &OwnerState, order: goldcreststall_dispatch::owner::RunOrder) {
+    fn stop(&self, state: &OwnerState, order: RunOrder) {
         let Some(peer) = self.peer(state, order.runner) else {
             return;
         };
@@ -153,12 +155,7 @@
         });
     }
 
-    fn pace(
-        &self,
-        state: &OwnerState,
-        order: goldcreststall_dispatch::owner::RunOrder,
-        percent: u32,
-    ) {
+    fn pace(&self, state: &OwnerState, order: RunOrder, percent: u32) {
         let Some(peer) = self.peer(state, order.runner) else {
             return;
         };
--- a/crates/node/src/control/owner_actor.rs
+++ b/crates/node/src/control/owner_actor.rs
@@ -11,6 +11,7 @@
     goldcreststall_core::ids::{LocalTime, Millis},
     goldcreststall_dispatch::{
         owner::{CallAnswer, JobCall, OwnerOrder, OwnerState, WaveRequest},
+        records::StoreRecord,
         routes::FleetRules,
         runners::RunnerReport,
     },
@@ -234,7 +235,7 @@
     fn restored(
         &mut self,
         token: u64,
-        records: Vec<goldcreststall_dispatch::records::StoreRecord>,
+        records: Vec<StoreRecord>,
         journal: Box<JobJournal>,
         now: LocalTime,
     ) {
