--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -233,8 +233,7 @@
 async fn tick(actor: ActorRef<OwnerActor>, election: ElectionTask) {
     let mut owner = election.owner.subscribe();
     tokio::spawn(election.run());
-    let own = |owner: &Option<OwnerPlace>| owner.as_ref().is_some_and(|owner| owner.own);
-    while owner.wait_for(own).await.is_ok() {
+    while owner.wait_for(OwnerPlace::is_own).await.is_ok() {
         tokio::time::sleep(Duration::from_millis(TICK_PERIOD.0)).await;
         // The actor is gone only when the process ends.
         let _ = actor.tell(ControlEvent::Tick).await;
--- a/crates/node/src/election/election_task.rs
+++ b/crates/node/src/election/election_task.rs
@@ -45,6 +45,13 @@
     pub own: bool,
 }
 
+impl OwnerPlace {
+    /// Returns whether the owner is known to be this process.
+    pub fn is_own(place: &Option<Self>) -> bool {
+        place.as_ref().is_some_and(|place| place.own)
+    }
+}
+
 /// A change of this process's role.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ElectionEvent {
--- a/crates/node/src/feeds/host_feed.rs
+++ b/crates/node/src/feeds/host_feed.rs
@@ -21,8 +21,7 @@
     mut owner: watch::Receiver<Option<OwnerPlace>>,
     logger: Logger,
 ) {
-    let own = |owner: &Option<OwnerPlace>| owner.as_ref().is_some_and(|owner| owner.own);
-    while owner.wait_for(own).await.is_ok() {
+    while owner.wait_for(OwnerPlace::is_own).await.is_ok() {
         match service.list().await {
             Ok(reports) => {
                 // The actor is gone only when the process ends.
--- a/crates/node/src/feeds/runner_feed.rs
+++ b/crates/node/src/feeds/runner_feed.rs
@@ -31,11 +31,7 @@
 impl RunnerFeed {
     /// Follows the entries until the process ends.
     pub async fn run(mut self) {
-        loop {
-            let own = |owner: &Option<OwnerPlace>| owner.as_ref().is_some_and(|owner| owner.own);
-            if self.owner.wait_for(own).await.is_err() {
-                return;
-            }
+        while self.owner.wait_for(OwnerPlace::is_own).await.is_ok() {
             self.follow_term().await;
         }
     }
@@ -43,7 +39,7 @@
     async fn follow_term(&mut self) {
         let mut next = None;
         let mut entries: Vec<(String, RunnerReport)> = Vec::new();
-        while self.owner.borrow().as_ref().is_some_and(|owner| owner.own) {
+        while OwnerPlace::is_own(&self.owner.borrow()) {
             let anew = next.is_none();
             let read = match next {
                 Some(from) => self.feed.follow(from, Millis(0)).await,
