--- a/crates/entry/src/metrics/entry_metrics.rs
+++ b/crates/entry/src/metrics/entry_metrics.rs
@@ -1,11 +1,9 @@
 use {
-    anyhow::Context,
+    super::MetricsRegistry,
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Gauge, Histogram, MeterProvider},
+        metrics::{Counter, Gauge, Histogram},
     },
-    opentelemetry_sdk::metrics::SdkMeterProvider,
-    prometheus::{Registry, TextEncoder},
 };
 
 /// The instruments, readable in the Prometheus text format.
@@ -17,8 +15,7 @@
     pub ledger_offset: Gauge<u64>,
     /// Requests by service and outcome.
     pub requests: Counter<u64>,
-    provider: SdkMeterProvider,
-    registry: Registry,
+    registry: MetricsRegistry,
 }
 
 impl EntryMetrics {
@@ -27,18 +24,12 @@
     /// # Errors
     /// When the exporter cannot be registered.
     pub fn new() -> anyhow::Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .context("the metrics exporter was not built")?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("goldcreststall");
+        let registry = MetricsRegistry::new()?;
+        let meter = registry.meter();
         Ok(Self {
             answer_ms: meter.u64_histogram("gcs_answer_milliseconds").build(),
             ledger_offset: meter.u64_gauge("gcs_ledger_offset").build(),
             requests: meter.u64_counter("gcs_requests").build(),
-            provider,
             registry,
         })
     }
@@ -54,16 +45,6 @@
 
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
-        let families = self.registry.gather();
-        TextEncoder::new()
-            .encode_to_string(&families)
-            .unwrap_or_default()
-    }
-}
-
-impl Drop for EntryMetrics {
-    fn drop(&mut self) {
-        // Nothing is exported by push, so a failed shutdown loses nothing.
-        let _ = self.provider.shutdown();
+        self.registry.text()
     }
 }
--- a/crates/node/src/metrics/node_metrics.rs
+++ b/crates/node/src/metrics/node_metrics.rs
@@ -1,11 +1,9 @@
 use {
-    anyhow::Context,
+    goldcreststall_entry::metrics::MetricsRegistry,
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Histogram, MeterProvider},
+        metrics::{Counter, Histogram},
     },
-    opentelemetry_sdk::metrics::SdkMeterProvider,
-    prometheus::{Registry, TextEncoder},
 };
 
 /// The instruments, readable in the Prometheus text format.
@@ -14,8 +12,7 @@
     answers: Counter<u64>,
     answer_ms: Histogram<u64>,
     orders: Counter<u64>,
-    provider: SdkMeterProvider,
-    registry: Registry,
+    registry: MetricsRegistry,
 }
 
 impl NodeMetrics {
@@ -24,18 +21,12 @@
     /// # Errors
     /// When the exporter cannot be registered.
     pub fn new() -> anyhow::Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .context("the metrics exporter was not built")?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("goldcreststall");
+        let registry = MetricsRegistry::new()?;
+        let meter = registry.meter();
         Ok(Self {
             answers: meter.u64_counter("gcs_answers").build(),
             answer_ms: meter.u64_histogram("gcs_answer_milliseconds").build(),
             orders: meter.u64_counter("gcs_orders").build(),
-            provider,
             registry,
         })
     }
@@ -54,16 +45,6 @@
 
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
-        let families = self.registry.gather();
-        TextEncoder::new()
-            .encode_to_string(&families)
-            .unwrap_or_default()
-    }
-}
-
-impl Drop for NodeMetrics {
-    fn drop(&mut self) {
-        // Nothing is exported by push, so a failed shutdown loses nothing.
-        let _ = self.provider.shutdown();
+        self.registry.text()
     }
 }
