Let tests share how they submit work

Tests of the owner repeated the steps from a submission to its orders to start, which the test fleet already had for work that begins; tests of the actor had the same submission and the same tell twice. Assertions are unchanged.

--- a/crates/dispatch/tests/fleet/mod.rs
+++ b/crates/dispatch/tests/fleet/mod.rs
@@ -120,12 +120,17 @@
         (fleet, starts)
     }
 
-    /// Submits a job and lets what the owner starts of it begin.
-    pub fn start_work(&mut self, id: u64, steps: Vec<StepSpec>) -> Vec<StartOrder> {
+    /// Submits a job and returns the orders to start, which are not answered.
+    pub fn order_work(&mut self, id: u64, steps: Vec<StepSpec>) -> Vec<StartOrder> {
         self.submit(id, job(steps));
         self.store();
         self.pass(10);
-        let starts = self.starts();
+        self.starts()
+    }
+
+    /// Submits a job and lets what the owner starts of it begin.
+    pub fn start_work(&mut self, id: u64, steps: Vec<StepSpec>) -> Vec<StartOrder> {
+        let starts = self.order_work(id, steps);
         self.begin(&starts);
         starts
     }
--- a/crates/dispatch/tests/owner_change.rs
+++ b/crates/dispatch/tests/owner_change.rs
@@ -149,10 +149,7 @@
 fn running_is_adopted() {
     let mut before = TestFleet::new(1, &["r1"]);
     before.greet();
-    before.submit(7, job(vec![step(1, 1_000)]));
-    before.store();
-    before.pass(10);
-    let start = before.starts().remove(0);
+    let start = before.order_work(7, vec![step(1, 1_000)]).remove(0);
     let mut fleet = restored(vec![submission(7)], &["r1"]);
     fleet.list_hosts(vec![host("h1", fleet::POOL, Some("r1"))]);
     for _ in 0..10 {
--- a/crates/dispatch/tests/serving_room.rs
+++ b/crates/dispatch/tests/serving_room.rs
@@ -14,12 +14,8 @@
 fn not_starved() {
     let mut fleet = TestFleet::new(1, &["r1"]);
     fleet.greet();
-    fleet.submit(1, job(vec![step(40, 1_000)]));
-    fleet.store();
-    fleet.pass(10);
-    let mut running = fleet.starts();
+    let mut running = fleet.start_work(1, vec![step(40, 1_000)]);
     assert_eq!(running.len(), 8);
-    fleet.begin(&running);
     let serving = StepSpec {
         long_running: true,
         anti_affinity: 1,
--- a/crates/dispatch/tests/unknown_start.rs
+++ b/crates/dispatch/tests/unknown_start.rs
@@ -4,7 +4,7 @@
 mod fleet;
 
 use {
-    fleet::{TestFleet, empty, job, listed, step},
+    fleet::{TestFleet, empty, listed, step},
     goldcreststall_dispatch::{
         owner::{OwnerOrder, RunOrder, StartAnswer},
         runners::longest_lapse,
@@ -23,10 +23,7 @@
 fn room_stays_taken() {
     let mut fleet = TestFleet::new(1, &["r1"]);
     fleet.greet();
-    fleet.submit(7, job(vec![step(2, 8_000)]));
-    fleet.store();
-    fleet.pass(10);
-    let starts = fleet.starts();
+    let starts = fleet.order_work(7, vec![step(2, 8_000)]);
     assert_eq!(starts.len(), 1);
     fleet
         .owner
@@ -44,10 +41,7 @@
 fn void_after_stop() {
     let mut fleet = TestFleet::new(1, &["r1"]);
     fleet.greet();
-    fleet.submit(7, job(vec![step(1, 8_000)]));
-    fleet.store();
-    fleet.pass(10);
-    let starts = fleet.starts();
+    let starts = fleet.order_work(7, vec![step(1, 8_000)]);
     fleet
         .owner
         .start_answered(&starts[0], StartAnswer::Unknown, fleet.now);
@@ -72,11 +66,7 @@
 fn lapse_waits() {
     let mut fleet = TestFleet::new(1, &["r1", "r2"]);
     fleet.greet();
-    fleet.submit(7, job(vec![step(1, 8_000)]));
-    fleet.store();
-    fleet.pass(10);
-    let starts = fleet.starts();
-    fleet.begin(&starts);
+    let starts = fleet.start_work(7, vec![step(1, 8_000)]);
     let end = fleet.now + longest_lapse();
     while fleet.now.0 + 200 < end.0 {
         fleet.pass(100);
@@ -103,11 +93,7 @@
 fn listed_is_running() {
     let mut fleet = TestFleet::new(1, &["r1"]);
     fleet.greet();
-    fleet.submit(7, job(vec![step(1, 8_000)]));
-    fleet.store();
-    fleet.pass(10);
-    let starts = fleet.starts();
-    fleet.begin(&starts);
+    let starts = fleet.start_work(7, vec![step(1, 8_000)]);
     fleet.pass(100);
     let mut answer = empty(fleet.clock());
     answer.running.push(listed(&starts[0]));
--- a/crates/dispatch/tests/wave_limits.rs
+++ b/crates/dispatch/tests/wave_limits.rs
@@ -122,11 +122,7 @@
         may_miss: 1,
         ..step(2, 1_000)
     };
-    fleet.submit(1, job(vec![serving]));
-    fleet.store();
-    fleet.pass(10);
-    let starts = fleet.starts();
-    fleet.begin(&starts);
+    let starts = fleet.start_work(1, vec![serving]);
     fleet
         .owner
         .wave_requested(wave(&["h1", "h2", "h3", "h4"], 4), fleet.now);
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -7,12 +7,14 @@
     bytes::Bytes,
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::{
-        jobs::StepName,
-        owner::{HostAnswer, HostReport, RunOrder, StartAnswer, StartOrder},
+        jobs::{JobId, JobSpec, StepName, StepSpec},
+        owner::{HostAnswer, HostReport, JobCall, RunOrder, StartAnswer, StartOrder},
+        records::JobSubmission,
+        routes::RouteRule,
         runners::{Capacity, HoldAnswer, RunnerReport, RunnerStatus},
     },
     goldcreststall_node::{
-        control::{ActorParts, OwnerActor},
+        control::{ActorParts, ControlEvent, OwnerActor},
         election::OwnerLease,
         metrics::NodeMetrics,
         ports::{
@@ -281,6 +283,36 @@
     }
 }
 
+pub async fn tell(test: &TestActor, event: ControlEvent) {
+    test.actor.tell(event).await.expect("the actor runs");
+}
+
+/// Submits a job with `count` work items that take `cpu` thousandths of a core each.
+pub fn submit(id: u64, count: u32, cpu: u32) -> JobCall {
+    let step = StepSpec {
+        count,
+        cpu,
+        estimate_ms: 1_000,
+        ..StepSpec::default()
+    };
+    let queue = RouteRule {
+        service: "press".to_owned(),
+        attempts: 3,
+        stretch: 1.0,
+        ..RouteRule::default()
+    };
+    let job = JobSpec {
+        steps: vec![step],
+        ..JobSpec::default()
+    };
+    let submission = JobSubmission {
+        queue,
+        job,
+        taken_ms: 0,
+    };
+    JobCall::Submit(JobId(id), Box::new(submission))
+}
+
 pub fn logger() -> Logger {
     Logger::root(Discard, o!())
 }
--- a/crates/node/tests/owner_actor.rs
+++ b/crates/node/tests/owner_actor.rs
@@ -4,13 +4,11 @@
 mod fakes;
 
 use {
-    fakes::{TestActor, runner, spawn_actor},
+    fakes::{TestActor, runner, spawn_actor, submit, tell},
     goldcreststall_core::ids::LocalTime,
     goldcreststall_dispatch::{
-        jobs::{JobId, JobSpec, StepSpec},
+        jobs::JobId,
         owner::{CallAnswer, JobCall},
-        records::JobSubmission,
-        routes::RouteRule,
     },
     goldcreststall_node::control::ControlEvent,
     std::{sync::atomic::Ordering, time::Duration},
@@ -19,37 +17,6 @@
 
 const LIMIT: Duration = Duration::from_secs(20);
 
-fn submit(id: u64) -> JobCall {
-    let step = StepSpec {
-        count: 1,
-        cpu: 1_000,
-        estimate_ms: 1_000,
-        ..StepSpec::default()
-    };
-    let queue = RouteRule {
-        service: "press".to_owned(),
-        attempts: 3,
-        stretch: 1.0,
-        ..RouteRule::default()
-    };
-    let job = JobSpec {
-        steps: vec![step],
-        ..JobSpec::default()
-    };
-    JobCall::Submit(
-        JobId(id),
-        Box::new(JobSubmission {
-            queue,
-            job,
-            taken_ms: 0,
-        }),
-    )
-}
-
-async fn tell(test: &TestActor, event: ControlEvent) {
-    test.actor.tell(event).await.expect("the actor runs");
-}
-
 async fn call(test: &TestActor, call: JobCall) -> CallAnswer {
     let (reply, answer) = oneshot::channel();
     tell(test, ControlEvent::Call { call, reply }).await;
@@ -88,7 +55,7 @@
     test.store.hold_reads.store(false, Ordering::SeqCst);
     test.store.released.notify_waiters();
     test.store.released.notify_one();
-    assert_eq!(call(&test, submit(7)).await, CallAnswer::Accepted);
+    assert_eq!(call(&test, submit(7, 1, 1_000)).await, CallAnswer::Accepted);
     wait_for_start(&test).await;
 }
 
@@ -97,7 +64,7 @@
     let test = spawn_actor();
     test.lease.prolong(LocalTime(u64::MAX));
     tell(&test, ControlEvent::Elected(1)).await;
-    assert_eq!(call(&test, submit(7)).await, CallAnswer::Accepted);
+    assert_eq!(call(&test, submit(7, 1, 1_000)).await, CallAnswer::Accepted);
     test.lease.end();
     // A newer owner may have accepted the job that this one does not know.
     let cancelled = call(&test, JobCall::Cancel(JobId(8))).await;
@@ -109,7 +76,10 @@
 #[tokio::test]
 async fn not_owner() {
     let test = spawn_actor();
-    assert_eq!(call(&test, submit(7)).await, CallAnswer::Unavailable);
+    assert_eq!(
+        call(&test, submit(7, 1, 1_000)).await,
+        CallAnswer::Unavailable
+    );
     assert!(test.store.jobs.lock().is_empty());
 }
 
@@ -118,9 +88,9 @@
     let test = spawn_actor();
     test.lease.prolong(LocalTime(u64::MAX));
     tell(&test, ControlEvent::Elected(1)).await;
-    assert_eq!(call(&test, submit(7)).await, CallAnswer::Accepted);
+    assert_eq!(call(&test, submit(7, 1, 1_000)).await, CallAnswer::Accepted);
     test.store.lose_answer.store(true, Ordering::SeqCst);
-    assert_eq!(call(&test, submit(8)).await, CallAnswer::Accepted);
+    assert_eq!(call(&test, submit(8, 1, 1_000)).await, CallAnswer::Accepted);
     let jobs = test.store.jobs.lock();
     let copies = jobs.iter().filter(|(key, _)| key.starts_with("j/")).count();
     assert_eq!(
--- a/crates/node/tests/start_gates.rs
+++ b/crates/node/tests/start_gates.rs
@@ -3,14 +3,8 @@
 mod fakes;
 
 use {
-    fakes::{TestActor, runner, spawn_actor},
+    fakes::{TestActor, runner, spawn_actor, submit, tell},
     goldcreststall_core::ids::LocalTime,
-    goldcreststall_dispatch::{
-        jobs::{JobId, JobSpec, StepSpec},
-        owner::JobCall,
-        records::JobSubmission,
-        routes::RouteRule,
-    },
     goldcreststall_node::control::ControlEvent,
     std::{sync::atomic::Ordering, time::Duration},
     tokio::sync::oneshot,
@@ -19,10 +13,6 @@
 const ITEMS: u32 = 8;
 const LIMIT: Duration = Duration::from_secs(20);
 
-async fn tell(test: &TestActor, event: ControlEvent) {
-    test.actor.tell(event).await.expect("the actor runs");
-}
-
 /// Ticks until `count` orders to start have reached the runner.
 async fn wait_for_starts(test: &TestActor, count: usize) {
     let waited = async {
@@ -43,28 +33,7 @@
     test.runners.hold_starts.store(true, Ordering::SeqCst);
     tell(&test, ControlEvent::Elected(1)).await;
     tell(&test, ControlEvent::RunnersListed(vec![runner("r1")])).await;
-    let step = StepSpec {
-        count: ITEMS,
-        cpu: 100,
-        estimate_ms: 1_000,
-        ..StepSpec::default()
-    };
-    let queue = RouteRule {
-        service: "press".to_owned(),
-        attempts: 3,
-        stretch: 1.0,
-        ..RouteRule::default()
-    };
-    let job = JobSpec {
-        steps: vec![step],
-        ..JobSpec::default()
-    };
-    let submission = JobSubmission {
-        queue,
-        job,
-        taken_ms: 0,
-    };
-    let call = JobCall::Submit(JobId(7), Box::new(submission));
+    let call = submit(7, ITEMS, 100);
     let (reply, _answer) = oneshot::channel();
     tell(&test, ControlEvent::Call { call, reply }).await;
     wait_for_starts(&test, 4).await;
