Give no work to runners that have ended

Cause: the list keeps an entry for some seconds after its runner has ended. Each change of another entry sends the whole list again, and the stale entry marked the runner as listed, and so as usable, although its host had moved. Change: the list tells whether a runner is listed, the end of an instance is kept beside it, and only runners that are present get work. An ended instance is remembered while the list shows it.

--- a/crates/dispatch/src/owner/admission.rs
+++ b/crates/dispatch/src/owner/admission.rs
@@ -44,7 +44,7 @@
             .collect();
         let mut fleet_capacity = 0;
         for (_, state) in self.runners.all() {
-            let is_ready = state.listed && state.report.status == RunnerStatus::Ready;
+            let is_ready = state.is_present() && state.report.status == RunnerStatus::Ready;
             let pool = backlogs
                 .iter_mut()
                 .find(|pool| pool.service == state.report.service);
--- a/crates/dispatch/src/owner/hold_planner.rs
+++ b/crates/dispatch/src/owner/hold_planner.rs
@@ -66,7 +66,7 @@
             let Some(state) = self.runners.get(key) else {
                 continue;
             };
-            let silent = state.missed_holds > 0 || !state.listed;
+            let silent = state.missed_holds > 0 || !state.is_present();
             let lapse_time = state
                 .clock
                 .lapse_time()
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -212,8 +212,9 @@
     fn has_pool_answered(&self, service: &str) -> bool {
         let all_fenced = || {
             let mut members = self.runners.all().map(|(_, runner)| runner);
-            members
-                .all(|runner| runner.fenced || !runner.listed || runner.report.service != service)
+            members.all(|runner| {
+                runner.fenced || !runner.is_present() || runner.report.service != service
+            })
         };
         let answered = self.hosts.pool_answered(service, &self.runners);
         self.hosts.listed_at.is_some() && answered.unwrap_or_else(all_fenced)
--- a/crates/dispatch/src/owner/restore.rs
+++ b/crates/dispatch/src/owner/restore.rs
@@ -97,9 +97,10 @@
             && state.report.started_ms == report.started_ms
         {
             let changed = state.report.status != report.status || !state.listed;
+            let is_news = changed && !state.has_ended;
             state.listed = true;
             state.report = report;
-            if changed {
+            if is_news {
                 let id = state.report.id.clone();
                 let detail = format!("status={:?}", state.report.status);
                 self.log_event("runner changed", id, detail);
--- a/crates/dispatch/src/owner/run_table.rs
+++ b/crates/dispatch/src/owner/run_table.rs
@@ -185,7 +185,6 @@
     /// Records that an instance of a runner has ended, and with it all of its runs.
     pub(super) fn end_runner(&mut self, runner: RunnerKey, reason: &'static str, now: LocalTime) {
         if let Some(state) = self.runners.get_mut(runner) {
-            state.listed = false;
             state.has_ended = true;
         }
         self.release_lost_runs(runner, reason, now);
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -89,9 +89,15 @@
         self.report.capacity.minus(&self.used)
     }
 
+    /// Returns whether the runner is listed and may still run. The list keeps an entry for some seconds after its runner
+    /// has ended.
+    pub fn is_present(&self) -> bool {
+        self.listed && !self.has_ended
+    }
+
     /// Returns whether new work may be started on the runner.
     pub fn accepts_work(&self, now: LocalTime) -> bool {
-        self.listed
+        self.is_present()
             && self.fenced
             && !self.has_unknown_runs
             && !self.cordoned
--- a/crates/dispatch/tests/fleet/mod.rs
+++ b/crates/dispatch/tests/fleet/mod.rs
@@ -256,6 +256,12 @@
         }
     }
 
+    /// Returns the number of hold calls without a response so far.
+    pub fn holds(&self) -> usize {
+        let is_hold = |command: &&OwnerCommand| matches!(command, OwnerCommand::Hold { .. });
+        self.commands.iter().filter(is_hold).count()
+    }
+
     pub fn list_hosts(&mut self, reports: Vec<HostReport>) {
         self.owner.hosts_listed(reports, self.now, MAINTENANCE);
     }
