--- a/crates/dispatch/src/jobs/job_id.rs
+++ b/crates/dispatch/src/jobs/job_id.rs
@@ -38,7 +38,7 @@
 }
 
 /// Name of a work item on the wire and in logs: `ID.K.STEP.INDEX`, where K is the occurrence.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ItemName {
     /// The job.
     pub job: JobId,
--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -31,6 +31,8 @@
     pub stored_phase: JobPhase,
     /// The submission is stored.
     pub accepted: bool,
+    /// The text for runners is known; a recovered job starts no work item before.
+    pub has_text: bool,
     /// Work items started by an earlier owner may be running on runners that have not answered this owner yet.
     pub unconfirmed: bool,
     /// A work item has been started by this owner, or by an earlier one as far as is known.
@@ -66,6 +68,7 @@
             phase: JobPhase::Queued,
             stored_phase: JobPhase::Queued,
             accepted: false,
+            has_text: true,
             unconfirmed: false,
             started: false,
             ended: None,
@@ -74,6 +77,25 @@
         }
     }
 
+    /// Creates a job of which only its id and its final phase are known.
+    pub fn ended(id: JobId, phase: JobPhase, now: LocalTime) -> Self {
+        Self {
+            id,
+            queue: Arc::default(),
+            spec: JobSpec::default(),
+            items: Vec::new(),
+            first_seen: now,
+            phase,
+            stored_phase: phase,
+            accepted: true,
+            has_text: true,
+            unconfirmed: false,
+            started: true,
+            ended: Some(now),
+            items_per_occurrence: 0,
+        }
+    }
+
     /// Applies the stored progress of the job.
     pub fn restore(&mut self, progress: &JobProgress) {
         self.phase = progress.phase;
--- a/crates/dispatch/src/owner/journal_queue.rs
+++ b/crates/dispatch/src/owner/journal_queue.rs
@@ -5,11 +5,17 @@
         records::{JobSubmission, StoreRecord, WaveProgress},
         runners::RunnerKey,
     },
-    goldcreststall_core::ids::LocalTime,
+    goldcreststall_core::ids::{LocalTime, Millis},
 };
 
-/// Size at which a batch is full; well below the limit of one append call.
+/// Size at which a batch is full on a fast link; well below the limit of one append call.
 const MAX_BATCH_BYTES: usize = 512 * 1024;
+/// Smallest such size.
+const MIN_BATCH_BYTES: usize = 16 * 1024;
+/// How long a full batch may take on the owner's link. An append must be answered within its timeout, or it would be
+/// repeated for ever.
+const BATCH_TIME: Millis = Millis(150);
+const MILLIS_PER_SECOND: u64 = 1_000;
 
 /// Number of a batch within a term.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
@@ -38,7 +44,7 @@
 }
 
 /// Records that wait to be stored, and the effects that wait for them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct JournalQueue {
     submissions: Vec<(JobKey, JobId, JobSubmission)>,
     dirty: Vec<JobKey>,
@@ -47,9 +53,32 @@
     effects: Vec<StoredEffect>,
     in_flight: Option<(BatchId, Vec<StoredEffect>)>,
     last_id: BatchId,
+    /// Size at which a batch is full.
+    max_bytes: usize,
+}
+
+impl Default for JournalQueue {
+    fn default() -> Self {
+        Self {
+            submissions: Vec::new(),
+            dirty: Vec::new(),
+            waves: Vec::new(),
+            forgotten: Vec::new(),
+            effects: Vec::new(),
+            in_flight: None,
+            last_id: BatchId::default(),
+            max_bytes: MAX_BATCH_BYTES,
+        }
+    }
 }
 
 impl JournalQueue {
+    /// Limits the batches to what a link of this many bytes per second carries in a short time.
+    pub(super) fn limit_link(&mut self, link_rate: u64) {
+        let bytes = link_rate * BATCH_TIME.0 / MILLIS_PER_SECOND;
+        self.max_bytes = (bytes as usize).clamp(MIN_BATCH_BYTES, MAX_BATCH_BYTES);
+    }
+
     pub(super) fn submit(&mut self, key: JobKey, id: JobId, submission: JobSubmission) {
         self.submissions.push((key, id, submission));
         self.effects.push(StoredEffect::Accept(key));
@@ -112,12 +141,13 @@
         }
         let mut records = Vec::new();
         let mut bytes = 0;
+        let max_bytes = self.journal.max_bytes;
         let mut push = |record: StoreRecord| {
             for (key, value) in record.encode() {
                 bytes += key.len() + value.len();
                 records.push((key, value));
             }
-            bytes < MAX_BATCH_BYTES
+            bytes < max_bytes
         };
         let mut has_space = true;
         let journal = &mut self.journal;
@@ -144,7 +174,11 @@
                 deferred.push(key);
                 continue;
             }
-            has_space = push(StoreRecord::Progress(job.id, job.progress()));
+            has_space = push(if job.phase.is_final() {
+                StoreRecord::Ended(job.id, job.phase)
+            } else {
+                StoreRecord::Progress(job.id, job.progress())
+            });
         }
         for (wave, progress) in journal.waves.drain(..) {
             push(StoreRecord::Wave(wave, progress));
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -18,6 +18,7 @@
 mod run_table;
 mod runner_advice;
 mod runner_responses;
+mod start_budget;
 mod start_responses;
 mod stuck_runs;
 mod wave_control;
@@ -26,7 +27,7 @@
     host_table::{HostReport, HostResponse, HostStatus, WaveRequest},
     job_calls::{CallId, CallResponse, JobCall},
     journal_queue::{BatchId, JournalBatch},
-    owner_command::{AdviceCommand, OwnerCommand, RunCommand, StartCommand},
+    owner_command::{AdviceCommand, OwnerCommand, RunCommand, RunName, RunStart, StartCommand},
     owner_state::{OwnerEvent, OwnerState},
     start_responses::StartResponse,
 };
--- a/crates/dispatch/src/owner/owner_command.rs
+++ b/crates/dispatch/src/owner/owner_command.rs
@@ -5,9 +5,36 @@
         runners::RunnerKey,
     },
     goldcreststall_core::ids::Millis,
+    serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
 
+/// Name of one run of a work item on a runner.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RunName {
+    /// Name of the work item.
+    pub name: ItemName,
+    /// Number of the run.
+    pub run: u32,
+}
+
+/// What a runner needs in order to start a run.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RunStart {
+    /// Name of the work item.
+    pub name: ItemName,
+    /// Number of the run.
+    pub run: u32,
+    /// Text of the job's description that is passed to the runner unchanged.
+    pub spec: Arc<str>,
+    /// End of the lease on the runner's clock, in milliseconds.
+    pub deadline_ms: u64,
+    /// Checkpoint to resume from; empty to start from the beginning.
+    pub checkpoint: String,
+    /// Ticket with which the advice service approved the runner; empty when the queue needs no approval.
+    pub ticket: String,
+}
+
 /// A command about one run of a work item on a runner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RunCommand {
@@ -42,6 +69,30 @@
     pub ticket: String,
 }
 
+impl RunCommand {
+    /// Returns the name of the run.
+    pub fn run_name(&self) -> RunName {
+        RunName {
+            name: self.name,
+            run: self.run,
+        }
+    }
+}
+
+impl StartCommand {
+    /// Returns what the runner is told.
+    pub fn run_start(&self) -> RunStart {
+        RunStart {
+            name: self.name,
+            run: self.run,
+            spec: Arc::clone(&self.spec),
+            deadline_ms: self.deadline_ms,
+            checkpoint: self.checkpoint.clone(),
+            ticket: self.ticket.clone(),
+        }
+    }
+}
+
 /// Requests from the advice service which runners may run a step.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct AdviceCommand {
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -5,12 +5,13 @@
         host_table::{HostTable, WaveTable},
         journal_queue::JournalQueue,
         runner_advice::AdviceTable,
+        start_budget::StartBudget,
     },
     crate::{
         jobs::{JobKey, JobTable},
         pools::ArrivalRate,
         routes::FleetRules,
-        runners::{RunnerKey, RunnerTable, max_lapse_delay},
+        runners::{RunnerKey, RunnerReport, RunnerTable, max_lapse_delay},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
     std::{net::SocketAddr, sync::Arc},
@@ -31,6 +32,9 @@
 /// How long after a stall the silence of a runner proves nothing: its responses may still be queued in this process.
 const STALL_GRACE: Millis = Millis(2_000);
 
+/// Hold calls in a row without a response after which a runner that has never answered counts as unreachable.
+const UNREACHABLE_MISSES: u32 = 2;
+
 /// A decision or a change in what the owner knows, for the log.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OwnerEvent {
@@ -58,6 +62,7 @@
     pub(super) backlogs: Vec<PoolBacklog>,
     pub(super) arrivals: ArrivalRate,
     pub(super) advice: AdviceTable,
+    pub(super) start_budget: StartBudget,
     pub(super) recovered: bool,
     pub(super) has_runner_list: bool,
     pub(super) placement_due: bool,
@@ -66,7 +71,7 @@
     pub(super) logged_pools: Vec<(String, usize, usize)>,
     pub(super) pools_logged_at: LocalTime,
     last_placement: LocalTime,
-    last_tick: LocalTime,
+    pub(super) last_tick: LocalTime,
     next_slow_round: LocalTime,
 }
 
@@ -87,6 +92,7 @@
             backlogs: Vec::new(),
             arrivals: ArrivalRate::default(),
             advice: AdviceTable::default(),
+            start_budget: StartBudget::default(),
             recovered: false,
             has_runner_list: false,
             placement_due: true,
@@ -99,6 +105,12 @@
         }
     }
 
+    /// Limits start commands and batches of records to what the owner's link carries, in bytes per second.
+    pub fn limit_link(&mut self, link_rate: u64, now: LocalTime) {
+        self.start_budget = StartBudget::new(link_rate, now);
+        self.journal.limit_link(link_rate);
+    }
+
     /// Replaces the configuration if the new one has a higher version.
     pub fn set_rules(&mut self, rules: Arc<FleetRules>) {
         if rules.version > self.rules.version {
@@ -118,8 +130,13 @@
 
     /// Returns the id and address of a runner.
     pub fn runner_address(&self, key: RunnerKey) -> Option<(&str, SocketAddr)> {
-        let state = self.runners.get(key)?;
-        Some((&state.report.id, state.report.address))
+        let report = self.runner_report(key)?;
+        Some((&report.id, report.address))
+    }
+
+    /// Returns the latest report of a runner.
+    pub fn runner_report(&self, key: RunnerKey) -> Option<&RunnerReport> {
+        Some(&self.runners.get(key)?.report)
     }
 
     /// Makes the decisions that are due. `wall_ms` is the time of day in Unix milliseconds.
@@ -155,14 +172,17 @@
     }
 
     /// Allows recovered jobs to start in each pool that can have no unknown work of an earlier owner: all of its
-    /// runners have answered, or all earlier leases have lapsed.
+    /// runners have answered, or all earlier leases have lapsed and the runners that can be reached have answered. A
+    /// runner lists work that has ended until an owner acknowledges it, whatever became of the lease.
     fn recover(&mut self, now: LocalTime) {
         if self.recovered || !self.has_runner_list {
             return;
         }
         let waited = now >= self.started + max_lapse_delay();
         let mut services: Vec<String> = self.unrecovered_services();
-        services.retain(|service| waited || self.has_pool_answered(service));
+        services.retain(|service| {
+            self.has_pool_answered(service) || (waited && self.has_pool_been_called(service))
+        });
         for service in &services {
             self.recover_pool(service, waited);
         }
@@ -220,6 +240,15 @@
         self.hosts.listed_at.is_some() && answered.unwrap_or_else(all_fenced)
     }
 
+    /// Returns whether every listed runner of the pool has answered this owner or cannot be reached.
+    fn has_pool_been_called(&self, service: &str) -> bool {
+        let mut members = self.runners.all().map(|(_, runner)| runner);
+        members.all(|runner| {
+            let settled = runner.fenced || runner.missed_holds >= UNREACHABLE_MISSES;
+            settled || !runner.is_present() || runner.report.service != service
+        })
+    }
+
     fn forget_ended(&mut self, now: LocalTime) {
         self.jobs.prune_unfinished();
         let ended: Vec<JobKey> = self
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -31,7 +31,13 @@
         let mut ready = self.ready_items(now, wall_ms);
         ready.sort_unstable_by_key(|ready| (ready.rank, ready.key));
         let mut pass = PlacementPass::default();
+        self.start_budget.refill(now);
         for ReadyItem { key, rank } in ready {
+            if !self.start_budget.is_available() {
+                // What is left waits for the link, in its order.
+                self.placement_due = true;
+                break;
+            }
             self.place_item(key, rank.tier, &mut pass, now);
         }
     }
@@ -271,6 +277,8 @@
             now.since(job.first_seen).0
         );
         self.log_event("place", command.name.to_string(), detail);
+        self.start_budget
+            .take((key.job, runner), command.spec.len());
         self.attach_run(key, runner, command.run, RunPhase::Starting, now);
         self.commands.push(OwnerCommand::Start(command));
     }
--- a/crates/dispatch/src/owner/ready_items.rs
+++ b/crates/dispatch/src/owner/ready_items.rs
@@ -57,7 +57,8 @@
             let Some(job) = self.jobs.get(*key) else {
                 continue;
             };
-            let can_start = job.accepted && !job.unconfirmed && !job.phase.is_final();
+            let can_start =
+                job.accepted && job.has_text && !job.unconfirmed && !job.phase.is_final();
             let has_capacity = services.binary_search(&job.queue.service.as_str()).is_ok();
             if can_start && (has_capacity || job.is_long_running()) {
                 collect_ready(*key, job, now, wall_ms, &mut ready);
--- a/crates/dispatch/src/owner/restore.rs
+++ b/crates/dispatch/src/owner/restore.rs
@@ -21,6 +21,8 @@
     /// `wall_ms` is the time of day in Unix milliseconds; it gives the approximate age of the jobs, so that late jobs
     /// are not treated as new.
     pub fn restore(&mut self, records: Vec<StoreRecord>, now: LocalTime, wall_ms: u64) {
+        // The time until the store was read is no stall.
+        self.last_tick = now;
         let mut progress: BTreeMap<_, JobProgress> = BTreeMap::new();
         let mut submissions: Vec<(JobId, JobSubmission)> = Vec::new();
         for record in records {
@@ -30,7 +32,7 @@
                     progress.insert(id, stored);
                 }
                 StoreRecord::Wave(number, stored) => self.waves.restore(number, stored),
-                StoreRecord::Forgotten(_) => {}
+                StoreRecord::Ended(..) | StoreRecord::Forgotten(_) | StoreRecord::Text(..) => {}
             }
         }
         let restored = submissions.len();
@@ -51,20 +53,50 @@
                 job.stored_phase = JobPhase::Completed;
             }
             job.unconfirmed = true;
+            job.has_text = !job.spec.spec.is_empty();
             let first_run = self.token.saturating_mul(RUNS_PER_TOKEN);
             for item in &mut job.items {
                 item.last_run = u32::try_from(first_run).unwrap_or(u32::MAX / 2);
             }
             self.jobs.insert(job);
+            progress.remove(&id);
+        }
+        for (id, stored) in progress {
+            if stored.phase.is_final() {
+                self.jobs.insert(JobState::ended(id, stored.phase, now));
+            }
         }
         if restored == 0 {
             // No job was accepted before this term, so that there can be no unknown run.
             self.recovered = true;
         }
-        let detail = format!("jobs={restored}");
+        let detail = format!("unfinished_jobs={restored}");
         self.log_event("store read", format!("token {}", self.token), detail);
     }
 
+    /// Adds texts of recovered jobs, which can then start. `complete` tells that no more texts are stored: jobs without
+    /// one have an empty text.
+    pub fn texts_restored(&mut self, texts: Vec<(JobId, String)>, complete: bool) {
+        for (id, text) in texts {
+            let key = self.jobs.find(id);
+            if let Some(job) = key.and_then(|key| self.jobs.get_mut(key))
+                && !job.has_text
+            {
+                job.spec.spec = text;
+                job.has_text = true;
+            }
+        }
+        if complete {
+            for key in self.jobs.unfinished().to_vec() {
+                if let Some(job) = self.jobs.get_mut(key) {
+                    job.has_text = true;
+                }
+            }
+            self.log_event("texts read", format!("token {}", self.token), String::new());
+        }
+        self.placement_due = true;
+    }
+
     /// Handles the complete list of runners.
     pub fn runners_listed(&mut self, reports: Vec<RunnerReport>, now: LocalTime) {
         let listed: Vec<String> = reports.iter().map(|report| report.id.clone()).collect();
--- a/crates/dispatch/src/owner/start_responses.rs
+++ b/crates/dispatch/src/owner/start_responses.rs
@@ -2,6 +2,7 @@
     super::{OwnerState, RunCommand, StartCommand},
     crate::jobs::RunPhase,
     goldcreststall_core::ids::{LocalTime, Millis},
+    serde::{Deserialize, Serialize},
 };
 
 /// How long a runner gets no new work after it has refused a start command, for example because it is not healthy or
@@ -11,7 +12,7 @@
 const RUN_NUMBER_STEP: u32 = 16;
 
 /// Outcome of a start command.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum StartResponse {
     /// The run has started. Reading of the runner's clock, in milliseconds.
     Begun(u64),
--- a/crates/dispatch/src/records/mod.rs
+++ b/crates/dispatch/src/records/mod.rs
@@ -3,4 +3,6 @@
 
 mod store_record;
 
-pub use store_record::{JobProgress, JobSubmission, RecordError, StoreRecord, WaveProgress};
+pub use store_record::{
+    FIRST_KEY_AFTER_TEXTS, JobProgress, JobSubmission, RecordError, StoreRecord, WaveProgress,
+};
--- a/crates/dispatch/src/records/store_record.rs
+++ b/crates/dispatch/src/records/store_record.rs
@@ -11,6 +11,9 @@
 /// Format of submissions with the time of day of their acceptance; submissions in [`FORMAT`] lack it.
 const TIMED_FORMAT: u8 = 2;
 
+/// First key that sorts after those of all texts.
+pub const FIRST_KEY_AFTER_TEXTS: &str = "b";
+
 /// Error in decoding a record.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum RecordError {
@@ -22,7 +25,7 @@
     Value(String),
 }
 
-/// Stored submission of a job.
+/// Stored submission of a job. Its text is stored under a key of its own.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct JobSubmission {
     /// Configuration of the queue at the time of the submission.
@@ -65,10 +68,14 @@
 /// A record of the owner's topic. Each replaces the earlier record under its key.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StoreRecord {
-    /// The submission of a job.
+    /// The submission of a job; its text is stored as [`Self::Text`], unless an earlier version has stored it here.
     Submission(JobId, JobSubmission),
+    /// The text of a job that is passed to runners.
+    Text(JobId, String),
     /// The progress of a job.
     Progress(JobId, JobProgress),
+    /// The final phase of a job. Its submission is removed: a later owner needs only its id and phase.
+    Ended(JobId, JobPhase),
     /// The progress of a wave.
     Wave(u64, WaveProgress),
     /// The job was removed.
@@ -80,12 +87,42 @@
     pub fn encode(&self) -> Vec<(String, Vec<u8>)> {
         match self {
             Self::Submission(id, submission) => {
-                vec![(format!("j/{id}"), encode(TIMED_FORMAT, submission))]
+                let JobSubmission {
+                    queue,
+                    job,
+                    accepted_ms,
+                } = submission.clone();
+                let JobSpec { spec: text, .. } = job;
+                let job = JobSpec {
+                    spec: String::new(),
+                    ..job
+                };
+                let submission = JobSubmission {
+                    queue,
+                    job,
+                    accepted_ms,
+                };
+                let mut rows = Self::Text(*id, text).encode();
+                rows.push((format!("j/{id}"), encode(TIMED_FORMAT, &submission)));
+                rows
             }
+            Self::Text(id, text) => vec![(format!("a/{id}"), encode(FORMAT, text))],
             Self::Progress(id, progress) => vec![(format!("p/{id}"), encode(FORMAT, progress))],
+            Self::Ended(id, phase) => {
+                let progress = JobProgress {
+                    phase: *phase,
+                    ..JobProgress::default()
+                };
+                vec![
+                    (format!("p/{id}"), encode(FORMAT, &progress)),
+                    (format!("j/{id}"), Vec::new()),
+                    (format!("a/{id}"), Vec::new()),
+                ]
+            }
             Self::Wave(number, progress) => vec![(format!("w/{number}"), encode(FORMAT, progress))],
             Self::Forgotten(id) => {
                 vec![
+                    (format!("a/{id}"), Vec::new()),
                     (format!("j/{id}"), Vec::new()),
                     (format!("p/{id}"), Vec::new()),
                 ]
@@ -101,6 +138,10 @@
         let unknown = || RecordError::Key(key.to_owned());
         let (kind, name) = key.split_once('/').ok_or_else(unknown)?;
         match kind {
+            "a" => {
+                let id = JobId::try_from(name).map_err(|_| unknown())?;
+                Ok(Self::Text(id, decode(key, value, FORMAT)?))
+            }
             "j" => {
                 let id = JobId::try_from(name).map_err(|_| unknown())?;
                 Ok(Self::Submission(id, decode_submission(key, value)?))
--- a/crates/dispatch/src/runners/runner_report.rs
+++ b/crates/dispatch/src/runners/runner_report.rs
@@ -1,4 +1,8 @@
-use {crate::jobs::ItemName, std::net::SocketAddr};
+use {
+    crate::jobs::ItemName,
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
 
 /// Capacity of a runner, or demand of a work item.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -69,7 +73,7 @@
 }
 
 /// The way in which a run ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum EndKind {
     /// It is a member of a gang and waited too long for the other members.
     Alone,
@@ -86,7 +90,7 @@
 }
 
 /// A run that a runner lists as ended.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EndedRun {
     /// Sequence number of the end in this instance of the runner.
     pub number: u64,
@@ -101,7 +105,7 @@
 }
 
 /// A run that a runner lists as running.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ListedRun {
     /// The work item.
     pub name: ItemName,
@@ -116,7 +120,7 @@
 }
 
 /// The response of a runner to a hold call.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HoldResponse {
     /// Reading of the runner's steady clock, in milliseconds.
     pub clock_ms: u64,
--- a/crates/dispatch/tests/ended_jobs.rs
+++ b/crates/dispatch/tests/ended_jobs.rs
@@ -7,8 +7,8 @@
     fleet::{TestFleet, empty_response, ended_run, job, listed_run, step},
     goldcreststall_dispatch::{
         jobs::{JobId, JobPhase, JobSpec, JobState, WorkItem},
-        owner::{CallResponse, JobCall, OwnerCommand},
-        records::JobSubmission,
+        owner::{CallResponse, JobCall, JournalBatch, OwnerCommand},
+        records::{JobSubmission, StoreRecord},
         runners::EndKind,
     },
 };
@@ -63,3 +63,44 @@
     let shown = fleet.call(9, JobCall::State(JobId(1)));
     assert_eq!(shown, Some(CallResponse::State(JobPhase::Completed)));
 }
+
+/// Returns the newest value of each key.
+fn newest(batches: Vec<JournalBatch>) -> Vec<(String, Vec<u8>)> {
+    let mut newest: Vec<(String, Vec<u8>)> = Vec::new();
+    for (key, value) in batches.into_iter().flat_map(|batch| batch.records) {
+        newest.retain(|(other, _)| *other != key);
+        if !value.is_empty() {
+            newest.push((key, value));
+        }
+    }
+    newest
+}
+
+/// A new owner on a narrow link reads the store for seconds when the texts of all ended jobs are still there. Only ids
+/// and phases are kept, and they are enough to answer callers and to recognise a repeated submission.
+#[test]
+fn stored_without_text() {
+    let mut fleet = TestFleet::new(1, &[]);
+    fleet.submit(1, job(vec![step(3, 1_000)]));
+    let mut batches = fleet.store();
+    fleet.call(2, JobCall::Cancel(JobId(1)));
+    batches.extend(fleet.store());
+    let stored = newest(batches);
+    let bytes: usize = stored
+        .iter()
+        .map(|(key, value)| key.len() + value.len())
+        .sum();
+    assert!(bytes < 40, "an ended job takes {bytes} bytes in the store");
+
+    let records = stored
+        .iter()
+        .map(|(key, value)| StoreRecord::decode(key, value).expect("a record"));
+    let mut next = TestFleet::new(2, &["r1"]);
+    next.owner.restore(records.collect(), next.now, 0);
+    next.answer_first_holds();
+    let shown = next.call(3, JobCall::State(JobId(1)));
+    assert_eq!(shown, Some(CallResponse::State(JobPhase::Cancelled)));
+    let starts = next.submit_work(1, vec![step(3, 1_000)]);
+    assert_eq!(starts, Vec::new());
+    assert_eq!(next.reply(1), Some(CallResponse::Accepted));
+}
--- a/crates/dispatch/tests/record_bytes.rs
+++ b/crates/dispatch/tests/record_bytes.rs
@@ -6,7 +6,10 @@
     fleet::{job, route, step},
     goldcreststall_dispatch::{
         jobs::{ItemName, JobId, JobPhase},
-        records::{JobProgress, JobSubmission, RecordError, StoreRecord, WaveProgress},
+        records::{
+            FIRST_KEY_AFTER_TEXTS, JobProgress, JobSubmission, RecordError, StoreRecord,
+            WaveProgress,
+        },
     },
 };
 
@@ -17,6 +20,29 @@
     assert_eq!(StoreRecord::decode(key, value).as_ref(), Ok(record));
 }
 
+/// A submission is stored in two rows: its text apart, under a key that sorts before all others.
+fn submission_round_trip(id: JobId, submission: &JobSubmission) {
+    let rows = StoreRecord::Submission(id, submission.clone()).encode();
+    let records: Vec<StoreRecord> = rows
+        .iter()
+        .map(|(key, value)| StoreRecord::decode(key, value).expect("a record"))
+        .collect();
+    let [
+        StoreRecord::Text(text_id, text),
+        StoreRecord::Submission(stored_id, stored),
+    ] = &records[..]
+    else {
+        panic!("other rows: {records:?}");
+    };
+    assert_eq!((*text_id, *stored_id), (id, id));
+    assert_eq!(stored.job.spec, "");
+    let mut joined = stored.clone();
+    joined.job.spec.clone_from(text);
+    assert_eq!(joined, *submission);
+    assert!(rows[0].0.as_str() < FIRST_KEY_AFTER_TEXTS);
+    assert!(rows[1].0.as_str() > FIRST_KEY_AFTER_TEXTS);
+}
+
 #[test]
 fn round_trips() {
     let submission = JobSubmission {
@@ -24,7 +50,7 @@
         job: job(vec![step(3, 1_000)]),
         accepted_ms: 1_800_000_000_000,
     };
-    round_trip(&StoreRecord::Submission(JobId(7), submission));
+    submission_round_trip(JobId(7), &submission);
     let progress = JobProgress {
         phase: JobPhase::Failed,
         started: true,
--- a/crates/node/src/control/command_executor.rs
+++ b/crates/node/src/control/command_executor.rs
@@ -20,6 +20,7 @@
     kameo::actor::WeakActorRef,
     slog::{info, warn},
     std::sync::Arc,
+    tokio_util::sync::CancellationToken,
 };
 
 /// Executes the commands of one term, each in its own task except the reports of waves, which are stored in order.
@@ -29,6 +30,7 @@
     pub(super) token: u64,
     pub(super) reports: WaveReports,
     pub(super) limiter: StartLimiter,
+    pub(super) stop: CancellationToken,
 }
 
 impl CommandExecutor {
@@ -59,11 +61,12 @@
     }
 
     fn endpoint(&self, state: &OwnerState, runner: RunnerKey) -> Option<RunnerEndpoint> {
-        let (id, address) = state.runner_address(runner)?;
+        let report = state.runner_report(runner)?;
         Some(RunnerEndpoint {
-            address,
-            id: id.to_owned(),
+            address: report.address,
+            id: report.id.clone(),
             token: self.token,
+            data_centre: report.data_centre.clone(),
         })
     }
 
@@ -123,7 +126,7 @@
             let _permit = limiter.acquire(command.runner).await;
             // The lease may have ended while the command waited for the permit.
             let response = if lease.is_held() {
-                service.start(&endpoint, &command).await
+                service.start(&endpoint, &command.run_start()).await
             } else {
                 StartResponse::NotSent
             };
@@ -145,7 +148,7 @@
         let token = self.token;
         self.args.metrics.count_command("stop");
         tokio::spawn(async move {
-            let clock_ms = service.stop(&endpoint, &command).await;
+            let clock_ms = service.stop(&endpoint, &command.run_name()).await;
             let event = ControlEvent::StopAnswered {
                 token,
                 command,
@@ -163,7 +166,7 @@
         let logger = self.args.logger.clone();
         self.args.metrics.count_command("pace");
         tokio::spawn(async move {
-            if !service.pace(&endpoint, &command, percent).await {
+            if !service.pace(&endpoint, &command.run_name(), percent).await {
                 warn!(logger, "owner: a command to change the pace was lost";
                     "id" => %command.name, "run" => command.run, "percent" => percent);
             }
@@ -209,6 +212,7 @@
         };
         let actor = self.actor.clone();
         let token = self.token;
+        let stop = self.stop.clone();
         self.args.metrics.count_command("append");
         tokio::spawn(async move {
             let on_failure = || {
@@ -217,7 +221,10 @@
                     async move { send_event(&actor, ControlEvent::StoreFailing(token)).await },
                 );
             };
-            let outcome = journal.store_batch(&batch.records, on_failure).await;
+            let storing = journal.store_batch(&batch.records, on_failure);
+            let Some(outcome) = stop.run_until_cancelled(storing).await else {
+                return;
+            };
             let event = ControlEvent::BatchEnded {
                 token,
                 batch: batch.id,
--- a/crates/node/src/control/control_event.rs
+++ b/crates/node/src/control/control_event.rs
@@ -2,6 +2,7 @@
     crate::journal::{BatchOutcome, JobJournal},
     goldcreststall_core::ids::LocalTime,
     goldcreststall_dispatch::{
+        jobs::JobId,
         owner::{
             AdviceCommand, BatchId, CallResponse, HostReport, HostResponse, JobCall, RunCommand,
             StartCommand, StartResponse, WaveRequest,
@@ -104,6 +105,15 @@
     },
     /// An attempt to store a batch failed; the fencing token of the term.
     StoreFailing(u64),
+    /// A page of the texts of jobs was read from the store.
+    TextsRead {
+        /// Fencing token of the term.
+        token: u64,
+        /// The texts.
+        texts: Vec<(JobId, String)>,
+        /// Whether it was the last page.
+        complete: bool,
+    },
     /// Makes the decisions that are due.
     Tick,
     /// An operator requested a wave.
--- a/crates/node/src/control/owner_actor.rs
+++ b/crates/node/src/control/owner_actor.rs
@@ -1,11 +1,13 @@
 use {
     super::{
-        ControlEvent, command_executor::CommandExecutor, owner_term::OwnerTerm,
+        ControlEvent,
+        command_executor::CommandExecutor,
+        owner_term::{OwnerTerm, QueuedCall},
         wave_reports::WaveReports,
     },
     crate::{
         election::OwnerLease,
-        journal::{BatchOutcome, JobJournal},
+        journal::{BatchOutcome, JobJournal, RecordReader},
         metrics::NodeMetrics,
         ports::{AdviceService, HostService, PlatformStore, RunnerService},
     },
@@ -35,6 +37,8 @@
 pub struct ActorArgs {
     /// Commands may be sent only while this lease is held.
     pub lease: OwnerLease,
+    /// Bytes per second that this host's link carries.
+    pub link_rate: u64,
     /// Log of decisions.
     pub logger: Logger,
     /// How long the maintenance of a host takes.
@@ -194,6 +198,15 @@
                 }
             }
             ControlEvent::StoreFailing(token) => self.handle_store_failing(token, now),
+            ControlEvent::TextsRead {
+                token,
+                texts,
+                complete,
+            } => {
+                if let Some(state) = self.state_of_term(token) {
+                    state.texts_restored(texts, complete);
+                }
+            }
             ControlEvent::Tick => {}
             ControlEvent::Wave(request) => {
                 self.waves.push(request.clone());
@@ -217,10 +230,16 @@
         let store = Arc::clone(&self.args.store);
         let logger = self.args.logger.clone();
         let reports = WaveReports::start(Arc::clone(&store), token, logger.clone());
-        self.term = Some(OwnerTerm::new(token, now, reports));
+        let term = OwnerTerm::new(token, now, reports);
         let actor = self.actor.clone();
+        let reader = RecordReader { store, logger };
+        let stop = term.stop.clone();
+        self.term = Some(term);
         tokio::spawn(async move {
-            let started = JobJournal::start(store, token, logger).await;
+            let starting = JobJournal::start(&reader, token);
+            let Some(started) = stop.run_until_cancelled(starting).await else {
+                return;
+            };
             let event = match started {
                 Some((journal, records)) => ControlEvent::Restored {
                     token,
@@ -230,6 +249,8 @@
                 None => ControlEvent::TermEnded,
             };
             send_event(&actor, event).await;
+            stop.run_until_cancelled(send_texts(&actor, &reader, token))
+                .await;
         });
     }
 
@@ -244,6 +265,7 @@
             return;
         };
         let mut state = OwnerState::new(token, Arc::clone(&self.rules), term.started_at);
+        state.limit_link(self.args.link_rate, now);
         state.restore(records, now, wall_time().0);
         for wave in &self.waves {
             state.wave_requested(wave.clone(), now);
@@ -253,7 +275,7 @@
         }
         term.state = Some(state);
         term.journal = Some(journal);
-        for (call, reply) in std::mem::take(&mut term.queued_calls) {
+        for QueuedCall { call, reply, .. } in std::mem::take(&mut term.queued_calls) {
             self.handle_call(call, reply, now);
         }
     }
@@ -275,7 +297,11 @@
             return;
         };
         let Some(state) = &mut term.state else {
-            term.queued_calls.push((call, reply));
+            term.queued_calls.push_back(QueuedCall {
+                arrived: now,
+                call,
+                reply,
+            });
             return;
         };
         let is_submission = matches!(call, JobCall::Submit(..));
@@ -307,6 +333,7 @@
             return;
         };
         let Some(state) = &mut term.state else {
+            term.refuse_overdue(now);
             return;
         };
         if lease_held {
@@ -322,6 +349,7 @@
             token: term.token,
             reports: term.reports.clone(),
             limiter: term.limiter.clone(),
+            stop: term.stop.clone(),
         };
         for command in state.take_commands() {
             match command {
@@ -335,6 +363,25 @@
     }
 }
 
+/// Reads the texts of the jobs of earlier terms page by page and sends them to the actor.
+async fn send_texts(actor: &WeakActorRef<OwnerActor>, reader: &RecordReader, token: u64) {
+    let mut after = None;
+    loop {
+        let (texts, next) = reader.read_texts(after.as_deref()).await;
+        let complete = next.is_none();
+        let event = ControlEvent::TextsRead {
+            token,
+            texts,
+            complete,
+        };
+        send_event(actor, event).await;
+        if complete {
+            return;
+        }
+        after = next;
+    }
+}
+
 /// Sends an event to the actor; does nothing once the actor has stopped.
 pub(super) async fn send_event(actor: &WeakActorRef<OwnerActor>, event: ControlEvent) {
     if let Some(actor) = actor.upgrade() {
--- a/crates/node/src/control/owner_term.rs
+++ b/crates/node/src/control/owner_term.rs
@@ -1,11 +1,16 @@
 use {
     super::{start_limiter::StartLimiter, wave_reports::WaveReports},
     crate::journal::JobJournal,
-    goldcreststall_core::ids::LocalTime,
+    goldcreststall_core::ids::{LocalTime, Millis},
     goldcreststall_dispatch::owner::{CallId, CallResponse, JobCall, OwnerState},
+    std::collections::VecDeque,
     tokio::sync::oneshot,
+    tokio_util::sync::CancellationToken,
 };
 
+/// How long a call waits until the records of earlier terms were read.
+const QUEUE_TIMEOUT: Millis = Millis(1_000);
+
 /// A term of this process as owner.
 pub(super) struct OwnerTerm {
     /// Fencing token of the term.
@@ -16,12 +21,27 @@
     pub(super) journal: Option<Box<JobJournal>>,
     pub(super) limiter: StartLimiter,
     pub(super) reports: WaveReports,
-    /// Calls that arrived before the records of earlier terms were read.
-    pub(super) queued_calls: Vec<(JobCall, oneshot::Sender<CallResponse>)>,
+    /// Calls that arrived before the records of earlier terms were read, in the order of their arrival.
+    pub(super) queued_calls: VecDeque<QueuedCall>,
     /// Time of the first failed attempt to store a batch; `None` after a success.
     pub(super) store_failing_since: Option<LocalTime>,
     pub(super) started_at: LocalTime,
     pub(super) waiting: WaitingCalls,
+    /// Cancelled with the term: calls to the store that a later owner repeats must not load the link any longer.
+    pub(super) stop: CancellationToken,
+}
+
+impl Drop for OwnerTerm {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+/// A call that waits until the records of earlier terms were read.
+pub(super) struct QueuedCall {
+    pub(super) arrived: LocalTime,
+    pub(super) call: JobCall,
+    pub(super) reply: oneshot::Sender<CallResponse>,
 }
 
 impl OwnerTerm {
@@ -32,10 +52,22 @@
             journal: None,
             limiter: StartLimiter::default(),
             reports,
-            queued_calls: Vec::new(),
+            queued_calls: VecDeque::new(),
             store_failing_since: None,
             started_at,
             waiting: WaitingCalls::default(),
+            stop: CancellationToken::new(),
+        }
+    }
+
+    /// Refuses the queued calls that have waited too long. They had no effect, so that their callers may retry.
+    pub(super) fn refuse_overdue(&mut self, now: LocalTime) {
+        let is_overdue = |queued: &QueuedCall| now.since(queued.arrived) > QUEUE_TIMEOUT;
+        while self.queued_calls.front().is_some_and(is_overdue) {
+            if let Some(QueuedCall { reply, .. }) = self.queued_calls.pop_front() {
+                // Fails only when the caller has left.
+                let _ = reply.send(CallResponse::Unavailable);
+            }
         }
     }
 }
--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -2,6 +2,7 @@
     crate::{
         api::{JobApi, OwnerClient},
         control::{ActorArgs, ControlEvent, OwnerActor},
+        delegates::{DelegateProfile, DelegateRegistry, DelegateTask, DelegatedRunners},
         election::{ElectionEvent, ElectionTask, OwnerLease, OwnerLocation},
         feeds::{OperatorFeed, RunnerFeed, follow_hosts},
         links::{LinkServer, OwnerLink, PeerDirectory},
@@ -36,6 +37,7 @@
 /// How much later a host claims that is too small for the owner's work. A claim takes some tens of milliseconds, so a
 /// large host wins.
 const SMALL_HOST_CLAIM_DELAY: Millis = Millis(400);
+const BYTES_PER_SECOND_PER_MBPS: u64 = 125_000;
 /// How long new callers are still served after SIGTERM: the load balancer needs two checks, a second apart.
 const LAME_DUCK_DURATION: Millis = Millis(2_500);
 /// Part of the grace time that is kept for the end of the process.
@@ -46,6 +48,8 @@
 pub struct NodeSettings {
     /// Name of the entry host.
     pub name: String,
+    /// Its data centre.
+    pub data_centre: String,
     /// Where this process listens for calls of other entry hosts.
     pub link_address: SocketAddr,
     /// Where other entry hosts reach that address; differs from it when a relay stands between.
@@ -70,6 +74,20 @@
             Millis(0)
         }
     }
+
+    /// Returns the bytes per second that the host's link carries.
+    fn link_rate(&self) -> u64 {
+        u64::from(self.link_mbps) * BYTES_PER_SECOND_PER_MBPS
+    }
+
+    fn delegate_profile(&self) -> DelegateProfile {
+        DelegateProfile {
+            name: self.name.clone(),
+            data_centre: self.data_centre.clone(),
+            cpu: self.cpu,
+            link_mbps: self.link_mbps,
+        }
+    }
 }
 
 /// Server for callers, the load balancer and the reader of metrics.
@@ -113,13 +131,18 @@
     listener.set_nonblocking(true)?;
     let metrics = Arc::new(NodeMetrics::new()?);
     let lease = OwnerLease::default();
+    let delegates = DelegateRegistry::new(lease.clone(), logger.clone());
     let args = ActorArgs {
         lease: lease.clone(),
+        link_rate: settings.link_rate(),
         logger: logger.clone(),
         maintenance: settings.maintenance,
         metrics: Arc::clone(&metrics),
         advice: Arc::clone(&ports.advice),
-        runners: Arc::clone(&ports.runners),
+        runners: Arc::new(DelegatedRunners::new(
+            Arc::clone(&ports.runners),
+            delegates.clone(),
+        )),
         hosts: Arc::clone(&ports.hosts),
         store: Arc::clone(&ports.store),
     };
@@ -140,6 +163,13 @@
         stop: stop_claims.clone(),
         logger: logger.clone(),
     };
+    let delegate_task = DelegateTask {
+        owner: owner_updates.clone(),
+        profile: settings.delegate_profile(),
+        runners: Arc::clone(&ports.runners),
+        stop: stop_claims.clone(),
+        logger: logger.clone(),
+    };
     let operators = Arc::clone(&ports.operators);
     let feed_logger = logger.clone();
     let runner_feed = (Arc::clone(&ports.runner_reports), owner_updates.clone());
@@ -182,6 +212,7 @@
     ));
     let server = LinkServer {
         actor,
+        delegates,
         peers,
         logger: logger.clone(),
     };
@@ -189,6 +220,7 @@
         settings,
         ports.ingress,
         (server, listener),
+        delegate_task,
         api,
         stop_claims,
         logger,
@@ -249,12 +281,14 @@
     settings: &NodeSettings,
     ingress: Arc<dyn NodeIngress>,
     (server, listener): (LinkServer, std::net::TcpListener),
+    delegate_task: DelegateTask,
     api: Arc<JobApi>,
     stop_claims: CancellationToken,
     logger: &Logger,
 ) -> anyhow::Result<()> {
     let listener = TcpListener::from_std(listener)?;
     tokio::spawn(server.serve(listener));
+    tokio::spawn(delegate_task.run());
     let probing_api = Arc::clone(&api);
     tokio::spawn(async move { probing_api.probe_owner_loop().await });
     let stop = CancellationToken::new();
--- a/crates/node/src/feeds/host_feed.rs
+++ b/crates/node/src/feeds/host_feed.rs
@@ -5,14 +5,18 @@
         ports::HostService,
     },
     goldcreststall_core::ids::Millis,
+    goldcreststall_entry::clock::BootClock,
     kameo::actor::ActorRef,
     slog::{Logger, warn},
     std::{sync::Arc, time::Duration},
     tokio::sync::watch,
 };
 
-/// Time between two reads of the list of hosts.
-const READ_INTERVAL: Millis = Millis(400);
+/// Shortest time between two reads of the list of hosts.
+const MIN_READ_INTERVAL: Millis = Millis(400);
+/// Multiple of the time that a read takes after which the list is read again: on a narrow link the list of a large fleet
+/// must leave room for the commands.
+const READ_TIME_FACTOR: u64 = 15;
 
 /// Reads the list of hosts while this process owns the fleet, until the process ends.
 pub async fn follow_hosts(
@@ -22,6 +26,7 @@
     logger: Logger,
 ) {
     while owner.wait_for(OwnerLocation::is_own).await.is_ok() {
+        let started = BootClock.now();
         match service.list().await {
             Ok(reports) => {
                 // Fails only when the process is ending and the actor has stopped.
@@ -31,6 +36,8 @@
                 warn!(logger, "hosts: reading the list failed"; "failure" => %error);
             }
         }
-        tokio::time::sleep(Duration::from_millis(READ_INTERVAL.0)).await;
+        let read_time = BootClock.now().since(started);
+        let interval = MIN_READ_INTERVAL.max(Millis(read_time.0 * READ_TIME_FACTOR));
+        tokio::time::sleep(Duration::from_millis(interval.0)).await;
     }
 }
--- a/crates/node/src/journal/job_journal.rs
+++ b/crates/node/src/journal/job_journal.rs
@@ -1,4 +1,5 @@
 use {
+    super::RecordReader,
     crate::ports::{AppendCondition, PlatformStore, StoreError, StoreTopic},
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::records::StoreRecord,
@@ -29,24 +30,20 @@
 }
 
 impl JobJournal {
-    /// Starts the term with `token`: fences all older owners and reads the records that they stored.
+    /// Starts the term with `token`: fences all older owners, and reads the records that they stored without the texts.
     ///
     /// Repeats until it succeeds; returns `None` when a newer owner exists.
-    pub async fn start(
-        store: Arc<dyn PlatformStore>,
-        token: u64,
-        logger: Logger,
-    ) -> Option<(Self, Vec<StoreRecord>)> {
+    pub async fn start(reader: &RecordReader, token: u64) -> Option<(Self, Vec<StoreRecord>)> {
         let mut journal = Self {
-            logger,
+            logger: reader.logger.clone(),
             sequence: 0,
-            store,
+            store: Arc::clone(&reader.store),
             token,
         };
         if journal.store_batch(&[], || ()).await == BatchOutcome::Fenced {
             return None;
         }
-        let records = journal.read_all().await;
+        let records = reader.read_jobs().await;
         Some((journal, records))
     }
 
@@ -87,33 +84,4 @@
             }
         }
     }
-
-    async fn read_all(&self) -> Vec<StoreRecord> {
-        let mut records = Vec::new();
-        let mut after: Option<String> = None;
-        loop {
-            let page = match self.store.newest(StoreTopic::Jobs, after.as_deref()).await {
-                Ok(page) => page,
-                Err(error) => {
-                    warn!(self.logger, "store: a page of job records was not read";
-                        "failure" => %error);
-                    tokio::time::sleep(Duration::from_millis(RETRY_DELAY.0)).await;
-                    continue;
-                }
-            };
-            for (key, value) in &page.items {
-                match StoreRecord::decode(key, value) {
-                    Ok(record) => records.push(record),
-                    Err(error) => {
-                        warn!(self.logger, "store: an unreadable job record is skipped";
-                            "error" => %error);
-                    }
-                }
-            }
-            after = page.items.last().map(|(key, _)| key.clone());
-            if !page.more || after.is_none() {
-                return records;
-            }
-        }
-    }
 }
--- a/crates/node/src/journal/mod.rs
+++ b/crates/node/src/journal/mod.rs
@@ -1,5 +1,9 @@
 //! Storage of the owner's records.
 
 mod job_journal;
+mod record_reader;
 
-pub use job_journal::{BatchOutcome, JobJournal};
+pub use {
+    job_journal::{BatchOutcome, JobJournal},
+    record_reader::RecordReader,
+};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod api;
 pub mod control;
 pub mod daemon;
+pub mod delegates;
 pub mod election;
 pub mod feeds;
 pub mod journal;
--- a/crates/node/src/links/link_messages.rs
+++ b/crates/node/src/links/link_messages.rs
@@ -1,17 +1,33 @@
-use tokio_util::codec::LengthDelimitedCodec;
+use {
+    crate::delegates::RawRegistration,
+    tokio::net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec},
+};
+
+/// The frames that arrive on a connection.
+pub(crate) type FrameStream = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
+/// Writes frames to a connection.
+pub(crate) type FrameSink = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
 
 /// Longest frame without its length prefix; above the longest body of a call.
 const MAX_FRAME_BYTES: usize = 1024 * 1024;
 
-/// A call to the owner. Without a call it is a ping, whose response still names the owner.
+/// A call to the owner. Without a call it is a ping, whose response still names the owner. With a registration it is the
+/// only one on its connection, which then carries the frames of [`crate::delegates`].
 #[derive(Clone, Eq, PartialEq, prost::Message)]
-pub(super) struct RawCall {
+pub(crate) struct RawCall {
     /// Number of the call on its connection, from 1; 0 in a ping.
     #[prost(uint64, tag = "1")]
-    pub(super) number: u64,
+    pub(crate) number: u64,
     /// The call in postcard; empty in a ping.
     #[prost(bytes = "vec", tag = "2")]
-    pub(super) call: Vec<u8>,
+    pub(crate) call: Vec<u8>,
+    /// Registers the sender as a delegate.
+    #[prost(message, optional, tag = "3")]
+    pub(crate) registration: Option<RawRegistration>,
 }
 
 /// The response to a call or a ping.
@@ -31,6 +47,17 @@
     pub(super) owner_address: String,
 }
 
+/// Splits a connection into its frames and a writer of frames.
+pub(crate) fn split_frames(stream: TcpStream) -> (FrameStream, FrameSink) {
+    // Small frames must not wait for the acknowledgement of earlier ones.
+    let _ = stream.set_nodelay(true);
+    let (read, write) = stream.into_split();
+    (
+        FramedRead::new(read, frame_codec()),
+        FramedWrite::new(write, frame_codec()),
+    )
+}
+
 /// Builds the codec that splits a byte stream into frames.
 pub(super) fn frame_codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
--- a/crates/node/src/links/mod.rs
+++ b/crates/node/src/links/mod.rs
@@ -5,6 +5,7 @@
 mod owner_link;
 mod peer_directory;
 
+pub(crate) use link_messages::{FrameSink, FrameStream, RawCall, split_frames};
 pub use {
     link_server::LinkServer,
     owner_link::{LinkError, OwnerLink},
--- a/crates/node/src/links/owner_link.rs
+++ b/crates/node/src/links/owner_link.rs
@@ -167,7 +167,12 @@
             waiting.calls.push((number, reply));
             number
         };
-        let frame = Bytes::from(RawCall { number, call }.encode_to_vec());
+        let raw = RawCall {
+            number,
+            call,
+            ..RawCall::default()
+        };
+        let frame = Bytes::from(raw.encode_to_vec());
         link.frames
             .send(frame)
             .await
--- a/crates/node/src/ports/runners.rs
+++ b/crates/node/src/ports/runners.rs
@@ -2,14 +2,15 @@
     async_trait::async_trait,
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::{
-        owner::{RunCommand, StartCommand, StartResponse},
+        owner::{RunName, RunStart, StartResponse},
         runners::HoldResponse,
     },
+    serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
 
 /// The runner process that a command is meant for, and the term of the owner that sends it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RunnerEndpoint {
     /// Where the runner takes commands.
     pub address: SocketAddr,
@@ -17,10 +18,13 @@
     pub id: String,
     /// Fencing token of the owner's term.
     pub token: u64,
+    /// Data centre of its host; only the owner needs it.
+    #[serde(skip)]
+    pub data_centre: String,
 }
 
 /// A hold call: a long poll that extends the lease of a runner's work.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HoldCall {
     /// New end of the lease in milliseconds of the runner's clock; `None` leaves the lease as it is.
     pub deadline_ms: Option<u64>,
@@ -37,12 +41,12 @@
     async fn hold(&self, runner: &RunnerEndpoint, call: HoldCall) -> Option<HoldResponse>;
 
     /// Starts a run of a work item.
-    async fn start(&self, runner: &RunnerEndpoint, command: &StartCommand) -> StartResponse;
+    async fn start(&self, runner: &RunnerEndpoint, start: &RunStart) -> StartResponse;
 
     /// Stops a run. Returns the runner's clock in milliseconds, or `None` without a response.
-    async fn stop(&self, runner: &RunnerEndpoint, command: &RunCommand) -> Option<u64>;
+    async fn stop(&self, runner: &RunnerEndpoint, run: &RunName) -> Option<u64>;
 
     /// Limits a run to a share of its speed, in percent. Returns whether the runner accepted it; a lost command is
     /// repeated by later decisions.
-    async fn pace(&self, runner: &RunnerEndpoint, command: &RunCommand, percent: u32) -> bool;
+    async fn pace(&self, runner: &RunnerEndpoint, run: &RunName, percent: u32) -> bool;
 }
--- /dev/null
+++ b/crates/node/tests/delegated_commands.rs
@@ -0,0 +1,331 @@
+//! Guards against commands that are lost, doubled or executed late on their way through a delegate.
+
+mod fakes;
+
+use {
+    fakes::{FakeRunners, TestActor, logger, spawn_actor},
+    goldcreststall_core::ids::{LocalTime, Millis},
+    goldcreststall_dispatch::{
+        jobs::{ItemName, JobId},
+        owner::{RunName, RunStart, StartResponse},
+    },
+    goldcreststall_node::{
+        delegates::{
+            DelegateProfile, DelegateRegistry, DelegateTask, DelegatedRunners, MAX_ORDER_AGE,
+            OrderAge,
+        },
+        election::OwnerLocation,
+        links::{LinkServer, PeerDirectory},
+        ports::{HoldCall, RunnerEndpoint, RunnerService},
+    },
+    std::{
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        sync::watch,
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+const TOKEN: u64 = 4;
+
+/// An owner that serves delegates, with runners that it can also call itself.
+struct TestOwner {
+    test: TestActor,
+    address: SocketAddr,
+    direct: Arc<FakeRunners>,
+    service: DelegatedRunners,
+}
+
+async fn spawn_owner() -> TestOwner {
+    let test = spawn_actor();
+    test.lease.extend(LocalTime(u64::MAX));
+    let registry = DelegateRegistry::new(test.lease.clone(), logger());
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (owner, _) = watch::channel(None);
+    let server = LinkServer {
+        actor: test.actor.clone(),
+        delegates: registry.clone(),
+        peers: PeerDirectory::new(address, owner),
+        logger: logger(),
+    };
+    tokio::spawn(server.serve(listener));
+    let direct = Arc::new(FakeRunners::default());
+    let service = DelegatedRunners::new(Arc::clone(&direct) as _, registry);
+    TestOwner {
+        test,
+        address,
+        direct,
+        service,
+    }
+}
+
+/// Starts a delegate of the owner at `address`; returns its runners and the owner that it knows.
+fn spawn_delegate(address: SocketAddr) -> (Arc<FakeRunners>, watch::Sender<Option<OwnerLocation>>) {
+    let location = OwnerLocation {
+        address,
+        token: TOKEN,
+        own: false,
+    };
+    let (owner, updates) = watch::channel(Some(location));
+    let runners = Arc::new(FakeRunners::default());
+    let task = DelegateTask {
+        owner: updates,
+        profile: DelegateProfile {
+            name: "entry-2".to_owned(),
+            data_centre: "a".to_owned(),
+            cpu: 500,
+            link_mbps: 100,
+        },
+        runners: Arc::clone(&runners) as _,
+        stop: CancellationToken::new(),
+        logger: logger(),
+    };
+    tokio::spawn(task.run());
+    (runners, owner)
+}
+
+fn endpoint() -> RunnerEndpoint {
+    RunnerEndpoint {
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        id: "r1".to_owned(),
+        token: TOKEN,
+        data_centre: "a".to_owned(),
+    }
+}
+
+fn run_start(run: u32) -> RunStart {
+    RunStart {
+        name: ItemName {
+            job: JobId(7),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        },
+        run,
+        spec: Arc::from("the text of the job"),
+        deadline_ms: 5_000,
+        checkpoint: "c1".to_owned(),
+        ticket: String::new(),
+    }
+}
+
+async fn start(owner: &TestOwner, run: u32) -> StartResponse {
+    let start = run_start(run);
+    let endpoint = endpoint();
+    let started = owner.service.start(&endpoint, &start);
+    tokio::time::timeout(TEST_TIMEOUT, started)
+        .await
+        .expect("in time")
+}
+
+/// Waits until commands take the way through a delegate; hold calls have no effect on the fakes.
+async fn wait_for_delegate(owner: &TestOwner, delegate: &FakeRunners) {
+    let call = HoldCall {
+        deadline_ms: None,
+        last_seen: 0,
+        wait: Millis(0),
+    };
+    let registered = async {
+        while delegate.holds.load(Ordering::SeqCst) == 0 {
+            owner.service.hold(&endpoint(), call).await;
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, registered)
+        .await
+        .expect("a delegate");
+}
+
+#[tokio::test]
+async fn through_a_delegate() {
+    let owner = spawn_owner().await;
+    let (delegate, _owner_watch) = spawn_delegate(owner.address);
+    wait_for_delegate(&owner, &delegate).await;
+    // The second start refers to the text that came with the first one.
+    assert_eq!(start(&owner, 1).await, StartResponse::Begun(1));
+    assert_eq!(start(&owner, 2).await, StartResponse::Begun(1));
+    assert_eq!(
+        *delegate.starts.lock(),
+        vec![run_start(1), run_start(2)],
+        "the delegate sends other commands than the owner issued"
+    );
+    assert!(owner.direct.starts.lock().is_empty());
+    let run = RunName {
+        name: run_start(1).name,
+        run: 1,
+    };
+    assert_eq!(owner.service.stop(&endpoint(), &run).await, Some(1));
+    assert!(owner.service.pace(&endpoint(), &run, 50).await);
+}
+
+#[tokio::test]
+async fn without_a_delegate() {
+    let owner = spawn_owner().await;
+    assert_eq!(start(&owner, 1).await, StartResponse::Begun(1));
+    assert_eq!(owner.direct.starts.lock().len(), 1);
+}
+
+#[tokio::test]
+async fn refusal_is_passed_on() {
+    let owner = spawn_owner().await;
+    let (delegate, _owner_watch) = spawn_delegate(owner.address);
+    wait_for_delegate(&owner, &delegate).await;
+    delegate.refuse_starts.store(true, Ordering::SeqCst);
+    assert_eq!(start(&owner, 1).await, StartResponse::NoRoom);
+    assert!(owner.direct.starts.lock().is_empty());
+}
+
+/// The delegate took the command and was lost. The owner sends it again itself, and may believe only an acceptance: a
+/// refusal does not tell whether the delegate's command has yet to arrive.
+#[tokio::test]
+async fn lost_delegate() {
+    let owner = spawn_owner().await;
+    let (delegate, owner_watch) = spawn_delegate(owner.address);
+    wait_for_delegate(&owner, &delegate).await;
+    delegate.block_starts.store(true, Ordering::SeqCst);
+    owner.direct.refuse_starts.store(true, Ordering::SeqCst);
+    let first = start(&owner, 1);
+    let lose = async {
+        while delegate.starts.lock().is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        owner_watch.send_replace(None);
+    };
+    let (response, ()) = tokio::join!(first, lose);
+    assert_eq!(response, StartResponse::Unknown);
+    owner.direct.refuse_starts.store(false, Ordering::SeqCst);
+    assert_eq!(start(&owner, 1).await, StartResponse::Begun(1));
+}
+
+#[tokio::test]
+async fn none_after_the_lease() {
+    let owner = spawn_owner().await;
+    let (delegate, _owner_watch) = spawn_delegate(owner.address);
+    wait_for_delegate(&owner, &delegate).await;
+    owner.test.lease.end();
+    let response = start(&owner, 1).await;
+    assert!(matches!(
+        response,
+        StartResponse::NotSent | StartResponse::Unknown
+    ));
+    assert!(delegate.starts.lock().is_empty());
+    assert!(owner.direct.starts.lock().is_empty());
+}
+
+/// A delegate that knows a newer owner executes nothing for an older one.
+#[tokio::test]
+async fn newer_owner_known() {
+    let owner = spawn_owner().await;
+    let (delegate, owner_watch) = spawn_delegate(owner.address);
+    wait_for_delegate(&owner, &delegate).await;
+    owner_watch.send_modify(|location| {
+        if let Some(location) = location {
+            location.token = TOKEN + 1;
+        }
+    });
+    // Sent by the owner itself, whose runners refuse it once the newer owner has called them.
+    assert_eq!(start(&owner, 1).await, StartResponse::Begun(1));
+    assert!(delegate.starts.lock().is_empty());
+}
+
+/// Passes bytes from the owner on only while `open`, and those of the delegate always.
+async fn spawn_relay(target: SocketAddr, open: watch::Receiver<bool>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((inbound, _)) = listener.accept().await {
+            let Ok(outbound) = TcpStream::connect(target).await else {
+                continue;
+            };
+            let (mut from_delegate, mut to_delegate) = inbound.into_split();
+            let (mut from_owner, mut to_owner) = outbound.into_split();
+            tokio::spawn(async move {
+                // Ends with the connection.
+                let _ = tokio::io::copy(&mut from_delegate, &mut to_owner).await;
+            });
+            let mut open = open.clone();
+            tokio::spawn(async move {
+                let mut buffer = [0; 4_096];
+                while let Ok(count @ 1..) = from_owner.read(&mut buffer).await {
+                    if open.wait_for(|open| *open).await.is_err() {
+                        return;
+                    }
+                    if to_delegate.write_all(&buffer[..count]).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// A command waits in the network for longer than it may be old. Another process may own the fleet by then.
+#[tokio::test]
+async fn late_command_is_dropped() {
+    let owner = spawn_owner().await;
+    let (open, opened) = watch::channel(true);
+    let relay = spawn_relay(owner.address, opened).await;
+    let (delegate, _owner_watch) = spawn_delegate(relay);
+    wait_for_delegate(&owner, &delegate).await;
+    open.send_replace(false);
+    let waiting = start(&owner, 1);
+    let release = async {
+        tokio::time::sleep(Duration::from_millis(MAX_ORDER_AGE.0 + 400)).await;
+        open.send_replace(true);
+    };
+    let (response, ()) = tokio::join!(waiting, release);
+    assert_eq!(response, StartResponse::Unknown);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(
+        delegate.starts.lock().is_empty(),
+        "a command was executed although it was too old"
+    );
+}
+
+#[test]
+fn order_age() {
+    let age = OrderAge {
+        echoed: LocalTime(10_000),
+    };
+    assert!(age.is_current(LocalTime(10_000)));
+    assert!(age.is_current(LocalTime(10_000) + MAX_ORDER_AGE));
+    assert!(!age.is_current(LocalTime(10_001) + MAX_ORDER_AGE));
+    // Before the first frame of the delegate has arrived at the owner.
+    let unknown = OrderAge {
+        echoed: LocalTime(0),
+    };
+    assert!(!unknown.is_current(LocalTime(10_000)));
+}
+
+/// A connection that sends nonsense ends alone: the delegates of other connections go on.
+#[tokio::test]
+async fn malformed_frames() {
+    let owner = spawn_owner().await;
+    let (delegate, _owner_watch) = spawn_delegate(owner.address);
+    wait_for_delegate(&owner, &delegate).await;
+    for bytes in [
+        &[0, 0, 0, 3, 255, 255, 255][..],
+        &[255, 255, 255, 255, 1][..],
+        // A registration, then a frame that holds no outcomes.
+        &[0, 0, 0, 2, 26, 0, 0, 0, 0, 4, 18, 2, 255, 255][..],
+    ] {
+        let mut stream = TcpStream::connect(owner.address).await.expect("connected");
+        stream.write_all(bytes).await.expect("written");
+        let mut end = Vec::new();
+        let closed = stream.read_to_end(&mut end);
+        tokio::time::timeout(TEST_TIMEOUT, closed)
+            .await
+            .expect("the connection is closed")
+            .expect("no error");
+    }
+    assert_eq!(start(&owner, 1).await, StartResponse::Begun(1));
+    assert_eq!(delegate.starts.lock().len(), 1);
+}
--- a/crates/node/tests/ended_term.rs
+++ b/crates/node/tests/ended_term.rs
@@ -12,6 +12,7 @@
     },
     goldcreststall_node::{
         control::ControlEvent,
+        delegates::DelegateRegistry,
         links::{LinkServer, OwnerLink, PeerDirectory},
     },
     std::{
@@ -32,6 +33,7 @@
     let address = listener.local_addr().expect("an address");
     let server = LinkServer {
         actor: test.actor.clone(),
+        delegates: DelegateRegistry::new(test.lease.clone(), logger()),
         peers: PeerDirectory::new(address, owner.clone()),
         logger: logger(),
     };
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -9,7 +9,7 @@
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::{
         jobs::{JobId, JobSpec, StepName, StepSpec},
-        owner::{HostReport, HostResponse, JobCall, RunCommand, StartCommand, StartResponse},
+        owner::{HostReport, HostResponse, JobCall, RunName, RunStart, StartResponse},
         records::JobSubmission,
         routes::RouteRule,
         runners::{Capacity, HoldResponse, RunnerReport, RunnerStatus},
@@ -156,7 +156,7 @@
     async fn newest(
         &self,
         _topic: StoreTopic,
-        _after: Option<&str>,
+        after: Option<&str>,
     ) -> Result<NewestPage, StoreError> {
         self.job_reads.fetch_add(1, Ordering::SeqCst);
         while self.block_reads.load(Ordering::SeqCst) {
@@ -165,8 +165,11 @@
         let mut items: Vec<(String, Bytes)> = Vec::new();
         for (key, value) in &*self.jobs.lock() {
             items.retain(|(other, _)| other != key);
-            items.push((key.clone(), Bytes::from(value.clone())));
+            if !value.is_empty() && after.is_none_or(|after| key.as_str() > after) {
+                items.push((key.clone(), Bytes::from(value.clone())));
+            }
         }
+        items.sort_unstable();
         Ok(NewestPage {
             items,
             more: false,
@@ -191,7 +194,11 @@
 /// Runners that accept all commands.
 #[derive(Default)]
 pub struct FakeRunners {
-    pub starts: Mutex<Vec<StartCommand>>,
+    /// Number of hold calls.
+    pub holds: AtomicUsize,
+    /// Refuses all start commands for lack of free capacity.
+    pub refuse_starts: AtomicBool,
+    pub starts: Mutex<Vec<RunStart>>,
     pub started: Notify,
     /// Blocks the responses to start commands.
     pub block_starts: AtomicBool,
@@ -202,14 +209,18 @@
 #[async_trait]
 impl RunnerService for FakeRunners {
     async fn hold(&self, _runner: &RunnerEndpoint, _call: HoldCall) -> Option<HoldResponse> {
+        self.holds.fetch_add(1, Ordering::SeqCst);
         Some(HoldResponse {
             clock_ms: 1,
             ..HoldResponse::default()
         })
     }
 
-    async fn start(&self, _runner: &RunnerEndpoint, command: &StartCommand) -> StartResponse {
-        self.starts.lock().push(command.clone());
+    async fn start(&self, _runner: &RunnerEndpoint, start: &RunStart) -> StartResponse {
+        if self.refuse_starts.load(Ordering::SeqCst) {
+            return StartResponse::NoRoom;
+        }
+        self.starts.lock().push(start.clone());
         self.started.notify_one();
         while self.block_starts.load(Ordering::SeqCst) {
             self.unblocked.notified().await;
@@ -217,11 +228,11 @@
         StartResponse::Begun(1)
     }
 
-    async fn stop(&self, _runner: &RunnerEndpoint, _command: &RunCommand) -> Option<u64> {
+    async fn stop(&self, _runner: &RunnerEndpoint, _run: &RunName) -> Option<u64> {
         Some(1)
     }
 
-    async fn pace(&self, _runner: &RunnerEndpoint, _command: &RunCommand, _percent: u32) -> bool {
+    async fn pace(&self, _runner: &RunnerEndpoint, _run: &RunName, _percent: u32) -> bool {
         true
     }
 }
@@ -272,6 +283,7 @@
     let store = Arc::new(FakeStore::default());
     let actor = OwnerActor::spawn(ActorArgs {
         lease: lease.clone(),
+        link_rate: 1_000_000,
         logger: logger(),
         maintenance: Millis(2_000),
         metrics: Arc::new(NodeMetrics::new().expect("metrics")),
--- a/crates/platform/src/http/http_client.rs
+++ b/crates/platform/src/http/http_client.rs
@@ -1,14 +1,15 @@
 use {
     super::reset_connector::ResetConnector,
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     goldcreststall_core::ids::Millis,
-    http::{HeaderMap, Method, Request, StatusCode, header, request::Builder},
+    http::{HeaderMap, Method, Request, StatusCode, header, request::Builder, response::Parts},
     http_body_util::{BodyExt, Full, Limited},
+    hyper::body::Incoming,
     hyper_util::{
         client::legacy::{Client, connect::HttpConnector},
         rt::TokioExecutor,
     },
-    std::{net::SocketAddr, time::Duration},
+    std::{future::Future, net::SocketAddr, time::Duration},
 };
 
 /// Largest response that is read, in bytes; limits the memory that a response of a faulty service can take.
@@ -120,6 +121,26 @@
         self.send(request, path, Bytes::new(), timeout).await
     }
 
+    /// Reads a resource that may be large, for which a slow link needs long. `timeout` bounds the wait for the response
+    /// and for each further part of its body, but not the whole transfer.
+    ///
+    /// # Errors
+    /// As [`HttpClient::call`].
+    pub async fn get_large(&self, path: &str, timeout: Millis) -> Result<HttpResponse, CallError> {
+        let request = Request::builder().method(Method::GET);
+        let request = self.build_request(request, path, Bytes::new())?;
+        let (head, mut body) = wait_for(timeout, self.send_head(request)).await?;
+        let mut collected = BytesMut::new();
+        while let Some(part) = wait_for(timeout, next_part(&mut body)).await? {
+            collected.extend_from_slice(&part);
+        }
+        Ok(HttpResponse {
+            body: collected.freeze(),
+            headers: head.headers,
+            status: head.status,
+        })
+    }
+
     async fn send(
         &self,
         request: Builder,
@@ -127,30 +148,25 @@
         body: Bytes,
         timeout: Millis,
     ) -> Result<HttpResponse, CallError> {
-        let request = request
+        let request = self.build_request(request, path, body)?;
+        wait_for(timeout, self.exchange(request)).await
+    }
+
+    fn build_request(
+        &self,
+        request: Builder,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, CallError> {
+        request
             .uri(format!("http://{}{path}", self.address))
             .body(Full::new(body))
-            .map_err(|error| CallError::NotSent(error.to_string()))?;
-        let exchange = self.exchange(request);
-        tokio::time::timeout(Duration::from_millis(timeout.0), exchange)
-            .await
-            .unwrap_or_else(|_| {
-                Err(CallError::Unconfirmed(format!(
-                    "no response within {timeout}"
-                )))
-            })
+            .map_err(|error| CallError::NotSent(error.to_string()))
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<HttpResponse, CallError> {
-        let response = self.client.request(request).await.map_err(|error| {
-            if error.is_connect() {
-                CallError::NotSent(error.to_string())
-            } else {
-                CallError::Unconfirmed(error.to_string())
-            }
-        })?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_RESPONSE_BYTES)
+        let (head, body) = self.send_head(request).await?;
+        let body = body
             .collect()
             .await
             .map_err(|error| CallError::Unconfirmed(error.to_string()))?
@@ -161,4 +177,45 @@
             status: head.status,
         })
     }
+
+    /// Sends a request and returns the head and the body of the response, of which only the head has arrived.
+    async fn send_head(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Parts, Limited<Incoming>), CallError> {
+        let response = self.client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                CallError::NotSent(error.to_string())
+            } else {
+                CallError::Unconfirmed(error.to_string())
+            }
+        })?;
+        let (head, body) = response.into_parts();
+        Ok((head, Limited::new(body, MAX_RESPONSE_BYTES)))
+    }
+}
+
+/// Returns the next part of a body; `None` at its end.
+async fn next_part(body: &mut Limited<Incoming>) -> Result<Option<Bytes>, CallError> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| CallError::Unconfirmed(error.to_string()))?;
+        // A frame may also hold trailers.
+        if let Ok(part) = frame.into_data() {
+            return Ok(Some(part));
+        }
+    }
+    Ok(None)
+}
+
+async fn wait_for<T>(
+    timeout: Millis,
+    exchange: impl Future<Output = Result<T, CallError>>,
+) -> Result<T, CallError> {
+    tokio::time::timeout(Duration::from_millis(timeout.0), exchange)
+        .await
+        .unwrap_or_else(|_| {
+            Err(CallError::Unconfirmed(format!(
+                "no response within {timeout}"
+            )))
+        })
 }
