Give pools the hosts that waiting long-running work needs

Cause: a pool's size followed processor time and spread. Change: a pass of placement records long-running work that finds no runner; its pool gets the hosts that it needs beyond those that accept work. Tests: serving_room::memory_is_full, which failed first.

--- a/crates/dispatch/src/owner/host_moves.rs
+++ b/crates/dispatch/src/owner/host_moves.rs
@@ -2,10 +2,11 @@
     super::{
         HostStatus, OwnerState,
         host_table::{HostOperation, HostState},
+        unplaced_serving::hosts_for_unplaced,
     },
     crate::{
         pools::{HostMove, PoolPlan, PoolStats, job_demand, plan_pools},
-        runners::RunnerStatus,
+        runners::{Capacity, RunnerStatus},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
 };
@@ -83,7 +84,9 @@
             };
             if self.is_usable(state) {
                 pool.hosts += 1;
-                pool.host_cpu = pool.host_cpu.max(state.report.capacity.cpu);
+                if state.report.capacity.cpu > pool.host_capacity.cpu {
+                    pool.host_capacity = state.report.capacity;
+                }
             }
             match self.host_occupancy(state, pool.spare, now) {
                 HostOccupancy::Empty(since) => {
@@ -106,12 +109,26 @@
             }
         }
         for pool in &mut stats {
+            pool.serving = self.serving_hosts(&pool.name, pool.host_capacity, now);
             let arriving = self.arrivals.demand_cpu(&pool.name, now);
             pool.demand_cpu = pool.demand_cpu.max(arriving);
         }
         stats
     }
 
+    /// Returns the number of hosts of a pool that accept work, and of those that long-running work waits for beyond them.
+    fn serving_hosts(&self, service: &str, host: Capacity, now: LocalTime) -> (usize, usize) {
+        let missing = hosts_for_unplaced(&self.unplaced_serving, service, host);
+        if missing == 0 {
+            return (0, 0);
+        }
+        let mut accepting = 0;
+        for (_, state) in self.runners.all() {
+            accepting += usize::from(state.report.service == service && state.accepts_work(now));
+        }
+        (accepting, missing)
+    }
+
     /// Returns whether a host can be expected to accept work of its pool soon. A host that is cut off, is leaving or
     /// fails its work is not capacity for a flood, although the platform lists it as up.
     fn is_usable(&self, state: &HostState) -> bool {
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -21,6 +21,7 @@
 mod start_budget;
 mod start_responses;
 mod stuck_runs;
+mod unplaced_serving;
 mod wave_control;
 
 pub use {
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -6,6 +6,7 @@
         journal_queue::JournalQueue,
         runner_advice::AdviceTable,
         start_budget::StartBudget,
+        unplaced_serving::UnplacedServing,
     },
     crate::{
         jobs::{JobKey, JobTable},
@@ -66,6 +67,8 @@
     pub(super) recovered: bool,
     pub(super) has_runner_list: bool,
     pub(super) placement_due: bool,
+    /// Long-running work that found no runner in the last pass of placement.
+    pub(super) unplaced_serving: Vec<UnplacedServing>,
     pub(super) stall_grace_until: LocalTime,
     /// Name, hosts and target of each pool as last logged.
     pub(super) logged_pools: Vec<(String, usize, usize)>,
@@ -96,6 +99,7 @@
             recovered: false,
             has_runner_list: false,
             placement_due: true,
+            unplaced_serving: Vec::new(),
             stall_grace_until: now,
             logged_pools: Vec::new(),
             pools_logged_at: LocalTime(0),
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -2,6 +2,7 @@
     super::{
         OwnerCommand, OwnerState, StartCommand,
         ready_items::{PlacementTier, ReadyItem},
+        unplaced_serving::add_unplaced,
     },
     crate::{
         jobs::{ItemKey, ItemRun, JobState, RunPhase, StepSpec, WorkItem},
@@ -31,6 +32,7 @@
         let mut ready = self.ready_items(now, wall_ms);
         ready.sort_unstable_by_key(|ready| (ready.rank, ready.key));
         let mut pass = PlacementPass::default();
+        self.unplaced_serving.clear();
         self.start_budget.refill(now);
         for ReadyItem { key, rank } in ready {
             if !self.start_budget.is_available() {
@@ -99,12 +101,19 @@
             None if tier == PlacementTier::Serving => {
                 let least_loaded = self.least_loaded(pool, &pass.reserved, eligible);
                 pass.reserved.extend(least_loaded);
+                self.record_unplaced(key, demand);
             }
             None if !self.is_constrained(key) => pass.full_queues.push((queue, demand)),
             None => {}
         }
     }
 
+    fn record_unplaced(&mut self, key: ItemKey, demand: Capacity) {
+        if let (Some(step), Some(found)) = (self.step_key(key), self.jobs.item(key)) {
+            add_unplaced(&mut self.unplaced_serving, step, found, demand);
+        }
+    }
+
     /// Starts all members of a gang, or none. Runners are reserved for the first gang that finds no free capacity.
     fn place_gang(
         &mut self,
--- a/crates/dispatch/src/pools/pool_planner.rs
+++ b/crates/dispatch/src/pools/pool_planner.rs
@@ -1,4 +1,4 @@
-use goldcreststall_core::ids::LocalTime;
+use {crate::runners::Capacity, goldcreststall_core::ids::LocalTime};
 
 /// Share of a pool's capacity that is planned as used, in percent. The rest serves the arrivals during the two seconds
 /// that a host takes to move, and covers fragmentation: work does not fill hosts completely.
@@ -23,10 +23,13 @@
     pub demand_cpu: u64,
     /// Processor time demanded by late work, in thousandths of a core.
     pub late_cpu: u64,
-    /// Processor time of one host, in thousandths of a core.
-    pub host_cpu: u32,
+    /// Capacity of one host.
+    pub host_capacity: Capacity,
     /// Number of hosts that long-running work must be spread over.
     pub spread: usize,
+    /// Number of hosts that accept work, and of those that long-running work waits for beyond them; the second is 0 when
+    /// none waits.
+    pub serving: (usize, usize),
     /// Hosts that can move, with the time since which they have been empty.
     pub movable: Vec<(LocalTime, String)>,
     /// Hosts whose work ends by itself, with the processor time in use.
@@ -35,7 +38,7 @@
 
 impl PoolStats {
     fn hosts_for(&self, cpu: u64) -> usize {
-        let planned = u64::from(self.host_cpu.max(1)) * PLANNED_USE_PERCENT / 100;
+        let planned = u64::from(self.host_capacity.cpu.max(1)) * PLANNED_USE_PERCENT / 100;
         cpu.div_ceil(planned.max(1)) as usize
     }
 
@@ -49,9 +52,16 @@
         } else {
             0
         };
+        // Long-running work may find no host for lack of memory, or because hosts are due for maintenance, however low
+        // the demand for processor time is.
+        let serving = match self.serving {
+            (_, 0) => 0,
+            (accepting, missing) => accepting + missing,
+        };
         self.hosts_for(self.demand_cpu)
             .max(MIN_POOL_HOSTS)
             .max(spread)
+            .max(serving)
     }
 
     /// Returns the number of additional hosts that late work would use.
--- a/crates/dispatch/tests/pool_targets.rs
+++ b/crates/dispatch/tests/pool_targets.rs
@@ -1,9 +1,14 @@
 //! Guards against demand that shifts between pools and finds no hosts: a pool whose period of demand has ended must
 //! give up its hosts, even while it has late work.
 
-use goldcreststall_core::ids::LocalTime;
-use goldcreststall_dispatch::pools::{PoolStats, plan_pools};
-use proptest::{prelude::*, test_runner::RngSeed};
+use {
+    goldcreststall_core::ids::LocalTime,
+    goldcreststall_dispatch::{
+        pools::{PoolStats, plan_pools},
+        runners::Capacity,
+    },
+    proptest::{prelude::*, test_runner::RngSeed},
+};
 
 const SEED: u64 = 20_261_204;
 
@@ -13,7 +18,11 @@
         hosts,
         demand_cpu: demand,
         late_cpu: late,
-        host_cpu: 32_000,
+        host_capacity: Capacity {
+            cpu: 32_000,
+            mem_mb: 64_000,
+            gpu: 0,
+        },
         busy: (0..hosts as u32)
             .map(|host| (host, format!("{name}{host}")))
             .collect(),
--- a/crates/dispatch/tests/serving_room.rs
+++ b/crates/dispatch/tests/serving_room.rs
@@ -3,11 +3,13 @@
 
 mod fleet;
 
-use fleet::{TestFleet, empty_response, ended_run, job, step};
-use goldcreststall_dispatch::{
-    jobs::{JobId, StepSpec},
-    owner::StartCommand,
-    runners::{EndKind, HoldResponse},
+use {
+    fleet::{POOL, TestFleet, empty_response, ended_run, host, job, step},
+    goldcreststall_dispatch::{
+        jobs::{JobId, StepSpec},
+        owner::{OwnerCommand, StartCommand},
+        runners::{EndKind, HoldResponse, RunnerReport},
+    },
 };
 
 #[test]
@@ -53,3 +55,52 @@
     response.ended.push(ended_run(number, done, EndKind::Done));
     response
 }
+
+/// Long-running work fills the memory of its pool's hosts long before their processors. A work item that is to be
+/// restarted finds none of them free, and its pool must get another host although its processors are idle.
+#[test]
+fn memory_is_full() {
+    let ids = ["p1", "p2", "p3", "p4"];
+    let mut fleet = TestFleet::new(1, &ids);
+    let others = (1..=6).map(|number| RunnerReport {
+        service: "bindery".to_owned(),
+        ..fleet::runner(&format!("b{number}"))
+    });
+    fleet.runners.extend(others);
+    fleet.list_runners();
+    fleet.answer_first_holds();
+    let hosts = fleet.runners.iter().map(|report| {
+        let name = format!("host-{}", report.id);
+        host(&name, &report.service, Some(&report.id))
+    });
+    let hosts = hosts.collect();
+    fleet.list_hosts(hosts);
+    let serving = |count| StepSpec {
+        mem_mb: 15_000,
+        long_running: true,
+        ..step(count, 500)
+    };
+    let starts = fleet.start_work(1, vec![serving(4)]);
+    assert_eq!(starts.len(), 4);
+    fleet.submit_work(2, vec![serving(1)]);
+    for _ in 0..5 {
+        fleet.advance(100);
+        let responses: Vec<(String, HoldResponse)> = starts
+            .iter()
+            .filter_map(|start| {
+                let (id, _) = fleet.owner.runner_address(start.runner)?;
+                let mut response = empty_response(fleet.clock());
+                response.running.push(fleet::listed_run(start));
+                Some((id.to_owned(), response))
+            })
+            .collect();
+        let clock = fleet.clock();
+        fleet.answer_holds_by_id(|id| {
+            let found = responses.iter().find(|(runner, _)| runner == id);
+            let response = found.map(|(_, response)| response.clone());
+            Some(response.unwrap_or_else(|| empty_response(clock)))
+        });
+    }
+    let moves_here = |command: &&OwnerCommand| matches!(command, OwnerCommand::MoveHost { pool, .. } if pool == POOL);
+    assert_eq!(fleet.commands.iter().filter(moves_here).count(), 1);
+}
