Count the text of a job once in the budget of starts

Cause: the budget charged the text with each runner that a job's work items went to, but a delegate gets it once.

--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -33,6 +33,8 @@
     pub accepted: bool,
     /// The text for runners is known; a recovered job starts no work item before.
     pub has_text: bool,
+    /// A start command of this owner has carried the text.
+    pub text_sent: bool,
     /// Work items started by an earlier owner may be running on runners that have not answered this owner yet.
     pub unconfirmed: bool,
     /// A work item has been started by this owner, or by an earlier one as far as is known.
@@ -69,6 +71,7 @@
             stored_phase: JobPhase::Queued,
             accepted: false,
             has_text: true,
+            text_sent: false,
             unconfirmed: false,
             started: false,
             ended: None,
@@ -89,6 +92,7 @@
             stored_phase: phase,
             accepted: true,
             has_text: true,
+            text_sent: true,
             unconfirmed: false,
             started: true,
             ended: Some(now),
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -108,6 +108,16 @@
         }
     }
 
+    /// Takes a start command from the budget. The first one of a job carries its text.
+    fn take_start_budget(&mut self, key: ItemKey, text_bytes: usize) {
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
+        let carries_text = !std::mem::replace(&mut job.text_sent, true);
+        self.start_budget
+            .take(if carries_text { text_bytes } else { 0 });
+    }
+
     fn record_unplaced(&mut self, key: ItemKey, demand: Capacity) {
         if let (Some(step), Some(found)) = (self.step_key(key), self.jobs.item(key)) {
             add_unplaced(&mut self.unplaced_serving, step, found, demand);
@@ -286,8 +296,7 @@
             now.since(job.first_seen).0
         );
         self.log_event("place", command.name.to_string(), detail);
-        self.start_budget
-            .take((key.job, runner), command.spec.len());
+        self.take_start_budget(key, command.spec.len());
         self.attach_run(key, runner, command.run, RunPhase::Starting, now);
         self.commands.push(OwnerCommand::Start(command));
     }
--- a/crates/dispatch/src/owner/start_budget.rs
+++ b/crates/dispatch/src/owner/start_budget.rs
@@ -1,7 +1,4 @@
-use {
-    crate::{jobs::JobKey, runners::RunnerKey},
-    goldcreststall_core::ids::{LocalTime, Millis},
-};
+use goldcreststall_core::ids::{LocalTime, Millis};
 
 /// Percentage of the owner's link that start commands may use. The rest carries what must not wait: renewals of the
 /// ownership, hold calls, stops, the journal, and the calls of callers.
@@ -21,8 +18,6 @@
     /// Thousandths of a byte.
     available: u64,
     updated: LocalTime,
-    /// Where the text of which job went last: the next start there shares it.
-    last_text: Option<(JobKey, RunnerKey)>,
 }
 
 impl StartBudget {
@@ -33,7 +28,6 @@
             rate: Some(rate),
             available: rate * MAX_ACCUMULATION.0,
             updated: now,
-            last_text: None,
         }
     }
 
@@ -52,17 +46,13 @@
         self.rate.is_none() || self.available > 0
     }
 
-    /// Takes the bytes of a start command for a job on a runner; `text_bytes` is the size of the job's text. Commands that
-    /// follow each other share the text. The budget may be overdrawn by one command, so that every command can be issued
-    /// at some time.
-    pub(super) fn take(&mut self, start: (JobKey, RunnerKey), text_bytes: usize) {
-        if self.rate.is_none() {
-            return;
+    /// Takes the bytes of a start command; `text_bytes` is the size of the text that it carries, which is 0 when an
+    /// earlier command has carried the text of the job. The budget may be overdrawn by one command, so that every command
+    /// can be issued at some time.
+    pub(super) fn take(&mut self, text_bytes: usize) {
+        if self.rate.is_some() {
+            let bytes = COMMAND_BYTES + text_bytes as u64;
+            self.available = self.available.saturating_sub(bytes * MILLIS_PER_SECOND);
         }
-        let is_shared = self.last_text.replace(start) == Some(start);
-        let text = if is_shared { 0 } else { text_bytes as u64 };
-        self.available = self
-            .available
-            .saturating_sub((COMMAND_BYTES + text) * MILLIS_PER_SECOND);
     }
 }
