--- a/crates/platform/src/http/http_client.rs
+++ b/crates/platform/src/http/http_client.rs
@@ -1,5 +1,5 @@
 use {
-    super::reset_connector::ResetConnector,
+    super::{connection_count::ConnectionCount, reset_connector::ResetConnector},
     bytes::{Bytes, BytesMut},
     goldcreststall_core::ids::Millis,
     http::{HeaderMap, Method, Request, StatusCode, header, request::Builder, response::Parts},
@@ -46,6 +46,7 @@
 pub struct HttpClient {
     address: SocketAddr,
     client: Client<ResetConnector, Full<Bytes>>,
+    connections: ConnectionCount,
 }
 
 impl HttpClient {
@@ -55,11 +56,20 @@
         connector.set_connect_timeout(Some(Duration::from_millis(connect_timeout.0)));
         connector.set_nodelay(true);
         connector.set_tcp_user_timeout(Some(USER_TIMEOUT));
+        let connections = ConnectionCount::default();
+        let connector = ResetConnector {
+            connector,
+            connections: connections.clone(),
+        };
         // A retry inside the client would hide that an append may have taken effect twice.
         let client = Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
-            .build(ResetConnector(connector));
-        Self { address, client }
+            .build(connector);
+        Self {
+            address,
+            client,
+            connections,
+        }
     }
 
     /// Returns a client of the service at another address that shares the connections of this one.
@@ -67,9 +77,15 @@
         Self {
             address,
             client: self.client.clone(),
+            connections: self.connections.clone(),
         }
     }
 
+    /// Returns the count of the open connections of this client and its clones.
+    pub fn connections(&self) -> &ConnectionCount {
+        &self.connections
+    }
+
     /// Sends a request with headers and reads the complete response.
     ///
     /// # Errors
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -1,6 +1,11 @@
 //! The HTTP client that the clients of the platform services share.
 
+mod connection_count;
+mod counted_stream;
 mod http_client;
 mod reset_connector;
 
-pub use http_client::{CallError, HttpClient, HttpResponse};
+pub use {
+    connection_count::ConnectionCount,
+    http_client::{CallError, HttpClient, HttpResponse},
+};
