Take a start without a response for void after its deadline

What callers saw: accepted work items that never started while most of the room was free (LOST). Cause: a run in the phases Starting and Stopping was kept until a stop was answered, or until the runner was silent for longer than its lease. The design says that it is void once the deadline of its start has passed on the runner's clock; the code lacked it. Change: each run keeps the deadline of its start. A list that the runner makes later than that, and that shows the run neither running nor ended, ends it. Evidence: unknown_start::void_after_deadline failed before ("the work item was not started again"); listed_is_not_void guards the other side.

--- a/crates/dispatch/src/jobs/mod.rs
+++ b/crates/dispatch/src/jobs/mod.rs
@@ -13,5 +13,5 @@
     job_spec::{JobSpec, SpecError, StepSpec},
     job_state::JobState,
     job_table::JobTable,
-    work_item::{ItemKey, ItemRun, JobKey, RunPhase, StepKey, WorkItem},
+    work_item::{ItemKey, ItemRun, JobKey, MAX_PACE_PERCENT, RunPhase, StepKey, WorkItem},
 };
--- a/crates/dispatch/src/jobs/work_item.rs
+++ b/crates/dispatch/src/jobs/work_item.rs
@@ -3,6 +3,9 @@
     goldcreststall_core::ids::{LocalTime, Millis},
 };
 
+/// Full speed of a run.
+pub const MAX_PACE_PERCENT: u32 = 100;
+
 /// Index of a job in the [`super::JobTable`].
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct JobKey(pub u32);
@@ -58,6 +61,9 @@
     pub phase: RunPhase,
     /// When the start command was sent.
     pub sent: LocalTime,
+    /// Time on the runner's clock, in milliseconds, after which the start command cannot be executed any more; 0 when
+    /// the runner is known to have executed it.
+    pub start_deadline_ms: u64,
     /// Share of the work that is done, in percent; for a long-running work item the share of its start-up.
     pub percent: u32,
     /// When `percent` last changed; for a stop without a response also when it was last sent again.
@@ -66,6 +72,40 @@
     pub pace: u32,
 }
 
+impl ItemRun {
+    /// Creates the run of a start command that is sent now; `deadline_ms` is its deadline on the runner's clock.
+    pub fn starting(run: u32, runner: RunnerKey, deadline_ms: u64, now: LocalTime) -> Self {
+        Self {
+            run,
+            runner,
+            phase: RunPhase::Starting,
+            sent: now,
+            start_deadline_ms: deadline_ms,
+            percent: 0,
+            progressed_at: now,
+            pace: MAX_PACE_PERCENT,
+        }
+    }
+
+    /// Creates a run that a runner lists and that another owner has started.
+    pub fn adopted(run: u32, runner: RunnerKey, now: LocalTime) -> Self {
+        Self {
+            phase: RunPhase::Running { since: now },
+            ..Self::starting(run, runner, 0, now)
+        }
+    }
+
+    /// Returns whether the run has certainly ended, or never begins, if a list that was requested at `requested` and
+    /// made at `clock_ms` of the runner's clock does not show it.
+    pub fn ended_if_unlisted(&self, requested: LocalTime, clock_ms: u64) -> bool {
+        match self.phase {
+            RunPhase::Running { since } => since < requested,
+            RunPhase::Stopped { at } => at < requested,
+            RunPhase::Starting | RunPhase::Stopping => clock_ms > self.start_deadline_ms,
+        }
+    }
+}
+
 /// One work item of a job and its runs.
 #[derive(Clone, Debug, Default)]
 pub struct WorkItem {
--- a/crates/dispatch/src/owner/pace_control.rs
+++ b/crates/dispatch/src/owner/pace_control.rs
@@ -1,7 +1,7 @@
 use {
-    super::{OwnerCommand, OwnerState, RunCommand, run_table::MAX_PACE_PERCENT},
+    super::{OwnerCommand, OwnerState, RunCommand},
     crate::{
-        jobs::{ItemKey, ItemRun, RunPhase},
+        jobs::{ItemKey, ItemRun, MAX_PACE_PERCENT, RunPhase},
         runners::{ListedRun, RunnerKey},
     },
 };
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -5,7 +5,7 @@
         unplaced_serving::add_unplaced,
     },
     crate::{
-        jobs::{ItemKey, ItemRun, JobState, RunPhase, StepSpec, WorkItem},
+        jobs::{ItemKey, ItemRun, JobState, StepSpec, WorkItem},
         routes::RouteRule,
         runners::{Capacity, RunnerKey, RunnerState},
     },
@@ -297,7 +297,8 @@
         );
         self.log_event("place", command.name.to_string(), detail);
         self.take_start_budget(key, command.spec.len());
-        self.attach_run(key, runner, command.run, RunPhase::Starting, now);
+        let recorded_run = ItemRun::starting(command.run, runner, deadline_ms, now);
+        self.attach_run(key, recorded_run);
         self.commands.push(OwnerCommand::Start(command));
     }
 }
--- a/crates/dispatch/src/owner/run_ends.rs
+++ b/crates/dispatch/src/owner/run_ends.rs
@@ -16,7 +16,7 @@
 
 impl OwnerState {
     /// Handles the ends that a runner lists. An end is listed again until it is acknowledged, and is then ignored.
-    pub(super) fn handle_ends(&mut self, key: RunnerKey, ended: Vec<EndedRun>, now: LocalTime) {
+    pub(super) fn handle_ends(&mut self, key: RunnerKey, ended: &[EndedRun], now: LocalTime) {
         let processed = self.runners.get(key).map_or(0, |state| state.processed);
         let mut highest = processed;
         for end in ended {
@@ -39,7 +39,7 @@
             .on_stored(StoredEffect::Acknowledge(key, highest));
     }
 
-    fn handle_end(&mut self, runner: RunnerKey, end: EndedRun, now: LocalTime) {
+    fn handle_end(&mut self, runner: RunnerKey, end: &EndedRun, now: LocalTime) {
         let Some(key) = self.jobs.find_item(&end.name) else {
             self.log_event(
                 "end of an unknown job",
--- a/crates/dispatch/src/owner/run_table.rs
+++ b/crates/dispatch/src/owner/run_table.rs
@@ -7,9 +7,6 @@
     goldcreststall_core::ids::LocalTime,
 };
 
-/// Full speed of a run.
-pub(super) const MAX_PACE_PERCENT: u32 = 100;
-
 impl OwnerState {
     /// Returns the capacity that a run of the work item uses.
     pub(super) fn demand(&self, key: ItemKey) -> Capacity {
@@ -24,17 +21,10 @@
         }
     }
 
-    /// Records a run on a runner and the capacity that it uses.
-    pub(super) fn attach_run(
-        &mut self,
-        key: ItemKey,
-        runner: RunnerKey,
-        run: u32,
-        phase: RunPhase,
-        now: LocalTime,
-    ) {
+    /// Records a run and the capacity that it uses on its runner.
+    pub(super) fn attach_run(&mut self, key: ItemKey, recorded_run: ItemRun) {
         let demand = self.demand(key);
-        if let Some(state) = self.runners.get_mut(runner) {
+        if let Some(state) = self.runners.get_mut(recorded_run.runner) {
             state.used = state.used.plus(&demand);
             state.items.push(key);
         }
@@ -43,16 +33,8 @@
         };
         job.started = true;
         let item = &mut job.items[key.item as usize];
-        item.last_run = item.last_run.max(run);
-        item.runs.push(ItemRun {
-            run,
-            runner,
-            phase,
-            sent: now,
-            percent: 0,
-            progressed_at: now,
-            pace: MAX_PACE_PERCENT,
-        });
+        item.last_run = item.last_run.max(recorded_run.run);
+        item.runs.push(recorded_run);
     }
 
     /// Removes a run that has certainly ended and frees its capacity. Returns whether the run was recorded.
--- a/crates/dispatch/src/owner/runner_responses.rs
+++ b/crates/dispatch/src/owner/runner_responses.rs
@@ -1,7 +1,7 @@
 use {
-    super::{OwnerCommand, OwnerState, RunCommand, run_table::MAX_PACE_PERCENT},
+    super::{OwnerCommand, OwnerState, RunCommand},
     crate::{
-        jobs::{ItemKey, RunPhase},
+        jobs::{ItemKey, ItemRun, MAX_PACE_PERCENT, RunPhase},
         runners::{HoldResponse, ListedRun, RunnerKey},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
@@ -55,8 +55,8 @@
         state.clock.record_reading(response.clock_ms, now);
         state.acknowledged = state.acknowledged.max(last_seen);
         state.next_hold = now + HOLD_DELAY;
-        self.handle_ends(key, response.ended, now);
-        self.handle_running(key, sent, &response.running, now);
+        self.handle_ends(key, &response.ended, now);
+        self.handle_running(key, sent, &response, now);
         self.control_pace(key, &response.running);
         self.placement_due = true;
     }
@@ -65,32 +65,44 @@
         &mut self,
         runner: RunnerKey,
         sent: LocalTime,
-        running: &[ListedRun],
+        response: &HoldResponse,
         now: LocalTime,
     ) {
         let mut has_unknown_runs = false;
-        for listed in running {
+        for listed in &response.running {
             has_unknown_runs |= !self.handle_listed(runner, listed, now);
         }
         if let Some(state) = self.runners.get_mut(runner) {
             state.has_unknown_runs = has_unknown_runs;
         }
         for (key, recorded_run) in self.runs_on(runner) {
-            let known_before = match recorded_run.phase {
-                RunPhase::Running { since } => since < sent,
-                RunPhase::Stopped { at } => at < sent,
-                RunPhase::Starting | RunPhase::Stopping => false,
-            };
             let name = self.jobs.get(key.job).map(|job| job.item_name(key.item));
-            let is_listed = running
+            let is_listed = response
+                .running
                 .iter()
                 .any(|listed| Some(listed.name) == name && listed.run == recorded_run.run);
-            if known_before && !is_listed {
+            if !is_listed && recorded_run.ended_if_unlisted(sent, response.clock_ms) {
+                self.log_void_start(key, &recorded_run, response.clock_ms);
                 self.detach_run(key, runner, recorded_run.run, now);
             }
         }
     }
 
+    /// Logs a run whose start command and stop both got no response, and that never began.
+    fn log_void_start(&mut self, key: ItemKey, recorded_run: &ItemRun, clock_ms: u64) {
+        let is_unconfirmed = matches!(recorded_run.phase, RunPhase::Starting | RunPhase::Stopping);
+        let Some(job) = self.jobs.get(key.job).filter(|_| is_unconfirmed) else {
+            return;
+        };
+        let name = job.item_name(key.item).to_string();
+        let late_ms = clock_ms.saturating_sub(recorded_run.start_deadline_ms);
+        let detail = format!(
+            "run={} phase={:?} not listed, deadline passed {late_ms} ms ago",
+            recorded_run.run, recorded_run.phase
+        );
+        self.log_event("run void", name, detail);
+    }
+
     /// Handles one run that a runner lists. Returns false when the run and its use of capacity are unknown.
     fn handle_listed(&mut self, runner: RunnerKey, listed: &ListedRun, now: LocalTime) -> bool {
         let Some(key) = self.jobs.find_item(&listed.name) else {
@@ -142,8 +154,7 @@
             name,
             format!("run={run} wanted={}", !unwanted),
         );
-        let phase = RunPhase::Running { since: now };
-        self.attach_run(key, runner, run, phase, now);
+        self.attach_run(key, ItemRun::adopted(run, runner, now));
         if unwanted {
             self.stop_run(key, runner, run);
         }
--- a/crates/dispatch/tests/unknown_start.rs
+++ b/crates/dispatch/tests/unknown_start.rs
@@ -102,3 +102,51 @@
     assert!(stops(&fleet).is_empty());
     assert!(fleet.starts().is_empty());
 }
+
+/// Guards against work that never starts because the runner answers hold calls but no stop: after the deadline of the
+/// start command the run cannot begin any more.
+#[test]
+fn void_after_deadline() {
+    let mut fleet = TestFleet::new(1, &["r1"]);
+    fleet.answer_first_holds();
+    let starts = fleet.submit_work(7, vec![step(1, 8_000)]);
+    fleet
+        .owner
+        .start_answered(&starts[0], StartResponse::Unknown, fleet.now);
+    while fleet.clock() < starts[0].deadline_ms {
+        fleet.advance(100);
+        let clock = fleet.clock();
+        fleet.answer_holds(|_| Some(empty_response(clock)));
+        assert!(
+            fleet.starts().is_empty(),
+            "work was started again while its first start could still begin"
+        );
+    }
+    let mut again = Vec::new();
+    for _ in 0..20 {
+        fleet.advance(100);
+        let clock = fleet.clock();
+        fleet.answer_holds(|_| Some(empty_response(clock)));
+        again.extend(fleet.starts());
+    }
+    assert_eq!(again.len(), 1, "the work item was not started again");
+}
+
+/// Guards against a run that is taken for void although it began before its deadline: the runner lists it.
+#[test]
+fn listed_is_not_void() {
+    let mut fleet = TestFleet::new(1, &["r1"]);
+    fleet.answer_first_holds();
+    let starts = fleet.submit_work(7, vec![step(1, 8_000)]);
+    fleet
+        .owner
+        .start_answered(&starts[0], StartResponse::Unknown, fleet.now);
+    for _ in 0..60 {
+        fleet.advance(100);
+        let mut response = empty_response(fleet.clock());
+        response.running.push(listed_run(&starts[0]));
+        fleet.answer_holds(|_| Some(response.clone()));
+    }
+    assert!(fleet.clock() > starts[0].deadline_ms);
+    assert!(fleet.starts().is_empty());
+}
