Give a runner whose starts get no response less and less work

Cause: a refused start keeps its runner from new work for a time, a start without a response did not, and placement takes the fullest runner first: the same one again. Change: a start without a response sets a cooldown, which doubles with each further one in a row up to 4 s and ends with the next start that is accepted. The line "start unknown" has their number.

--- a/crates/dispatch/src/owner/start_responses.rs
+++ b/crates/dispatch/src/owner/start_responses.rs
@@ -1,6 +1,6 @@
 use {
     super::{OwnerState, RunCommand, StartCommand},
-    crate::jobs::RunPhase,
+    crate::{jobs::RunPhase, runners::RunnerKey},
     goldcreststall_core::ids::{LocalTime, Millis},
     serde::{Deserialize, Serialize},
 };
@@ -8,6 +8,11 @@
 /// How long a runner gets no new work after it has refused a start command, for example because it is not healthy or
 /// has no free capacity.
 const REFUSAL_COOLDOWN: Millis = Millis(500);
+/// How long a runner gets no new work after a start command without a response. The time doubles with each further one in
+/// a row, because a runner that is out of reach for start commands may still answer hold calls.
+const SILENCE_COOLDOWN: Millis = Millis(250);
+/// Number of doublings after which this time no longer grows.
+const MAX_SILENCE_DOUBLINGS: u32 = 4;
 /// Step by which the run number advances to skip numbers that an earlier owner may have used.
 const RUN_NUMBER_STEP: u32 = 16;
 
@@ -55,7 +60,7 @@
         match response {
             StartResponse::Begun(clock) => self.start_accepted(command, clock, now),
             StartResponse::Fenced => return false,
-            StartResponse::Unknown => self.start_unknown(command),
+            StartResponse::Unknown => self.start_unknown(command, now),
             StartResponse::Late(_)
             | StartResponse::NoRoom
             | StartResponse::NoTicket
@@ -89,6 +94,7 @@
         if let Some(state) = self.runners.get_mut(command.runner) {
             state.clock.record_reading(clock, now);
             state.missed_holds = 0;
+            state.unanswered_starts = 0;
         }
         if let Some(recorded_run) = self.run_mut(command.item, command.runner, command.run)
             && recorded_run.phase == RunPhase::Starting
@@ -98,9 +104,10 @@
         }
     }
 
-    fn start_unknown(&mut self, command: &StartCommand) {
+    fn start_unknown(&mut self, command: &StartCommand, now: LocalTime) {
+        let unanswered_starts = self.avoid_silent_runner(command.runner, now);
         let detail = format!(
-            "run={} no response from the runner; stopping the run",
+            "run={} unanswered_in_a_row={unanswered_starts} no response from the runner; stopping the run",
             command.run
         );
         self.log_event("start unknown", command.name.to_string(), detail);
@@ -113,6 +120,19 @@
         }
     }
 
+    /// Gives no new work to a runner for a time after a start command without a response; returns the number of such
+    /// commands in a row.
+    fn avoid_silent_runner(&mut self, runner: RunnerKey, now: LocalTime) -> u32 {
+        let Some(state) = self.runners.get_mut(runner) else {
+            return 0;
+        };
+        let doublings = state.unanswered_starts.min(MAX_SILENCE_DOUBLINGS);
+        state.unanswered_starts = state.unanswered_starts.saturating_add(1);
+        let cooldown = Millis(SILENCE_COOLDOWN.0 << doublings);
+        state.cooldown_until = state.cooldown_until.max(now + cooldown);
+        state.unanswered_starts
+    }
+
     /// Handles the response to a stop command: a reading of the runner's clock in milliseconds, or none without a
     /// response.
     pub fn stop_answered(&mut self, command: &RunCommand, clock: Option<u64>, now: LocalTime) {
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -46,6 +46,8 @@
     pub has_unknown_runs: bool,
     /// It gets no new work before this time, after failures or refusals.
     pub cooldown_until: LocalTime,
+    /// Start commands in a row without a response.
+    pub unanswered_starts: u32,
     /// Number of consecutive failed runs.
     pub consecutive_failures: u32,
     /// It gets no new work, because its host is about to move or to be maintained.
@@ -77,6 +79,7 @@
             items: Vec::new(),
             has_unknown_runs: false,
             cooldown_until: LocalTime(0),
+            unanswered_starts: 0,
             consecutive_failures: 0,
             cordoned: false,
             due: false,
--- /dev/null
+++ b/crates/dispatch/tests/silent_starts.rs
@@ -0,0 +1,78 @@
+//! Guards against a runner whose start commands get no response, and that gets them again and again.
+
+mod fleet;
+
+use {
+    fleet::{TestFleet, empty_response, step},
+    goldcreststall_dispatch::{
+        owner::{OwnerCommand, StartCommand, StartResponse},
+        runners::RunnerKey,
+    },
+};
+
+/// Time over which commands are counted.
+const PERIOD_MS: u64 = 3_000;
+const STEP_MS: u64 = 10;
+
+/// Lets `silent` answer hold calls and stops, but no start, for [`PERIOD_MS`]; returns the start commands. The other
+/// runners accept their starts.
+fn play(fleet: &mut TestFleet, silent: RunnerKey, first: &[StartCommand]) -> Vec<StartCommand> {
+    let mut starts = first.to_vec();
+    let mut unanswered = first.to_vec();
+    for _ in 0..PERIOD_MS / STEP_MS {
+        for start in unanswered {
+            let response = if start.runner == silent {
+                StartResponse::Unknown
+            } else {
+                StartResponse::Begun(fleet.clock())
+            };
+            fleet.owner.start_answered(&start, response, fleet.now);
+        }
+        fleet.advance(STEP_MS);
+        let clock = fleet.clock();
+        for command in std::mem::take(&mut fleet.commands) {
+            match command {
+                OwnerCommand::Stop(stop) => {
+                    fleet.owner.stop_answered(&stop, Some(clock), fleet.now);
+                }
+                command => fleet.commands.push(command),
+            }
+        }
+        fleet.advance(STEP_MS);
+        let clock = fleet.clock();
+        fleet.answer_holds(|_| Some(empty_response(clock)));
+        unanswered = fleet.starts();
+        starts.extend(unanswered.iter().cloned());
+    }
+    starts
+}
+
+/// Guards against starts that are sent every few milliseconds to the only runner there is.
+#[test]
+fn delay_grows() {
+    let mut fleet = TestFleet::new(1, &["r1"]);
+    fleet.answer_first_holds();
+    let first = fleet.submit_work(7, vec![step(1, 4_000)]);
+    let silent = first[0].runner;
+    let starts = play(&mut fleet, silent, &first);
+    assert!(
+        (2..=8).contains(&starts.len()),
+        "{} start commands in {PERIOD_MS} ms to a runner that answers none",
+        starts.len()
+    );
+}
+
+/// Guards against work that is placed on the same runner for good while another one has room.
+#[test]
+fn another_runner() {
+    let mut fleet = TestFleet::new(1, &["r1", "r2"]);
+    fleet.answer_first_holds();
+    let first = fleet.submit_work(7, vec![step(1, 4_000)]);
+    let silent = first[0].runner;
+    let starts = play(&mut fleet, silent, &first);
+    let second = starts.get(1).expect("a second start");
+    assert_ne!(
+        second.runner, silent,
+        "the work went to the silent runner again"
+    );
+}
