Close connections that stay idle

Cause: the client kept every connection that it had ever opened. A runner accepts 64 from all entry hosts together. Class: a shared resource that each process takes without bound and never returns. Change: idle connections are closed after 2 s, and at most 2 are kept to one address.

--- a/crates/platform/src/http/http_client.rs
+++ b/crates/platform/src/http/http_client.rs
@@ -7,7 +7,7 @@
     hyper::body::Incoming,
     hyper_util::{
         client::legacy::{Client, connect::HttpConnector},
-        rt::TokioExecutor,
+        rt::{TokioExecutor, TokioTimer},
     },
     std::{future::Future, net::SocketAddr, time::Duration},
 };
@@ -19,6 +19,13 @@
 /// lost power acknowledges nothing, and a connection to it would hang for minutes.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// How long an idle connection is kept for the next call. Services limit the connections that all callers together may
+/// have open, and do not learn that a caller has lost power: what stays open unused is missing elsewhere.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Most idle connections that are kept to one address.
+const MAX_IDLE_CONNECTIONS: usize = 2;
+
 /// An HTTP response whose body was read to its end.
 #[derive(Debug)]
 pub struct HttpResponse {
@@ -64,6 +71,9 @@
         // A retry inside the client would hide that an append may have taken effect twice.
         let client = Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+            .pool_timer(TokioTimer::new())
             .build(connector);
         Self {
             address,
