Send no command directly after the lease has ended

What callers saw: nothing yet. A process that was delayed could act on a lease that had run out: a hold call whose delegate was lost was sent by the owner itself without a look at its lease. It extends the lease of the runner's work beyond the time for which a new owner waits before it starts that work elsewhere. Cause: the way through a delegate checks the lease when the command is written, and a start checked it before it was sent directly; hold calls, stops and paces did not. Change: all commands that are sent directly check the lease first. Evidence: delegated_commands::no_hold_after_the_lease failed before (the hold call reached the runner).

--- a/crates/node/src/delegates/delegated_runners.rs
+++ b/crates/node/src/delegates/delegated_runners.rs
@@ -94,6 +94,7 @@
         {
             DelegateAttempt::Executed(DelegateOutcome::Hold(response)) => response,
             DelegateAttempt::Late => None,
+            _ if !self.registry.is_lease_held() => None,
             _ => self.direct.hold(runner, call).await,
         }
     }
@@ -115,6 +116,7 @@
         {
             DelegateAttempt::Executed(DelegateOutcome::Stop(clock_ms)) => clock_ms,
             DelegateAttempt::Late => None,
+            _ if !self.registry.is_lease_held() => None,
             _ => self.direct.stop(runner, run).await,
         }
     }
@@ -124,7 +126,7 @@
         match self.delegate(runner, body, Millis(0)).await {
             DelegateAttempt::Executed(DelegateOutcome::Pace(accepted)) => accepted,
             DelegateAttempt::Late => false,
-            _ => self.direct.pace(runner, run, percent).await,
+            _ => self.registry.is_lease_held() && self.direct.pace(runner, run, percent).await,
         }
     }
 }
--- a/crates/node/tests/delegated_commands.rs
+++ b/crates/node/tests/delegated_commands.rs
@@ -329,3 +329,29 @@
     assert_eq!(start(&owner, 1).await, StartResponse::Begun(1));
     assert_eq!(delegate.starts.lock().len(), 1);
 }
+
+fn hold_call() -> HoldCall {
+    HoldCall {
+        deadline_ms: None,
+        last_seen: 0,
+        wait: Millis(0),
+    }
+}
+
+/// Guards against an owner without a lease that extends the lease of a runner's work itself.
+#[tokio::test]
+async fn no_hold_after_the_lease() {
+    let owner = spawn_owner().await;
+    owner.test.lease.end();
+    let holds = owner.direct.holds.load(Ordering::SeqCst);
+    let stops = owner.direct.stops.load(Ordering::SeqCst);
+    let run = RunName {
+        name: run_start(1).name,
+        run: 1,
+    };
+    assert!(owner.service.hold(&endpoint(), hold_call()).await.is_none());
+    assert_eq!(owner.service.stop(&endpoint(), &run).await, None);
+    assert!(!owner.service.pace(&endpoint(), &run, 50).await);
+    assert_eq!(owner.direct.holds.load(Ordering::SeqCst), holds);
+    assert_eq!(owner.direct.stops.load(Ordering::SeqCst), stops);
+}
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -196,6 +196,10 @@
 pub struct FakeRunners {
     /// Number of hold calls.
     pub holds: AtomicUsize,
+    /// Number of stops.
+    pub stops: AtomicUsize,
+    /// Gives no response to hold calls and stops.
+    pub silent: AtomicBool,
     /// Refuses all start commands for lack of free capacity.
     pub refuse_starts: AtomicBool,
     pub starts: Mutex<Vec<RunStart>>,
@@ -210,10 +214,11 @@
 impl RunnerService for FakeRunners {
     async fn hold(&self, _runner: &RunnerEndpoint, _call: HoldCall) -> Option<HoldResponse> {
         self.holds.fetch_add(1, Ordering::SeqCst);
-        Some(HoldResponse {
+        let response = HoldResponse {
             clock_ms: 1,
             ..HoldResponse::default()
-        })
+        };
+        (!self.silent.load(Ordering::SeqCst)).then_some(response)
     }
 
     async fn start(&self, _runner: &RunnerEndpoint, start: &RunStart) -> StartResponse {
@@ -229,7 +234,8 @@
     }
 
     async fn stop(&self, _runner: &RunnerEndpoint, _run: &RunName) -> Option<u64> {
-        Some(1)
+        self.stops.fetch_add(1, Ordering::SeqCst);
+        (!self.silent.load(Ordering::SeqCst)).then_some(1)
     }
 
     async fn pace(&self, _runner: &RunnerEndpoint, _run: &RunName, _percent: u32) -> bool {
