Call a runner directly that does not answer its delegate

Cause: all hold calls, stops and paces of a runner took one way, the delegate chosen by hash, however often it failed. Evidence: delegated_commands::delegate_out_of_reach and stop_takes_the_other_way failed before (no answer at the second try).

--- a/crates/node/src/delegates/delegated_runners.rs
+++ b/crates/node/src/delegates/delegated_runners.rs
@@ -1,5 +1,7 @@
 use {
-    super::{DelegateOrder, DelegateOutcome, DelegateRegistry, OrderBody},
+    super::{
+        DelegateOrder, DelegateOutcome, DelegateRegistry, OrderBody, bypass_table::BypassTable,
+    },
     crate::ports::{HoldCall, RunnerEndpoint, RunnerService},
     async_trait::async_trait,
     goldcreststall_core::ids::Millis,
@@ -7,6 +9,8 @@
         owner::{RunName, RunStart, StartResponse},
         runners::HoldResponse,
     },
+    goldcreststall_entry::clock::BootClock,
+    parking_lot::Mutex,
     std::{sync::Arc, time::Duration},
 };
 
@@ -31,12 +35,61 @@
 pub struct DelegatedRunners {
     direct: Arc<dyn RunnerService>,
     registry: DelegateRegistry,
+    bypasses: Mutex<BypassTable>,
 }
 
 impl DelegatedRunners {
     /// Creates a service that prefers the delegates in `registry` to `direct`.
     pub fn new(direct: Arc<dyn RunnerService>, registry: DelegateRegistry) -> Self {
-        Self { direct, registry }
+        Self {
+            direct,
+            registry,
+            bypasses: Mutex::default(),
+        }
+    }
+
+    /// Sends a hold call, a stop or a pace through the runner's delegate, unless the runner is called directly.
+    async fn delegate_or_bypass(
+        &self,
+        runner: &RunnerEndpoint,
+        body: OrderBody,
+        wait: Millis,
+    ) -> DelegateAttempt {
+        if self.bypasses.lock().contains(&runner.id, BootClock.now()) {
+            return DelegateAttempt::NotSent;
+        }
+        self.delegate(runner, body, wait).await
+    }
+
+    /// Notes whether the runner answered the way that a command took: without an answer the next one takes the other.
+    fn record_path(&self, runner: &RunnerEndpoint, direct: bool, answered: bool) {
+        if answered {
+            return;
+        }
+        let mut bypasses = self.bypasses.lock();
+        if direct {
+            bypasses.remove(&runner.id);
+        } else {
+            bypasses.insert(&runner.id, BootClock.now());
+        }
+    }
+
+    async fn hold_directly(&self, runner: &RunnerEndpoint, call: HoldCall) -> Option<HoldResponse> {
+        if !self.registry.is_lease_held() {
+            return None;
+        }
+        let response = self.direct.hold(runner, call).await;
+        self.record_path(runner, true, response.is_some());
+        response
+    }
+
+    async fn stop_directly(&self, runner: &RunnerEndpoint, run: &RunName) -> Option<u64> {
+        if !self.registry.is_lease_held() {
+            return None;
+        }
+        let clock_ms = self.direct.stop(runner, run).await;
+        self.record_path(runner, true, clock_ms.is_some());
+        clock_ms
     }
 
     async fn delegate(
@@ -88,14 +141,14 @@
 #[async_trait]
 impl RunnerService for DelegatedRunners {
     async fn hold(&self, runner: &RunnerEndpoint, call: HoldCall) -> Option<HoldResponse> {
-        match self
-            .delegate(runner, OrderBody::Hold(call), call.wait)
-            .await
-        {
-            DelegateAttempt::Executed(DelegateOutcome::Hold(response)) => response,
+        let attempt = self.delegate_or_bypass(runner, OrderBody::Hold(call), call.wait);
+        match attempt.await {
+            DelegateAttempt::Executed(DelegateOutcome::Hold(response)) => {
+                self.record_path(runner, false, response.is_some());
+                response
+            }
             DelegateAttempt::Late => None,
-            _ if !self.registry.is_lease_held() => None,
-            _ => self.direct.hold(runner, call).await,
+            _ => self.hold_directly(runner, call).await,
         }
     }
 
@@ -110,20 +163,20 @@
     }
 
     async fn stop(&self, runner: &RunnerEndpoint, run: &RunName) -> Option<u64> {
-        match self
-            .delegate(runner, OrderBody::Stop(*run), Millis(0))
-            .await
-        {
-            DelegateAttempt::Executed(DelegateOutcome::Stop(clock_ms)) => clock_ms,
+        let attempt = self.delegate_or_bypass(runner, OrderBody::Stop(*run), Millis(0));
+        match attempt.await {
+            DelegateAttempt::Executed(DelegateOutcome::Stop(clock_ms)) => {
+                self.record_path(runner, false, clock_ms.is_some());
+                clock_ms
+            }
             DelegateAttempt::Late => None,
-            _ if !self.registry.is_lease_held() => None,
-            _ => self.direct.stop(runner, run).await,
+            _ => self.stop_directly(runner, run).await,
         }
     }
 
     async fn pace(&self, runner: &RunnerEndpoint, run: &RunName, percent: u32) -> bool {
-        let body = OrderBody::Pace(*run, percent);
-        match self.delegate(runner, body, Millis(0)).await {
+        let attempt = self.delegate_or_bypass(runner, OrderBody::Pace(*run, percent), Millis(0));
+        match attempt.await {
             DelegateAttempt::Executed(DelegateOutcome::Pace(accepted)) => accepted,
             DelegateAttempt::Late => false,
             _ => self.registry.is_lease_held() && self.direct.pace(runner, run, percent).await,
--- a/crates/node/src/delegates/mod.rs
+++ b/crates/node/src/delegates/mod.rs
@@ -3,8 +3,10 @@
 //! The owner decides alone, but its processor and its link would bound the size of the fleet if it called every runner
 //! itself. Each other entry host registers with the owner over a connection of its own. The owner hands it the commands
 //! for the runners that [`DelegateTable`] assigns to it, and gets the responses back; many of them share a frame. A
-//! command that a delegate does not answer is sent again by the owner itself: runners treat repeated commands as one.
+//! command that a delegate does not answer is sent again by the owner itself: runners treat repeated commands as one. A
+//! runner that does not answer its delegate is called by the owner itself for a while.
 
+mod bypass_table;
 mod delegate_frames;
 mod delegate_link;
 mod delegate_profile;
--- a/crates/node/tests/delegated_commands.rs
+++ b/crates/node/tests/delegated_commands.rs
@@ -338,6 +338,45 @@
     }
 }
 
+/// Guards against a runner that is given up because its delegate cannot reach it, although the owner can.
+#[tokio::test]
+async fn delegate_out_of_reach() {
+    let owner = spawn_owner().await;
+    let (delegate, _owner_watch) = spawn_delegate(owner.address);
+    wait_for_delegate(&owner, &delegate).await;
+    delegate.silent.store(true, Ordering::SeqCst);
+    assert!(owner.service.hold(&endpoint(), hold_call()).await.is_none());
+    assert!(
+        owner.service.hold(&endpoint(), hold_call()).await.is_some(),
+        "the second hold call took the way that had failed"
+    );
+    let run = RunName {
+        name: run_start(1).name,
+        run: 1,
+    };
+    assert_eq!(owner.service.stop(&endpoint(), &run).await, Some(1));
+}
+
+/// Guards against a stop that is repeated on a way that does not lead to the runner.
+#[tokio::test]
+async fn stop_takes_the_other_way() {
+    let owner = spawn_owner().await;
+    let (delegate, _owner_watch) = spawn_delegate(owner.address);
+    wait_for_delegate(&owner, &delegate).await;
+    delegate.silent.store(true, Ordering::SeqCst);
+    let run = RunName {
+        name: run_start(1).name,
+        run: 1,
+    };
+    assert_eq!(owner.service.stop(&endpoint(), &run).await, None);
+    assert_eq!(owner.service.stop(&endpoint(), &run).await, Some(1));
+    // The owner cannot reach it either: back to the delegate.
+    owner.direct.silent.store(true, Ordering::SeqCst);
+    delegate.silent.store(false, Ordering::SeqCst);
+    assert_eq!(owner.service.stop(&endpoint(), &run).await, None);
+    assert_eq!(owner.service.stop(&endpoint(), &run).await, Some(1));
+}
+
 /// Guards against an owner without a lease that extends the lease of a runner's work itself.
 #[tokio::test]
 async fn no_hold_after_the_lease() {
