Limit the commands in flight to each runner

Cause: an entry host opened a connection for every stop and pace that was due at once, for example one for each work item of a cancelled job on a runner, out of the few that the runner accepts from all entry hosts together. Only starts were limited, at the owner. Change: each entry host, as delegate and as owner, has at most four starts, stops and paces in flight to a runner. Lease and age are checked after the wait. Evidence: delegated_commands::few_stops_at_once fails without the limit (12 at once).

--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -2,7 +2,9 @@
     crate::{
         api::{JobApi, OwnerClient},
         control::{ActorArgs, ControlEvent, OwnerActor},
-        delegates::{DelegateProfile, DelegateRegistry, DelegateTask, DelegatedRunners},
+        delegates::{
+            CommandLimiter, DelegateProfile, DelegateRegistry, DelegateTask, DelegatedRunners,
+        },
         election::{ElectionEvent, ElectionTask, OwnerLease, OwnerLocation},
         feeds::{OperatorFeed, RunnerFeed, follow_hosts},
         links::{LinkServer, OwnerLink, PeerDirectory},
@@ -132,6 +134,7 @@
     let metrics = Arc::new(NodeMetrics::new()?);
     let lease = OwnerLease::default();
     let delegates = DelegateRegistry::new(lease.clone(), logger.clone());
+    let limiter = CommandLimiter::default();
     let args = ActorArgs {
         lease: lease.clone(),
         link_rate: settings.link_rate(),
@@ -142,6 +145,7 @@
         runners: Arc::new(DelegatedRunners::new(
             Arc::clone(&ports.runners),
             delegates.clone(),
+            limiter.clone(),
         )),
         hosts: Arc::clone(&ports.hosts),
         store: Arc::clone(&ports.store),
@@ -167,6 +171,7 @@
         owner: owner_updates.clone(),
         profile: settings.delegate_profile(),
         runners: Arc::clone(&ports.runners),
+        limiter,
         stop: stop_claims.clone(),
         logger: logger.clone(),
     };
--- a/crates/node/src/delegates/delegate_task.rs
+++ b/crates/node/src/delegates/delegate_task.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        DelegateOrder, DelegateOutcome, DelegateProfile, OrderAge, OrderBody, RawRegistration,
+        CommandLimiter, DelegateOrder, DelegateOutcome, DelegateProfile, OrderAge, OrderBody,
+        RawRegistration,
         delegate_frames::{OrderBatch, RawOrders, RawOutcomes},
         text_cache::TextCache,
     },
@@ -46,6 +47,8 @@
     pub profile: DelegateProfile,
     /// Client of the runners.
     pub runners: Arc<dyn RunnerService>,
+    /// Limits the commands in flight to each runner.
+    pub limiter: CommandLimiter,
     /// Cancelled when this process stops: it asks for no further commands.
     pub stop: CancellationToken,
     /// Log of connections.
@@ -173,6 +176,7 @@
                 age,
                 is_newest,
                 runners: Arc::clone(&self.runners),
+                limiter: self.limiter.clone(),
             };
             let outcomes = outcomes.clone();
             tokio::spawn(async move {
@@ -192,6 +196,7 @@
     age: OrderAge,
     is_newest: bool,
     runners: Arc<dyn RunnerService>,
+    limiter: CommandLimiter,
 }
 
 impl OrderExecution {
@@ -199,6 +204,10 @@
         let Some(DelegateOrder { runner, body }) = &self.order else {
             return DelegateOutcome::Expired;
         };
+        let _permit = match body {
+            OrderBody::Hold(_) => None,
+            _ => self.limiter.acquire(&runner.id).await,
+        };
         if !self.is_newest || !self.age.is_current(BootClock.now()) {
             return DelegateOutcome::Expired;
         }
--- a/crates/node/src/delegates/delegated_runners.rs
+++ b/crates/node/src/delegates/delegated_runners.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        DelegateOrder, DelegateOutcome, DelegateRegistry, OrderBody, bypass_table::BypassTable,
+        CommandLimiter, DelegateOrder, DelegateOutcome, DelegateRegistry, OrderBody,
+        bypass_table::BypassTable,
     },
     crate::ports::{HoldCall, RunnerEndpoint, RunnerService},
     async_trait::async_trait,
@@ -35,15 +36,22 @@
 pub struct DelegatedRunners {
     direct: Arc<dyn RunnerService>,
     registry: DelegateRegistry,
+    limiter: CommandLimiter,
     bypasses: Mutex<BypassTable>,
 }
 
 impl DelegatedRunners {
-    /// Creates a service that prefers the delegates in `registry` to `direct`.
-    pub fn new(direct: Arc<dyn RunnerService>, registry: DelegateRegistry) -> Self {
+    /// Creates a service that prefers the delegates in `registry` to `direct`, and that sends at most as many commands
+    /// directly as `limiter` allows.
+    pub fn new(
+        direct: Arc<dyn RunnerService>,
+        registry: DelegateRegistry,
+        limiter: CommandLimiter,
+    ) -> Self {
         Self {
             direct,
             registry,
+            limiter,
             bypasses: Mutex::default(),
         }
     }
@@ -84,6 +92,7 @@
     }
 
     async fn stop_directly(&self, runner: &RunnerEndpoint, run: &RunName) -> Option<u64> {
+        let _permit = self.limiter.acquire(&runner.id).await;
         if !self.registry.is_lease_held() {
             return None;
         }
@@ -92,6 +101,11 @@
         clock_ms
     }
 
+    async fn pace_directly(&self, runner: &RunnerEndpoint, run: &RunName, percent: u32) -> bool {
+        let _permit = self.limiter.acquire(&runner.id).await;
+        self.registry.is_lease_held() && self.direct.pace(runner, run, percent).await
+    }
+
     async fn delegate(
         &self,
         runner: &RunnerEndpoint,
@@ -122,6 +136,7 @@
         start: &RunStart,
         may_be_sent: bool,
     ) -> StartResponse {
+        let _permit = self.limiter.acquire(&runner.id).await;
         if !self.registry.is_lease_held() {
             return if may_be_sent {
                 StartResponse::Unknown
@@ -179,7 +194,7 @@
         match attempt.await {
             DelegateAttempt::Executed(DelegateOutcome::Pace(accepted)) => accepted,
             DelegateAttempt::Late => false,
-            _ => self.registry.is_lease_held() && self.direct.pace(runner, run, percent).await,
+            _ => self.pace_directly(runner, run, percent).await,
         }
     }
 }
--- a/crates/node/src/delegates/mod.rs
+++ b/crates/node/src/delegates/mod.rs
@@ -7,6 +7,7 @@
 //! runner that does not answer its delegate is called by the owner itself for a while.
 
 mod bypass_table;
+mod command_limiter;
 mod delegate_frames;
 mod delegate_link;
 mod delegate_profile;
@@ -19,6 +20,7 @@
 
 pub(crate) use delegate_frames::RawRegistration;
 pub use {
+    command_limiter::CommandLimiter,
     delegate_frames::{DelegateOrder, DelegateOutcome, OrderBody},
     delegate_profile::DelegateProfile,
     delegate_registry::DelegateRegistry,
--- a/crates/node/tests/delegated_commands.rs
+++ b/crates/node/tests/delegated_commands.rs
@@ -11,8 +11,8 @@
     },
     goldcreststall_node::{
         delegates::{
-            DelegateProfile, DelegateRegistry, DelegateTask, DelegatedRunners, MAX_ORDER_AGE,
-            OrderAge,
+            CommandLimiter, DelegateProfile, DelegateRegistry, DelegateTask, DelegatedRunners,
+            MAX_ORDER_AGE, OrderAge,
         },
         election::OwnerLocation,
         links::{LinkServer, PeerDirectory},
@@ -57,7 +57,11 @@
     };
     tokio::spawn(server.serve(listener));
     let direct = Arc::new(FakeRunners::default());
-    let service = DelegatedRunners::new(Arc::clone(&direct) as _, registry);
+    let service = DelegatedRunners::new(
+        Arc::clone(&direct) as _,
+        registry,
+        CommandLimiter::default(),
+    );
     TestOwner {
         test,
         address,
@@ -84,6 +88,7 @@
             link_mbps: 100,
         },
         runners: Arc::clone(&runners) as _,
+        limiter: CommandLimiter::default(),
         stop: CancellationToken::new(),
         logger: logger(),
     };
@@ -394,3 +399,31 @@
     assert_eq!(owner.direct.holds.load(Ordering::SeqCst), holds);
     assert_eq!(owner.direct.stops.load(Ordering::SeqCst), stops);
 }
+
+/// Sends `count` stops at once; waits until they have ended.
+async fn stop_at_once(owner: &TestOwner, count: u32) {
+    let run_name = |run| RunName {
+        name: run_start(1).name,
+        run,
+    };
+    let endpoint = endpoint();
+    let names: Vec<RunName> = (1..=count).map(run_name).collect();
+    let stops = names.iter().map(|name| owner.service.stop(&endpoint, name));
+    let ended = futures_util::future::join_all(stops);
+    tokio::time::timeout(TEST_TIMEOUT, ended)
+        .await
+        .expect("in time");
+}
+
+/// Guards against a cancelled job that opens a connection to a runner for each of its work items there.
+#[tokio::test]
+async fn few_stops_at_once() {
+    let owner = spawn_owner().await;
+    stop_at_once(&owner, 12).await;
+    assert_eq!(owner.direct.stops.load(Ordering::SeqCst), 12);
+    assert_eq!(owner.direct.most_stops.load(Ordering::SeqCst), 4);
+    let (delegate, _owner_watch) = spawn_delegate(owner.address);
+    wait_for_delegate(&owner, &delegate).await;
+    stop_at_once(&owner, 12).await;
+    assert_eq!(delegate.most_stops.load(Ordering::SeqCst), 4);
+}
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -26,9 +26,12 @@
     kameo::actor::{ActorRef, Spawn},
     parking_lot::Mutex,
     slog::{Discard, Logger, o},
-    std::sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
+        time::Duration,
     },
     tokio::sync::Notify,
 };
@@ -191,6 +194,9 @@
     }
 }
 
+/// How long a fake runner takes to answer a stop.
+const STOP_DURATION: Duration = Duration::from_millis(5);
+
 /// Runners that accept all commands.
 #[derive(Default)]
 pub struct FakeRunners {
@@ -198,6 +204,9 @@
     pub holds: AtomicUsize,
     /// Number of stops.
     pub stops: AtomicUsize,
+    /// Stops in progress, and the most at one time.
+    pub open_stops: AtomicUsize,
+    pub most_stops: AtomicUsize,
     /// Gives no response to hold calls and stops.
     pub silent: AtomicBool,
     /// Refuses all start commands for lack of free capacity.
@@ -235,6 +244,10 @@
 
     async fn stop(&self, _runner: &RunnerEndpoint, _run: &RunName) -> Option<u64> {
         self.stops.fetch_add(1, Ordering::SeqCst);
+        let open = self.open_stops.fetch_add(1, Ordering::SeqCst) + 1;
+        self.most_stops.fetch_max(open, Ordering::SeqCst);
+        tokio::time::sleep(STOP_DURATION).await;
+        self.open_stops.fetch_sub(1, Ordering::SeqCst);
         (!self.silent.load(Ordering::SeqCst)).then_some(1)
     }
 
