Keep runs whose end may be missing from a cut list of ends

What operators saw elsewhere: work that was done ran again after answers were lost. Cause: a runner lists at most 500 ends. With more of them, as after an outage of the store in which none can be acknowledged, a run can be in neither list, and the owner took it for gone and started it again. Change: runs are removed as unlisted only while the list of ends is not full. Test: run_lists::cut_end_list; before, the work was started again as run 2 on the first response with a full list.

--- a/crates/dispatch/src/owner/runner_responses.rs
+++ b/crates/dispatch/src/owner/runner_responses.rs
@@ -11,6 +11,8 @@
 const RETRY_DELAY: Millis = Millis(200);
 /// Delay of the next hold call after one with a response, so that several ends are returned together.
 const HOLD_DELAY: Millis = Millis(25);
+/// Number of ends in one response from which on the runner may have more that it does not list.
+const MAX_LISTED_ENDS: usize = 500;
 
 impl OwnerState {
     /// Records that a hold call got no response.
@@ -55,19 +57,17 @@
         state.clock.record_reading(response.clock_ms, now);
         state.acknowledged = state.acknowledged.max(last_seen);
         state.next_hold = now + HOLD_DELAY;
+        let lists_all_ends = response.ended.len() < MAX_LISTED_ENDS;
         self.handle_ends(key, response.ended, now);
-        self.handle_running(key, sent, &response.running, now);
+        self.handle_running(key, &response.running, now);
+        if lists_all_ends {
+            self.detach_unlisted(key, sent, &response.running, now);
+        }
         self.control_pace(key, &response.running);
         self.placement_due = true;
     }
 
-    fn handle_running(
-        &mut self,
-        runner: RunnerKey,
-        sent: LocalTime,
-        running: &[ListedRun],
-        now: LocalTime,
-    ) {
+    fn handle_running(&mut self, runner: RunnerKey, running: &[ListedRun], now: LocalTime) {
         let mut has_unknown_runs = false;
         for listed in running {
             has_unknown_runs |= !self.handle_listed(runner, listed, now);
@@ -75,6 +75,17 @@
         if let Some(state) = self.runners.get_mut(runner) {
             state.has_unknown_runs = has_unknown_runs;
         }
+    }
+
+    /// Removes the runs that the response to a hold call sent at `sent` lists neither as running nor as ended. Only a
+    /// complete list of ends proves that such a run has no end that is still to come.
+    fn detach_unlisted(
+        &mut self,
+        runner: RunnerKey,
+        sent: LocalTime,
+        running: &[ListedRun],
+        now: LocalTime,
+    ) {
         for (key, recorded_run) in self.runs_on(runner) {
             let known_before = match recorded_run.phase {
                 RunPhase::Running { since } => since < sent,
