End the owner's lease before its release is sent

What operators saw elsewhere: around a hand-over both processes acted for a moment. Cause: a stopping owner kept its lease until the response to its release arrived. The successor may claim as soon as the release is stored, so that both issued commands for as long as the response took, up to 1.2 s with a slow store. Change: the lease ends before the release is sent, and is not extended by a renewal that turns out to be stored. Calls in between are refused and repeated at the successor; the gap of a hand-over grows by one append. Test: claim_race::no_lease_after_release; before, the lease was still held once the release was stored.

--- a/crates/node/src/election/election_task.rs
+++ b/crates/node/src/election/election_task.rs
@@ -322,6 +322,10 @@
                 () = self.stop.cancelled() => true,
                 () = tokio::time::sleep(Duration::from_millis(schedule.delay().0)) => false,
             };
+            if stopped {
+                // The successor may act as soon as the release is stored, which is before the response arrives.
+                self.lease.end();
+            }
             let (lease, timeout) = (schedule.lease(), schedule.timeout());
             schedule.record_send();
             match self.append((token, end), lease, stopped, timeout).await {
@@ -337,8 +341,10 @@
                     // The store executed an earlier attempt, whose response was lost or late, after it was sent.
                     Some(count) if count > 0 => {
                         end += count;
-                        self.lease
-                            .extend(schedule.record_stored() + lease.min(MIN_LEASE));
+                        let first_sent = schedule.record_stored();
+                        if !stopped {
+                            self.lease.extend(first_sent + lease.min(MIN_LEASE));
+                        }
                     }
                     Some(_) => break,
                     None => {}
--- a/crates/node/tests/claim_race.rs
+++ b/crates/node/tests/claim_race.rs
@@ -7,7 +7,7 @@
     fakes::{FakeStore, logger},
     goldcreststall_core::ids::Millis,
     goldcreststall_node::{
-        election::{ElectionEvent, ElectionTask, OwnerLease, OwnerLocation},
+        election::{ElectionEvent, ElectionTask, OwnerLease, OwnerLocation, OwnershipRecord},
         links::PeerDirectory,
     },
     std::{
@@ -181,3 +181,44 @@
     assert_eq!(claims, 0, "another process has claimed");
     assert!(owner.lease.is_held());
 }
+
+/// The successor may claim as soon as the release is stored, which is before its response arrives. An owner that goes on
+/// until then issues commands beside its successor.
+#[tokio::test]
+async fn no_lease_after_release() {
+    let store = Arc::new(FakeStore::default());
+    let mut owner = spawn(&store, 7_000, "entry-0#1");
+    known_token(&mut owner).await;
+    let lease_held = async {
+        while !owner.lease.is_held() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, lease_held)
+        .await
+        .expect("a lease");
+    store
+        .delay_ownership_responses
+        .store(true, Ordering::SeqCst);
+    owner.stop.cancel();
+    let released = async {
+        while !is_released(&store) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, released)
+        .await
+        .expect("a release");
+    assert!(
+        !owner.lease.is_held(),
+        "the owner may still send commands although its successor may as well"
+    );
+}
+
+/// Returns whether the last record of the ownership topic is a release.
+fn is_released(store: &FakeStore) -> bool {
+    let ownership = store.ownership.lock();
+    let last = ownership.last().expect("a record");
+    let record: OwnershipRecord = postcard::from_bytes(last).expect("an ownership record");
+    record.released
+}
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -26,9 +26,12 @@
     kameo::actor::{ActorRef, Spawn},
     parking_lot::Mutex,
     slog::{Discard, Logger, o},
-    std::sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
+        time::Duration,
     },
     tokio::sync::Notify,
 };
@@ -47,6 +50,8 @@
     pub lose_next_response: AtomicBool,
     /// Loses the responses to all appends to the ownership topic after their records were stored.
     pub lose_ownership_responses: AtomicBool,
+    /// Delays the responses to appends to the ownership topic after their records were stored.
+    pub delay_ownership_responses: AtomicBool,
     pub reports: Mutex<Vec<WaveReport>>,
     /// Loses the next wave report before it is stored.
     pub lose_next_report: AtomicBool,
@@ -109,16 +114,22 @@
         if self.refuse_ownership.load(Ordering::SeqCst) {
             return Err(StoreError::Refused);
         }
-        let mut ownership = self.ownership.lock();
-        let end = ownership.len() as u64;
-        if condition.at.is_some_and(|at| at != end) {
-            return Err(StoreError::NotAtEnd { end });
+        let end = {
+            let mut ownership = self.ownership.lock();
+            let end = ownership.len() as u64;
+            if condition.at.is_some_and(|at| at != end) {
+                return Err(StoreError::NotAtEnd { end });
+            }
+            ownership.extend_from_slice(records);
+            ownership.len()
+        };
+        while self.delay_ownership_responses.load(Ordering::SeqCst) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        ownership.extend_from_slice(records);
         if self.lose_ownership_responses.load(Ordering::SeqCst) {
             return Err(StoreError::Unknown);
         }
-        self.respond(ownership.len())
+        self.respond(end)
     }
 
     async fn append_keyed(
