Wait between attempts to release while the topic cannot be read

What an operator would see: a stopping process that uses its whole processor and sends hundreds of appends and reads a second to a store that partly fails. Cause: the delay before each renewal is skipped once the process stops, also when the topic is longer than expected and what was written cannot be read. Change: such an attempt is followed by the usual delay.

--- a/crates/node/src/election/election_task.rs
+++ b/crates/node/src/election/election_task.rs
@@ -347,6 +347,10 @@
                         }
                     }
                     Some(_) => break,
+                    // A process that does not stop waits before each renewal.
+                    None if stopped => {
+                        tokio::time::sleep(Duration::from_millis(RETRY_DELAY.0)).await;
+                    }
                     None => {}
                 },
                 Err(error) => {
--- a/crates/node/tests/claim_race.rs
+++ b/crates/node/tests/claim_race.rs
@@ -4,6 +4,7 @@
 mod fakes;
 
 use {
+    bytes::Bytes,
     fakes::{FakeStore, logger},
     goldcreststall_core::ids::Millis,
     goldcreststall_node::{
@@ -215,6 +216,22 @@
     );
 }
 
+/// A store that refuses reads must not make a process that stops call it without a pause.
+#[tokio::test]
+async fn paced_release() {
+    let store = Arc::new(FakeStore::default());
+    let mut owner = spawn(&store, 7_000, "entry-0#1");
+    known_token(&mut owner).await;
+    // The topic is longer than the owner expects, and what was written cannot be read.
+    store.ownership.lock().push(Bytes::from_static(b"unknown"));
+    store.refuse_ownership_reads.store(true, Ordering::SeqCst);
+    owner.stop.cancel();
+    let before = store.ownership_appends.load(Ordering::SeqCst);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let appends = store.ownership_appends.load(Ordering::SeqCst) - before;
+    assert!(appends <= 8, "{appends} appends within 600 ms");
+}
+
 /// Returns whether the last record of the ownership topic is a release.
 fn is_released(store: &FakeStore) -> bool {
     let ownership = store.ownership.lock();
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -52,6 +52,10 @@
     pub lose_ownership_responses: AtomicBool,
     /// Delays the responses to appends to the ownership topic after their records were stored.
     pub delay_ownership_responses: AtomicBool,
+    /// Refuses all reads of the ownership topic.
+    pub refuse_ownership_reads: AtomicBool,
+    /// Number of appends to the ownership topic, including refused ones.
+    pub ownership_appends: AtomicUsize,
     pub reports: Mutex<Vec<WaveReport>>,
     /// Loses the next wave report before it is stored.
     pub lose_next_report: AtomicBool,
@@ -111,6 +115,7 @@
         condition: AppendCondition,
         _timeout: Millis,
     ) -> Result<AppendPosition, StoreError> {
+        self.ownership_appends.fetch_add(1, Ordering::SeqCst);
         if self.refuse_ownership.load(Ordering::SeqCst) {
             return Err(StoreError::Refused);
         }
@@ -154,7 +159,8 @@
         _wait: Millis,
     ) -> Result<ReadBatch, StoreError> {
         tokio::task::yield_now().await;
-        if self.refuse_ownership.load(Ordering::SeqCst) {
+        let refused = |flag: &AtomicBool| flag.load(Ordering::SeqCst);
+        if refused(&self.refuse_ownership) || refused(&self.refuse_ownership_reads) {
             return Err(StoreError::Refused);
         }
         let ownership = self.ownership.lock();
