Count the lease of an earlier owner from a runner's first response

What operators saw elsewhere: work of a machine that was silent for a moment was started again while it ran on. Cause: a new owner knew only the leases that it had granted itself. Between the first response of a runner and the next hold call, up to 250 ms when ends have to be stored, the lease counted as over, and an entry that left the list in this time released the adopted work. Change: with its first reading a runner's clock assumes a full lease.

--- a/crates/dispatch/src/runners/lease_clock.rs
+++ b/crates/dispatch/src/runners/lease_clock.rs
@@ -29,6 +29,10 @@
 impl LeaseClock {
     /// Records a reading of the runner's clock that arrived at `now`.
     pub fn record_reading(&mut self, clock_ms: u64, now: LocalTime) {
+        if self.reading.is_none() {
+            // An earlier owner may have granted a lease immediately before.
+            self.granted = clock_ms + RUNNER_LEASE.0;
+        }
         self.reading = Some((clock_ms, now));
     }
 
--- a/crates/dispatch/tests/owner_change.rs
+++ b/crates/dispatch/tests/owner_change.rs
@@ -242,3 +242,40 @@
     let starts: Vec<StartCommand> = (0..6).flat_map(|_| advance_round(&mut fleet)).collect();
     assert_eq!(starts.len(), 1, "recovered work never starts");
 }
+
+/// The earlier owner may have extended the lease of its work immediately before the first response to this owner. The
+/// entry of the runner lapses before this owner extends the lease.
+#[test]
+fn earlier_lease_lasts() {
+    let mut before = TestFleet::new(1, &["r1"]);
+    before.answer_first_holds();
+    let start = before.submit_work(7, vec![step(1, 1_000)]).remove(0);
+    let mut fleet = restored_fleet(vec![submission(7)], &["r1", "r2"]);
+    fleet.list_hosts(vec![
+        host("h1", fleet::POOL, Some("r1")),
+        host("h2", fleet::POOL, Some("r2")),
+    ]);
+    fleet.advance(100);
+    let empty = empty_response(fleet.clock());
+    let mut response = empty.clone();
+    response.running.push(listed_run(&start));
+    // An end that has to be stored delays the next hold call, which would extend the lease.
+    response.ended.push(EndedRun {
+        number: 1,
+        name: ItemName::try_from("00000000000000ff.0.0.0").expect("a name"),
+        run: 1,
+        kind: EndKind::Done,
+        checkpoint: String::new(),
+    });
+    fleet.answer_holds_by_id(|id| Some(if id == "r1" { &response } else { &empty }.clone()));
+    fleet.advance(100);
+    fleet.runners.retain(|report| report.id != "r1");
+    fleet.list_runners();
+    // Less than what counts as a stall of the owner.
+    fleet.advance(390);
+    assert_eq!(
+        fleet.starts(),
+        [],
+        "work was started again within its lease"
+    );
+}
