Take over the runs that a runner lists after it was replaced

What operators saw elsewhere: work ran twice after a machine was replaced. Cause: a runner that restarts under its id takes a start that was meant for its earlier instance. Its next response, which lists the run, only ended the earlier instance: the run counted as lost and was started on another runner beside the one that ran. Change: such a response adds the next instance, whose listed runs are adopted. It gets no new work before the list of runners contains it. Test: restarted_runner::started_on_next_instance; before, the work was started again on the other runner at the first response.

--- a/crates/dispatch/src/owner/runner_responses.rs
+++ b/crates/dispatch/src/owner/runner_responses.rs
@@ -2,7 +2,7 @@
     super::{OwnerCommand, OwnerState, RunCommand, run_table::MAX_PACE_PERCENT},
     crate::{
         jobs::{ItemKey, RunPhase},
-        runners::{HoldResponse, ListedRun, RunnerKey},
+        runners::{HoldResponse, ListedRun, RunnerKey, RunnerReport},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
 };
@@ -43,19 +43,24 @@
             return;
         };
         state.hold_sent = None;
-        if response
+        state.acknowledged = state.acknowledged.max(last_seen);
+        let other_instance = response
             .started_ms
-            .is_some_and(|started_ms| started_ms != state.report.started_ms)
-        {
-            // The list of runners will contain the new instance.
-            self.end_runner(key, "a new instance responded", now);
+            .filter(|started_ms| *started_ms != state.report.started_ms);
+        let key = match other_instance {
+            Some(started_ms) => match self.replace_instance(key, started_ms, now) {
+                Some(next) => next,
+                None => return,
+            },
+            None => key,
+        };
+        let Some(state) = self.runners.get_mut(key) else {
             return;
-        }
+        };
         state.missed_holds = 0;
         state.last_response = now;
         state.fenced = true;
         state.clock.record_reading(response.clock_ms, now);
-        state.acknowledged = state.acknowledged.max(last_seen);
         state.next_hold = now + HOLD_DELAY;
         let lists_all_ends = response.ended.len() < MAX_LISTED_ENDS;
         self.handle_ends(key, response.ended, now);
@@ -67,6 +72,32 @@
         self.placement_due = true;
     }
 
+    /// Ends an instance because another one has responded under its id. Returns the key of that one; `None` if a later
+    /// one is known already.
+    ///
+    /// The next instance may have accepted a start that was meant for the ended one, and lists that run in its response.
+    fn replace_instance(
+        &mut self,
+        key: RunnerKey,
+        started_ms: u64,
+        now: LocalTime,
+    ) -> Option<RunnerKey> {
+        let state = self.runners.get(key)?;
+        let is_newest = !state.has_ended && self.runners.find(&state.report.id) == Some(key);
+        let report = RunnerReport {
+            started_ms,
+            ..state.report.clone()
+        };
+        self.end_runner(key, "a new instance responded", now);
+        if !is_newest {
+            return None;
+        }
+        let (next, _) = self.runners.insert(report, now);
+        // It may be of another kind, so that it gets no work before the list contains it.
+        self.runners.get_mut(next)?.listed = false;
+        Some(next)
+    }
+
     fn handle_running(&mut self, runner: RunnerKey, running: &[ListedRun], now: LocalTime) {
         let mut has_unknown_runs = false;
         for listed in running {
--- a/crates/dispatch/src/runners/runner_table.rs
+++ b/crates/dispatch/src/runners/runner_table.rs
@@ -25,6 +25,9 @@
                 None
             }
         };
+        if let Some(old) = replaced.and_then(|key| self.get_mut(key)) {
+            old.listed = false;
+        }
         self.runners.push(Some(RunnerState::new(report, now)));
         (key, replaced)
     }
--- a/crates/dispatch/tests/restarted_runner.rs
+++ b/crates/dispatch/tests/restarted_runner.rs
@@ -1,11 +1,15 @@
-//! Guards against lost ends of runs: a runner that restarts under the same id numbers its ends from the start, and must
-//! not get the acknowledgements that were meant for its earlier instance.
+//! Guards against lost ends of runs and against work that runs twice when a runner restarts under the same id: it numbers
+//! its ends from the start, and must not get the acknowledgements that were meant for its earlier instance, but it may
+//! take a start that was.
 
 mod fleet;
 
 use {
-    fleet::{TestFleet, empty_response, ended_run, step},
-    goldcreststall_dispatch::{owner::OwnerCommand, runners::EndKind},
+    fleet::{TestFleet, empty_response, ended_run, listed_run, step},
+    goldcreststall_dispatch::{
+        owner::OwnerCommand,
+        runners::{EndKind, HoldResponse},
+    },
 };
 
 #[test]
@@ -31,3 +35,38 @@
         .find(|command| matches!(command, OwnerCommand::Hold { last_seen, .. } if *last_seen > 0));
     assert_eq!(acknowledgement, None);
 }
+
+/// A runner has restarted under its id, and accepts a start that was meant for its earlier instance before the owner
+/// knows of the restart.
+#[test]
+fn started_on_next_instance() {
+    let mut fleet = TestFleet::new(1, &["r1", "r2"]);
+    fleet.answer_first_holds();
+    let starts = fleet.start_work(1, vec![step(1, 1_000)]);
+    for _ in 0..5 {
+        fleet.advance(100);
+        let response = HoldResponse {
+            started_ms: Some(2),
+            running: vec![listed_run(&starts[0])],
+            ..empty_response(100)
+        };
+        let clock = fleet.clock();
+        fleet.answer_holds_by_id(|id| {
+            Some(if id == "r1" {
+                response.clone()
+            } else {
+                empty_response(clock)
+            })
+        });
+        fleet.advance(10);
+        assert_eq!(
+            fleet.starts(),
+            [],
+            "work was started again beside the next instance that runs it"
+        );
+    }
+    fleet.runners[0].started_ms = 2;
+    fleet.list_runners();
+    fleet.advance(100);
+    assert_eq!(fleet.starts(), []);
+}
