Do not end a runner for the late report of its earlier instance

What operators saw elsewhere: after a restart a machine that had left was in use again. Cause: each listed report with another start counted as a later instance. The heartbeat of an ended instance that is stored late, or read again after the newest records, ended the instance that works, and its work was started again beside it. Change: a report of an earlier start is deferred until the known instance has ended, by the response of another one or by its silence, and the runner is asked at once. The start is a time of day, which may also have been set back.

--- a/crates/dispatch/src/owner/hold_planner.rs
+++ b/crates/dispatch/src/owner/hold_planner.rs
@@ -112,6 +112,7 @@
     }
     !state.items.is_empty()
         || state.has_unknown_runs
+        || state.in_doubt
         || state.stored > state.acknowledged
         || state.processed > state.stored
         || (state.missed_holds > 0 && state.listed)
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -66,6 +66,8 @@
     pub(super) start_budget: StartBudget,
     pub(super) recovered: bool,
     pub(super) has_runner_list: bool,
+    /// Listed reports of instances that started before the known ones; they are handled once those have ended.
+    pub(super) deferred_reports: Vec<RunnerReport>,
     pub(super) placement_due: bool,
     /// Long-running work that found no runner in the last pass of placement.
     pub(super) unplaced_serving: Vec<UnplacedServing>,
@@ -98,6 +100,7 @@
             start_budget: StartBudget::default(),
             recovered: false,
             has_runner_list: false,
+            deferred_reports: Vec::new(),
             placement_due: true,
             unplaced_serving: Vec::new(),
             stall_grace_until: now,
@@ -154,6 +157,7 @@
         if now >= self.next_slow_round {
             self.next_slow_round = now + SLOW_ROUND_INTERVAL;
             self.expire_runs(now);
+            self.retry_deferred(now);
             self.recover(now);
             self.stop_stuck_runs(now);
             self.stop_incomplete_gangs();
--- a/crates/dispatch/src/owner/restore.rs
+++ b/crates/dispatch/src/owner/restore.rs
@@ -3,7 +3,7 @@
     crate::{
         jobs::{JobId, JobPhase, JobState},
         records::{JobProgress, JobSubmission, StoreRecord},
-        runners::{RunnerReport, max_lapse_delay},
+        runners::{RunnerKey, RunnerReport, max_lapse_delay},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
     std::collections::BTreeMap,
@@ -100,9 +100,18 @@
     /// Handles the complete list of runners.
     pub fn runners_listed(&mut self, reports: Vec<RunnerReport>, now: LocalTime) {
         let listed: Vec<String> = reports.iter().map(|report| report.id.clone()).collect();
+        let deferred_before = std::mem::take(&mut self.deferred_reports);
         for report in reports {
             self.handle_report(report, now);
         }
+        for report in &self.deferred_reports {
+            let key = self.runners.find(&report.id);
+            if !deferred_before.contains(report)
+                && let Some(state) = key.and_then(|key| self.runners.get_mut(key))
+            {
+                state.in_doubt = true;
+            }
+        }
         for key in self.runners.keys() {
             let Some(state) = self.runners.get_mut(key) else {
                 continue;
@@ -139,6 +148,10 @@
             }
             return;
         }
+        if found.is_some_and(|key| self.is_overtaken(key, &report)) {
+            self.deferred_reports.push(report);
+            return;
+        }
         let detail = format!("service={} born={}", report.service, report.started_ms);
         self.log_event("runner seen", report.id.clone(), detail);
         let (_, replaced) = self.runners.insert(report, now);
@@ -147,6 +160,24 @@
         }
     }
 
+    /// Returns whether a report is of an instance that started before the known one, which may still run: a heartbeat of
+    /// an ended instance can be stored late. Only the known one tells, by its response or its silence, because the time
+    /// of day of its host may also have been set back between the two.
+    fn is_overtaken(&self, known: RunnerKey, report: &RunnerReport) -> bool {
+        let Some(state) = self.runners.get(known) else {
+            return false;
+        };
+        let is_gone = state.has_ended || (state.missed_holds > 0 && state.items.is_empty());
+        report.started_ms < state.report.started_ms && !is_gone
+    }
+
+    /// Handles the reports again that were deferred.
+    pub(super) fn retry_deferred(&mut self, now: LocalTime) {
+        for report in std::mem::take(&mut self.deferred_reports) {
+            self.handle_report(report, now);
+        }
+    }
+
     /// Returns whether work of an earlier owner may still run on runners that have not answered this owner.
     pub(super) fn is_recovering(&self, now: LocalTime) -> bool {
         !self.recovered && now < self.started + max_lapse_delay()
--- a/crates/dispatch/src/owner/runner_responses.rs
+++ b/crates/dispatch/src/owner/runner_responses.rs
@@ -58,6 +58,7 @@
             return;
         };
         state.missed_holds = 0;
+        state.in_doubt = false;
         state.last_response = now;
         state.fenced = true;
         state.clock.record_reading(response.clock_ms, now);
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -44,6 +44,8 @@
     pub items: Vec<ItemKey>,
     /// It lists runs of unknown jobs, whose use of capacity is not known either.
     pub has_unknown_runs: bool,
+    /// The list names an earlier start than the one known; the next response shows which instance runs.
+    pub in_doubt: bool,
     /// It gets no new work before this time, after failures or refusals.
     pub cooldown_until: LocalTime,
     /// Number of consecutive failed runs.
@@ -76,6 +78,7 @@
             used: Capacity::default(),
             items: Vec::new(),
             has_unknown_runs: false,
+            in_doubt: false,
             cooldown_until: LocalTime(0),
             consecutive_failures: 0,
             cordoned: false,
@@ -100,6 +103,7 @@
         self.is_present()
             && self.fenced
             && !self.has_unknown_runs
+            && !self.in_doubt
             && !self.cordoned
             && self.missed_holds == 0
             && self.report.status == RunnerStatus::Ready
