Send no stop, pace or hold call without the owner's lease

What operators saw elsewhere: a process that was paused or replaced went on acting. Cause: delegates get no command without the lease, and a start that they did not take was checked again before the owner sent it itself. Stops, paces and hold calls were sent by the owner without that check. Change: all commands that take the way without a delegate need the lease. Test: delegated_commands::no_command_after_the_lease; before, the stop was sent and answered.

--- a/crates/node/src/delegates/delegated_runners.rs
+++ b/crates/node/src/delegates/delegated_runners.rs
@@ -39,6 +39,11 @@
         Self { direct, registry }
     }
 
+    /// Returns the service that sends commands without a delegate; `None` when this process may send none.
+    fn direct_service(&self) -> Option<&dyn RunnerService> {
+        self.registry.is_lease_held().then_some(&*self.direct)
+    }
+
     async fn delegate(
         &self,
         runner: &RunnerEndpoint,
@@ -69,14 +74,14 @@
         start: &RunStart,
         may_be_sent: bool,
     ) -> StartResponse {
-        if !self.registry.is_lease_held() {
+        let Some(direct) = self.direct_service() else {
             return if may_be_sent {
                 StartResponse::Unknown
             } else {
                 StartResponse::NotSent
             };
-        }
-        let response = self.direct.start(runner, start).await;
+        };
+        let response = direct.start(runner, start).await;
         match response {
             StartResponse::Begun(_) | StartResponse::Fenced => response,
             _ if may_be_sent => StartResponse::Unknown,
@@ -94,7 +99,7 @@
         {
             DelegateAttempt::Executed(DelegateOutcome::Hold(response)) => response,
             DelegateAttempt::Late => None,
-            _ => self.direct.hold(runner, call).await,
+            _ => self.direct_service()?.hold(runner, call).await,
         }
     }
 
@@ -115,7 +120,7 @@
         {
             DelegateAttempt::Executed(DelegateOutcome::Stop(clock_ms)) => clock_ms,
             DelegateAttempt::Late => None,
-            _ => self.direct.stop(runner, run).await,
+            _ => self.direct_service()?.stop(runner, run).await,
         }
     }
 
@@ -124,7 +129,10 @@
         match self.delegate(runner, body, Millis(0)).await {
             DelegateAttempt::Executed(DelegateOutcome::Pace(accepted)) => accepted,
             DelegateAttempt::Late => false,
-            _ => self.direct.pace(runner, run, percent).await,
+            _ => match self.direct_service() {
+                Some(direct) => direct.pace(runner, run, percent).await,
+                None => false,
+            },
         }
     }
 }
--- a/crates/node/tests/delegated_commands.rs
+++ b/crates/node/tests/delegated_commands.rs
@@ -219,6 +219,32 @@
     assert!(owner.direct.starts.lock().is_empty());
 }
 
+/// An owner whose lease has ended may have a successor, beside which it must not act by any command.
+#[tokio::test]
+async fn no_command_after_the_lease() {
+    let owner = spawn_owner().await;
+    let (delegate, _owner_watch) = spawn_delegate(owner.address);
+    wait_for_delegate(&owner, &delegate).await;
+    let holds_before = owner.direct.holds.load(Ordering::SeqCst);
+    owner.test.lease.end();
+    let run = RunName {
+        name: run_start(1).name,
+        run: 1,
+    };
+    let call = HoldCall {
+        deadline_ms: Some(5_000),
+        last_seen: 0,
+        wait: Millis(0),
+    };
+    assert_eq!(owner.service.stop(&endpoint(), &run).await, None);
+    assert!(!owner.service.pace(&endpoint(), &run, 50).await);
+    assert_eq!(owner.service.hold(&endpoint(), call).await, None);
+    for runners in [&delegate, &owner.direct] {
+        assert_eq!(runners.other_commands.load(Ordering::SeqCst), 0);
+    }
+    assert_eq!(owner.direct.holds.load(Ordering::SeqCst), holds_before);
+}
+
 /// A delegate that knows a newer owner executes nothing for an older one.
 #[tokio::test]
 async fn newer_owner_known() {
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -217,6 +217,8 @@
     pub refuse_starts: AtomicBool,
     pub starts: Mutex<Vec<RunStart>>,
     pub started: Notify,
+    /// Number of stops and of commands to change the pace.
+    pub other_commands: AtomicUsize,
     /// Blocks the responses to start commands.
     pub block_starts: AtomicBool,
     /// Wakes blocked responses; clear `block_starts` first.
@@ -246,10 +248,12 @@
     }
 
     async fn stop(&self, _runner: &RunnerEndpoint, _run: &RunName) -> Option<u64> {
+        self.other_commands.fetch_add(1, Ordering::SeqCst);
         Some(1)
     }
 
     async fn pace(&self, _runner: &RunnerEndpoint, _run: &RunName, _percent: u32) -> bool {
+        self.other_commands.fetch_add(1, Ordering::SeqCst);
         true
     }
 }
