Drop moves and maintenance whose owner has lost its lease

What operators saw elsewhere: a process that was paused for seconds acted on a permission that had run out. Cause: a command to the host service was sent by a task of its own without looking at the lease again, after a wait for a connection of up to 1 s on a clock that stops while the process is suspended. Unlike a start it has no deadline, and the service need not refuse an older token.

--- a/crates/node/src/control/command_executor.rs
+++ b/crates/node/src/control/command_executor.rs
@@ -178,9 +178,12 @@
         let actor = self.actor.clone();
         let token = self.token;
         let logger = self.args.logger.clone();
+        let lease = self.args.lease.clone();
         self.args.metrics.count_command("move");
         tokio::spawn(async move {
-            let response = service.move_host(&host, &pool, token).await;
+            let sending = service.move_host(&host, &pool, token);
+            let response = lease.run_while_held(sending).await;
+            let response = response.unwrap_or(HostResponse::Unknown);
             info!(logger, "owner: the host service answered a move command"; "id" => &host,
                 "pool" => pool, "answer" => ?response);
             send_host_answered(&actor, token, host, response).await;
@@ -192,9 +195,12 @@
         let actor = self.actor.clone();
         let token = self.token;
         let logger = self.args.logger.clone();
+        let lease = self.args.lease.clone();
         self.args.metrics.count_command("maintain");
         tokio::spawn(async move {
-            let response = service.maintain(&host, wave, token).await;
+            let sending = service.maintain(&host, wave, token);
+            let response = lease.run_while_held(sending).await;
+            let response = response.unwrap_or(HostResponse::Unknown);
             info!(logger, "owner: the host service answered a maintenance command";
                 "id" => &host, "wave" => wave, "answer" => ?response);
             send_host_answered(&actor, token, host, response).await;
--- a/crates/node/src/election/owner_lease.rs
+++ b/crates/node/src/election/owner_lease.rs
@@ -1,9 +1,14 @@
 use {
     goldcreststall_core::ids::LocalTime,
     goldcreststall_entry::clock::BootClock,
-    std::sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
+    std::{
+        future::{Future, poll_fn},
+        pin::pin,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        task::Poll,
     },
 };
 
@@ -28,4 +33,17 @@
     pub fn is_held(&self) -> bool {
         BootClock.now().0 < self.until.load(Ordering::Relaxed)
     }
+
+    /// Runs a future while the lease is held; `None` when it ends before. The lease is checked before each step, so that
+    /// a command which waits for a connection while the process is suspended is dropped and not sent.
+    pub async fn run_while_held<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        let mut future = pin!(future);
+        poll_fn(|context| {
+            if !self.is_held() {
+                return Poll::Ready(None);
+            }
+            future.as_mut().poll(context).map(Some)
+        })
+        .await
+    }
 }
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -273,7 +273,28 @@
 }
 
 /// A host service without hosts that is always busy.
-pub struct FakeHosts;
+#[derive(Default)]
+pub struct FakeHosts {
+    /// Hosts for which a command has reached the service.
+    pub commanded: Mutex<Vec<String>>,
+    /// Commands wait for a connection.
+    pub block_connections: AtomicBool,
+    /// Number of commands that have waited for a connection.
+    pub waiting: AtomicUsize,
+    /// Wakes waiting commands; clear `block_connections` first.
+    pub unblocked: Notify,
+}
+
+impl FakeHosts {
+    async fn take_command(&self, host: &str) -> HostResponse {
+        while self.block_connections.load(Ordering::SeqCst) {
+            self.waiting.fetch_add(1, Ordering::SeqCst);
+            self.unblocked.notified().await;
+        }
+        self.commanded.lock().push(host.to_owned());
+        HostResponse::Busy
+    }
+}
 
 #[async_trait]
 impl HostService for FakeHosts {
@@ -281,24 +302,26 @@
         Ok(Vec::new())
     }
 
-    async fn move_host(&self, _host: &str, _pool: &str, _token: u64) -> HostResponse {
-        HostResponse::Busy
+    async fn move_host(&self, host: &str, _pool: &str, _token: u64) -> HostResponse {
+        self.take_command(host).await
     }
 
-    async fn maintain(&self, _host: &str, _wave: u64, _token: u64) -> HostResponse {
-        HostResponse::Busy
+    async fn maintain(&self, host: &str, _wave: u64, _token: u64) -> HostResponse {
+        self.take_command(host).await
     }
 }
 
 /// A control actor that uses the fakes.
 pub struct TestActor {
     pub actor: ActorRef<OwnerActor>,
+    pub hosts: Arc<FakeHosts>,
     pub lease: OwnerLease,
     pub runners: Arc<FakeRunners>,
     pub store: Arc<FakeStore>,
 }
 
 pub fn spawn_actor() -> TestActor {
+    let hosts = Arc::new(FakeHosts::default());
     let lease = OwnerLease::default();
     let runners = Arc::new(FakeRunners::default());
     let store = Arc::new(FakeStore::default());
@@ -310,11 +333,12 @@
         metrics: Arc::new(NodeMetrics::new().expect("metrics")),
         advice: Arc::new(NoAdvice),
         runners: Arc::clone(&runners) as _,
-        hosts: Arc::new(FakeHosts),
+        hosts: Arc::clone(&hosts) as _,
         store: Arc::clone(&store) as _,
     });
     TestActor {
         actor,
+        hosts,
         lease,
         runners,
         store,
