Give each term of an owner the whole list of runners

What callers would see: no work starts after an entry host has become the owner again. Cause: the list of runners is sent to a term once and then after changes. The reader noticed a new term only when its process was not the owner in between at one of its reads, 120 ms apart; otherwise the next term had no list. Change: the reader compares the token of the term.

--- a/crates/node/src/feeds/runner_feed.rs
+++ b/crates/node/src/feeds/runner_feed.rs
@@ -31,15 +31,21 @@
 impl RunnerFeed {
     /// Reads reports until the process ends.
     pub async fn run(mut self) {
-        while self.owner.wait_for(OwnerLocation::is_own).await.is_ok() {
-            self.follow_term().await;
+        loop {
+            let owner = match self.owner.wait_for(OwnerLocation::is_own).await {
+                Ok(owner) => owner.clone(),
+                Err(_) => return,
+            };
+            self.follow_term(owner).await;
         }
     }
 
-    async fn follow_term(&mut self) {
+    /// Reads reports while the owner is `term`. The next term of this process may begin between two reads, and starts
+    /// without a list.
+    async fn follow_term(&mut self, term: Option<OwnerLocation>) {
         let mut next = None;
         let mut reports: Vec<(String, RunnerReport)> = Vec::new();
-        while OwnerLocation::is_own(&self.owner.borrow()) {
+        while *self.owner.borrow() == term {
             let full_read = next.is_none();
             let read = match next {
                 Some(from) => self.feed.follow(from, Millis(0)).await,
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -216,6 +216,8 @@
     /// Refuses all start commands for lack of free capacity.
     pub refuse_starts: AtomicBool,
     pub starts: Mutex<Vec<RunStart>>,
+    /// Ids of the runners of the start commands.
+    pub started_on: Mutex<Vec<String>>,
     pub started: Notify,
     /// Number of stops and of commands to change the pace.
     pub other_commands: AtomicUsize,
@@ -235,11 +237,12 @@
         })
     }
 
-    async fn start(&self, _runner: &RunnerEndpoint, start: &RunStart) -> StartResponse {
+    async fn start(&self, runner: &RunnerEndpoint, start: &RunStart) -> StartResponse {
         if self.refuse_starts.load(Ordering::SeqCst) {
             return StartResponse::NoRoom;
         }
         self.starts.lock().push(start.clone());
+        self.started_on.lock().push(runner.id.clone());
         self.started.notify_one();
         while self.block_starts.load(Ordering::SeqCst) {
             self.unblocked.notified().await;
