Call a runner without its delegate when the delegate does not reach it

What operators saw elsewhere: the running work of a machine that was only unreachable for one of their processes was given up. Cause: the hold calls of a runner always take the way through the same delegate. When that way is broken, every repetition is lost too, the lease is not extended, and the work lapses after 3.5 s although the owner reaches the runner. The starts of a job likewise always take the way through the delegate of the job. Change: after a hold call that a delegate got no answer to, hold calls and stops of the runner are sent by the owner for 5 s, or until one of them gets no answer either. The silence itself is reported at once, as before. A start that the delegate has certainly not sent is sent by the owner. Failed stops do not change the way of hold calls. Test: delegated_commands::delegate_is_cut_off; before, the second hold call got no response either. Not measured: how many more connections runners see.

--- a/crates/node/src/delegates/delegated_runners.rs
+++ b/crates/node/src/delegates/delegated_runners.rs
@@ -1,5 +1,8 @@
 use {
-    super::{DelegateOrder, DelegateOutcome, DelegateRegistry, OrderBody},
+    super::{
+        DelegateOrder, DelegateOutcome, DelegateRegistry, OrderBody,
+        unreached_runners::UnreachedRunners,
+    },
     crate::ports::{HoldCall, RunnerEndpoint, RunnerService},
     async_trait::async_trait,
     goldcreststall_core::ids::Millis,
@@ -7,6 +10,8 @@
         owner::{RunName, RunStart, StartResponse},
         runners::HoldResponse,
     },
+    goldcreststall_entry::clock::BootClock,
+    parking_lot::Mutex,
     std::{sync::Arc, time::Duration},
 };
 
@@ -31,12 +36,17 @@
 pub struct DelegatedRunners {
     direct: Arc<dyn RunnerService>,
     registry: DelegateRegistry,
+    unreached: Mutex<UnreachedRunners>,
 }
 
 impl DelegatedRunners {
     /// Creates a service that prefers the delegates in `registry` to `direct`.
     pub fn new(direct: Arc<dyn RunnerService>, registry: DelegateRegistry) -> Self {
-        Self { direct, registry }
+        Self {
+            direct,
+            registry,
+            unreached: Mutex::default(),
+        }
     }
 
     /// Returns the service that sends commands without a delegate; `None` when this process may send none.
@@ -44,6 +54,11 @@
         self.registry.is_lease_held().then_some(&*self.direct)
     }
 
+    /// Returns whether the owner calls the runner itself, because its delegate did not reach it.
+    fn is_unreached(&self, runner: &RunnerEndpoint) -> bool {
+        self.unreached.lock().contains(&runner.id, BootClock.now())
+    }
+
     async fn delegate(
         &self,
         runner: &RunnerEndpoint,
@@ -93,31 +108,45 @@
 #[async_trait]
 impl RunnerService for DelegatedRunners {
     async fn hold(&self, runner: &RunnerEndpoint, call: HoldCall) -> Option<HoldResponse> {
-        match self
-            .delegate(runner, OrderBody::Hold(call), call.wait)
-            .await
-        {
-            DelegateAttempt::Executed(DelegateOutcome::Hold(response)) => response,
-            DelegateAttempt::Late => None,
-            _ => self.direct_service()?.hold(runner, call).await,
+        let direct = self.is_unreached(runner);
+        let response = if direct {
+            self.direct_service()?.hold(runner, call).await
+        } else {
+            let body = OrderBody::Hold(call);
+            match self.delegate(runner, body, call.wait).await {
+                DelegateAttempt::Executed(DelegateOutcome::Hold(response)) => response,
+                DelegateAttempt::Late => None,
+                _ => return self.direct_service()?.hold(runner, call).await,
+            }
+        };
+        if response.is_none() {
+            let mut unreached = self.unreached.lock();
+            unreached.record_silence(&runner.id, direct, BootClock.now());
         }
+        response
     }
 
     async fn start(&self, runner: &RunnerEndpoint, start: &RunStart) -> StartResponse {
         let body = OrderBody::Start(start.clone());
         match self.delegate(runner, body, Millis(0)).await {
+            DelegateAttempt::NotSent
+            | DelegateAttempt::Executed(DelegateOutcome::Start(StartResponse::NotSent)) => {
+                self.start_directly(runner, start, false).await
+            }
             DelegateAttempt::Executed(DelegateOutcome::Start(response)) => response,
             DelegateAttempt::Late => StartResponse::Unknown,
-            DelegateAttempt::NotSent => self.start_directly(runner, start, false).await,
             _ => self.start_directly(runner, start, true).await,
         }
     }
 
     async fn stop(&self, runner: &RunnerEndpoint, run: &RunName) -> Option<u64> {
-        match self
-            .delegate(runner, OrderBody::Stop(*run), Millis(0))
-            .await
-        {
+        // Only hold calls tell that a delegate does not reach a runner: a stop may also fail because the runner takes no
+        // further connection, and then the hold calls must keep theirs.
+        if self.is_unreached(runner) {
+            return self.direct_service()?.stop(runner, run).await;
+        }
+        let body = OrderBody::Stop(*run);
+        match self.delegate(runner, body, Millis(0)).await {
             DelegateAttempt::Executed(DelegateOutcome::Stop(clock_ms)) => clock_ms,
             DelegateAttempt::Late => None,
             _ => self.direct_service()?.stop(runner, run).await,
--- a/crates/node/src/delegates/mod.rs
+++ b/crates/node/src/delegates/mod.rs
@@ -3,7 +3,8 @@
 //! The owner decides alone, but its processor and its link would bound the size of the fleet if it called every runner
 //! itself. Each other entry host registers with the owner over a connection of its own. The owner hands it the commands
 //! for the runners that [`DelegateTable`] assigns to it, and gets the responses back; many of them share a frame. A
-//! command that a delegate does not answer is sent again by the owner itself: runners treat repeated commands as one.
+//! command that a delegate does not answer is sent again by the owner itself: runners treat repeated commands as one. So is
+//! the next command for a runner that its delegate does not reach.
 
 mod delegate_frames;
 mod delegate_link;
@@ -14,6 +15,7 @@
 mod delegated_runners;
 mod order_age;
 mod text_cache;
+mod unreached_runners;
 
 pub(crate) use delegate_frames::RawRegistration;
 pub use {
--- a/crates/node/tests/delegated_commands.rs
+++ b/crates/node/tests/delegated_commands.rs
@@ -219,6 +219,36 @@
     assert!(owner.direct.starts.lock().is_empty());
 }
 
+/// The delegate has lost its way to the runner, which the owner can reach. The work of the runner must not be given up.
+#[tokio::test]
+async fn delegate_is_cut_off() {
+    let owner = spawn_owner().await;
+    let (delegate, _owner_watch) = spawn_delegate(owner.address);
+    wait_for_delegate(&owner, &delegate).await;
+    delegate.unreachable.store(true, Ordering::SeqCst);
+    let call = HoldCall {
+        deadline_ms: Some(5_000),
+        last_seen: 0,
+        wait: Millis(0),
+    };
+    // The silence is reported at once; the next calls take the other way, so that one of them extends the lease.
+    assert_eq!(owner.service.hold(&endpoint(), call).await, None);
+    for _ in 0..3 {
+        assert!(owner.service.hold(&endpoint(), call).await.is_some());
+    }
+    let run = RunName {
+        name: run_start(1).name,
+        run: 1,
+    };
+    assert_eq!(owner.service.stop(&endpoint(), &run).await, Some(1));
+    assert_eq!(start(&owner, 1).await, StartResponse::Begun(1));
+    // When the owner cannot reach the runner either, the delegate is tried again.
+    owner.direct.unreachable.store(true, Ordering::SeqCst);
+    delegate.unreachable.store(false, Ordering::SeqCst);
+    assert_eq!(owner.service.hold(&endpoint(), call).await, None);
+    assert!(owner.service.hold(&endpoint(), call).await.is_some());
+}
+
 /// An owner whose lease has ended may have a successor, beside which it must not act by any command.
 #[tokio::test]
 async fn no_command_after_the_lease() {
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -213,6 +213,8 @@
 pub struct FakeRunners {
     /// Number of hold calls.
     pub holds: AtomicUsize,
+    /// No command reaches a runner.
+    pub unreachable: AtomicBool,
     /// Refuses all start commands for lack of free capacity.
     pub refuse_starts: AtomicBool,
     pub starts: Mutex<Vec<RunStart>>,
@@ -231,6 +233,9 @@
 impl RunnerService for FakeRunners {
     async fn hold(&self, _runner: &RunnerEndpoint, _call: HoldCall) -> Option<HoldResponse> {
         self.holds.fetch_add(1, Ordering::SeqCst);
+        if self.unreachable.load(Ordering::SeqCst) {
+            return None;
+        }
         Some(HoldResponse {
             clock_ms: 1,
             ..HoldResponse::default()
@@ -238,6 +243,9 @@
     }
 
     async fn start(&self, runner: &RunnerEndpoint, start: &RunStart) -> StartResponse {
+        if self.unreachable.load(Ordering::SeqCst) {
+            return StartResponse::NotSent;
+        }
         if self.refuse_starts.load(Ordering::SeqCst) {
             return StartResponse::NoRoom;
         }
@@ -252,7 +260,7 @@
 
     async fn stop(&self, _runner: &RunnerEndpoint, _run: &RunName) -> Option<u64> {
         self.other_commands.fetch_add(1, Ordering::SeqCst);
-        Some(1)
+        (!self.unreachable.load(Ordering::SeqCst)).then_some(1)
     }
 
     async fn pace(&self, _runner: &RunnerEndpoint, _run: &RunName, _percent: u32) -> bool {
