Repeat a lost stop of a run that makes progress

What was seen: a play in which work items of cancelled jobs went on (UNASKED) after calls to their runner had been lost; whether this is its cause has not been measured. Cause: the time of the last stop shares its field with the time of the last progress. A run that is listed with another percentage, or that is paced down, moved that time with each response, so that a stop without an answer was not repeated while hold calls went on extending the lease. Change: progress does not count once a run is to stop. Test: unanswered_stops::lost_stop_is_repeated; before, 1 stop within 2 s.

--- a/crates/dispatch/src/owner/runner_responses.rs
+++ b/crates/dispatch/src/owner/runner_responses.rs
@@ -166,7 +166,10 @@
             }
             if recorded_run.percent != listed.percent || recorded_run.pace < MAX_PACE_PERCENT {
                 recorded_run.percent = listed.percent;
-                recorded_run.progressed_at = now;
+                // While the run is to stop, the time is that of its last stop.
+                if recorded_run.phase != RunPhase::Stopping {
+                    recorded_run.progressed_at = now;
+                }
             }
         }
         true
