Do not send the first stop of a run twice

Cause: a stop is repeated 600 ms after the time of the last one, which was the time of the last progress when there was none. A long-running work item, or one that is stuck, was told twice within 100 ms, on two connections. Change: the first stop sets that time. Test: unanswered_stops::first_stop_is_not_doubled; before, 2 stops within 500 ms.

--- a/crates/dispatch/src/owner/run_table.rs
+++ b/crates/dispatch/src/owner/run_table.rs
@@ -106,6 +106,7 @@
 
     /// Issues a stop of a recorded run, unless one was issued already.
     pub(super) fn stop_run(&mut self, key: ItemKey, runner: RunnerKey, run: u32) {
+        let now = self.last_tick;
         let Some(recorded_run) = self.run_mut(key, runner, run) else {
             return;
         };
@@ -116,6 +117,7 @@
             return;
         }
         recorded_run.phase = RunPhase::Stopping;
+        recorded_run.progressed_at = now;
         self.issue_stop(key, runner, run);
     }
 
--- a/crates/dispatch/tests/unanswered_stops.rs
+++ b/crates/dispatch/tests/unanswered_stops.rs
@@ -12,6 +12,29 @@
     },
 };
 
+/// Responds to hold calls for `rounds` of 100 ms with lists of the runs of `starts`. Returns how many calls would have
+/// extended the lease.
+fn extensions(fleet: &mut TestFleet, rounds: u64, starts: &[StartCommand]) -> usize {
+    let mut extensions = 0;
+    for _ in 0..rounds {
+        fleet.advance(100);
+        let extends = |command: &&OwnerCommand| {
+            matches!(
+                command,
+                OwnerCommand::Hold {
+                    deadline_ms: Some(_),
+                    ..
+                }
+            )
+        };
+        extensions += fleet.commands.iter().filter(extends).count();
+        let mut response = empty_response(fleet.clock());
+        response.running = starts.iter().map(listed_run).collect();
+        fleet.answer_holds(|_| Some(response.clone()));
+    }
+    extensions
+}
+
 fn stops_of(fleet: &TestFleet, name: ItemName) -> usize {
     let is_stop =
         |command: &&OwnerCommand| matches!(command, OwnerCommand::Stop(stop) if stop.name == name);
@@ -42,3 +65,11 @@
     let stops = stops_of_cancelled(&mut fleet, 20, &starts[0]);
     assert!((3..=4).contains(&stops), "{stops} stops within 2 s");
 }
+
+/// A run that has made no progress for long is not told twice at once.
+#[test]
+fn first_stop_is_not_doubled() {
+    let (mut fleet, starts) = TestFleet::with_work(&["r1"], vec![step(1, 1_000)]);
+    extensions(&mut fleet, 15, &starts);
+    assert_eq!(stops_of_cancelled(&mut fleet, 5, &starts[0]), 1);
+}
