Do not extend the lease of work that is only to stop

Change: a hold call extends the lease only if a run on the runner is wanted. Otherwise the work ends with its lease at the latest, whether a stop arrives or not.

--- a/crates/dispatch/src/owner/hold_planner.rs
+++ b/crates/dispatch/src/owner/hold_planner.rs
@@ -27,6 +27,7 @@
 
     fn issue_hold(&mut self, key: RunnerKey, now: LocalTime) {
         let urgent = self.has_stopped_run(key);
+        let wanted = self.has_wanted_run(key);
         let Some(state) = self.runners.get_mut(key) else {
             return;
         };
@@ -36,8 +37,9 @@
         } else {
             Millis(0)
         };
-        // The lease of a runner that does not respond is not extended, so that its work is certain to end.
-        let deadline_ms = if busy && state.missed_holds == 0 {
+        // The lease of a runner that does not respond is not extended, so that its work is certain to end. Neither is that
+        // of work that is to stop, in case that no stop reaches the runner.
+        let deadline_ms = if wanted && state.missed_holds == 0 {
             state.clock.grant(now)
         } else {
             None
@@ -52,6 +54,14 @@
         });
     }
 
+    fn has_wanted_run(&self, key: RunnerKey) -> bool {
+        let wanted =
+            |phase: RunPhase| matches!(phase, RunPhase::Starting | RunPhase::Running { .. });
+        self.runs_on(key)
+            .iter()
+            .any(|(_, recorded_run)| wanted(recorded_run.phase))
+    }
+
     fn has_stopped_run(&self, key: RunnerKey) -> bool {
         let stopped = |phase: RunPhase| matches!(phase, RunPhase::Stopped { .. });
         self.runs_on(key)
--- a/crates/dispatch/tests/unanswered_stops.rs
+++ b/crates/dispatch/tests/unanswered_stops.rs
@@ -4,11 +4,11 @@
 mod fleet;
 
 use {
-    fleet::{TestFleet, empty_response, listed_run, step},
+    fleet::{TestFleet, empty_response, ended_run, listed_run, step},
     goldcreststall_dispatch::{
         jobs::{ItemName, JobId},
         owner::{JobCall, OwnerCommand, StartCommand},
-        runners::ListedRun,
+        runners::{EndKind, ListedRun, max_lapse_delay},
     },
 };
 
@@ -41,6 +41,44 @@
     fleet.commands.iter().filter(is_stop).count()
 }
 
+/// All work of the runner belongs to a cancelled job. It ends with its lease at the latest.
+#[test]
+fn lease_is_not_extended() {
+    let (mut fleet, starts) = TestFleet::with_work(&["r1"], vec![step(2, 1_000)]);
+    assert!(extensions(&mut fleet, 5, &starts) > 0);
+    fleet.call(2, JobCall::Cancel(JobId(1)));
+    fleet.store();
+    // The call in flight was sent before the cancellation.
+    extensions(&mut fleet, 1, &starts);
+    let rounds = max_lapse_delay().0 / 100;
+    assert_eq!(
+        extensions(&mut fleet, rounds, &starts),
+        0,
+        "the lease of work that is to stop was extended"
+    );
+    fleet.advance(100);
+    let mut response = empty_response(fleet.clock());
+    for (number, start) in (1..).zip(&starts) {
+        response
+            .ended
+            .push(ended_run(number, start, EndKind::Lapsed));
+    }
+    fleet.answer_holds(|_| Some(response.clone()));
+    fleet.store();
+    assert_eq!(fleet.submit_work(3, vec![step(8, 1_000)]).len(), 8);
+}
+
+/// Other work of the runner is wanted, and keeps its lease.
+#[test]
+fn wanted_work_keeps_its_lease() {
+    let (mut fleet, mut starts) = TestFleet::with_work(&["r1"], vec![step(2, 1_000)]);
+    starts.extend(fleet.start_work(2, vec![step(1, 1_000)]));
+    fleet.call(3, JobCall::Cancel(JobId(1)));
+    fleet.store();
+    extensions(&mut fleet, 1, &starts);
+    assert!(extensions(&mut fleet, 10, &starts) >= 9);
+}
+
 /// Cancels job 1 and responds to hold calls for `rounds` of 100 ms, in which the run of `start` makes progress. Returns how
 /// often it was told to stop.
 fn stops_of_cancelled(fleet: &mut TestFleet, rounds: u32, start: &StartCommand) -> usize {
