Limit the stops of runs whose jobs are not known

Cause: each response that lists a run of an unknown job led to a stop, every 25 ms on a runner without other work, although a stop may take 200 ms. Each stop in flight takes a connection, of which runners accept a limited number. After all entry hosts were lost, the runs of all jobs that had just ended are unknown at once. Change: a stop of the same run is repeated after 600 ms, like that of a known run. Test: unanswered_stops::few_stops_of_unknown_run; before, 19 stops within 2 s at one hold call in 100 ms.

--- a/crates/dispatch/src/owner/hold_planner.rs
+++ b/crates/dispatch/src/owner/hold_planner.rs
@@ -10,7 +10,7 @@
 /// How long a hold call waits for the end of a run. The lease is several times as long.
 const HOLD_TIMEOUT: Millis = Millis(700);
 /// Time after which a stop without an acknowledgement is sent again.
-const STOP_RETRY_INTERVAL: Millis = Millis(600);
+pub(super) const STOP_RETRY_INTERVAL: Millis = Millis(600);
 
 impl OwnerState {
     /// Issues a hold call to each runner for which one is due.
@@ -121,7 +121,7 @@
         return state.listed;
     }
     !state.items.is_empty()
-        || state.has_unknown_runs
+        || !state.unknown_runs.is_empty()
         || state.in_doubt
         || state.stored > state.acknowledged
         || state.processed > state.stored
--- a/crates/dispatch/src/owner/runner_responses.rs
+++ b/crates/dispatch/src/owner/runner_responses.rs
@@ -1,7 +1,10 @@
 use {
-    super::{OwnerCommand, OwnerState, RunCommand, run_table::MAX_PACE_PERCENT},
+    super::{
+        OwnerCommand, OwnerState, RunCommand, hold_planner::STOP_RETRY_INTERVAL,
+        run_table::MAX_PACE_PERCENT,
+    },
     crate::{
-        jobs::{ItemKey, RunPhase},
+        jobs::{ItemKey, ItemName, RunPhase},
         runners::{HoldResponse, ListedRun, RunnerKey, RunnerReport},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
@@ -100,12 +103,15 @@
     }
 
     fn handle_running(&mut self, runner: RunnerKey, running: &[ListedRun], now: LocalTime) {
-        let mut has_unknown_runs = false;
+        let mut unknown_runs = Vec::new();
         for listed in running {
-            has_unknown_runs |= !self.handle_listed(runner, listed, now);
+            if !self.handle_listed(runner, listed, now) {
+                let stopped_at = self.stop_unknown_run(runner, listed, now);
+                unknown_runs.push((listed.name, listed.run, stopped_at));
+            }
         }
         if let Some(state) = self.runners.get_mut(runner) {
-            state.has_unknown_runs = has_unknown_runs;
+            state.unknown_runs = unknown_runs;
         }
     }
 
@@ -137,17 +143,6 @@
     /// Handles one run that a runner lists. Returns false when the run and its use of capacity are unknown.
     fn handle_listed(&mut self, runner: RunnerKey, listed: &ListedRun, now: LocalTime) -> bool {
         let Some(key) = self.jobs.find_item(&listed.name) else {
-            self.commands.push(OwnerCommand::Stop(RunCommand {
-                runner,
-                item: None,
-                name: listed.name,
-                run: listed.run,
-            }));
-            self.log_event(
-                "stopping an unknown run",
-                listed.name.to_string(),
-                format!("run={}", listed.run),
-            );
             return false;
         };
         if self.run_mut(key, runner, listed.run).is_none() {
@@ -175,6 +170,37 @@
         true
     }
 
+    /// Issues a stop of a run whose job is not known, unless one was issued recently. Returns when the last one was.
+    fn stop_unknown_run(
+        &mut self,
+        runner: RunnerKey,
+        listed: &ListedRun,
+        now: LocalTime,
+    ) -> LocalTime {
+        let is_same = |(name, run, _): &&(ItemName, u32, LocalTime)| {
+            *name == listed.name && *run == listed.run
+        };
+        let state = self.runners.get(runner);
+        let known = state.and_then(|state| state.unknown_runs.iter().find(is_same));
+        if let Some((_, _, stopped_at)) = known
+            && now.since(*stopped_at) <= STOP_RETRY_INTERVAL
+        {
+            return *stopped_at;
+        }
+        self.commands.push(OwnerCommand::Stop(RunCommand {
+            runner,
+            item: None,
+            name: listed.name,
+            run: listed.run,
+        }));
+        self.log_event(
+            "stopping an unknown run",
+            listed.name.to_string(),
+            format!("run={}", listed.run),
+        );
+        now
+    }
+
     /// Records a run that an earlier owner started, and stops it if it is not wanted.
     fn adopt_run(&mut self, key: ItemKey, runner: RunnerKey, run: u32, now: LocalTime) {
         let Some((job, item)) = self.jobs.item(key) else {
--- a/crates/dispatch/src/owner/wave_control.rs
+++ b/crates/dispatch/src/owner/wave_control.rs
@@ -194,9 +194,9 @@
     }
 
     fn has_work(&self, key: RunnerKey) -> bool {
-        self.runners
-            .get(key)
-            .is_some_and(|state| !state.items.is_empty() || state.has_unknown_runs || !state.fenced)
+        self.runners.get(key).is_some_and(|state| {
+            !state.items.is_empty() || !state.unknown_runs.is_empty() || !state.fenced
+        })
     }
 
     pub(super) fn has_long_running(&self, key: RunnerKey) -> bool {
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -1,6 +1,6 @@
 use {
     super::{Capacity, LeaseClock, RunnerReport, RunnerStatus},
-    crate::jobs::ItemKey,
+    crate::jobs::{ItemKey, ItemName},
     goldcreststall_core::ids::LocalTime,
 };
 
@@ -42,8 +42,9 @@
     pub used: Capacity,
     /// Work items with a run on this runner, once for each run.
     pub items: Vec<ItemKey>,
-    /// It lists runs of unknown jobs, whose use of capacity is not known either.
-    pub has_unknown_runs: bool,
+    /// Listed runs of unknown jobs, whose use of capacity is not known either: work item, run, and when a stop was last
+    /// issued.
+    pub unknown_runs: Vec<(ItemName, u32, LocalTime)>,
     /// The list names an earlier start than the one known; the next response shows which instance runs.
     pub in_doubt: bool,
     /// It gets no new work before this time, after failures or refusals.
@@ -77,7 +78,7 @@
             acknowledged: 0,
             used: Capacity::default(),
             items: Vec::new(),
-            has_unknown_runs: false,
+            unknown_runs: Vec::new(),
             in_doubt: false,
             cooldown_until: LocalTime(0),
             consecutive_failures: 0,
@@ -102,7 +103,7 @@
     pub fn accepts_work(&self, now: LocalTime) -> bool {
         self.is_present()
             && self.fenced
-            && !self.has_unknown_runs
+            && self.unknown_runs.is_empty()
             && !self.in_doubt
             && !self.cordoned
             && self.missed_holds == 0
--- a/crates/dispatch/tests/unanswered_stops.rs
+++ b/crates/dispatch/tests/unanswered_stops.rs
@@ -111,3 +111,17 @@
     extensions(&mut fleet, 15, &starts);
     assert_eq!(stops_of_cancelled(&mut fleet, 5, &starts[0]), 1);
 }
+
+/// A run of a job that is not known is listed by each response until its stop has taken effect.
+#[test]
+fn few_stops_of_unknown_run() {
+    let (mut fleet, starts) = TestFleet::with_work(&["r1"], vec![step(1, 1_000)]);
+    let unknown = StartCommand {
+        name: ItemName::try_from("00000000000000ff.0.0.0").expect("a name"),
+        ..starts[0].clone()
+    };
+    let listed = [starts[0].clone(), unknown.clone()];
+    extensions(&mut fleet, 20, &listed);
+    let stops = stops_of(&fleet, unknown.name);
+    assert!((2..=5).contains(&stops), "{stops} stops within 2 s");
+}
