Begin the term of a claim that is stored without a response

What operators saw elsewhere: after an answer was lost a process believed that nothing had been done. Cause: a process whose claim got no response read its own record like that of another owner, waited for its lease to end and claimed again. While the store lost answers nobody was elected, because each such claim made all others wait as well. Change: the process begins the term when its claim is the last record of the topic. Its lease counts from the first send of the claim, so that it may have to be renewed first.

--- a/crates/node/src/election/election_task.rs
+++ b/crates/node/src/election/election_task.rs
@@ -139,6 +139,8 @@
     released: bool,
     /// Whether the last read failed.
     failed: bool,
+    /// Token of a claim of this process that has no response, and when it was first sent.
+    claim: Option<(u64, LocalTime)>,
 }
 
 impl OwnerWatch {
@@ -149,6 +151,15 @@
             self.last_record = self.last_record.max(now + OUTAGE_GRACE - silence_timeout);
         }
     }
+
+    /// Records that a claim is sent now, and returns when its token was first claimed: the store may have executed an
+    /// earlier attempt.
+    fn record_claim(&mut self, token: u64) -> LocalTime {
+        let earlier = self.claim.filter(|(claimed, _)| *claimed == token);
+        let sent = earlier.map_or_else(|| BootClock.now(), |(_, sent)| sent);
+        self.claim = Some((token, sent));
+        sent
+    }
 }
 
 impl ElectionTask {
@@ -161,12 +172,14 @@
             lease: MIN_LEASE,
             released: false,
             failed: false,
+            claim: None,
         };
         while !self.stop.is_cancelled() {
             if let Some(token) = self.poll_topic(&mut watch).await {
                 self.run_term(token).await;
                 watch.last_record = BootClock.now();
                 watch.released = false;
+                watch.claim = None;
             }
         }
     }
@@ -197,6 +210,9 @@
                 watch.next_offset += batch.records.len() as u64;
                 let caught_up = watch.next_offset >= batch.end;
                 let silent = BootClock.now().since(watch.last_record) >= silence_timeout;
+                if caught_up && let Some(token) = self.stored_claim(watch, &batch.records) {
+                    return Some(token);
+                }
                 if empty && caught_up && silent {
                     // Only after a successful read: during an outage of the store the last owner stays known, and
                     // refuses calls itself when its lease ends.
@@ -205,7 +221,7 @@
                 let released =
                     watch.released && BootClock.now().since(watch.last_record) >= self.claim_delay;
                 if empty && caught_up && (is_new_topic || silent || released) {
-                    return self.claim(batch.end).await;
+                    return self.claim(watch, batch.end).await;
                 }
             }
             Err(StoreError::Expired { first }) => watch.next_offset = first,
@@ -252,12 +268,24 @@
         }
     }
 
-    async fn claim(&self, end: u64) -> Option<u64> {
+    /// Returns the token of a claim of this process whose response was lost, if it is the last record of the topic.
+    fn stored_claim(&self, watch: &OwnerWatch, records: &[Bytes]) -> Option<u64> {
+        let (token, sent) = watch.claim?;
+        let last: OwnershipRecord = postcard::from_bytes(records.last()?).ok()?;
+        if last.token != token || last.claimant != self.claimant || last.released {
+            return None;
+        }
+        info!(self.logger, "election: a claim without a response is stored"; "token" => token);
+        self.lease.extend(sent + MIN_LEASE);
+        Some(token)
+    }
+
+    async fn claim(&self, watch: &mut OwnerWatch, end: u64) -> Option<u64> {
         if self.stop.is_cancelled() {
             return None;
         }
         let token = end + 1;
-        let sent = BootClock.now();
+        let sent = watch.record_claim(token);
         let claimed = self
             .append((token, end), MIN_LEASE, false, APPEND_TIMEOUT)
             .await;
--- a/crates/node/tests/claim_race.rs
+++ b/crates/node/tests/claim_race.rs
@@ -232,6 +232,28 @@
     assert!(appends <= 8, "{appends} appends within 600 ms");
 }
 
+/// The claim is stored, but its response is lost. Until its lease has ended nobody else can claim, and a repeated claim
+/// would be lost in the same way.
+#[tokio::test]
+async fn claim_without_response() {
+    let store = Arc::new(FakeStore::default());
+    store.lose_ownership_responses.store(true, Ordering::SeqCst);
+    let mut owner = spawn(&store, 7_000, "entry-0#1");
+    let elected = tokio::time::timeout(Duration::from_millis(1_000), owner.events.recv()).await;
+    assert!(matches!(elected, Ok(Some(ElectionEvent::Elected(1)))));
+    let claims = store.ownership.lock().len();
+    assert_eq!(claims, 1, "the same process has claimed again");
+    let lease_held = async {
+        while !owner.lease.is_held() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, lease_held)
+        .await
+        .expect("a lease");
+    owner.stop.cancel();
+}
+
 /// Returns whether the last record of the ownership topic is a release.
 fn is_released(store: &FakeStore) -> bool {
     let ownership = store.ownership.lock();
