--- a/crates/dispatch/src/owner/runner_responses.rs
+++ b/crates/dispatch/src/owner/runner_responses.rs
@@ -1,8 +1,8 @@
 use {
-    super::{OwnerCommand, OwnerState, RunCommand},
+    super::{OwnerCommand, OwnerState, RunCommand, hold_planner::STOP_RETRY_INTERVAL},
     crate::{
-        jobs::{ItemKey, ItemRun, MAX_PACE_PERCENT, RunPhase},
-        runners::{HoldResponse, ListedRun, RunnerKey},
+        jobs::{ItemKey, ItemName, ItemRun, MAX_PACE_PERCENT, RunPhase},
+        runners::{HoldResponse, ListedRun, RunnerKey, RunnerReport},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
 };
@@ -11,6 +11,8 @@
 const RETRY_DELAY: Millis = Millis(200);
 /// Delay of the next hold call after one with a response, so that several ends are returned together.
 const HOLD_DELAY: Millis = Millis(25);
+/// Number of ends in one response from which on the runner may have more that it does not list.
+const MAX_LISTED_ENDS: usize = 500;
 
 impl OwnerState {
     /// Records that a hold call got no response.
@@ -41,40 +43,84 @@
             return;
         };
         state.hold_sent = None;
-        if response
+        state.acknowledged = state.acknowledged.max(last_seen);
+        let other_instance = response
             .started_ms
-            .is_some_and(|started_ms| started_ms != state.report.started_ms)
-        {
-            // The list of runners will contain the new instance.
-            self.end_runner(key, "a new instance responded", now);
+            .filter(|started_ms| *started_ms != state.report.started_ms);
+        let key = match other_instance {
+            Some(started_ms) => match self.replace_instance(key, started_ms, now) {
+                Some(next) => next,
+                None => return,
+            },
+            None => key,
+        };
+        let Some(state) = self.runners.get_mut(key) else {
             return;
-        }
+        };
         state.missed_holds = 0;
+        state.in_doubt = false;
         state.last_response = now;
         state.fenced = true;
         state.clock.record_reading(response.clock_ms, now);
-        state.acknowledged = state.acknowledged.max(last_seen);
         state.next_hold = now + HOLD_DELAY;
+        let lists_all_ends = response.ended.len() < MAX_LISTED_ENDS;
         self.handle_ends(key, &response.ended, now);
-        self.handle_running(key, sent, &response, now);
+        self.handle_running(key, &response.running, now);
+        if lists_all_ends {
+            self.detach_unlisted(key, sent, &response, now);
+        }
         self.control_pace(key, &response.running);
         self.placement_due = true;
     }
 
-    fn handle_running(
+    /// Ends an instance because another one has responded under its id. Returns the key of that one; `None` if a later
+    /// one is known already.
+    ///
+    /// The next instance may have accepted a start that was meant for the ended one, and lists that run in its response.
+    fn replace_instance(
+        &mut self,
+        key: RunnerKey,
+        started_ms: u64,
+        now: LocalTime,
+    ) -> Option<RunnerKey> {
+        let state = self.runners.get(key)?;
+        let is_newest = !state.has_ended && self.runners.find(&state.report.id) == Some(key);
+        let report = RunnerReport {
+            started_ms,
+            ..state.report.clone()
+        };
+        self.end_runner(key, "a new instance responded", now);
+        if !is_newest {
+            return None;
+        }
+        let (next, _) = self.runners.insert(report, now);
+        // It may be of another kind, so that it gets no work before the list contains it.
+        self.runners.get_mut(next)?.listed = false;
+        Some(next)
+    }
+
+    fn handle_running(&mut self, runner: RunnerKey, running: &[ListedRun], now: LocalTime) {
+        let mut unknown_runs = Vec::new();
+        for listed in running {
+            if !self.handle_listed(runner, listed, now) {
+                let stopped_at = self.stop_unknown_run(runner, listed, now);
+                unknown_runs.push((listed.name, listed.run, stopped_at));
+            }
+        }
+        if let Some(state) = self.runners.get_mut(runner) {
+            state.unknown_runs = unknown_runs;
+        }
+    }
+
+    /// Removes the runs that the response to a hold call sent at `sent` lists neither as running nor as ended. Only a
+    /// complete list of ends proves that such a run has no end that is still to come.
+    fn detach_unlisted(
         &mut self,
         runner: RunnerKey,
         sent: LocalTime,
         response: &HoldResponse,
         now: LocalTime,
     ) {
-        let mut has_unknown_runs = false;
-        for listed in &response.running {
-            has_unknown_runs |= !self.handle_listed(runner, listed, now);
-        }
-        if let Some(state) = self.runners.get_mut(runner) {
-            state.has_unknown_runs = has_unknown_runs;
-        }
         for (key, recorded_run) in self.runs_on(runner) {
             let name = self.jobs.get(key.job).map(|job| job.item_name(key.item));
             let is_listed = response
@@ -106,17 +152,6 @@
     /// Handles one run that a runner lists. Returns false when the run and its use of capacity are unknown.
     fn handle_listed(&mut self, runner: RunnerKey, listed: &ListedRun, now: LocalTime) -> bool {
         let Some(key) = self.jobs.find_item(&listed.name) else {
-            self.commands.push(OwnerCommand::Stop(RunCommand {
-                runner,
-                item: None,
-                name: listed.name,
-                run: listed.run,
-            }));
-            self.log_event(
-                "stopping an unknown run",
-                listed.name.to_string(),
-                format!("run={}", listed.run),
-            );
             return false;
         };
         if self.run_mut(key, runner, listed.run).is_none() {
@@ -135,12 +170,46 @@
             }
             if recorded_run.percent != listed.percent || recorded_run.pace < MAX_PACE_PERCENT {
                 recorded_run.percent = listed.percent;
-                recorded_run.progressed_at = now;
+                // While the run is to stop, the time is that of its last stop.
+                if recorded_run.phase != RunPhase::Stopping {
+                    recorded_run.progressed_at = now;
+                }
             }
         }
         true
     }
 
+    /// Issues a stop of a run whose job is not known, unless one was issued recently. Returns when the last one was.
+    fn stop_unknown_run(
+        &mut self,
+        runner: RunnerKey,
+        listed: &ListedRun,
+        now: LocalTime,
+    ) -> LocalTime {
+        let is_same = |(name, run, _): &&(ItemName, u32, LocalTime)| {
+            *name == listed.name && *run == listed.run
+        };
+        let state = self.runners.get(runner);
+        let known = state.and_then(|state| state.unknown_runs.iter().find(is_same));
+        if let Some((_, _, stopped_at)) = known
+            && now.since(*stopped_at) <= STOP_RETRY_INTERVAL
+        {
+            return *stopped_at;
+        }
+        self.commands.push(OwnerCommand::Stop(RunCommand {
+            runner,
+            item: None,
+            name: listed.name,
+            run: listed.run,
+        }));
+        self.log_event(
+            "stopping an unknown run",
+            listed.name.to_string(),
+            format!("run={}", listed.run),
+        );
+        now
+    }
+
     /// Records a run that an earlier owner started, and stops it if it is not wanted.
     fn adopt_run(&mut self, key: ItemKey, runner: RunnerKey, run: u32, now: LocalTime) {
         let Some((job, item)) = self.jobs.item(key) else {
--- a/crates/node/src/delegates/delegated_runners.rs
+++ b/crates/node/src/delegates/delegated_runners.rs
@@ -37,7 +37,11 @@
     direct: Arc<dyn RunnerService>,
     registry: DelegateRegistry,
     limiter: CommandLimiter,
-    bypasses: Mutex<BypassTable>,
+    /// Runners whose delegates get no answer to hold calls.
+    hold_bypasses: Mutex<BypassTable>,
+    /// Runners whose delegates get no answer to stops. Hold calls may still be answered, on a connection that is open
+    /// already, and must keep it then.
+    stop_bypasses: Mutex<BypassTable>,
 }
 
 impl DelegatedRunners {
@@ -52,58 +56,49 @@
             direct,
             registry,
             limiter,
-            bypasses: Mutex::default(),
+            hold_bypasses: Mutex::default(),
+            stop_bypasses: Mutex::default(),
         }
     }
 
-    /// Sends a hold call, a stop or a pace through the runner's delegate, unless the runner is called directly.
-    async fn delegate_or_bypass(
-        &self,
-        runner: &RunnerEndpoint,
-        body: OrderBody,
-        wait: Millis,
-    ) -> DelegateAttempt {
-        if self.bypasses.lock().contains(&runner.id, BootClock.now()) {
-            return DelegateAttempt::NotSent;
-        }
-        self.delegate(runner, body, wait).await
+    /// Returns the service that sends commands without a delegate; `None` when this process may send none.
+    fn direct_service(&self) -> Option<&dyn RunnerService> {
+        self.registry.is_lease_held().then_some(&*self.direct)
     }
 
-    /// Notes whether the runner answered the way that a command took: without an answer the next one takes the other.
-    fn record_path(&self, runner: &RunnerEndpoint, direct: bool, answered: bool) {
-        if answered {
-            return;
-        }
-        let mut bypasses = self.bypasses.lock();
-        if direct {
-            bypasses.remove(&runner.id);
-        } else {
-            bypasses.insert(&runner.id, BootClock.now());
-        }
+    fn bypasses_holds(&self, runner: &RunnerEndpoint) -> bool {
+        let bypasses = self.hold_bypasses.lock();
+        bypasses.contains(&runner.id, BootClock.now())
+    }
+
+    fn bypasses_stops(&self, runner: &RunnerEndpoint) -> bool {
+        let bypasses = self.stop_bypasses.lock();
+        bypasses.contains(&runner.id, BootClock.now()) || self.bypasses_holds(runner)
     }
 
     async fn hold_directly(&self, runner: &RunnerEndpoint, call: HoldCall) -> Option<HoldResponse> {
-        if !self.registry.is_lease_held() {
-            return None;
+        let response = self.direct_service()?.hold(runner, call).await;
+        if response.is_none() {
+            self.hold_bypasses.lock().remove(&runner.id);
         }
-        let response = self.direct.hold(runner, call).await;
-        self.record_path(runner, true, response.is_some());
         response
     }
 
     async fn stop_directly(&self, runner: &RunnerEndpoint, run: &RunName) -> Option<u64> {
         let _permit = self.limiter.acquire(&runner.id).await;
-        if !self.registry.is_lease_held() {
-            return None;
+        let clock_ms = self.direct_service()?.stop(runner, run).await;
+        if clock_ms.is_none() {
+            self.stop_bypasses.lock().remove(&runner.id);
         }
-        let clock_ms = self.direct.stop(runner, run).await;
-        self.record_path(runner, true, clock_ms.is_some());
         clock_ms
     }
 
     async fn pace_directly(&self, runner: &RunnerEndpoint, run: &RunName, percent: u32) -> bool {
         let _permit = self.limiter.acquire(&runner.id).await;
-        self.registry.is_lease_held() && self.direct.pace(runner, run, percent).await
+        match self.direct_service() {
+            Some(direct) => direct.pace(runner, run, percent).await,
+            None => false,
+        }
     }
 
     async fn delegate(
@@ -137,14 +132,14 @@
         may_be_sent: bool,
     ) -> StartResponse {
         let _permit = self.limiter.acquire(&runner.id).await;
-        if !self.registry.is_lease_held() {
+        let Some(direct) = self.direct_service() else {
             return if may_be_sent {
                 StartResponse::Unknown
             } else {
                 StartResponse::NotSent
             };
-        }
-        let response = self.direct.start(runner, start).await;
+        };
+        let response = direct.start(runner, start).await;
         match response {
             StartResponse::Begun(_) | StartResponse::Fenced => response,
             _ if may_be_sent => StartResponse::Unknown,
@@ -156,42 +151,58 @@
 #[async_trait]
 impl RunnerService for DelegatedRunners {
     async fn hold(&self, runner: &RunnerEndpoint, call: HoldCall) -> Option<HoldResponse> {
-        let attempt = self.delegate_or_bypass(runner, OrderBody::Hold(call), call.wait);
-        match attempt.await {
-            DelegateAttempt::Executed(DelegateOutcome::Hold(response)) => {
-                self.record_path(runner, false, response.is_some());
-                response
-            }
+        if self.bypasses_holds(runner) {
+            return self.hold_directly(runner, call).await;
+        }
+        let body = OrderBody::Hold(call);
+        let response = match self.delegate(runner, body, call.wait).await {
+            DelegateAttempt::Executed(DelegateOutcome::Hold(response)) => response,
             DelegateAttempt::Late => None,
-            _ => self.hold_directly(runner, call).await,
+            _ => return self.hold_directly(runner, call).await,
+        };
+        if response.is_none() {
+            let mut bypasses = self.hold_bypasses.lock();
+            bypasses.insert(&runner.id, BootClock.now());
         }
+        response
     }
 
     async fn start(&self, runner: &RunnerEndpoint, start: &RunStart) -> StartResponse {
         let body = OrderBody::Start(start.clone());
         match self.delegate(runner, body, Millis(0)).await {
+            DelegateAttempt::NotSent
+            | DelegateAttempt::Executed(DelegateOutcome::Start(StartResponse::NotSent)) => {
+                self.start_directly(runner, start, false).await
+            }
             DelegateAttempt::Executed(DelegateOutcome::Start(response)) => response,
             DelegateAttempt::Late => StartResponse::Unknown,
-            DelegateAttempt::NotSent => self.start_directly(runner, start, false).await,
             _ => self.start_directly(runner, start, true).await,
         }
     }
 
     async fn stop(&self, runner: &RunnerEndpoint, run: &RunName) -> Option<u64> {
-        let attempt = self.delegate_or_bypass(runner, OrderBody::Stop(*run), Millis(0));
-        match attempt.await {
-            DelegateAttempt::Executed(DelegateOutcome::Stop(clock_ms)) => {
-                self.record_path(runner, false, clock_ms.is_some());
-                clock_ms
-            }
-            DelegateAttempt::Late => None,
-            _ => self.stop_directly(runner, run).await,
+        if self.bypasses_stops(runner) {
+            return self.stop_directly(runner, run).await;
+        }
+        let body = OrderBody::Stop(*run);
+        let clock_ms = match self.delegate(runner, body, Millis(0)).await {
+            DelegateAttempt::Executed(DelegateOutcome::Stop(clock_ms)) => clock_ms,
+            DelegateAttempt::Late => return None,
+            _ => return self.stop_directly(runner, run).await,
+        };
+        if clock_ms.is_none() {
+            let mut bypasses = self.stop_bypasses.lock();
+            bypasses.insert(&runner.id, BootClock.now());
         }
+        clock_ms
     }
 
     async fn pace(&self, runner: &RunnerEndpoint, run: &RunName, percent: u32) -> bool {
-        let attempt = self.delegate_or_bypass(runner, OrderBody::Pace(*run, percent), Millis(0));
-        match attempt.await {
+        if self.bypasses_holds(runner) {
+            return self.pace_directly(runner, run, percent).await;
+        }
+        let body = OrderBody::Pace(*run, percent);
+        match self.delegate(runner, body, Millis(0)).await {
             DelegateAttempt::Executed(DelegateOutcome::Pace(accepted)) => accepted,
             DelegateAttempt::Late => false,
             _ => self.pace_directly(runner, run, percent).await,
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -50,6 +50,12 @@
     pub lose_next_response: AtomicBool,
     /// Loses the responses to all appends to the ownership topic after their records were stored.
     pub lose_ownership_responses: AtomicBool,
+    /// Delays the responses to appends to the ownership topic after their records were stored.
+    pub delay_ownership_responses: AtomicBool,
+    /// Refuses all reads of the ownership topic.
+    pub refuse_ownership_reads: AtomicBool,
+    /// Number of appends to the ownership topic, including refused ones.
+    pub ownership_appends: AtomicUsize,
     pub reports: Mutex<Vec<WaveReport>>,
     /// Loses the next wave report before it is stored.
     pub lose_next_report: AtomicBool,
@@ -109,19 +115,26 @@
         condition: AppendCondition,
         _timeout: Millis,
     ) -> Result<AppendPosition, StoreError> {
+        self.ownership_appends.fetch_add(1, Ordering::SeqCst);
         if self.refuse_ownership.load(Ordering::SeqCst) {
             return Err(StoreError::Refused);
         }
-        let mut ownership = self.ownership.lock();
-        let end = ownership.len() as u64;
-        if condition.at.is_some_and(|at| at != end) {
-            return Err(StoreError::NotAtEnd { end });
+        let end = {
+            let mut ownership = self.ownership.lock();
+            let end = ownership.len() as u64;
+            if condition.at.is_some_and(|at| at != end) {
+                return Err(StoreError::NotAtEnd { end });
+            }
+            ownership.extend_from_slice(records);
+            ownership.len()
+        };
+        while self.delay_ownership_responses.load(Ordering::SeqCst) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        ownership.extend_from_slice(records);
         if self.lose_ownership_responses.load(Ordering::SeqCst) {
             return Err(StoreError::Unknown);
         }
-        self.respond(ownership.len())
+        self.respond(end)
     }
 
     async fn append_keyed(
@@ -146,7 +159,8 @@
         _wait: Millis,
     ) -> Result<ReadBatch, StoreError> {
         tokio::task::yield_now().await;
-        if self.refuse_ownership.load(Ordering::SeqCst) {
+        let refused = |flag: &AtomicBool| flag.load(Ordering::SeqCst);
+        if refused(&self.refuse_ownership) || refused(&self.refuse_ownership_reads) {
             return Err(StoreError::Refused);
         }
         let ownership = self.ownership.lock();
@@ -207,12 +221,16 @@
     /// Stops in progress, and the most at one time.
     pub open_stops: AtomicUsize,
     pub most_stops: AtomicUsize,
-    /// Gives no response to hold calls and stops.
-    pub silent: AtomicBool,
+    /// No command reaches a runner.
+    pub unreachable: AtomicBool,
     /// Refuses all start commands for lack of free capacity.
     pub refuse_starts: AtomicBool,
     pub starts: Mutex<Vec<RunStart>>,
+    /// Ids of the runners of the start commands.
+    pub started_on: Mutex<Vec<String>>,
     pub started: Notify,
+    /// Number of stops and of commands to change the pace.
+    pub other_commands: AtomicUsize,
     /// Blocks the responses to start commands.
     pub block_starts: AtomicBool,
     /// Wakes blocked responses; clear `block_starts` first.
@@ -223,18 +241,24 @@
 impl RunnerService for FakeRunners {
     async fn hold(&self, _runner: &RunnerEndpoint, _call: HoldCall) -> Option<HoldResponse> {
         self.holds.fetch_add(1, Ordering::SeqCst);
-        let response = HoldResponse {
+        if self.unreachable.load(Ordering::SeqCst) {
+            return None;
+        }
+        Some(HoldResponse {
             clock_ms: 1,
             ..HoldResponse::default()
-        };
-        (!self.silent.load(Ordering::SeqCst)).then_some(response)
+        })
     }
 
-    async fn start(&self, _runner: &RunnerEndpoint, start: &RunStart) -> StartResponse {
+    async fn start(&self, runner: &RunnerEndpoint, start: &RunStart) -> StartResponse {
+        if self.unreachable.load(Ordering::SeqCst) {
+            return StartResponse::NotSent;
+        }
         if self.refuse_starts.load(Ordering::SeqCst) {
             return StartResponse::NoRoom;
         }
         self.starts.lock().push(start.clone());
+        self.started_on.lock().push(runner.id.clone());
         self.started.notify_one();
         while self.block_starts.load(Ordering::SeqCst) {
             self.unblocked.notified().await;
@@ -244,14 +268,16 @@
 
     async fn stop(&self, _runner: &RunnerEndpoint, _run: &RunName) -> Option<u64> {
         self.stops.fetch_add(1, Ordering::SeqCst);
+        self.other_commands.fetch_add(1, Ordering::SeqCst);
         let open = self.open_stops.fetch_add(1, Ordering::SeqCst) + 1;
         self.most_stops.fetch_max(open, Ordering::SeqCst);
         tokio::time::sleep(STOP_DURATION).await;
         self.open_stops.fetch_sub(1, Ordering::SeqCst);
-        (!self.silent.load(Ordering::SeqCst)).then_some(1)
+        (!self.unreachable.load(Ordering::SeqCst)).then_some(1)
     }
 
     async fn pace(&self, _runner: &RunnerEndpoint, _run: &RunName, _percent: u32) -> bool {
+        self.other_commands.fetch_add(1, Ordering::SeqCst);
         true
     }
 }
@@ -271,7 +297,28 @@
 }
 
 /// A host service without hosts that is always busy.
-pub struct FakeHosts;
+#[derive(Default)]
+pub struct FakeHosts {
+    /// Hosts for which a command has reached the service.
+    pub commanded: Mutex<Vec<String>>,
+    /// Commands wait for a connection.
+    pub block_connections: AtomicBool,
+    /// Number of commands that have waited for a connection.
+    pub waiting: AtomicUsize,
+    /// Wakes waiting commands; clear `block_connections` first.
+    pub unblocked: Notify,
+}
+
+impl FakeHosts {
+    async fn take_command(&self, host: &str) -> HostResponse {
+        while self.block_connections.load(Ordering::SeqCst) {
+            self.waiting.fetch_add(1, Ordering::SeqCst);
+            self.unblocked.notified().await;
+        }
+        self.commanded.lock().push(host.to_owned());
+        HostResponse::Busy
+    }
+}
 
 #[async_trait]
 impl HostService for FakeHosts {
@@ -279,24 +326,26 @@
         Ok(Vec::new())
     }
 
-    async fn move_host(&self, _host: &str, _pool: &str, _token: u64) -> HostResponse {
-        HostResponse::Busy
+    async fn move_host(&self, host: &str, _pool: &str, _token: u64) -> HostResponse {
+        self.take_command(host).await
     }
 
-    async fn maintain(&self, _host: &str, _wave: u64, _token: u64) -> HostResponse {
-        HostResponse::Busy
+    async fn maintain(&self, host: &str, _wave: u64, _token: u64) -> HostResponse {
+        self.take_command(host).await
     }
 }
 
 /// A control actor that uses the fakes.
 pub struct TestActor {
     pub actor: ActorRef<OwnerActor>,
+    pub hosts: Arc<FakeHosts>,
     pub lease: OwnerLease,
     pub runners: Arc<FakeRunners>,
     pub store: Arc<FakeStore>,
 }
 
 pub fn spawn_actor() -> TestActor {
+    let hosts = Arc::new(FakeHosts::default());
     let lease = OwnerLease::default();
     let runners = Arc::new(FakeRunners::default());
     let store = Arc::new(FakeStore::default());
@@ -308,11 +357,12 @@
         metrics: Arc::new(NodeMetrics::new().expect("metrics")),
         advice: Arc::new(NoAdvice),
         runners: Arc::clone(&runners) as _,
-        hosts: Arc::new(FakeHosts),
+        hosts: Arc::clone(&hosts) as _,
         store: Arc::clone(&store) as _,
     });
     TestActor {
         actor,
+        hosts,
         lease,
         runners,
         store,
