Refuse a job whose number of work items wraps

What callers saw: nothing yet. A body of 100 bytes can end the owner. Cause: the product of the work items of one occurrence and the number of occurrences was not checked: 2^33 work items 2^31 times wrap to 0 in a release build and pass as a job without work items, whose memory the owner then asks for. A debug build panics. Change: the product saturates, and is above the limit. Evidence (test failed before): odd_jobs wrapped_size, "attempt to multiply with overflow" at job_spec.rs:94.

--- a/crates/dispatch/src/jobs/job_spec.rs
+++ b/crates/dispatch/src/jobs/job_spec.rs
@@ -91,7 +91,7 @@
     /// When sizes or dependencies are invalid, or the job uses a feature that is not implemented.
     pub fn check(&self) -> Result<(), SpecError> {
         let item_count: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
-        let items = item_count * u64::from(self.occurrences());
+        let items = item_count.saturating_mul(u64::from(self.occurrences()));
         let empty = self.steps.iter().any(|step| step.count == 0);
         if self.steps.is_empty() || empty || items > MAX_ITEMS {
             return Err(SpecError::Size);
--- /dev/null
+++ b/crates/dispatch/tests/odd_jobs.rs
@@ -0,0 +1,54 @@
+//! Guards against a job with odd numbers that stops the owner, passes for a small one, or starts when it is not due.
+
+mod fleet;
+
+use {
+    fleet::{TestFleet, host, job, route, rules, step},
+    goldcreststall_core::ids::Millis,
+    goldcreststall_dispatch::{
+        jobs::{JobId, JobSpec, SpecError, StepSpec},
+        owner::{CallResponse, JobCall, OwnerCommand, OwnerState},
+        pools::{PoolStats, plan_pools},
+        records::{JobSubmission, StoreRecord},
+        routes::RouteRule,
+    },
+};
+
+const ESTIMATE_MS: u64 = 1_000;
+
+fn after(steps: impl IntoIterator<Item = u32>) -> StepSpec {
+    StepSpec {
+        after: steps.into_iter().collect(),
+        ..step(1, 1_000)
+    }
+}
+
+fn submission(queue: RouteRule, job: JobSpec) -> JobSubmission {
+    JobSubmission {
+        queue,
+        job,
+        accepted_ms: 0,
+    }
+}
+
+fn fleet() -> TestFleet {
+    let mut fleet = TestFleet::new(1, &["r1", "r2"]);
+    fleet.answer_first_holds();
+    fleet
+}
+
+/// Shows that the owner still accepts and places work.
+fn assert_serves(fleet: &mut TestFleet) {
+    fleet.advance(200);
+    assert_eq!(fleet.submit_work(99, vec![step(1, 1_000)]).len(), 1);
+}
+
+/// Guards against a size that wraps to 0: 2^33 work items, 2^31 times.
+#[test]
+fn wrapped_size() {
+    let spec = JobSpec {
+        times: 1 << 31,
+        ..job(vec![step(u32::MAX, 1), step(u32::MAX, 1), step(2, 1)])
+    };
+    assert_eq!(spec.check(), Err(SpecError::Size));
+}
