Compute the critical paths of a job once, without recursion

What callers saw: nothing yet. A job of 60 steps can stop the owner, and each owner that follows, because the job is stored. Cause: the critical path from a step was found by recursion over the steps that depend on it. Where each step names all earlier ones, the number of visits doubles with each step; a chain of 20,000 steps overflows the stack, which ends the process. It was also computed again for each step in each pass of placement. Change: one pass from the last step to the first, when the job is created; the first work item of each step is kept with it. Evidence (tests failed before): odd_jobs many_paths did not end within 20 s; long_chain, "has overflowed its stack, fatal runtime error: stack overflow, aborting".

--- a/crates/dispatch/src/jobs/job_spec.rs
+++ b/crates/dispatch/src/jobs/job_spec.rs
@@ -108,23 +108,25 @@
         Ok(())
     }
 
-    /// Returns the length of the critical path from the start of `step` to the end of the job, by the estimated
+    /// Returns the length of the critical path from the start of each step to the end of the job, by the estimated
     /// durations, in milliseconds.
-    pub fn critical_path_from(&self, step: usize) -> u64 {
-        let step_ms = u64::from(self.steps[step].estimate_ms);
-        let follows = |later: &usize| self.steps[*later].after.contains(&(step as u32));
-        let remaining_ms = (step + 1..self.steps.len())
-            .filter(follows)
-            .map(|later| self.critical_path_from(later))
-            .max();
-        step_ms + remaining_ms.unwrap_or(0)
+    pub fn critical_paths(&self) -> Vec<u64> {
+        let mut paths = vec![0; self.steps.len()];
+        // A step depends on earlier ones only, so that all paths that begin after it are known when it is reached. A
+        // recursion would visit a step once for each path to it, and these can double with every step.
+        for (number, step) in self.steps.iter().enumerate().rev() {
+            paths[number] += u64::from(step.estimate_ms);
+            let path = paths[number];
+            for earlier in &step.after {
+                let earlier = &mut paths[*earlier as usize];
+                *earlier = path.max(*earlier);
+            }
+        }
+        paths
     }
 
     /// Returns the length of the critical path of the job by the estimated durations, in milliseconds.
     pub fn critical_path(&self) -> u64 {
-        (0..self.steps.len())
-            .map(|step| self.critical_path_from(step))
-            .max()
-            .unwrap_or(0)
+        self.critical_paths().into_iter().max().unwrap_or(0)
     }
 }
--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -41,11 +41,39 @@
     pub started: bool,
     /// When the final phase was reached.
     pub ended: Option<LocalTime>,
+    /// Critical path of the job by the estimated durations, in milliseconds.
+    critical_path: u64,
     items_per_occurrence: u32,
+    /// For each step the index of its first work item in the first occurrence, and the critical path from its start.
+    steps: Vec<StepRow>,
+}
+
+/// What is derived once from the description of a job, because decisions need it for each of its steps.
+#[derive(Clone, Copy, Debug)]
+struct StepRow {
+    first_item: u32,
+    critical_path: u64,
+}
+
+fn step_rows(spec: &JobSpec) -> Vec<StepRow> {
+    let mut first_item = 0;
+    let row = |(step, critical_path): (&StepSpec, u64)| {
+        let row = StepRow {
+            first_item,
+            critical_path,
+        };
+        first_item += step.count;
+        row
+    };
+    spec.steps
+        .iter()
+        .zip(spec.critical_paths())
+        .map(row)
+        .collect()
 }
 
 impl JobState {
-    /// Creates a job that has not started.
+    /// Creates a job that has not started; [`JobSpec::check`] must have accepted its description.
     pub fn new(id: JobId, submission: JobSubmission, first_seen: LocalTime) -> Self {
         let JobSubmission {
             queue, job: spec, ..
@@ -62,6 +90,7 @@
             }
         }
         let items_per_occurrence = spec.steps.iter().map(|step| step.count).sum();
+        let steps = step_rows(&spec);
         Self {
             id,
             queue: Arc::new(queue),
@@ -75,7 +104,9 @@
             unconfirmed: false,
             started: false,
             ended: None,
+            critical_path: spec.critical_path(),
             items_per_occurrence,
+            steps,
             spec,
         }
     }
@@ -96,7 +127,9 @@
             unconfirmed: false,
             started: true,
             ended: Some(now),
+            critical_path: 0,
             items_per_occurrence: 0,
+            steps: Vec::new(),
         }
     }
 
@@ -168,10 +201,7 @@
 
     /// Returns the range of indexes in `items` of one step in one occurrence.
     pub fn step_range(&self, occurrence: u32, step: u32) -> std::ops::Range<u32> {
-        let before: u32 = self.spec.steps[..step as usize]
-            .iter()
-            .map(|step| step.count)
-            .sum();
+        let before = self.steps[step as usize].first_item;
         let first = occurrence * self.items_per_occurrence + before;
         first..first + self.spec.steps[step as usize].count
     }
@@ -209,7 +239,7 @@
             .filter_map(|item| item.run_time);
         let (count, sum) = times.fold((0_u64, 0_u64), |(count, sum), ms| (count + 1, sum + ms.0));
         let step_ms = sum.checked_div(count).unwrap_or(estimate);
-        self.spec.critical_path_from(step as usize) - estimate + step_ms
+        self.steps[step as usize].critical_path - estimate + step_ms
     }
 
     /// Returns the minimum number of runners that the job's long-running work items must be spread over.
@@ -224,8 +254,7 @@
 
     /// Returns the latency objective of the job: the time from its submission within which it should be completed.
     pub fn latency_objective(&self) -> Millis {
-        let critical_path = self.spec.critical_path() as f64;
-        let stretched_ms = self.queue.stretch * critical_path;
+        let stretched_ms = self.queue.stretch * self.critical_path as f64;
         Millis(stretched_ms as u64 + self.queue.target_latency.0)
     }
 
@@ -254,6 +283,8 @@
     pub fn shrink(&mut self) {
         self.items = Vec::new();
         self.spec = JobSpec::default();
+        self.steps = Vec::new();
+        self.critical_path = 0;
     }
 
     /// Returns whether the final phase is stored and no run of the job is left.
--- a/crates/dispatch/tests/odd_jobs.rs
+++ b/crates/dispatch/tests/odd_jobs.rs
@@ -52,3 +52,28 @@
     };
     assert_eq!(spec.check(), Err(SpecError::Size));
 }
+
+/// Guards against an effort that doubles with each step: here there are 2^59 paths.
+#[test]
+fn many_paths() {
+    let mut fleet = fleet();
+    fleet.submit(7, job((0..60).map(|number| after(0..number)).collect()));
+    fleet.store();
+    fleet.advance(10);
+    assert_eq!(fleet.starts().len(), 1);
+    assert_serves(&mut fleet);
+}
+
+/// Guards against a stack overflow in a chain of as many steps as a job can have.
+#[test]
+fn long_chain() {
+    let chain = |number: u32| after(number.checked_sub(1));
+    let spec = job((0..20_000).map(chain).collect());
+    assert_eq!(spec.check(), Ok(()));
+    assert_eq!(spec.critical_path(), 20_000 * ESTIMATE_MS);
+    let mut fleet = fleet();
+    fleet.submit(7, spec);
+    fleet.store();
+    fleet.advance(10);
+    assert_eq!(fleet.starts().len(), 1);
+}
