Never start an occurrence whose time is beyond the largest number

What callers saw: nothing yet. Cause: the time of an occurrence was a plain sum and product of the caller's numbers. In a release build a time near the largest number wraps, and the occurrence starts at once; a debug build panics on the control thread. Change: the sum and the product saturate; no clock reaches that time.

--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -215,12 +215,14 @@
         self.spec.steps[step as usize].after.iter().all(done)
     }
 
-    /// Returns when an occurrence may start, in Unix milliseconds; 0 for immediately.
+    /// Returns when an occurrence may start, in Unix milliseconds; 0 for immediately. A time beyond the largest number is
+    /// never reached.
     pub fn due_ms(&self, occurrence: u32) -> u64 {
         if self.spec.times == 0 {
             return 0;
         }
-        self.spec.start_at_ms + u64::from(occurrence) * self.spec.interval_ms
+        let delay_ms = u64::from(occurrence).saturating_mul(self.spec.interval_ms);
+        self.spec.start_at_ms.saturating_add(delay_ms)
     }
 
     /// Returns whether any work items of the job run until it is cancelled.
--- a/crates/dispatch/tests/odd_jobs.rs
+++ b/crates/dispatch/tests/odd_jobs.rs
@@ -77,3 +77,22 @@
     fleet.advance(10);
     assert_eq!(fleet.starts().len(), 1);
 }
+
+/// Guards against occurrences whose time wraps, so that they are due at once.
+#[test]
+fn late_occurrence() {
+    for (start_at_ms, interval_ms) in [(u64::MAX, u64::MAX), (u64::MAX - 5, 7), (1, u64::MAX)] {
+        let mut fleet = fleet();
+        let spec = JobSpec {
+            start_at_ms,
+            interval_ms,
+            times: 3,
+            ..job(vec![step(1, 1_000)])
+        };
+        fleet.submit(7, spec);
+        fleet.store();
+        fleet.advance(10);
+        assert!(fleet.starts().is_empty(), "{start_at_ms} {interval_ms}");
+        assert_serves(&mut fleet);
+    }
+}
