Keep latency objectives from overflowing

What callers saw: nothing yet. Cause: the stretch and the objective of a queue have no upper bound; their sum and the multiples of it for useful time and backlog were plain arithmetic. A release build treats a job with a very late objective as late or refuses it. Change: these operations saturate.

--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -257,7 +257,7 @@
     /// Returns the latency objective of the job: the time from its submission within which it should be completed.
     pub fn latency_objective(&self) -> Millis {
         let stretched_ms = self.queue.stretch * self.critical_path as f64;
-        Millis(stretched_ms as u64 + self.queue.target_latency.0)
+        Millis(stretched_ms as u64) + self.queue.target_latency
     }
 
     /// Returns the latest start of a work item with which its job can still meet its latency objective.
@@ -268,7 +268,8 @@
 
     /// Returns until when a late job is still useful to its caller.
     pub fn useful_until(&self) -> LocalTime {
-        self.first_seen + Millis(self.latency_objective().0 * USEFUL_LATENCY_FACTOR)
+        let latency = self.latency_objective().0;
+        self.first_seen + Millis(latency.saturating_mul(USEFUL_LATENCY_FACTOR))
     }
 
     /// Marks the job as completed when all work items are done; returns whether this changed its phase.
--- a/crates/dispatch/src/owner/admission.rs
+++ b/crates/dispatch/src/owner/admission.rs
@@ -88,7 +88,7 @@
             .iter()
             .find(|pool| pool.service == job.queue.service)?;
         let useful_time = job.useful_until().since(job.first_seen);
-        let limit = Millis(useful_time.0 * BACKLOG_FACTOR);
+        let limit = Millis(useful_time.0.saturating_mul(BACKLOG_FACTOR));
         let waiting_time = pool.waiting_time();
         (waiting_time > limit).then(|| Millis(waiting_time.0 - limit.0))
     }
--- a/crates/dispatch/tests/odd_jobs.rs
+++ b/crates/dispatch/tests/odd_jobs.rs
@@ -96,3 +96,22 @@
         assert_serves(&mut fleet);
     }
 }
+
+/// Guards against a latency objective that overflows.
+#[test]
+fn largest_objective() {
+    for stretch in [f64::INFINITY, f64::MAX, f64::NAN, -1.0] {
+        let mut fleet = fleet();
+        let queue = RouteRule {
+            stretch,
+            target_latency: Millis(u64::MAX),
+            ..route()
+        };
+        let submission = submission(queue, job(vec![step(1, 1_000)]));
+        fleet.call(7, JobCall::Submit(JobId(7), Box::new(submission)));
+        fleet.store();
+        fleet.advance(200);
+        assert_eq!(fleet.starts().len(), 1, "{stretch}");
+        assert_serves(&mut fleet);
+    }
+}
