Keep sums of demanded work from overflowing

What callers saw: nothing yet. One job with the largest numbers can end the owner. Cause: the work of a work item is a product of two 32-bit numbers from the caller, so that two work items overflow the sum over a job; the same holds for the sums over the jobs of a pool, and for the sums and products of needed hosts that follow from them. Release builds wrapped, and sized pools and refused jobs by the rest. Change: sums over jobs saturate, and the hosts that a pool can need have a bound. Evidence (tests failed before): odd_jobs largest_work and largest_demand, "attempt to add with overflow" in the sums of job_demand.rs and pool_planner.rs.

--- a/crates/dispatch/src/owner/admission.rs
+++ b/crates/dispatch/src/owner/admission.rs
@@ -65,7 +65,7 @@
                 .iter_mut()
                 .find(|pool| pool.service == job.queue.service);
             if let Some(pool) = pool {
-                pool.work += work_left(job);
+                pool.work = pool.work.saturating_add(work_left(job));
             }
         }
         for pool in &mut backlogs {
--- a/crates/dispatch/src/owner/host_moves.rs
+++ b/crates/dispatch/src/owner/host_moves.rs
@@ -104,8 +104,8 @@
             if let Some(pool) = pool {
                 pool.spread = pool.spread.max(job.long_running_spread());
                 let demand = job_demand(job, now);
-                pool.demand_cpu += demand.in_time;
-                pool.late_cpu += demand.late;
+                pool.demand_cpu = pool.demand_cpu.saturating_add(demand.in_time);
+                pool.late_cpu = pool.late_cpu.saturating_add(demand.late);
             }
         }
         for pool in &mut stats {
--- a/crates/dispatch/src/pools/arrival_rate.rs
+++ b/crates/dispatch/src/pools/arrival_rate.rs
@@ -42,7 +42,9 @@
         {
             arrivals.pop_front();
         }
-        let work: u64 = arrivals.iter().map(|(_, work)| work).sum();
+        let work = arrivals
+            .iter()
+            .fold(0_u64, |sum, (_, work)| sum.saturating_add(*work));
         work / WINDOW.0
     }
 }
--- a/crates/dispatch/src/pools/job_demand.rs
+++ b/crates/dispatch/src/pools/job_demand.rs
@@ -54,5 +54,7 @@
         let step = job.step_of(item);
         u64::from(step.counted_cpu()) * u64::from(step.estimate_ms)
     };
-    job.items.iter().filter(is_counted).map(work).sum()
+    let works = job.items.iter().filter(is_counted).map(work);
+    // The product of two 32-bit numbers leaves no space for a sum.
+    works.fold(0, u64::saturating_add)
 }
--- a/crates/dispatch/src/pools/pool_planner.rs
+++ b/crates/dispatch/src/pools/pool_planner.rs
@@ -5,6 +5,9 @@
 const PLANNED_USE_PERCENT: u64 = 70;
 /// Minimum number of hosts of a pool, for the first seconds of its next period of demand.
 const MIN_POOL_HOSTS: usize = 4;
+/// Most hosts that a pool can need. More than any fleet has, and little enough that sums over pools and products with
+/// the number of hosts cannot overflow, whatever processor time a job asks for.
+const MAX_POOL_HOSTS: u64 = 1_000_000;
 
 /// Number of hosts kept beyond those that long-running work must be spread over: a work item must be restarted on a
 /// host without another one of its step, also while hosts are away for maintenance.
@@ -39,7 +42,7 @@
 impl PoolStats {
     fn hosts_for(&self, cpu: u64) -> usize {
         let planned = u64::from(self.host_capacity.cpu.max(1)) * PLANNED_USE_PERCENT / 100;
-        cpu.div_ceil(planned.max(1)) as usize
+        cpu.div_ceil(planned.max(1)).min(MAX_POOL_HOSTS) as usize
     }
 
     /// Returns the number of hosts that the pool needs for work that can be in time.
@@ -69,7 +72,7 @@
         if self.spare {
             return 0;
         }
-        self.hosts_for(self.demand_cpu + self.late_cpu)
+        self.hosts_for(self.demand_cpu.saturating_add(self.late_cpu))
             .saturating_sub(self.needed())
     }
 }
--- a/crates/dispatch/tests/odd_jobs.rs
+++ b/crates/dispatch/tests/odd_jobs.rs
@@ -97,6 +97,30 @@
     }
 }
 
+/// Guards against sums of work that overflow.
+#[test]
+fn largest_work() {
+    let mut fleet = fleet();
+    let largest = StepSpec {
+        cpu: u32::MAX,
+        mem_mb: u32::MAX,
+        gpu: u32::MAX,
+        estimate_ms: u32::MAX,
+        ..step(3, 1)
+    };
+    for id in [7, 8] {
+        let call = JobCall::Submit(
+            JobId(id),
+            Box::new(submission(route(), job(vec![largest.clone()]))),
+        );
+        fleet.call(id, call);
+        fleet.store();
+        assert_eq!(fleet.reply(id), Some(CallResponse::Accepted));
+        fleet.advance(10);
+    }
+    assert!(fleet.starts().is_empty());
+}
+
 /// Guards against a latency objective that overflows.
 #[test]
 fn largest_objective() {
@@ -115,3 +139,17 @@
         assert_serves(&mut fleet);
     }
 }
+
+/// Guards against pool sizes that overflow with the demand.
+#[test]
+fn largest_demand() {
+    let pool = |name: &str| PoolStats {
+        name: name.to_owned(),
+        hosts: 5,
+        demand_cpu: u64::MAX,
+        late_cpu: u64::MAX,
+        ..PoolStats::default()
+    };
+    let plan = plan_pools(&[pool("a"), pool("b")]);
+    assert_eq!(plan.targets, [5, 5]);
+}
