Check the description of a job wherever the owner takes it in

What callers saw: nothing yet. Cause: only the entry host that a caller reaches checked the description. A call from another entry host and a stored submission were used as they were; a dependency on a step that does not exist, or a huge number of work items, ended the owner, and for a stored one each owner that followed. Change: the owner refuses an unchecked submission as not executed, and skips a stored one with a line in the log. Evidence (test failed before): odd_jobs unchecked_description, accepted instead of refused.

--- a/crates/dispatch/src/owner/job_calls.rs
+++ b/crates/dispatch/src/owner/job_calls.rs
@@ -69,6 +69,12 @@
             self.resubmit(call_id, key);
             return;
         }
+        // The calling entry host has checked it, but an unchecked one would stop the owner.
+        if let Err(error) = submission.job.check() {
+            self.log_event("job refused", id.to_string(), format!("why={error}"));
+            self.reply(call_id, CallResponse::Unavailable);
+            return;
+        }
         let job = JobState::new(id, submission.clone(), now);
         if let Some(retry_after) = self.retry_after(&job) {
             let detail = format!("queue={} come_back_ms={}", job.queue.name, retry_after.0);
--- a/crates/dispatch/src/owner/restore.rs
+++ b/crates/dispatch/src/owner/restore.rs
@@ -35,6 +35,13 @@
                 StoreRecord::Ended(..) | StoreRecord::Forgotten(_) | StoreRecord::Text(..) => {}
             }
         }
+        submissions.retain(|(id, submission)| {
+            let checked = submission.job.check();
+            if let Err(error) = &checked {
+                self.log_event("stored job skipped", id.to_string(), error.to_string());
+            }
+            checked.is_ok()
+        });
         let restored = submissions.len();
         for (id, submission) in submissions {
             let age = match submission.accepted_ms {
--- a/crates/dispatch/tests/odd_jobs.rs
+++ b/crates/dispatch/tests/odd_jobs.rs
@@ -153,3 +153,29 @@
     let plan = plan_pools(&[pool("a"), pool("b")]);
     assert_eq!(plan.targets, [5, 5]);
 }
+
+/// Guards against a description from another process that the owner did not check: a dependency on a step that does not
+/// exist would stop it.
+#[test]
+fn unchecked_description() {
+    let odd = || submission(route(), job(vec![after([9])]));
+    let mut fleet = fleet();
+    let response = fleet.call(7, JobCall::Submit(JobId(7), Box::new(odd())));
+    assert_eq!(response, Some(CallResponse::Unavailable));
+    assert_serves(&mut fleet);
+
+    let mut restored = TestFleet::new(1, &["r1"]);
+    let records = vec![
+        StoreRecord::Submission(JobId(7), odd()),
+        StoreRecord::Submission(JobId(8), submission(route(), job(vec![step(1, 1_000)]))),
+    ];
+    restored.owner = OwnerState::new(1, rules(), restored.now);
+    restored.owner.restore(records, restored.now, 0);
+    restored.list_runners();
+    restored.list_hosts(vec![host("h1", fleet::POOL, Some("r1"))]);
+    restored.answer_first_holds();
+    restored.advance(200);
+    let starts = restored.starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].name.job, JobId(8));
+}
