Ignore readings of a runner's clock that no uptime reaches

What callers saw: nothing yet. Cause: the end of a lease is a sum with the runner's own reading. Near the largest number it overflows; below that, the leases that it grants never count as lapsed, so that the work of a lost runner would not start again. Change: a reading above 100 years is ignored, and the last one before it is used. Evidence (test failed before): odd_responses clock_at_limit, "attempt to add with overflow" at lease_clock.rs:39.

--- a/crates/dispatch/src/runners/lease_clock.rs
+++ b/crates/dispatch/src/runners/lease_clock.rs
@@ -9,6 +9,10 @@
 /// it by up to one in 49.
 const CLOCK_DRIFT_DIVISOR: u64 = 49;
 
+/// Largest reading of a runner's clock that is believed, in milliseconds: 100 years of uptime. A larger one would make
+/// leases overflow, or last for ever.
+pub const MAX_CLOCK_MS: u64 = 100 * 365 * 24 * 3_600_000;
+
 /// Returns how long after a command the lease that it granted has certainly lapsed.
 pub fn max_lapse_delay() -> Millis {
     add_safety_margin(RUNNER_LEASE.0)
@@ -27,9 +31,11 @@
 }
 
 impl LeaseClock {
-    /// Records a reading of the runner's clock that arrived at `now`.
+    /// Records a reading of the runner's clock that arrived at `now`; one above [`MAX_CLOCK_MS`] is ignored.
     pub fn record_reading(&mut self, clock_ms: u64, now: LocalTime) {
-        self.reading = Some((clock_ms, now));
+        if clock_ms <= MAX_CLOCK_MS {
+            self.reading = Some((clock_ms, now));
+        }
     }
 
     /// Returns the end of the lease for a command that is sent now, in milliseconds on the runner's clock, and records
