Keep run numbers from wrapping to 0

What callers saw: nothing yet. Cause: the number of the next run is one above the highest that a runner has listed. A listed number of 2^32 - 1 made it wrap to 0, which runners refuse as old for ever; a debug build panics on the control thread. Change: it saturates. Evidence (test failed before): odd_responses run_at_limit, "attempt to add with overflow" at placement.rs:264.

--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -143,7 +143,12 @@
         if let Some(placement) = self.find_gang_placement(members, &pool, now) {
             let last_run =
                 |key: &ItemKey| self.jobs.item(*key).map_or(0, |(_, item)| item.last_run);
-            let run = members.iter().map(last_run).max().unwrap_or(0) + 1;
+            let run = members
+                .iter()
+                .map(last_run)
+                .max()
+                .unwrap_or(0)
+                .saturating_add(1);
             for (member, runner) in placement {
                 self.issue_run(member, runner, run, now);
             }
@@ -261,7 +266,7 @@
 
     fn issue_start(&mut self, key: ItemKey, runner: RunnerKey, now: LocalTime) {
         let last_run = self.jobs.item(key).map_or(0, |(_, item)| item.last_run);
-        self.issue_run(key, runner, last_run + 1, now);
+        self.issue_run(key, runner, last_run.saturating_add(1), now);
     }
 
     fn issue_run(&mut self, key: ItemKey, runner: RunnerKey, run: u32, now: LocalTime) {
--- a/crates/dispatch/src/owner/start_responses.rs
+++ b/crates/dispatch/src/owner/start_responses.rs
@@ -70,7 +70,7 @@
                 if response == StartResponse::OldRun
                     && let Some(item) = self.jobs.item_mut(item)
                 {
-                    item.last_run += RUN_NUMBER_STEP;
+                    item.last_run = item.last_run.saturating_add(RUN_NUMBER_STEP);
                 }
                 if response == StartResponse::NoTicket {
                     if let Some(step) = self.step_key(item) {
--- a/crates/dispatch/tests/odd_responses.rs
+++ b/crates/dispatch/tests/odd_responses.rs
@@ -49,3 +49,35 @@
         assert_eq!(fleet.starts().len(), 2, "{clock}");
     }
 }
+
+/// Guards against run numbers that wrap after a runner has listed the largest one.
+#[test]
+fn run_at_limit() {
+    let (mut fleet, starts) = TestFleet::with_work(&["r1", "r2"], vec![step(1, 1_000)]);
+    let mut end = ended_run(1, &starts[0], EndKind::Stopped);
+    end.run = u32::MAX;
+    let mut first = ended_run(2, &starts[0], EndKind::Stopped);
+    first.run = starts[0].run;
+    let clock = fleet.clock();
+    fleet.advance(200);
+    fleet.answer_holds(|_| {
+        Some(HoldResponse {
+            clock_ms: clock,
+            ended: vec![end.clone(), first.clone()],
+            ..HoldResponse::default()
+        })
+    });
+    fleet.store();
+    fleet.advance(600);
+    let next = fleet.starts();
+    assert_eq!(next.len(), 1);
+    assert!(next[0].run > starts[0].run, "run {}", next[0].run);
+    assert!(
+        fleet
+            .owner
+            .start_answered(&next[0], StartResponse::OldRun, fleet.now)
+    );
+    fleet.advance(600);
+    let later = fleet.starts();
+    assert!(later.iter().all(|start| start.run > starts[0].run));
+}
