Leave work that no host can run out of backlogs and pool sizes

What callers saw: nothing yet. After one job that asks for more than any host has, all other jobs of its queue were refused as too late, and its pool got the hosts of others. Cause: the work of such a job counted in the backlog of its pool and in the demand that sizes pools, although it can never delay other work. Change: work items that no known host covers are not counted; without a known host all are. The report of a runner counts once the runner has answered.

--- a/crates/dispatch/src/jobs/job_spec.rs
+++ b/crates/dispatch/src/jobs/job_spec.rs
@@ -1,4 +1,7 @@
-use serde::{Deserialize, Serialize};
+use {
+    crate::runners::Capacity,
+    serde::{Deserialize, Serialize},
+};
 
 /// Maximum number of work items of a job over all occurrences; bounds the memory that one call can use.
 const MAX_ITEMS: u64 = 20_000;
@@ -77,6 +80,15 @@
     pub fn counted_cpu(&self) -> u32 {
         if self.fills { 0 } else { self.cpu }
     }
+
+    /// Returns the capacity that a run of a work item uses.
+    pub fn demand(&self) -> Capacity {
+        Capacity {
+            cpu: self.counted_cpu(),
+            mem_mb: self.mem_mb,
+            gpu: self.gpu,
+        }
+    }
 }
 
 impl JobSpec {
--- a/crates/dispatch/src/owner/admission.rs
+++ b/crates/dispatch/src/owner/admission.rs
@@ -1,6 +1,10 @@
 use {
     super::OwnerState,
-    crate::{jobs::JobState, pools::work_left, runners::RunnerStatus},
+    crate::{
+        jobs::JobState,
+        pools::work_left,
+        runners::{Capacity, RunnerStatus},
+    },
     goldcreststall_core::ids::{LocalTime, Millis},
 };
 
@@ -30,6 +34,27 @@
 }
 
 impl OwnerState {
+    /// Returns the largest capacity of any known host, part by part; without a limit while none is known. The report
+    /// of a runner counts once it has answered.
+    pub(super) fn largest_capacity(&self) -> Capacity {
+        let hosts = self.hosts.hosts.iter().map(|state| state.report.capacity);
+        let runners = self.runners.all().filter(|(_, state)| state.fenced);
+        let runners = runners.map(|(_, state)| state.report.capacity);
+        let largest = hosts
+            .chain(runners)
+            .fold(Capacity::default(), |largest, capacity| {
+                largest.max(&capacity)
+            });
+        if largest == Capacity::default() {
+            return Capacity {
+                cpu: u32::MAX,
+                mem_mb: u32::MAX,
+                gpu: u32::MAX,
+            };
+        }
+        largest
+    }
+
     /// Sums the work that waits for each pool.
     pub(super) fn measure_backlogs(&mut self, now: LocalTime) {
         let mut backlogs: Vec<PoolBacklog> = self
@@ -53,6 +78,7 @@
                 fleet_capacity += u64::from(state.report.capacity.cpu);
             }
         }
+        let largest = self.largest_capacity();
         for key in self.jobs.unfinished() {
             let Some(job) = self.jobs.get(*key) else {
                 continue;
@@ -65,7 +91,7 @@
                 .iter_mut()
                 .find(|pool| pool.service == job.queue.service);
             if let Some(pool) = pool {
-                pool.work = pool.work.saturating_add(work_left(job));
+                pool.work = pool.work.saturating_add(work_left(job, largest));
             }
         }
         for pool in &mut backlogs {
--- a/crates/dispatch/src/owner/host_moves.rs
+++ b/crates/dispatch/src/owner/host_moves.rs
@@ -96,6 +96,7 @@
                 HostOccupancy::Kept => {}
             }
         }
+        let largest = self.largest_capacity();
         for key in self.jobs.unfinished() {
             let Some(job) = self.jobs.get(*key) else {
                 continue;
@@ -103,7 +104,7 @@
             let pool = stats.iter_mut().find(|pool| pool.name == job.queue.service);
             if let Some(pool) = pool {
                 pool.spread = pool.spread.max(job.long_running_spread());
-                let demand = job_demand(job, now);
+                let demand = job_demand(job, largest, now);
                 pool.demand_cpu = pool.demand_cpu.saturating_add(demand.in_time);
                 pool.late_cpu = pool.late_cpu.saturating_add(demand.late);
             }
--- a/crates/dispatch/src/owner/job_calls.rs
+++ b/crates/dispatch/src/owner/job_calls.rs
@@ -92,7 +92,8 @@
         );
         self.log_event("job submitted", id.to_string(), detail);
         if job.spec.times == 0 {
-            let (service, work) = (job.queue.service.clone(), work_left(&job));
+            let work = work_left(&job, self.largest_capacity());
+            let service = job.queue.service.clone();
             self.arrivals.record_arrival(&service, work, now);
         }
         let key = self.jobs.insert(job);
--- a/crates/dispatch/src/owner/run_table.rs
+++ b/crates/dispatch/src/owner/run_table.rs
@@ -16,12 +16,7 @@
         let Some((job, item)) = self.jobs.item(key) else {
             return Capacity::default();
         };
-        let step = job.step_of(item);
-        Capacity {
-            cpu: step.counted_cpu(),
-            mem_mb: step.mem_mb,
-            gpu: step.gpu,
-        }
+        job.step_of(item).demand()
     }
 
     /// Records a run on a runner and the capacity that it uses.
--- a/crates/dispatch/src/pools/job_demand.rs
+++ b/crates/dispatch/src/pools/job_demand.rs
@@ -1,5 +1,8 @@
 use {
-    crate::jobs::{JobState, WorkItem},
+    crate::{
+        jobs::{JobState, WorkItem},
+        runners::Capacity,
+    },
     goldcreststall_core::ids::LocalTime,
 };
 
@@ -15,22 +18,24 @@
     pub late: u64,
 }
 
-/// Returns the demand of a job's ready and running work items.
-pub fn job_demand(job: &JobState, now: LocalTime) -> JobDemand {
+/// Returns the demand of a job's ready and running work items. Those that need more than `largest`, the capacity of the
+/// largest host, can run nowhere and are not counted.
+pub fn job_demand(job: &JobState, largest: Capacity, now: LocalTime) -> JobDemand {
     if !job.accepted || job.phase.is_final() {
         return JobDemand::default();
     }
     let mut demand = JobDemand::default();
     let mut step: Option<(u32, u32)> = None;
-    let (mut is_ready, mut in_time) = (false, false);
+    let (mut is_ready, mut in_time, mut can_run) = (false, false, false);
     for item in job.items.iter().filter(|item| !item.done) {
         // The work items of a step are adjacent.
         if step != Some((item.occurrence, item.step)) {
             step = Some((item.occurrence, item.step));
             is_ready = job.is_step_ready(item.occurrence, item.step);
             in_time = job.step_of(item).long_running || job.latest_start(item) >= now;
+            can_run = largest.covers(&job.step_of(item).demand());
         }
-        if item.runs.is_empty() && !is_ready {
+        if item.runs.is_empty() && !(is_ready && can_run) {
             continue;
         }
         let cpu = u64::from(job.step_of(item).counted_cpu());
@@ -47,9 +52,13 @@
 }
 
 /// Returns the work that a job has left, in thousandths of a core times milliseconds. Long-running work does not
-/// count.
-pub fn work_left(job: &JobState) -> u64 {
-    let is_counted = |item: &&WorkItem| !item.done && !job.step_of(item).long_running;
+/// count, nor do work items that need more than `largest`, the capacity of the largest host: they can run nowhere and
+/// delay no other work.
+pub fn work_left(job: &JobState, largest: Capacity) -> u64 {
+    let is_counted = |item: &&WorkItem| {
+        let step = job.step_of(item);
+        !item.done && !step.long_running && largest.covers(&step.demand())
+    };
     let work = |item: &WorkItem| {
         let step = job.step_of(item);
         u64::from(step.counted_cpu()) * u64::from(step.estimate_ms)
--- a/crates/dispatch/src/runners/runner_report.rs
+++ b/crates/dispatch/src/runners/runner_report.rs
@@ -30,6 +30,15 @@
         }
     }
 
+    /// Returns the larger one of each part.
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            mem_mb: self.mem_mb.max(other.mem_mb),
+            gpu: self.gpu.max(other.gpu),
+        }
+    }
+
     /// Returns the difference of each part, but at least 0.
     pub fn minus(&self, other: &Self) -> Self {
         Self {
--- a/crates/dispatch/tests/odd_jobs.rs
+++ b/crates/dispatch/tests/odd_jobs.rs
@@ -179,3 +179,23 @@
     assert_eq!(starts.len(), 1);
     assert_eq!(starts[0].name.job, JobId(8));
 }
+
+/// Guards against a job that no host can run, and whose work counts all the same: all other jobs of the queue would be
+/// refused, and their pool would get the hosts of the others.
+#[test]
+fn unplaceable_work() {
+    let mut fleet = fleet();
+    let hosts = ["h1", "h2", "h3", "h4", "h5", "h6"];
+    fleet.list_hosts(
+        hosts
+            .iter()
+            .map(|name| host(name, "bindery", None))
+            .collect(),
+    );
+    fleet.submit(7, job(vec![step(2, u32::MAX)]));
+    fleet.store();
+    fleet.advance(200);
+    assert_serves(&mut fleet);
+    let moves = |command: &OwnerCommand| matches!(command, OwnerCommand::MoveHost { .. });
+    assert!(!fleet.commands.iter().any(moves));
+}
