Keep the used capacity of a runner from overflowing

What callers saw: nothing yet. Cause: a runner may list runs that it has no room for, also of work items that no runner can hold; their sum overflowed. Change: the sum of two capacities saturates. Evidence (test failed before): odd_responses capacity_at_limit, "attempt to add with overflow" at runner_report.rs:27.

--- a/crates/dispatch/src/runners/runner_report.rs
+++ b/crates/dispatch/src/runners/runner_report.rs
@@ -21,12 +21,12 @@
         self.cpu >= other.cpu && self.mem_mb >= other.mem_mb && self.gpu >= other.gpu
     }
 
-    /// Returns the sum of each part.
+    /// Returns the sum of each part, but at most the largest number: a runner can list more runs than it has room for.
     pub fn plus(&self, other: &Self) -> Self {
         Self {
-            cpu: self.cpu + other.cpu,
-            mem_mb: self.mem_mb + other.mem_mb,
-            gpu: self.gpu + other.gpu,
+            cpu: self.cpu.saturating_add(other.cpu),
+            mem_mb: self.mem_mb.saturating_add(other.mem_mb),
+            gpu: self.gpu.saturating_add(other.gpu),
         }
     }
 
--- a/crates/dispatch/tests/odd_responses.rs
+++ b/crates/dispatch/tests/odd_responses.rs
@@ -81,3 +81,40 @@
     let later = fleet.starts();
     assert!(later.iter().all(|start| start.run > starts[0].run));
 }
+
+/// Guards against a use of capacity that overflows when a runner lists runs that it cannot have room for.
+#[test]
+fn capacity_at_limit() {
+    let mut fleet = TestFleet::new(1, &["r1"]);
+    fleet.answer_first_holds();
+    assert!(fleet.submit_work(7, vec![step(2, u32::MAX)]).is_empty());
+    let listed = |name: &str| goldcreststall_dispatch::runners::ListedRun {
+        name: name.try_into().expect("a name"),
+        run: 1,
+        checkpoint: String::new(),
+        percent: u32::MAX,
+        load: u32::MAX,
+    };
+    let clock = fleet.clock();
+    let response = |running| HoldResponse {
+        clock_ms: clock,
+        running,
+        ..HoldResponse::default()
+    };
+    let key = goldcreststall_dispatch::runners::RunnerKey(0);
+    let lists = vec![
+        listed("0000000000000007.0.0.0"),
+        listed("0000000000000007.0.0.1"),
+    ];
+    let sent = fleet.now;
+    fleet
+        .owner
+        .hold_answered(key, sent, 0, response(lists), fleet.now);
+    fleet.advance(200);
+    let sent = fleet.now;
+    fleet
+        .owner
+        .hold_answered(key, sent, 0, response(Vec::new()), fleet.now);
+    fleet.advance(200);
+    assert_eq!(fleet.submit_work(8, vec![step(1, 1_000)]).len(), 1);
+}
