Refuse a job whose record the store does not take

What callers saw: nothing yet. One job can end all submissions. Cause: the text and the steps of a job had no bound but that of the body, 256 KiB. As stored, steps take more bytes than in the body, and a record above the store's limit is refused for ever: its batch is repeated, and no other job is stored. Long texts also exceed the longest frame between entry hosts, which ends a delegate's link. Change: a job with more than 16,000 bytes of text or 200,000 bytes of stored steps is answered with 400. Jobs that are stored already are not checked for it.

--- a/crates/dispatch/src/jobs/job_spec.rs
+++ b/crates/dispatch/src/jobs/job_spec.rs
@@ -1,10 +1,17 @@
 use {
     crate::runners::Capacity,
+    postcard::ser_flavors::Size,
     serde::{Deserialize, Serialize},
 };
 
 /// Maximum number of work items of a job over all occurrences; bounds the memory that one call can use.
 const MAX_ITEMS: u64 = 20_000;
+/// Longest text for runners, in bytes: 4,000 characters of any kind. The commands of one frame between entry hosts, each
+/// with a text, stay below the longest frame.
+const MAX_TEXT_BYTES: usize = 16_000;
+/// Most bytes of the steps of a job as they are stored. The store takes records of up to 256 KiB; one that it refuses
+/// would be repeated for ever, and no other job would be stored.
+const MAX_STORED_BYTES: usize = 200_000;
 
 /// Reason why a job cannot be run.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -15,6 +22,9 @@
     /// There are no steps, a step has no work items, or there are too many work items.
     #[error("a job needs steps with work items, at most 20,000 in all")]
     Size,
+    /// The text or the steps are too long to be stored.
+    #[error("a job has at most 16,000 bytes of text and 200,000 bytes of steps as they are stored")]
+    StoredSize,
     /// The job uses a feature that is not implemented yet.
     #[error("{0} is not supported yet")]
     Unsupported(&'static str),
@@ -120,6 +130,19 @@
         Ok(())
     }
 
+    /// Checks that the job is small enough to be stored.
+    ///
+    /// # Errors
+    /// When the text or the steps are too long.
+    pub fn check_stored_size(&self) -> Result<(), SpecError> {
+        let stored = postcard::serialize_with_flavor(&self.steps, Size::default());
+        let fits = stored.is_ok_and(|bytes| bytes <= MAX_STORED_BYTES);
+        if self.spec.len() > MAX_TEXT_BYTES || !fits {
+            return Err(SpecError::StoredSize);
+        }
+        Ok(())
+    }
+
     /// Returns the length of the critical path from the start of each step to the end of the job, by the estimated
     /// durations, in milliseconds.
     pub fn critical_paths(&self) -> Vec<u64> {
--- a/crates/node/src/api/job_api.rs
+++ b/crates/node/src/api/job_api.rs
@@ -149,7 +149,7 @@
         job: JobSpec,
         timeout: Millis,
     ) -> ApiResponse {
-        let spec_check = job.check();
+        let spec_check = job.check().and_then(|()| job.check_stored_size());
         let advice_check = if route.advice.is_some() && !self.has_advice {
             Err(SpecError::Unsupported(
                 "a queue with advice, without an advice service,",
