End the process when a task that it needs has panicked

What callers saw: nothing yet. An entry host whose control actor or election has stopped would go on answering them with 503, follow no configuration and never claim. Cause: kameo stops an actor whose handler panics, and tokio contains a panic in its task. Nothing waited for the control thread or for the tasks of the feeds, the election, the links and the delegate, so that the process lived on without them. Change: these tasks and the control thread are watched; after a panic the process logs the reason and ends with an error, and its successor takes over. A panic in the task of one call or connection stays there, and the end of a task at a stop is no fault. Evidence (tests failed before): task_panic control_actor, election, operator_feed, runner_feed: the process had not ended after 30 s.

--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -1,4 +1,5 @@
 use {
+    super::essential_tasks::EssentialTasks,
     crate::{
         api::{JobApi, OwnerClient},
         control::{ActorArgs, ControlEvent, OwnerActor},
@@ -11,13 +12,13 @@
             AdviceService, HostService, OperatorRecord, PlatformStore, RecordFeed, RunnerService,
         },
     },
-    anyhow::Context,
+    anyhow::{Context, bail},
     async_trait::async_trait,
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::runners::RunnerReport,
     goldcreststall_entry::clock::wall_time,
     kameo::actor::{ActorRef, Spawn},
-    slog::{Logger, info},
+    slog::{Logger, error, info},
     std::{net::SocketAddr, sync::Arc, thread, time::Duration},
     tokio::{
         net::TcpListener,
@@ -121,7 +122,8 @@
 /// Runs an entry host until SIGTERM or SIGINT stops it.
 ///
 /// # Errors
-/// When an address cannot be bound or a thread cannot be started.
+/// When an address cannot be bound, a thread cannot be started, or a task that the process needs has panicked: a new
+/// process does what this one no longer can.
 pub fn run(settings: &NodeSettings, ports: PlatformPorts, logger: &Logger) -> anyhow::Result<()> {
     info!(logger, "node: start"; "settings" => ?settings);
     // Bound before the election starts: the process that listens on this address is the only one of its host, so the
@@ -174,7 +176,7 @@
     let feed_logger = logger.clone();
     let runner_feed = (Arc::clone(&ports.runner_reports), owner_updates.clone());
     let host_feed = (Arc::clone(&ports.hosts), owner_updates.clone());
-    let actor = start_control(move || {
+    let (actor, control_ended) = start_control(move |tasks| {
         let actor = OwnerActor::spawn(args);
         let operator_feed = OperatorFeed {
             feed: operators,
@@ -182,7 +184,7 @@
             rules,
             logger: feed_logger.clone(),
         };
-        tokio::spawn(operator_feed.run());
+        tasks.spawn(operator_feed.run());
         let (feed, owner) = runner_feed;
         let runner_feed = RunnerFeed {
             feed,
@@ -190,11 +192,12 @@
             owner,
             logger: feed_logger.clone(),
         };
-        tokio::spawn(runner_feed.run());
+        tasks.spawn(runner_feed.run());
         let (service, owner) = host_feed;
-        tokio::spawn(follow_hosts(service, actor.clone(), owner, feed_logger));
-        tokio::spawn(forward_elections(actor.clone(), election_events));
-        tokio::spawn(run_election(actor.clone(), election));
+        tasks.spawn(follow_hosts(service, actor.clone(), owner, feed_logger));
+        tasks.spawn(forward_elections(actor.clone(), election_events));
+        tasks.spawn(send_ticks(actor.clone(), election.owner.subscribe()));
+        tasks.spawn(election.run());
         actor
     })?;
     let runtime = Builder::new_current_thread()
@@ -219,37 +222,47 @@
     runtime.block_on(serve(
         settings,
         ports.ingress,
-        (server, listener),
-        delegate_task,
+        (server, listener, delegate_task),
         api,
         stop_claims,
+        control_ended,
         logger,
     ))
 }
 
-/// Starts the thread of the control actor and returns the actor.
+/// Starts the thread of the control actor. Returns the actor, and the receiver of the reason for which the thread has
+/// ended.
 fn start_control(
-    spawn: impl FnOnce() -> ActorRef<OwnerActor> + Send + 'static,
-) -> anyhow::Result<ActorRef<OwnerActor>> {
+    spawn: impl FnOnce(&mut EssentialTasks) -> ActorRef<OwnerActor> + Send + 'static,
+) -> anyhow::Result<(ActorRef<OwnerActor>, oneshot::Receiver<String>)> {
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
         .context("the control runtime was not built")?;
     let (actor_sender, actor_receiver) = oneshot::channel();
+    let (reason_sender, reason_receiver) = oneshot::channel();
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || {
-            runtime.block_on(async move {
-                let actor = spawn();
+            let reason = runtime.block_on(async move {
+                let mut tasks = EssentialTasks::default();
+                let actor = spawn(&mut tasks);
                 // Fails only when the process is ending and the receiver is gone.
                 let _ = actor_sender.send(actor.clone());
-                actor.wait_for_shutdown().await;
+                tokio::select! {
+                    // The actor stops itself only after a panic.
+                    () = actor.wait_for_shutdown() => "the control actor has stopped".to_owned(),
+                    panic = tasks.panicked() => panic,
+                }
             });
+            // Fails only when the process is ending and the receiver is gone.
+            let _ = reason_sender.send(reason);
         })
         .context("the control thread was not started")?;
-    actor_receiver
+    let actor = actor_receiver
         .blocking_recv()
-        .context("the control thread has ended")
+        .context("the control thread has ended")?;
+    Ok((actor, reason_receiver))
 }
 
 async fn forward_elections(
@@ -266,10 +279,11 @@
     }
 }
 
-/// Runs the election, and sends ticks to the actor while this process is the owner.
-async fn run_election(actor: ActorRef<OwnerActor>, election: ElectionTask) {
-    let mut owner = election.owner.subscribe();
-    tokio::spawn(election.run());
+/// Sends ticks to the actor while this process is the owner.
+async fn send_ticks(
+    actor: ActorRef<OwnerActor>,
+    mut owner: watch::Receiver<Option<OwnerLocation>>,
+) {
     while owner.wait_for(OwnerLocation::is_own).await.is_ok() {
         tokio::time::sleep(Duration::from_millis(TICK_INTERVAL.0)).await;
         // Fails only when the process is ending and the actor has stopped.
@@ -280,17 +294,18 @@
 async fn serve(
     settings: &NodeSettings,
     ingress: Arc<dyn NodeIngress>,
-    (server, listener): (LinkServer, std::net::TcpListener),
-    delegate_task: DelegateTask,
+    (server, listener, delegate_task): (LinkServer, std::net::TcpListener, DelegateTask),
     api: Arc<JobApi>,
     stop_claims: CancellationToken,
+    control_ended: oneshot::Receiver<String>,
     logger: &Logger,
 ) -> anyhow::Result<()> {
     let listener = TcpListener::from_std(listener)?;
-    tokio::spawn(server.serve(listener));
-    tokio::spawn(delegate_task.run());
+    let mut tasks = EssentialTasks::default();
+    tasks.spawn(server.serve(listener));
+    tasks.spawn(delegate_task.run());
     let probing_api = Arc::clone(&api);
-    tokio::spawn(async move { probing_api.probe_owner_loop().await });
+    tasks.spawn(async move { probing_api.probe_owner_loop().await });
     let stop = CancellationToken::new();
     let ingress_task = tokio::spawn({
         let (api, stop) = (Arc::clone(&api), stop.clone());
@@ -299,6 +314,11 @@
     tokio::pin!(ingress_task);
     tokio::select! {
         ended = &mut ingress_task => return ended.context("the server for callers has ended")?,
+        reason = control_ended => {
+            let reason = reason.unwrap_or_else(|_| "the control thread has ended".to_owned());
+            return end_process(&reason, logger);
+        }
+        reason = tasks.panicked() => return end_process(&reason, logger),
         signal = wait_for_signal(logger) => signal?,
     }
     info!(logger, "node: received a stop signal"; "grace_ms" => settings.grace.0);
@@ -317,6 +337,11 @@
     Ok(())
 }
 
+fn end_process(reason: &str, logger: &Logger) -> anyhow::Result<()> {
+    error!(logger, "node: ending the process after a panic"; "why" => reason);
+    bail!("a task that the process needs has panicked: {reason}")
+}
+
 /// Waits for SIGTERM or SIGINT. SIGHUP is only logged: the settings hold addresses, which need a new process.
 async fn wait_for_signal(logger: &Logger) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("SIGTERM cannot be handled")?;
