Claim after the longest lease, whatever a record of the owner says

What callers saw: nothing yet. One odd record would end the system until the topic gets another. Cause: an entry host waits until the lease that the last record names has ended. A record with the largest number as its lease kept every entry host from claiming. Change: no lease counts for longer than the longest that an owner takes. Evidence (test failed before): odd_claims longest_lease, no claim within 20 s. Safe before: records that cannot be decoded (odd_records).

--- a/crates/node/src/election/election_task.rs
+++ b/crates/node/src/election/election_task.rs
@@ -234,7 +234,8 @@
         let is_predecessor =
             record.address == self.address && record.claimant != self.claimant && is_large_enough;
         watch.released = record.released || is_predecessor;
-        watch.lease = Millis(record.lease_ms);
+        // No owner takes a longer lease, and a record that names one would keep everyone from claiming.
+        watch.lease = Millis(record.lease_ms).min(MAX_LEASE);
         self.peers.add(record.address);
         let location = (!watch.released).then_some(OwnerLocation {
             address: record.address,
