--- a/crates/dispatch/src/jobs/job_spec.rs
+++ b/crates/dispatch/src/jobs/job_spec.rs
@@ -1,7 +1,17 @@
-use serde::{Deserialize, Serialize};
+use {
+    crate::runners::Capacity,
+    postcard::ser_flavors::Size,
+    serde::{Deserialize, Serialize},
+};
 
 /// Maximum number of work items of a job over all occurrences; bounds the memory that one call can use.
 const MAX_ITEMS: u64 = 20_000;
+/// Longest text for runners, in bytes: 4,000 characters of any kind. The commands of one frame between entry hosts, each
+/// with a text, stay below the longest frame.
+const MAX_TEXT_BYTES: usize = 16_000;
+/// Most bytes of the steps of a job as they are stored. The store takes records of up to 256 KiB; one that it refuses
+/// would be repeated for ever, and no other job would be stored.
+const MAX_STORED_BYTES: usize = 200_000;
 
 /// Reason why a job cannot be run.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -12,6 +22,9 @@
     /// There are no steps, a step has no work items, or there are too many work items.
     #[error("a job needs steps with work items, at most 20,000 in all")]
     Size,
+    /// The text or the steps are too long to be stored.
+    #[error("a job has at most 16,000 bytes of text and 200,000 bytes of steps as they are stored")]
+    StoredSize,
     /// The job uses a feature that is not implemented yet.
     #[error("{0} is not supported yet")]
     Unsupported(&'static str),
@@ -77,6 +90,15 @@
     pub fn counted_cpu(&self) -> u32 {
         if self.fills { 0 } else { self.cpu }
     }
+
+    /// Returns the capacity that a run of a work item uses.
+    pub fn demand(&self) -> Capacity {
+        Capacity {
+            cpu: self.counted_cpu(),
+            mem_mb: self.mem_mb,
+            gpu: self.gpu,
+        }
+    }
 }
 
 impl JobSpec {
@@ -91,7 +113,7 @@
     /// When sizes or dependencies are invalid, or the job uses a feature that is not implemented.
     pub fn check(&self) -> Result<(), SpecError> {
         let item_count: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
-        let items = item_count * u64::from(self.occurrences());
+        let items = item_count.saturating_mul(u64::from(self.occurrences()));
         let empty = self.steps.iter().any(|step| step.count == 0);
         if self.steps.is_empty() || empty || items > MAX_ITEMS {
             return Err(SpecError::Size);
@@ -108,23 +130,38 @@
         Ok(())
     }
 
-    /// Returns the length of the critical path from the start of `step` to the end of the job, by the estimated
+    /// Checks that the job is small enough to be stored.
+    ///
+    /// # Errors
+    /// When the text or the steps are too long.
+    pub fn check_stored_size(&self) -> Result<(), SpecError> {
+        let stored = postcard::serialize_with_flavor(&self.steps, Size::default());
+        let fits = stored.is_ok_and(|bytes| bytes <= MAX_STORED_BYTES);
+        if self.spec.len() > MAX_TEXT_BYTES || !fits {
+            return Err(SpecError::StoredSize);
+        }
+        Ok(())
+    }
+
+    /// Returns the length of the critical path from the start of each step to the end of the job, by the estimated
     /// durations, in milliseconds.
-    pub fn critical_path_from(&self, step: usize) -> u64 {
-        let step_ms = u64::from(self.steps[step].estimate_ms);
-        let follows = |later: &usize| self.steps[*later].after.contains(&(step as u32));
-        let remaining_ms = (step + 1..self.steps.len())
-            .filter(follows)
-            .map(|later| self.critical_path_from(later))
-            .max();
-        step_ms + remaining_ms.unwrap_or(0)
+    pub fn critical_paths(&self) -> Vec<u64> {
+        let mut paths = vec![0; self.steps.len()];
+        // A step depends on earlier ones only, so that all paths that begin after it are known when it is reached. A
+        // recursion would visit a step once for each path to it, and these can double with every step.
+        for (number, step) in self.steps.iter().enumerate().rev() {
+            paths[number] += u64::from(step.estimate_ms);
+            let path = paths[number];
+            for earlier in &step.after {
+                let earlier = &mut paths[*earlier as usize];
+                *earlier = path.max(*earlier);
+            }
+        }
+        paths
     }
 
     /// Returns the length of the critical path of the job by the estimated durations, in milliseconds.
     pub fn critical_path(&self) -> u64 {
-        (0..self.steps.len())
-            .map(|step| self.critical_path_from(step))
-            .max()
-            .unwrap_or(0)
+        self.critical_paths().into_iter().max().unwrap_or(0)
     }
 }
--- a/crates/dispatch/src/owner/job_calls.rs
+++ b/crates/dispatch/src/owner/job_calls.rs
@@ -69,6 +69,12 @@
             self.resubmit(call_id, key);
             return;
         }
+        // The calling entry host has checked it, but an unchecked one would stop the owner.
+        if let Err(error) = submission.job.check() {
+            self.log_event("job refused", id.to_string(), format!("why={error}"));
+            self.reply(call_id, CallResponse::Unavailable);
+            return;
+        }
         let job = JobState::new(id, submission.clone(), now);
         if let Some(retry_after) = self.retry_after(&job) {
             let detail = format!("queue={} come_back_ms={}", job.queue.name, retry_after.0);
@@ -86,7 +92,8 @@
         );
         self.log_event("job submitted", id.to_string(), detail);
         if job.spec.times == 0 {
-            let (service, work) = (job.queue.service.clone(), work_left(&job));
+            let work = work_left(&job, self.largest_capacity());
+            let service = job.queue.service.clone();
             self.arrivals.record_arrival(&service, work, now);
         }
         let key = self.jobs.insert(job);
