Wait until a suspended process has stopped

Seen: holder_frozen failed beside other processes with outcome "unknown" instead of "not-run"; once the outcome was "done". Cause: the test sent SIGSTOP and opened the relay of the log at once. The signal takes effect when one thread of the process handles it; the other threads run until then. Ruled out: a fault of the entry host. It read the claim back and sent the request before its deadline while it ran. Change: TestFleet::suspend waits, with the limit of the other conditions, until the kernel reports that the last thread has stopped; both tests that freeze a process use it. What the tests check is unchanged.

--- a/crates/standins/src/process/child_process.rs
+++ b/crates/standins/src/process/child_process.rs
@@ -1,6 +1,6 @@
 use {
     anyhow::Context,
-    rustix::process::{Pid, Signal, kill_process},
+    rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid},
     std::{
         fs::File,
         path::{Path, PathBuf},
@@ -64,12 +64,27 @@
 
     /// Sends a signal; a process that has ended is left alone.
     pub fn signal(&self, signal: Signal) {
-        if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
+        if let Some(pid) = self.pid() {
             // Sending fails when the process has ended, which is not an error here.
             let _ = kill_process(pid, signal);
         }
     }
 
+    /// Returns whether every thread of the process is stopped.
+    ///
+    /// After SIGSTOP was sent, the threads go on until one of them handles it, which takes milliseconds on a busy
+    /// machine.
+    pub fn is_stopped(&self) -> bool {
+        // The kernel reports the stop when the last thread has stopped. `NOWAIT` keeps the report for later calls.
+        let options = WaitIdOptions::STOPPED | WaitIdOptions::NOHANG | WaitIdOptions::NOWAIT;
+        let status = self.pid().map(|pid| waitid(WaitId::Pid(pid), options));
+        matches!(status, Some(Ok(Some(status))) if status.stopped())
+    }
+
+    fn pid(&self) -> Option<Pid> {
+        i32::try_from(self.child.id()).ok().and_then(Pid::from_raw)
+    }
+
     /// Waits for the end of the process, blocking the thread; `None` when it still runs after `timeout`.
     pub fn wait(&mut self, timeout: Duration) -> Option<ExitStatus> {
         let deadline = Instant::now() + timeout;
--- a/crates/standins/tests/fleet/mod.rs
+++ b/crates/standins/tests/fleet/mod.rs
@@ -14,7 +14,7 @@
     goldcreststall_platform::log::{HttpLog, LogError, LogService, LogStream},
     goldcreststall_standins::{
         client::{ClientRequest, ClientResponse},
-        process::{FleetLayout, ProcessFleet},
+        process::{ChildProcess, FleetLayout, ProcessFleet},
     },
     http::Method,
     rustix::process::Signal,
@@ -138,9 +138,27 @@
         wait_until("the request runs", async || self.runs_of(work_id).await > 0).await;
     }
 
-    pub fn signal(&self, entry: usize, signal: Signal) {
+    pub fn process(&self, entry: usize) -> &ChildProcess {
         let process = self.entries[entry].process.as_ref();
-        process.expect("the entry host runs").signal(signal);
+        process.expect("the entry host runs")
+    }
+
+    pub fn signal(&self, entry: usize, signal: Signal) {
+        self.process(entry).signal(signal);
+    }
+
+    /// Suspends an entry host and returns when none of its threads runs any more.
+    pub async fn suspend(&self, entry: usize) {
+        self.signal(entry, Signal::STOP);
+        wait_until("every thread of the entry host is stopped", async || {
+            self.process(entry).is_stopped()
+        })
+        .await;
+    }
+
+    /// Lets a suspended entry host run again.
+    pub fn resume(&self, entry: usize) {
+        self.signal(entry, Signal::CONT);
     }
 
     /// Kills an entry host with SIGKILL.
--- a/crates/standins/tests/operator_races.rs
+++ b/crates/standins/tests/operator_races.rs
@@ -15,7 +15,6 @@
     goldcreststall_platform::hosts::HostListing,
     goldcreststall_standins::client::ClientRequest,
     http::Method,
-    rustix::process::Signal,
     std::time::{Duration, Instant},
 };
 
@@ -154,7 +153,7 @@
 async fn wave_and_silence() {
     let fleet = start(&layout(2, 1)).await;
     let before = listed_incarnations(&fleet).await;
-    fleet.signal(1, Signal::STOP);
+    fleet.suspend(1).await;
     let id = start_wave(&fleet, 0).await;
     wait_until("the host is being stopped", async || {
         wave_report(&fleet, 0, id).await.stopping > 0
@@ -169,7 +168,7 @@
         );
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
-    fleet.signal(1, Signal::CONT);
+    fleet.resume(1);
     wait_until("the wave is done", async || {
         wave_report(&fleet, 0, id).await.state == WaveState::Done
     })
--- a/crates/standins/tests/run_once.rs
+++ b/crates/standins/tests/run_once.rs
@@ -5,7 +5,6 @@
 use {
     fleet::{TestFleet, idempotent, layout, once, start, wait_until},
     goldcreststall_standins::{client::ClientRequest, process::RelayMode},
-    rustix::process::Signal,
     std::time::Duration,
 };
 
@@ -52,12 +51,12 @@
     fleet
         .wait_until_claimed(request.key.as_ref().unwrap())
         .await;
-    fleet.signal(0, Signal::STOP);
+    fleet.suspend(0).await;
     relays.log.set(RelayMode::Open);
     let second = fleet.send(1, &request).await;
     assert_eq!(second.reason(), "key-claimed", "{second:?}");
     tokio::time::sleep(Duration::from_millis(request.deadline_ms)).await;
-    fleet.signal(0, Signal::CONT);
+    fleet.resume(0);
     let first = first.await.unwrap();
     assert_eq!(first.outcome(), "not-run", "{first:?}");
     assert_eq!(fleet.runs_of("frozen").await, 0);
