Print times after the year 9999 as milliseconds

Seen: `job list` and `job show` panic when a job has a deadline after the year 9999. Cause: the formatter of dates fails for such times, and operators may submit any deadline above 0. Change: such a time is printed as milliseconds since 1970.

--- a/crates/cli/src/output/human_text.rs
+++ b/crates/cli/src/output/human_text.rs
@@ -8,6 +8,9 @@
     std::time::{Duration, UNIX_EPOCH},
 };
 
+/// End of the year 9999; the formatter of dates fails for later ones.
+const LAST_DATE: LogTime = LogTime(253_402_300_799_999);
+
 /// A result that can be printed for people.
 pub(crate) trait HumanText {
     fn human_text(&self) -> String;
@@ -27,11 +30,13 @@
     table.trim_fmt()
 }
 
+/// Formats a time as a date, or as milliseconds since 1970 when it is later than [`LAST_DATE`].
 fn time_text(time: LogTime) -> String {
-    let system_time = UNIX_EPOCH.checked_add(Duration::from_millis(time.0));
-    // The formatter supports years up to 9999.
-    let text = system_time.map(|time| humantime::format_rfc3339_seconds(time).to_string());
-    text.unwrap_or_default()
+    if time > LAST_DATE {
+        return format!("{}ms", time.0);
+    }
+    let system_time = UNIX_EPOCH + Duration::from_millis(time.0);
+    humantime::format_rfc3339_seconds(system_time).to_string()
 }
 
 fn optional_time_text(value: Option<LogTime>) -> String {
--- a/crates/cli/tests/output_formats.rs
+++ b/crates/cli/tests/output_formats.rs
@@ -7,6 +7,7 @@
 use {
     fake::{FakeBackend, id, job},
     goldcreststall_cli::ExitStatus,
+    goldcreststall_core::ids::LogTime,
     serde_json::{Value, json},
     shell::run_line,
 };
@@ -80,6 +81,25 @@
     }
 }
 
+/// A deadline may be any time, also one that a date of four-digit years cannot show; it must not end the program.
+#[tokio::test]
+async fn far_deadline() {
+    let cases = [
+        (253_402_300_799_999, "9999-12-31T23:59:59Z"),
+        (253_402_300_800_000, "253402300800000ms"),
+        (u64::MAX, "18446744073709551615ms"),
+    ];
+    let line = format!("job show {}", job().id);
+    for (deadline, expected) in cases {
+        let backend = FakeBackend::default();
+        backend.fleet.lock().unwrap().job_deadline = Some(LogTime(deadline));
+        for line in ["job list", &line] {
+            let result = run_line(line, &backend).await;
+            assert!(result.output.contains(expected), "{}", result.output);
+        }
+    }
+}
+
 /// A page that is not the last one ends with the option that requests the next.
 #[tokio::test]
 async fn next_page() {
--- a/crates/operators/tests/fake/mod.rs
+++ b/crates/operators/tests/fake/mod.rs
@@ -51,6 +51,8 @@
     pub effects: Vec<ChangeRequest>,
     /// Faults of the next calls; each call removes the last one, so the last one injected comes first.
     pub faults: Vec<Fault>,
+    /// Deadline of the job, instead of the one of [`job`].
+    pub job_deadline: Option<LogTime>,
     /// Job queries that arrived.
     pub job_queries: Vec<JobQuery>,
     config: ConfigVersion,
@@ -215,6 +217,12 @@
 }
 
 impl FakeFleet {
+    fn job(&self) -> JobReport {
+        let mut job = job();
+        job.spec.deadline = self.job_deadline.unwrap_or(job.spec.deadline);
+        job
+    }
+
     /// Applies a change request unless one with its id was applied before.
     fn apply(&mut self, change_request: ChangeRequest) -> ChangeOutcome {
         if let Some(outcome) = self.outcomes.get(&change_request.request_id) {
@@ -331,17 +339,19 @@
 
     async fn jobs(&self, query: JobQuery) -> Result<JobPage, OperatorError> {
         self.apply_read_fault().await?;
-        self.fleet.lock().unwrap().job_queries.push(query);
+        let mut fleet = self.fleet.lock().unwrap();
+        fleet.job_queries.push(query);
         Ok(JobPage {
-            jobs: vec![job()],
+            jobs: vec![fleet.job()],
             more: true,
         })
     }
 
     async fn job(&self, id: RecordId) -> Result<JobReport, OperatorError> {
         self.apply_read_fault().await?;
-        if id == job().id {
-            return Ok(job());
+        let job = self.fleet.lock().unwrap().job();
+        if id == job.id {
+            return Ok(job);
         }
         let message = format!("no job has the id {id}");
         Err(OperatorError::new(OperatorErrorKind::NotFound, message))
