Report how long a peer has been silent

Seen: `status` shows 0 as `silent_ms` of each peer. Cause: the report was filled with a constant, although the table of peers keeps the time of the last digest. Change: PeerTable::silence returns the time since the last new digest, and the status reports it.

--- a/crates/entry/src/operating/status_reports.rs
+++ b/crates/entry/src/operating/status_reports.rs
@@ -20,6 +20,7 @@
     ready: bool,
 ) -> StatusReport {
     let digests = peer_state.digests();
+    let peers = digests.iter();
     let rejections = state.rejected().iter();
     StatusReport {
         config: state.config.version(),
@@ -32,7 +33,9 @@
         log: state.log(),
         log_silent: peer_state.log_silence().unwrap_or(Millis(u64::MAX)),
         next_offset: state.next(),
-        peers: digests.iter().filter_map(peer_report).collect(),
+        peers: peers
+            .filter_map(|digest| peer_report(peer_state, digest))
+            .collect(),
         data_centre,
         ready,
         rejections: rejections
@@ -55,7 +58,7 @@
 }
 
 /// Reports a live peer. Its data centre is unknown, because digests do not contain it.
-fn peer_report(digest: &Digest) -> Option<PeerReport> {
+fn peer_report(peer_state: &PeerState, digest: &Digest) -> Option<PeerReport> {
     let position = digest.content.position();
     Some(PeerReport {
         data_centre: DataCentre::try_from("unknown").ok()?,
@@ -63,7 +66,7 @@
         incarnation: digest.from.incarnation,
         name: digest.from.name.clone(),
         next_offset: position.map_or(LogOffset(0), |position| position.next),
-        silent: Millis(0),
+        silent: peer_state.silence(&digest.from.name)?,
     })
 }
 
--- a/crates/entry/src/peering/peer_state.rs
+++ b/crates/entry/src/peering/peer_state.rs
@@ -175,6 +175,11 @@
             .collect()
     }
 
+    /// Returns the time since the last digest of a peer; `None` before the first one.
+    pub fn silence(&self, peer: &EntryName) -> Option<Millis> {
+        self.state.lock().table.silence(self.clock.now(), peer)
+    }
+
     /// Returns the entry host that holds `duty`; `None` if there is none.
     pub fn holder(&self, duty: &Duty) -> Option<EntryName> {
         let state = self.state.lock();
--- a/crates/peers/src/decisions/peer_table.rs
+++ b/crates/peers/src/decisions/peer_table.rs
@@ -81,6 +81,12 @@
         self.rows.get(name).is_some_and(|row| row.is_live(now))
     }
 
+    /// Returns the time since the last new digest of a peer; `None` before the first one.
+    pub fn silence(&self, now: LocalTime, name: &EntryName) -> Option<Millis> {
+        let row = self.rows.get(name)?;
+        Some(now.since(row.last_contact))
+    }
+
     /// Returns whether a live peer performs no control duties because it is shutting down or cannot read the log.
     /// False for a silent peer, which is not counted in any case.
     pub fn is_draining(&self, now: LocalTime, name: &EntryName) -> bool {
--- a/crates/peers/tests/digest_order.rs
+++ b/crates/peers/tests/digest_order.rs
@@ -50,6 +50,8 @@
             }
             let live = now.since(last_contact) < SILENCE_TIMEOUT;
             prop_assert_eq!(table.is_live(now, &entry_name("e1")), live);
+            let silence = table.silence(now, &entry_name("e1"));
+            prop_assert_eq!(silence, Some(now.since(last_contact)));
             let expected = live.then_some((newest.0 * 1_000 + newest.1) as u32);
             prop_assert_eq!(requests(&table, now), Vec::from_iter(expected));
         }
