Name the offset that the log returned last when entries have expired

Seen: `ledger: the log was not read` names an oldest entry that has expired itself. Cause: after OffsetGone the log tail built the error again, with the first offset from the bounds read before. Change: the error of the read is passed on.

--- a/crates/entry/src/control/log_tail.rs
+++ b/crates/entry/src/control/log_tail.rs
@@ -79,14 +79,13 @@
             let sent = self.clock.now();
             match self.read_step(bounds.identity, position).await {
                 Ok(next) => self.record_log_end(&bounds, next, sent).await,
-                // The entries expired while this entry host was away; the latest snapshot includes their effects.
-                Err(LogError::OffsetGone { .. }) => {
-                    self.load_snapshot(position).await?;
-                    return Err(LogError::OffsetGone {
-                        first: bounds.first,
-                    });
+                Err(error) => {
+                    // The entries expired while this entry host was away; the latest snapshot includes their effects.
+                    if matches!(error, LogError::OffsetGone { .. }) {
+                        self.load_snapshot(position).await?;
+                    }
+                    return Err(error);
                 }
-                Err(error) => return Err(error),
             }
         }
         Ok(())
