--- a/crates/entry/src/peering/peer_state.rs
+++ b/crates/entry/src/peering/peer_state.rs
@@ -14,8 +14,8 @@
     std::sync::Arc,
 };
 
-/// Time without a completed read after which the log counts as unreachable. A read may wait 1 s for entries, and a slow
-/// log service takes longer still.
+/// Time without a completed read after which the log counts as unreachable. A read may wait 500 ms for entries, and a
+/// slow log service takes longer still.
 const LOG_CONTACT_TIMEOUT: Millis = Millis(4_000);
 
 #[derive(Debug)]
