Share the connections of a host that has fewer than entry hosts

Seen: a host that accepts fewer connections than there are entry hosts (5 with 7 entry hosts) is used by none of them; of a pool with several services, the later ones get no connection when the share of an entry host is below their number. Cause: the connections are divided by the entry hosts, then by the services, and both divisions round down. Ruled out: at least one connection for each, because the entry hosts together would exceed the limit of the host. Change: where the share is below the number of services, each entry host and service gets one connection until they are used up. The place where this begins depends on the name of the host, so that different entry hosts go without at different hosts. Larger shares are as before (64/7 = 9 each).

--- a/crates/core/src/traffic/view_builder.rs
+++ b/crates/core/src/traffic/view_builder.rs
@@ -4,6 +4,7 @@
         ServiceView, TargetView, ViewInput,
     },
     crate::{config::ServiceConfig, ids::PoolName},
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Maximum number of vacant target indexes before the oldest is reused. A host that is absent from a lagging
@@ -191,13 +192,12 @@
             .filter_map(|service| self.service(&service.name))
             .collect();
         let count = services.len() as u32;
-        let entry_hosts = input.entry_hosts.max(1);
         for (position, service) in services.into_iter().enumerate() {
-            let share = |total: u32| total / count + u32::from((position as u32) < total % count);
+            let position = position as u32;
             wanted.push(TargetView {
                 activation: member.activation,
                 address: host.address.clone(),
-                connections: share(host.connections / entry_hosts),
+                connections: connection_share(input, host, position, count),
                 data_centre: host.data_centre.clone(),
                 generation: 0,
                 incarnation: host.incarnation,
@@ -206,12 +206,32 @@
                 present: true,
                 rack: host.rack.clone(),
                 service,
-                slots: share(self.host_slots(input, host, service)),
+                slots: even_share(self.host_slots(input, host, service), position, count),
             });
         }
     }
 }
 
+/// Returns the part of `total` at `position` when it is divided evenly into `count` parts.
+fn even_share(total: u32, position: u32, count: u32) -> u32 {
+    total / count + u32::from(position < total % count)
+}
+
+/// Returns the connections that this entry host may open to a host for the service at `position` of `count`.
+fn connection_share(input: &ViewInput<'_>, host: &PlatformHost, position: u32, count: u32) -> u32 {
+    let entry_hosts = input.entry_hosts.max(1);
+    let share = host.connections / entry_hosts;
+    if share >= count {
+        return even_share(share, position, count);
+    }
+    // Rounded down, a service would get no connection from any entry host. Each entry host and service gets one until
+    // the connections are used up, from a place that depends on the host.
+    let parts = u64::from(entry_hosts) * u64::from(count);
+    let part = u64::from(input.entry_rank) * u64::from(count) + u64::from(position);
+    let start = xxh3_64(host.name.as_str().as_bytes()) % parts;
+    u32::from((part + start) % parts < u64::from(host.connections))
+}
+
 /// Returns the services of a pool, which share the slots and connections of its hosts evenly.
 fn pool_services<'a>(
     input: &ViewInput<'a>,
--- a/crates/core/src/traffic/view_input.rs
+++ b/crates/core/src/traffic/view_input.rs
@@ -46,6 +46,8 @@
     pub data_centre: &'a DataCentre,
     /// Number of entry hosts that share the connections of each target; zero counts as one.
     pub entry_hosts: u32,
+    /// Place of this entry host among them, from 0 on, in the order of their names.
+    pub entry_rank: u32,
     /// The platform's host list, in any order.
     pub hosts: &'a [PlatformHost],
     /// Pool membership from the log, in any order.
--- a/crates/core/tests/traffic/fleet.rs
+++ b/crates/core/tests/traffic/fleet.rs
@@ -20,6 +20,7 @@
 /// Input of routing views; a test may change it between two views.
 pub struct Fleet {
     pub config: FleetConfig,
+    pub entry_rank: u32,
     pub hosts: Vec<PlatformHost>,
     pub members: Vec<PoolMember>,
 }
@@ -29,6 +30,7 @@
     pub fn new(services: usize, targets: usize, organisations: usize) -> Self {
         let mut fleet = Self {
             config: config(services, organisations),
+            entry_rank: 0,
             hosts: Vec::new(),
             members: Vec::new(),
         };
@@ -65,6 +67,7 @@
             config: &self.config,
             data_centre: &data_centre_name(0),
             entry_hosts: 7,
+            entry_rank: self.entry_rank,
             hosts: &self.hosts,
             members: &self.members,
         }))
--- a/crates/core/tests/traffic/main.rs
+++ b/crates/core/tests/traffic/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod class_floor;
+mod connection_shares;
 mod failing_target;
 mod fair_organisations;
 mod fleet;
--- a/crates/entry/src/control/control_actor.rs
+++ b/crates/entry/src/control/control_actor.rs
@@ -54,6 +54,8 @@
     pub entry: EntryId,
     /// Number of entry hosts in the fleet, including this one.
     pub entry_count: u32,
+    /// Place of this entry host among them, from 0 on, in the order of their names.
+    pub entry_rank: u32,
     /// Logger.
     pub logger: Logger,
     /// Publishes the routing view; `None` until the state is complete.
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -112,7 +112,9 @@
 
 fn spawn_tasks(setup: ControlSetup, stop: &CancellationToken) -> anyhow::Result<ControlHandle> {
     let entry = setup.mesh.local.clone();
-    let peer_count = setup.mesh.peers().len();
+    let peers = setup.mesh.peers();
+    let peer_count = peers.len();
+    let entry_rank = peers.iter().filter(|peer| peer.name < entry.name).count();
     let entry_count = u32::try_from(peer_count + 1).unwrap_or(u32::MAX);
     let peer_state = Arc::new(PeerState::new(entry.clone(), peer_count));
     let (appends, records) = mpsc::unbounded_channel();
@@ -123,6 +125,7 @@
         data_centre: setup.data_centre.clone(),
         entry: entry.clone(),
         entry_count,
+        entry_rank: u32::try_from(entry_rank).unwrap_or(u32::MAX),
         logger: setup.logger.clone(),
         view,
     });
--- a/crates/entry/src/control/view_builder.rs
+++ b/crates/entry/src/control/view_builder.rs
@@ -29,6 +29,7 @@
         config: state.config.fleet(),
         data_centre: &args.data_centre,
         entry_hosts: args.entry_count,
+        entry_rank: args.entry_rank,
         hosts: &hosts,
         members: &members,
     })
--- a/crates/measures/src/overload/deployment.rs
+++ b/crates/measures/src/overload/deployment.rs
@@ -85,6 +85,7 @@
             config: &config,
             data_centre: &data_centre_name(entry % DATA_CENTRES)?,
             entry_hosts: ENTRY_HOSTS as u32,
+            entry_rank: entry as u32,
             hosts: &hosts,
             members: &members,
         }))
--- a/crates/measures/src/slopes/decision_bench.rs
+++ b/crates/measures/src/slopes/decision_bench.rs
@@ -102,6 +102,7 @@
             config: &self.config,
             data_centre: &DataCentre::try_from("c0")?,
             entry_hosts: 1,
+            entry_rank: 0,
             hosts: &self.hosts,
             members: &self.members,
         }))
