Apply a changed weight of an organisation at once

Seen: a published weight is not in force for an organisation that keeps requests in the queue: with a weight changed from 1 to 2 under overload, three organisations completed 1,023, 955 and 1,022 requests in 30 s. Cause: the queues took the weight over only when the organisation became active or backlogged again. Ruled out: taking it over with the next request, because refused requests do not reach the queue of their class. Change: each new view sets the weights in all queues of a service.

--- a/crates/core/src/traffic/class_queue.rs
+++ b/crates/core/src/traffic/class_queue.rs
@@ -67,6 +67,19 @@
         f64::from(weight.max(1)) * count / self.backlogged_weight as f64
     }
 
+    /// Sets the weight of an organisation; its queued requests are served with it from now on.
+    pub fn set_weight(&mut self, organisation: OrganisationKey, weight: u32) {
+        let Some(queue) = self.organisations.get_mut(usize::from(organisation.0)) else {
+            return;
+        };
+        let before = queue.weight;
+        queue.weight = weight.max(1);
+        if queue.live_len > 0 {
+            self.backlogged_weight -= u64::from(before);
+            self.backlogged_weight += u64::from(queue.weight);
+        }
+    }
+
     /// Appends a request to the queue of its organisation.
     pub fn push(&mut self, organisation: OrganisationKey, weight: u32, entry: QueueEntry) {
         let index = usize::from(organisation.0);
--- a/crates/core/src/traffic/fair_policy.rs
+++ b/crates/core/src/traffic/fair_policy.rs
@@ -198,6 +198,7 @@
             let row = view.services.get(index);
             service.max_queue = row.map_or(0, |row| row.max_queue);
             service.retired = row.is_none_or(|row| row.retired);
+            service.set_weights(&view.organisations);
         }
         self.targets.update_view(now, Arc::clone(&view));
         self.view = view;
--- a/crates/core/src/traffic/service_queue.rs
+++ b/crates/core/src/traffic/service_queue.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        OrganisationKey, RequestSpec, Urgency,
+        OrganisationKey, OrganisationView, RequestSpec, Urgency,
         class_queue::{ClassQueue, QueueEntry},
         organisation_usage::{OrganisationUsage, USAGE_TIME_CONSTANT_MS},
         retry_budget::RetryBudget,
@@ -69,6 +69,18 @@
     weight: u32,
 }
 
+impl OrganisationActivity {
+    /// Sets the weight. `active_weight` is the total of the active organisations.
+    fn set_weight(&mut self, weight: u32, active_weight: &mut u64) {
+        let before = self.weight;
+        self.weight = weight.max(1);
+        if self.active {
+            *active_weight -= u64::from(before);
+            *active_weight += u64::from(self.weight);
+        }
+    }
+}
+
 /// Class and latest start of an admitted request.
 #[derive(Clone, Copy, Debug)]
 pub struct Admission {
@@ -195,6 +207,20 @@
         organisation.usage[class as usize].add(now, slot_time - charged);
     }
 
+    /// Takes over the weights of the organisations, given by key. Waiting until an organisation is idle would keep an
+    /// earlier configuration in force as long as it has requests.
+    pub fn set_weights(&mut self, organisations: &[OrganisationView]) {
+        for (index, view) in organisations.iter().enumerate() {
+            let key = OrganisationKey(index as u16);
+            for class in &mut self.classes {
+                class.set_weight(key, view.weight);
+            }
+            if let Some(organisation) = self.organisations.get_mut(index) {
+                organisation.set_weight(view.weight, &mut self.active_weight);
+            }
+        }
+    }
+
     /// Marks organisations without recent requests as inactive, so that the others get their share.
     pub fn expire_inactive(&mut self, now: LocalTime) {
         for organisation in &mut self.organisations {
