Evict no other worker when a newer incarnation fails

With 4,096 workers in the table of failures, an exclusion or the failures of another worker could be forgotten. Cause: the oldest row was evicted before each insertion, also when the new row replaces that of an older incarnation of the same host. Change: a row is evicted only for a host that has none.

--- a/crates/core/src/jobs/worker_health.rs
+++ b/crates/core/src/jobs/worker_health.rs
@@ -144,7 +144,10 @@
             Some(incarnation) if incarnation > worker.incarnation => return None,
             Some(incarnation) if incarnation == worker.incarnation => {}
             _ => {
-                self.evict_oldest();
+                // The row of an older incarnation is replaced, so no room is needed.
+                if known.is_none() {
+                    self.evict_oldest();
+                }
                 let row = WorkerHealth {
                     exclusion: None,
                     incarnation: worker.incarnation,
--- a/crates/core/tests/bad_workers.rs
+++ b/crates/core/tests/bad_workers.rs
@@ -5,9 +5,10 @@
 
 use {
     goldcreststall_core::{
-        ids::{Incarnation, Millis},
+        ids::{HostName, Incarnation, Millis},
         jobs::{
-            FailItem, JobId, JobRecord, JobState, LeaseRef, QuarantineReason, TaskAction, TaskUsage,
+            FailItem, GrantItem, JobId, JobRecord, JobState, LeaseRef, QuarantineReason,
+            TaskAction, TaskUsage, WorkerId,
         },
         ledger::Rejection,
         traffic::Urgency,
@@ -16,6 +17,9 @@
     std::collections::BTreeSet,
 };
 
+/// Number of workers that the table of failures holds.
+const MAX_RETAINED_WORKERS: usize = 4_096;
+
 fn submit_many(fleet: &mut FleetSim, count: usize) -> Vec<JobId> {
     (0..count)
         .map(|_| fleet.submit(spec("t1", Urgency::Normal)))
@@ -151,6 +155,55 @@
     assert!(granted, "the new incarnation of the worker gets no job");
 }
 
+/// Grants a new job to an incarnation of a worker.
+fn grant(fleet: &mut FleetSim, host: usize, incarnation: u64) -> LeaseRef {
+    let job = fleet.submit(spec("t1", Urgency::Normal));
+    let worker = WorkerId {
+        host: HostName::try_from(format!("h{host}")).unwrap(),
+        incarnation: Incarnation(incarnation),
+    };
+    let version = fleet.ledger.job(job).unwrap().version;
+    let grants = vec![GrantItem {
+        job,
+        version,
+        worker,
+    }];
+    fleet.apply(&JobRecord::Grant { grants }).unwrap();
+    let grant = fleet.ledger.latest_grant();
+    LeaseRef { grant, job }
+}
+
+/// Lets an attempt fail and cancels the job.
+fn fail(fleet: &mut FleetSim, lease: LeaseRef) {
+    let result = FailItem {
+        lease,
+        started: true,
+        usage: TaskUsage::default(),
+    };
+    let results = vec![result];
+    fleet.apply(&JobRecord::Fail { results }).unwrap();
+    let jobs = vec![lease.job];
+    fleet.apply(&JobRecord::Cancel { jobs }).unwrap();
+}
+
+/// In a full table, a failure of a new incarnation must replace the row of the old one, and not that of another worker.
+#[test]
+fn full_table() {
+    let mut fleet = FleetSim::new(1);
+    for host in 0..MAX_RETAINED_WORKERS {
+        let lease = grant(&mut fleet, host, 1);
+        fail(&mut fleet, lease);
+    }
+    // Later, so that the row of this worker is not the oldest one.
+    fleet.advance(1);
+    // The failure of the old incarnation is reported after the new one got a job.
+    let (old, new) = (grant(&mut fleet, 0, 1), grant(&mut fleet, 0, 2));
+    fail(&mut fleet, old);
+    fail(&mut fleet, new);
+    let rows = fleet.ledger.worker_health().iter();
+    assert_eq!(rows.count(), MAX_RETAINED_WORKERS);
+}
+
 /// A non-idempotent job that failed after its start must not run again, even if the worker caused the failure.
 #[test]
 fn failed_after_start() {
