Count the hosts of a digest after its changes

A connection between entry hosts closes when changed notices or busy hosts and those known before are together more than 65,536, although the peer holds fewer. Cause: the limit was checked before the changes, against the sum of the known and the named hosts. Change: the limit is checked after the changes of a digest. The limit itself is the same, and a frame of at most 1 MiB bounds what one digest can add before the check.

--- a/crates/peers/src/wire/digest_decoder.rs
+++ b/crates/peers/src/wire/digest_decoder.rs
@@ -139,7 +139,6 @@
         leaving: Vec<super::RawNotice>,
         cleared: Vec<String>,
     ) -> Result<(), WireError> {
-        check_count("leaving", self.leaving.len() + leaving.len(), MAX_NOTICES)?;
         for raw in leaving {
             let notice = LeavingNotice::try_from(raw)?;
             self.leaving.insert(notice.host.clone(), notice);
@@ -147,20 +146,20 @@
         for host in cleared {
             self.leaving.remove(&HostName::try_from(host)?);
         }
-        Ok(())
+        // Checked after the changes, since a changed notice is no additional one. One frame bounds what a digest adds.
+        check_count("leaving", self.leaving.len(), MAX_NOTICES)
     }
 }
 
 impl DigestDecoder {
     fn decode_busy(&mut self, busy: Vec<String>, idle: Vec<String>) -> Result<(), WireError> {
-        check_count("busy", self.busy.len() + busy.len(), MAX_NOTICES)?;
         for host in busy {
             self.busy.insert(HostName::try_from(host)?, ());
         }
         for host in idle {
             self.busy.remove(&HostName::try_from(host)?);
         }
-        Ok(())
+        check_count("busy", self.busy.len(), MAX_NOTICES)
     }
 }
 
