--- a/crates/entry/src/peering/peer_state.rs
+++ b/crates/entry/src/peering/peer_state.rs
@@ -14,8 +14,8 @@
     std::sync::Arc,
 };
 
-/// Time without a completed read after which the log counts as unreachable. A read may wait 1 s for entries, and a slow
-/// log service takes longer still.
+/// Time without a completed read after which the log counts as unreachable. A read may wait 500 ms for entries, and a
+/// slow log service takes longer still.
 const LOG_CONTACT_TIMEOUT: Millis = Millis(4_000);
 
 #[derive(Debug)]
@@ -175,6 +175,11 @@
             .collect()
     }
 
+    /// Returns the time since the last digest of a peer; `None` before the first one.
+    pub fn silence(&self, peer: &EntryName) -> Option<Millis> {
+        self.state.lock().table.silence(self.clock.now(), peer)
+    }
+
     /// Returns the entry host that holds `duty`; `None` if there is none.
     pub fn holder(&self, duty: &Duty) -> Option<EntryName> {
         let state = self.state.lock();
