Judge runs as stuck only by lists that came without a gap

What operators saw elsewhere: a machine that was only silent or slow to report for a while had its running work given up. Cause: a run counted as stuck 2.5 s after its last progress, whatever the owner had heard since. After a silence of 2.5 to 3.8 s of the runner, or a pause of the owner, the first list stopped its work, and without a list an accepted start was enough, since it ends the count of missed hold calls. Change: only the time in which lists came less than 1.5 s apart counts.

--- a/crates/dispatch/src/owner/runner_responses.rs
+++ b/crates/dispatch/src/owner/runner_responses.rs
@@ -63,6 +63,7 @@
         state.missed_holds = 0;
         state.in_doubt = false;
         state.last_response = now;
+        state.record_list(now);
         state.fenced = true;
         state.clock.record_reading(response.clock_ms, now);
         state.next_hold = now + HOLD_DELAY;
--- a/crates/dispatch/src/owner/stuck_runs.rs
+++ b/crates/dispatch/src/owner/stuck_runs.rs
@@ -7,7 +7,7 @@
     goldcreststall_core::ids::{LocalTime, Millis},
 };
 
-/// Time without progress after which a run counts as stuck. Even on a slow runner one percent takes less.
+/// Time of lists without progress after which a run counts as stuck. Even on a slow runner one percent takes less.
 const STUCK_TIMEOUT: Millis = Millis(2_500);
 /// How long a runner with a stuck run gets no new work.
 const STUCK_COOLDOWN: Millis = Millis(4_000);
@@ -20,6 +20,7 @@
                 continue;
             };
             let draining = state.report.status == RunnerStatus::Draining;
+            let (last_listed, listing_since) = (state.last_listed, state.listing_since);
             if state.missed_holds > 0 {
                 continue;
             }
@@ -31,8 +32,9 @@
                     continue;
                 };
                 let is_long_running = job.step_of(item).long_running;
-                let is_stuck =
-                    !is_long_running && now.since(recorded_run.progressed_at) > STUCK_TIMEOUT;
+                // Silence of the runner, or a pause of this process, tells nothing about its work.
+                let observed_from = recorded_run.progressed_at.max(listing_since);
+                let is_stuck = !is_long_running && last_listed.since(observed_from) > STUCK_TIMEOUT;
                 if is_long_running && draining {
                     self.stop_run(key, runner, recorded_run.run);
                 } else if is_stuck {
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -1,9 +1,13 @@
 use {
     super::{Capacity, LeaseClock, RunnerReport, RunnerStatus},
     crate::jobs::{ItemKey, ItemName},
-    goldcreststall_core::ids::LocalTime,
+    goldcreststall_core::ids::{LocalTime, Millis},
 };
 
+/// Time between two lists of a runner from which on they do not show what its work did in between. Hold calls wait for half
+/// of it.
+const LIST_GAP: Millis = Millis(1_500);
+
 /// Index of an instance of a runner in the [`super::RunnerTable`].
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct RunnerKey(pub u32);
@@ -30,6 +34,10 @@
     pub next_hold: LocalTime,
     /// When it last responded.
     pub last_response: LocalTime,
+    /// When it last listed its runs.
+    pub last_listed: LocalTime,
+    /// Since when its lists have come without a long gap, in which its work may have stood still.
+    pub listing_since: LocalTime,
     /// Hold calls in a row without a response.
     pub missed_holds: u32,
     /// Highest sequence number of an end that was processed.
@@ -72,6 +80,8 @@
             hold_sent: None,
             next_hold: now,
             last_response: LocalTime(0),
+            last_listed: LocalTime(0),
+            listing_since: now,
             missed_holds: 0,
             processed: 0,
             stored: 0,
@@ -99,6 +109,14 @@
         self.listed && !self.has_ended
     }
 
+    /// Records that the runner has listed its runs.
+    pub fn record_list(&mut self, now: LocalTime) {
+        if now.since(self.last_listed) > LIST_GAP {
+            self.listing_since = now;
+        }
+        self.last_listed = now;
+    }
+
     /// Returns whether new work may be started on the runner.
     pub fn accepts_work(&self, now: LocalTime) -> bool {
         self.is_present()
