Ignore the running work that an ended instance lists

Cause: a hold call that was in flight when its runner restarted, moved or was maintained may be answered later. The listed runs were recorded again on the ended instance and kept their work items from starting until the lease was over, 3.9 s. Change: of such a response only the ends count. Test: restarted_runner::late_list_of_ended_instance; before, no start.

--- a/crates/dispatch/src/owner/runner_responses.rs
+++ b/crates/dispatch/src/owner/runner_responses.rs
@@ -67,8 +67,13 @@
         state.fenced = true;
         state.clock.record_reading(response.clock_ms, now);
         state.next_hold = now + HOLD_DELAY;
+        let has_ended = state.has_ended;
         let lists_all_ends = response.ended.len() < MAX_LISTED_ENDS;
         self.handle_ends(key, response.ended, now);
+        if has_ended {
+            // The call was sent before; its runs have ended with the instance.
+            return;
+        }
         self.handle_running(key, &response.running, now);
         if lists_all_ends {
             self.detach_unlisted(key, sent, &response.running, now);
--- a/crates/dispatch/tests/restarted_runner.rs
+++ b/crates/dispatch/tests/restarted_runner.rs
@@ -70,3 +70,23 @@
     fleet.advance(100);
     assert_eq!(fleet.starts(), []);
 }
+
+/// A list of the ended instance arrives late. Its runs have ended with it, and must not keep their work from starting.
+#[test]
+fn late_list_of_ended_instance() {
+    let (mut fleet, starts) = TestFleet::with_work(&["r1"], vec![step(1, 1_000)]);
+    fleet.advance(100);
+    fleet.runners[0].started_ms = 2;
+    fleet.list_runners();
+    let late = HoldResponse {
+        started_ms: Some(1),
+        running: vec![listed_run(&starts[0])],
+        ..empty_response(fleet.clock())
+    };
+    fleet.answer_holds(|_| Some(late.clone()));
+    fleet.advance(100);
+    let clock = fleet.clock();
+    fleet.answer_holds(|_| Some(empty_response(clock)));
+    fleet.advance(10);
+    assert_eq!(fleet.starts().len(), 1, "the work waits for an ended run");
+}
