Keep one request of each wave

Cause: the control actor kept every request of every wave, also those that the operator had replaced or that were read again, and a new term took the first of a number: a host was maintained for a request that no longer stood. Change: the newest request of each number is kept. Requests of completed waves still stay: a new term reports such a wave again, in case that its predecessor could not. Test: host_commands::replaced_wave; before, the host of the replaced request was maintained.

--- a/crates/node/src/control/owner_actor.rs
+++ b/crates/node/src/control/owner_actor.rs
@@ -61,6 +61,7 @@
     actor: WeakActorRef<Self>,
     rules: Arc<FleetRules>,
     term: Option<OwnerTerm>,
+    /// The newest request of each wave, sorted by number.
     waves: Vec<WaveRequest>,
     /// The newest list of runners of this term. It may arrive before the store was read, and arrives again only after
     /// a change.
@@ -209,7 +210,7 @@
             }
             ControlEvent::Tick => {}
             ControlEvent::Wave(request) => {
-                self.waves.push(request.clone());
+                self.record_wave(request.clone());
                 if let Some(state) = self.state() {
                     state.wave_requested(request, now);
                 }
@@ -217,6 +218,15 @@
         }
     }
 
+    /// Records a request for later terms. The operator may replace one, and all are read again after records have expired.
+    fn record_wave(&mut self, request: WaveRequest) {
+        let number = |wave: &WaveRequest| wave.number;
+        match self.waves.binary_search_by_key(&request.number, number) {
+            Ok(index) => self.waves[index] = request,
+            Err(index) => self.waves.insert(index, request),
+        }
+    }
+
     fn state(&mut self) -> Option<&mut OwnerState> {
         self.term.as_mut()?.state.as_mut()
     }
--- a/crates/node/tests/host_commands.rs
+++ b/crates/node/tests/host_commands.rs
@@ -1,5 +1,5 @@
-//! Guards against commands to the host service that are sent after the lease of the owner has ended. They carry no
-//! deadline, and not every installation of the service refuses those of an earlier owner.
+//! Guards against commands to the host service that are sent after the lease of the owner has ended, or for a request that
+//! was replaced. They carry no deadline, and not every installation of the service refuses those of an earlier owner.
 
 mod fakes;
 
@@ -22,26 +22,33 @@
 const SPARE: &str = "spare";
 const HOST: &str = "h1";
 
-/// Returns an owner that is due to maintain a host which is switched off.
-async fn spawn_owner_with_wave() -> TestActor {
-    let test = spawn_actor();
-    test.lease.extend(LocalTime(u64::MAX));
-    let rules = FleetRules {
+fn spare_rules() -> Arc<FleetRules> {
+    let spare = ServiceRule {
+        name: SPARE.to_owned(),
+        spare: true,
+    };
+    Arc::new(FleetRules {
         version: 1,
-        services: vec![ServiceRule {
-            name: SPARE.to_owned(),
-            spare: true,
-        }],
+        services: vec![spare],
         ..FleetRules::default()
-    };
-    send_event(&test, ControlEvent::Rules(Arc::new(rules))).await;
-    let request = WaveRequest {
+    })
+}
+
+fn wave(hosts: Vec<String>) -> WaveRequest {
+    WaveRequest {
         number: 1,
-        hosts: vec![HOST.to_owned()],
+        hosts,
         duration: Millis(60_000),
         cap: 1,
-    };
-    send_event(&test, ControlEvent::Wave(request)).await;
+    }
+}
+
+/// Returns an owner that is due to maintain a host which is switched off.
+async fn spawn_owner_with_wave() -> TestActor {
+    let test = spawn_actor();
+    test.lease.extend(LocalTime(u64::MAX));
+    send_event(&test, ControlEvent::Rules(spare_rules())).await;
+    send_event(&test, ControlEvent::Wave(wave(vec![HOST.to_owned()]))).await;
     send_event(&test, ControlEvent::Elected(1)).await;
     test
 }
@@ -88,3 +95,28 @@
         "a command was sent after the lease had ended"
     );
 }
+
+/// The operator has replaced a request before this process became the owner. Only the newest one counts, as for a process
+/// that has just started.
+#[tokio::test]
+async fn replaced_wave() {
+    let test = spawn_actor();
+    test.lease.extend(LocalTime(u64::MAX));
+    send_event(&test, ControlEvent::Rules(spare_rules())).await;
+    for hosts in [vec![HOST.to_owned()], Vec::new()] {
+        send_event(&test, ControlEvent::Wave(wave(hosts))).await;
+    }
+    send_event(&test, ControlEvent::Elected(1)).await;
+    let is_completed = || {
+        let reports = test.store.reports.lock();
+        reports.iter().any(|(_, completed, _)| *completed)
+    };
+    run_until(&test, || {
+        is_completed() || !test.hosts.commanded.lock().is_empty()
+    })
+    .await;
+    assert!(
+        test.hosts.commanded.lock().is_empty(),
+        "a host was maintained for a request that was replaced"
+    );
+}
