--- a/crates/dispatch/src/owner/job_calls.rs
+++ b/crates/dispatch/src/owner/job_calls.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Returns whether a job with this id was submitted, even if it is not stored yet.
+    pub fn knows_job(&self, id: JobId) -> bool {
+        self.jobs.find(id).is_some()
+    }
+
     fn reply(&mut self, call_id: CallId, response: CallResponse) {
         self.commands
             .push(OwnerCommand::Reply { call_id, response });
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -61,6 +61,8 @@
     pub lose_next_report: AtomicBool,
     /// Refuses all reads and appends of the ownership topic.
     pub refuse_ownership: AtomicBool,
+    /// Refuses all appends of job records.
+    pub refuse_jobs: AtomicBool,
     /// Blocks reads of job records.
     pub block_reads: AtomicBool,
     /// Number of reads of job records, including blocked ones.
@@ -144,6 +146,9 @@
         condition: AppendCondition,
         _timeout: Millis,
     ) -> Result<AppendPosition, StoreError> {
+        if self.refuse_jobs.load(Ordering::SeqCst) {
+            return Err(StoreError::Refused);
+        }
         let fresh = self.check_fence(condition, records.len())?;
         let mut jobs = self.jobs.lock();
         if fresh {
--- a/crates/node/tests/owner_actor.rs
+++ b/crates/node/tests/owner_actor.rs
@@ -114,3 +114,38 @@
         "an append whose response was lost was stored twice or not at all"
     );
 }
+
+/// While the store fails, new submissions are refused. One that is repeated because its answer was lost must not be: its
+/// caller would believe that the job never runs.
+#[tokio::test]
+async fn repeated_submission_in_outage() {
+    let test = spawn_actor();
+    test.lease.extend(LocalTime(u64::MAX));
+    send_event(&test, ControlEvent::Elected(1)).await;
+    let accepted = call(&test, submit_call(7, 1, 1_000)).await;
+    assert_eq!(accepted, CallResponse::Accepted);
+    test.store.refuse_jobs.store(true, Ordering::SeqCst);
+    // The first one is in an append that may be stored, the second one is refused.
+    let (reply, _response) = oneshot::channel();
+    let in_flight = submit_call(8, 1, 1_000);
+    send_event(
+        &test,
+        ControlEvent::Call {
+            call: in_flight,
+            reply,
+        },
+    )
+    .await;
+    let refused = call(&test, submit_call(9, 1, 1_000)).await;
+    assert_eq!(refused, CallResponse::Unavailable);
+    let repeated = call(&test, submit_call(7, 1, 1_000)).await;
+    assert_eq!(repeated, CallResponse::Accepted);
+    let unknown = tokio::time::timeout(
+        Duration::from_millis(500),
+        call(&test, submit_call(8, 1, 1_000)),
+    );
+    assert!(
+        unknown.await.is_err(),
+        "a job that may be stored was refused"
+    );
+}
