--- a/crates/node/tests/task_panic.rs
+++ b/crates/node/tests/task_panic.rs
@@ -84,7 +84,7 @@
     thread::spawn(move || {
         let ports = PlatformPorts {
             advice: Arc::new(NoAdvice),
-            hosts: Arc::new(FakeHosts),
+            hosts: Arc::new(FakeHosts::default()),
             ingress: Arc::new(IdleIngress),
             operators: Arc::new(EmptyFeed) as Arc<dyn RecordFeed<OperatorRecord>>,
             runner_reports: Arc::new(EmptyFeed) as Arc<dyn RecordFeed<RunnerReport>>,
