Test that starts lost together cause one delay

Evidence: silent_starts::lost_together fails (no start within 700 ms; four starts that were in flight together and got no response set a delay of 2 s).

--- a/crates/dispatch/tests/silent_starts.rs
+++ b/crates/dispatch/tests/silent_starts.rs
@@ -76,3 +76,57 @@
         "the work went to the silent runner again"
     );
 }
+
+/// Lets the start commands get no response and their stops an acknowledgement; no run is listed.
+fn lose_starts(fleet: &mut TestFleet, starts: &[StartCommand]) {
+    for start in starts {
+        fleet
+            .owner
+            .start_answered(start, StartResponse::Unknown, fleet.now);
+    }
+    end_stopped_runs(fleet);
+}
+
+/// Acknowledges all stops, and answers the next hold calls with empty lists.
+fn end_stopped_runs(fleet: &mut TestFleet) {
+    fleet.advance(STEP_MS);
+    let clock = fleet.clock();
+    for command in std::mem::take(&mut fleet.commands) {
+        match command {
+            OwnerCommand::Stop(stop) => fleet.owner.stop_answered(&stop, Some(clock), fleet.now),
+            command => fleet.commands.push(command),
+        }
+    }
+    fleet.answer_holds(|_| Some(empty_response(clock)));
+    fleet.advance(STEP_MS);
+    fleet.answer_holds(|_| Some(empty_response(clock + STEP_MS)));
+}
+
+/// Advances by `period_ms`; returns the start commands of that time.
+fn starts_within(fleet: &mut TestFleet, period_ms: u64) -> Vec<StartCommand> {
+    let mut starts = Vec::new();
+    for _ in 0..period_ms / STEP_MS {
+        fleet.advance(STEP_MS);
+        let clock = fleet.clock();
+        fleet.answer_holds(|_| Some(empty_response(clock)));
+        starts.extend(fleet.starts());
+    }
+    starts
+}
+
+/// Guards against a pool that gets no work for seconds because one lost delegate, or one reset of connections, took the
+/// responses to several starts that were in flight together: that is one failure, and no row of them.
+#[test]
+fn lost_together() {
+    let mut fleet = TestFleet::new(1, &["r1"]);
+    fleet.answer_first_holds();
+    let starts = fleet.submit_work(7, vec![step(4, 1_000)]);
+    assert_eq!(starts.len(), 4);
+    lose_starts(&mut fleet, &starts);
+    let again = starts_within(&mut fleet, 700);
+    assert_eq!(
+        again.len(),
+        4,
+        "the only runner got no work for 700 ms after one failure"
+    );
+}
