Count starts that are lost together once

What callers saw: nothing yet; a pool of one or few runners would get no work for 2 s after one lost delegate, although its runners answer. Cause: the delay doubled with each start without a response, also with those that were in flight together, up to four to each runner. Change: a start that was sent before the last counted one had no response does not count. Evidence: silent_starts::lost_together failed before.

--- a/crates/dispatch/src/owner/start_responses.rs
+++ b/crates/dispatch/src/owner/start_responses.rs
@@ -105,7 +105,10 @@
     }
 
     fn start_unknown(&mut self, command: &StartCommand, now: LocalTime) {
-        let unanswered_starts = self.avoid_silent_runner(command.runner, now);
+        let sent = self
+            .run_mut(command.item, command.runner, command.run)
+            .map_or(now, |recorded_run| recorded_run.sent);
+        let unanswered_starts = self.avoid_silent_runner(command.runner, sent, now);
         let detail = format!(
             "run={} unanswered_in_a_row={unanswered_starts} no response from the runner; stopping the run",
             command.run
@@ -121,11 +124,16 @@
     }
 
     /// Gives no new work to a runner for a time after a start command without a response; returns the number of such
-    /// commands in a row.
-    fn avoid_silent_runner(&mut self, runner: RunnerKey, now: LocalTime) -> u32 {
+    /// commands in a row. One that was sent before the last of them was counted does not count: a lost delegate takes the
+    /// responses to all starts that are in flight through it.
+    fn avoid_silent_runner(&mut self, runner: RunnerKey, sent: LocalTime, now: LocalTime) -> u32 {
         let Some(state) = self.runners.get_mut(runner) else {
             return 0;
         };
+        if state.unanswered_starts > 0 && sent <= state.unanswered_at {
+            return state.unanswered_starts;
+        }
+        state.unanswered_at = now;
         let doublings = state.unanswered_starts.min(MAX_SILENCE_DOUBLINGS);
         state.unanswered_starts = state.unanswered_starts.saturating_add(1);
         let cooldown = Millis(SILENCE_COOLDOWN.0 << doublings);
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -59,6 +59,8 @@
     pub cooldown_until: LocalTime,
     /// Start commands in a row without a response.
     pub unanswered_starts: u32,
+    /// When the last of them was counted.
+    pub unanswered_at: LocalTime,
     /// Number of consecutive failed runs.
     pub consecutive_failures: u32,
     /// It gets no new work, because its host is about to move or to be maintained.
@@ -94,6 +96,7 @@
             in_doubt: false,
             cooldown_until: LocalTime(0),
             unanswered_starts: 0,
+            unanswered_at: LocalTime(0),
             consecutive_failures: 0,
             cordoned: false,
             due: false,
