Test that a refusal keeps the delay after lost starts

Evidence: silent_starts::refusal_keeps_delay fails (a start within 1.5 s of a delay of 2 s, after another start of the same runner could not be sent).

--- a/crates/dispatch/tests/silent_starts.rs
+++ b/crates/dispatch/tests/silent_starts.rs
@@ -130,3 +130,29 @@
         "the only runner got no work for 700 ms after one failure"
     );
 }
+
+/// Guards against a refusal that ends the longer delay which starts without a response have caused.
+#[test]
+fn refusal_keeps_delay() {
+    let mut fleet = TestFleet::new(1, &["r1"]);
+    fleet.answer_first_holds();
+    let mut starts = fleet.submit_work(7, vec![step(1, 4_000)]);
+    // Each is longer than the delay before it: 250, 500 and 1,000 ms.
+    for period_ms in [400, 800, 1_600] {
+        lose_starts(&mut fleet, &starts);
+        starts = starts_within(&mut fleet, period_ms);
+        assert_eq!(starts.len(), 1, "within {period_ms} ms");
+    }
+    // Two are in flight: the first gets no response (2,000 ms), the second could not be sent.
+    let second = fleet.submit_work(8, vec![step(1, 4_000)]);
+    assert_eq!(second.len(), 1);
+    lose_starts(&mut fleet, &starts);
+    fleet
+        .owner
+        .start_answered(&second[0], StartResponse::NotSent, fleet.now);
+    let early = starts_within(&mut fleet, 1_500);
+    assert!(
+        early.is_empty(),
+        "a start was sent before the delay of 2,000 ms had passed"
+    );
+}
