Keep the longer delay when a start is refused

Cause: a refusal, also a start that could not be sent, replaced the delay that starts without a response had set, up to 4 s, by 500 ms. Both alternate on a runner that resets connections. Evidence: silent_starts::refusal_keeps_delay failed before.

--- a/crates/dispatch/src/owner/start_responses.rs
+++ b/crates/dispatch/src/owner/start_responses.rs
@@ -82,7 +82,7 @@
                         self.advice.remove_ticket(step, runner);
                     }
                 } else if let Some(state) = self.runners.get_mut(runner) {
-                    state.cooldown_until = now + REFUSAL_COOLDOWN;
+                    state.cooldown_until = state.cooldown_until.max(now + REFUSAL_COOLDOWN);
                     state.next_hold = state.next_hold.min(now);
                 }
             }
