--- a/crates/dispatch/tests/unknown_start.rs
+++ b/crates/dispatch/tests/unknown_start.rs
@@ -6,7 +6,7 @@
 use {
     fleet::{TestFleet, empty_response, listed_run, step},
     goldcreststall_dispatch::{
-        owner::{OwnerCommand, RunCommand, StartResponse},
+        owner::{JobCall, OwnerCommand, RunCommand, StartResponse},
         runners::max_lapse_delay,
     },
 };
@@ -150,3 +150,43 @@
     assert!(fleet.clock() > starts[0].deadline_ms);
     assert!(fleet.starts().is_empty());
 }
+
+/// Guards against a second stop for the same run in the next tick: each takes a connection, of which a runner accepts
+/// few, and the time after which a stop is sent again begins when it is sent.
+#[test]
+fn stop_sent_once() {
+    let mut fleet = TestFleet::new(1, &["r1"]);
+    fleet.answer_first_holds();
+    let starts = fleet.submit_work(7, vec![step(1, 8_000)]);
+    fleet.advance(700);
+    fleet
+        .owner
+        .start_answered(&starts[0], StartResponse::Unknown, fleet.now);
+    for _ in 0..10 {
+        fleet.advance(10);
+    }
+    assert_eq!(stops(&fleet).len(), 1, "stops within 100 ms");
+}
+
+/// Guards against a lost stop that is never sent again, because the run that it was for goes on and makes progress.
+#[test]
+fn stop_again_while_listed() {
+    let (mut fleet, starts) = TestFleet::with_work(&["r1"], vec![step(1, 8_000)]);
+    fleet.call(2, JobCall::Cancel(starts[0].name.job));
+    fleet.store();
+    let mut percent = 0;
+    for _ in 0..30 {
+        fleet.advance(100);
+        percent += 1;
+        let mut response = empty_response(fleet.clock());
+        let mut listed = listed_run(&starts[0]);
+        listed.percent = percent;
+        response.running.push(listed);
+        fleet.answer_holds(|_| Some(response.clone()));
+    }
+    let sent = stops(&fleet).len();
+    assert!(
+        (3..=6).contains(&sent),
+        "{sent} stops in 3 s for a run whose stop has no answer"
+    );
+}
