Test with a list of ends that is cut

Evidence: unknown_start::cut_list fails (a work item is started again whose end is beyond the 500 that a runner lists at once).

--- a/crates/dispatch/tests/unknown_start.rs
+++ b/crates/dispatch/tests/unknown_start.rs
@@ -4,10 +4,10 @@
 mod fleet;
 
 use {
-    fleet::{TestFleet, empty_response, listed_run, step},
+    fleet::{TestFleet, empty_response, ended_run, listed_run, step},
     goldcreststall_dispatch::{
         owner::{JobCall, OwnerCommand, RunCommand, StartResponse},
-        runners::max_lapse_delay,
+        runners::{EndKind, max_lapse_delay},
     },
 };
 
@@ -190,3 +190,53 @@
         "{sent} stops in 3 s for a run whose stop has no answer"
     );
 }
+
+/// Guards against an end that is taken for a run that never began, or is gone, because it is beyond the 500 ends that a
+/// runner lists at once: a work item that is done would be started a second time.
+#[test]
+fn cut_list() {
+    let mut fleet = TestFleet::new(1, &["r1"]);
+    fleet.answer_first_holds();
+    let starts = fleet.start_work(7, vec![step(1, 4_000)]);
+    let other = fleet.submit_work(8, vec![step(1, 4_000)]);
+    fleet
+        .owner
+        .start_answered(&other[0], StartResponse::Unknown, fleet.now);
+    // Past the deadlines of both starts; both are listed and make progress.
+    let mut percent = 0;
+    while fleet.clock() <= other[0].deadline_ms {
+        fleet.advance(100);
+        percent += 1;
+        let mut response = empty_response(fleet.clock());
+        response.running = vec![listed_run(&starts[0]), listed_run(&other[0])];
+        for listed in &mut response.running {
+            listed.percent = percent;
+        }
+        fleet.answer_holds(|_| Some(response.clone()));
+    }
+    fleet.advance(100);
+    let mut cut = empty_response(fleet.clock());
+    let mut unknown = starts[0].clone();
+    unknown.name.job.0 = 99;
+    cut.ended = (1..=500)
+        .map(|number| ended_run(number, &unknown, EndKind::Done))
+        .collect();
+    assert_eq!(fleet.holds(), 1);
+    fleet.answer_holds(|_| Some(cut.clone()));
+    fleet.store();
+    fleet.advance(50);
+    assert!(
+        fleet.starts().is_empty(),
+        "a work item was started again although its end may be among those not listed yet"
+    );
+    fleet.advance(100);
+    let mut rest = empty_response(fleet.clock());
+    rest.ended = vec![
+        ended_run(501, &starts[0], EndKind::Done),
+        ended_run(502, &other[0], EndKind::Done),
+    ];
+    fleet.answer_holds(|_| Some(rest.clone()));
+    fleet.store();
+    fleet.advance(10);
+    assert!(fleet.starts().is_empty());
+}
