Send a pace again while the load stays high, and count stops after lost starts

Cause: a pace was recorded when it was sent and never sent again, so that after one lost command filling work went on at full speed beside overloaded serving work. The stop after a start without a response did not set the time of the last stop, so that it was sent twice within 100 ms. Any answer of a runner to a start proves that it can be reached, but only an acceptance ended its row of unanswered starts. Change: under high load the pace is repeated every second; the stop sets its time; each answer ends the row, and a start that was not sent counts as none.

--- a/crates/dispatch/src/jobs/work_item.rs
+++ b/crates/dispatch/src/jobs/work_item.rs
@@ -61,8 +61,8 @@
     pub phase: RunPhase,
     /// When the start command was sent.
     pub sent: LocalTime,
-    /// Time on the runner's clock, in milliseconds, after which the start command cannot be executed any more; 0 when
-    /// the runner is known to have executed it.
+    /// Time on the runner's clock, in milliseconds, after which the start command cannot be executed any more; 0 for an
+    /// adopted run, whose start has been executed.
     pub start_deadline_ms: u64,
     /// Share of the work that is done, in percent; for a long-running work item the share of its start-up.
     pub percent: u32,
@@ -70,6 +70,8 @@
     pub progressed_at: LocalTime,
     /// Share of its full speed that the run is allowed, in percent.
     pub pace: u32,
+    /// When the pace was last sent.
+    pub paced_at: LocalTime,
 }
 
 impl ItemRun {
@@ -84,6 +86,7 @@
             percent: 0,
             progressed_at: now,
             pace: MAX_PACE_PERCENT,
+            paced_at: now,
         }
     }
 
--- a/crates/dispatch/src/owner/pace_control.rs
+++ b/crates/dispatch/src/owner/pace_control.rs
@@ -4,6 +4,7 @@
         jobs::{ItemKey, ItemRun, MAX_PACE_PERCENT, RunPhase},
         runners::{ListedRun, RunnerKey},
     },
+    goldcreststall_core::ids::{LocalTime, Millis},
 };
 
 /// Share of the response time objective, in percent, from which on the load of a serving work item is high.
@@ -12,6 +13,8 @@
 const LOW_LOAD_PERCENT: u64 = 60;
 /// Step by which the pace of filling work rises again.
 const PACE_STEP_PERCENT: u32 = 15;
+/// Time after which the pace of slowed work is sent again while the load stays high: the command may have been lost.
+const PACE_REPEAT_INTERVAL: Millis = Millis(1_000);
 
 /// Load of serving work on a runner, by the ratio of its response times to their objective.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -25,7 +28,12 @@
 impl OwnerState {
     /// Slows filling work on a runner whose serving work comes close to its response time objective, and speeds it
     /// up again when the load is low.
-    pub(super) fn control_pace(&mut self, runner: RunnerKey, running: &[ListedRun]) {
+    pub(super) fn control_pace(
+        &mut self,
+        runner: RunnerKey,
+        running: &[ListedRun],
+        now: LocalTime,
+    ) {
         let runs = self.runs_on(runner);
         let filling_runs: Vec<&(ItemKey, ItemRun)> = runs
             .iter()
@@ -48,8 +56,10 @@
                 Some(LoadLevel::High) => run.pace / 2,
                 Some(LoadLevel::Exceeded) => 0,
             };
-            if pace != run.pace {
-                self.issue_pace(*key, run, pace);
+            let may_be_lost = load_level >= Some(LoadLevel::High)
+                && now.since(run.paced_at) > PACE_REPEAT_INTERVAL;
+            if pace != run.pace || may_be_lost {
+                self.issue_pace(*key, run, pace, now);
             }
         }
     }
@@ -75,7 +85,7 @@
         })
     }
 
-    fn issue_pace(&mut self, key: ItemKey, recorded_run: &ItemRun, pace: u32) {
+    fn issue_pace(&mut self, key: ItemKey, recorded_run: &ItemRun, pace: u32, now: LocalTime) {
         let Some(job) = self.jobs.get(key.job) else {
             return;
         };
@@ -89,6 +99,7 @@
         self.log_event("pace", command.name.to_string(), detail);
         if let Some(run) = self.run_mut(key, recorded_run.runner, recorded_run.run) {
             run.pace = pace;
+            run.paced_at = now;
         }
         self.commands.push(OwnerCommand::Pace(command, pace));
     }
--- a/crates/dispatch/src/owner/runner_responses.rs
+++ b/crates/dispatch/src/owner/runner_responses.rs
@@ -75,7 +75,7 @@
         if lists_all_ends {
             self.detach_unlisted(key, sent, &response, now);
         }
-        self.control_pace(key, &response.running);
+        self.control_pace(key, &response.running, now);
         self.placement_due = true;
     }
 
@@ -134,14 +134,14 @@
                 .iter()
                 .any(|listed| Some(listed.name) == name && listed.run == recorded_run.run);
             if !is_listed && recorded_run.ended_if_unlisted(sent, response.clock_ms) {
-                self.log_void_start(key, &recorded_run, response.clock_ms);
+                self.log_void_run(key, &recorded_run, response.clock_ms);
                 self.detach_run(key, runner, recorded_run.run, now);
             }
         }
     }
 
-    /// Logs a run whose start command and stop both got no response, and that never began.
-    fn log_void_start(&mut self, key: ItemKey, recorded_run: &ItemRun, clock_ms: u64) {
+    /// Logs a run that is not listed and whose start or stop had no response; it never began or has ended.
+    fn log_void_run(&mut self, key: ItemKey, recorded_run: &ItemRun, clock_ms: u64) {
         let is_unconfirmed = matches!(recorded_run.phase, RunPhase::Starting | RunPhase::Stopping);
         let Some(job) = self.jobs.get(key.job).filter(|_| is_unconfirmed) else {
             return;
--- a/crates/dispatch/src/owner/start_responses.rs
+++ b/crates/dispatch/src/owner/start_responses.rs
@@ -10,9 +10,9 @@
 const REFUSAL_COOLDOWN: Millis = Millis(500);
 /// How long a runner gets no new work after a start command without a response. The time doubles with each further one in
 /// a row, because a runner that is out of reach for start commands may still answer hold calls.
-const SILENCE_COOLDOWN: Millis = Millis(250);
+const UNANSWERED_COOLDOWN: Millis = Millis(250);
 /// Number of doublings after which this time no longer grows.
-const MAX_SILENCE_DOUBLINGS: u32 = 4;
+const MAX_COOLDOWN_DOUBLINGS: u32 = 4;
 /// Step by which the run number advances to skip numbers that an earlier owner may have used.
 const RUN_NUMBER_STEP: u32 = 16;
 
@@ -52,10 +52,10 @@
         let StartCommand {
             runner, item, run, ..
         } = *command;
-        if response != StartResponse::Unknown
-            && let Some(state) = self.runners.get_mut(runner)
-        {
+        let is_response = !matches!(response, StartResponse::NotSent | StartResponse::Unknown);
+        if is_response && let Some(state) = self.runners.get_mut(runner) {
             state.last_response = now;
+            state.unanswered_starts = 0;
         }
         match response {
             StartResponse::Begun(clock) => self.start_accepted(command, clock, now),
@@ -94,7 +94,6 @@
         if let Some(state) = self.runners.get_mut(command.runner) {
             state.clock.record_reading(clock, now);
             state.missed_holds = 0;
-            state.unanswered_starts = 0;
         }
         if let Some(recorded_run) = self.run_mut(command.item, command.runner, command.run)
             && recorded_run.phase == RunPhase::Starting
@@ -108,7 +107,7 @@
         let sent = self
             .run_mut(command.item, command.runner, command.run)
             .map_or(now, |recorded_run| recorded_run.sent);
-        let unanswered_starts = self.avoid_silent_runner(command.runner, sent, now);
+        let unanswered_starts = self.cool_down_unanswered(command.runner, sent, now);
         let detail = format!(
             "run={} unanswered_in_a_row={unanswered_starts} no response from the runner; stopping the run",
             command.run
@@ -118,6 +117,7 @@
             && recorded_run.phase == RunPhase::Starting
         {
             recorded_run.phase = RunPhase::Stopping;
+            recorded_run.progressed_at = now;
             self.issue_stop(command.item, command.runner, command.run);
             self.stop_gang(command.item, command.run);
         }
@@ -126,7 +126,7 @@
     /// Gives no new work to a runner for a time after a start command without a response; returns the number of such
     /// commands in a row. One that was sent before the last of them was counted does not count: a lost delegate takes the
     /// responses to all starts that are in flight through it.
-    fn avoid_silent_runner(&mut self, runner: RunnerKey, sent: LocalTime, now: LocalTime) -> u32 {
+    fn cool_down_unanswered(&mut self, runner: RunnerKey, sent: LocalTime, now: LocalTime) -> u32 {
         let Some(state) = self.runners.get_mut(runner) else {
             return 0;
         };
@@ -134,9 +134,9 @@
             return state.unanswered_starts;
         }
         state.unanswered_at = now;
-        let doublings = state.unanswered_starts.min(MAX_SILENCE_DOUBLINGS);
+        let doublings = state.unanswered_starts.min(MAX_COOLDOWN_DOUBLINGS);
         state.unanswered_starts = state.unanswered_starts.saturating_add(1);
-        let cooldown = Millis(SILENCE_COOLDOWN.0 << doublings);
+        let cooldown = Millis(UNANSWERED_COOLDOWN.0 << doublings);
         state.cooldown_until = state.cooldown_until.max(now + cooldown);
         state.unanswered_starts
     }
