Give each runner a limit of its own, and limit calls to the host service

Cause: the limit of commands was shared by the runners whose ids have the same hash out of 1,024: of 250 runners that answer, 21 waited for 100 that do not. Two types did the same work. Change: one limiter, by the id of the runner, for both uses; at most 16 moves and maintenance commands are in flight. The limit of moves has no test of its own.

--- a/crates/node/src/control/command_executor.rs
+++ b/crates/node/src/control/command_executor.rs
@@ -2,10 +2,10 @@
     super::{
         ControlEvent,
         owner_actor::{ActorArgs, OwnerActor, send_event},
-        start_limiter::StartLimiter,
         wave_reports::WaveReports,
     },
     crate::{
+        delegates::CommandLimiter,
         journal::JobJournal,
         ports::{HoldCall, RunnerEndpoint},
     },
@@ -20,6 +20,7 @@
     kameo::actor::WeakActorRef,
     slog::{info, warn},
     std::sync::Arc,
+    tokio::sync::Semaphore,
     tokio_util::sync::CancellationToken,
 };
 
@@ -29,7 +30,8 @@
     pub(super) args: ActorArgs,
     pub(super) token: u64,
     pub(super) reports: WaveReports,
-    pub(super) limiter: StartLimiter,
+    pub(super) limiter: CommandLimiter,
+    pub(super) host_limiter: Arc<Semaphore>,
     pub(super) stop: CancellationToken,
 }
 
@@ -123,7 +125,7 @@
         let lease = self.args.lease.clone();
         self.args.metrics.count_command("start");
         tokio::spawn(async move {
-            let _permit = limiter.acquire(command.runner).await;
+            let _permit = limiter.acquire(&endpoint.id).await;
             // The lease may have ended while the command waited for the permit.
             let response = if lease.is_held() {
                 service.start(&endpoint, &command.run_start()).await
@@ -179,9 +181,14 @@
         let token = self.token;
         let logger = self.args.logger.clone();
         let lease = self.args.lease.clone();
+        let limiter = Arc::clone(&self.host_limiter);
         self.args.metrics.count_command("move");
         tokio::spawn(async move {
-            let sending = service.move_host(&host, &pool, token);
+            let sending = async {
+                // Fails only for a closed semaphore, and this one is never closed.
+                let _permit = limiter.acquire().await.ok();
+                service.move_host(&host, &pool, token).await
+            };
             let response = lease.run_while_held(sending).await;
             let response = response.unwrap_or(HostResponse::Unknown);
             info!(logger, "owner: the host service answered a move command"; "id" => &host,
@@ -196,9 +203,14 @@
         let token = self.token;
         let logger = self.args.logger.clone();
         let lease = self.args.lease.clone();
+        let limiter = Arc::clone(&self.host_limiter);
         self.args.metrics.count_command("maintain");
         tokio::spawn(async move {
-            let sending = service.maintain(&host, wave, token);
+            let sending = async {
+                // Fails only for a closed semaphore, and this one is never closed.
+                let _permit = limiter.acquire().await.ok();
+                service.maintain(&host, wave, token).await
+            };
             let response = lease.run_while_held(sending).await;
             let response = response.unwrap_or(HostResponse::Unknown);
             info!(logger, "owner: the host service answered a maintenance command";
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -4,7 +4,6 @@
 mod control_event;
 mod owner_actor;
 mod owner_term;
-mod start_limiter;
 mod wave_reports;
 
 pub use {
--- a/crates/node/src/control/owner_term.rs
+++ b/crates/node/src/control/owner_term.rs
@@ -1,16 +1,24 @@
 use {
-    super::{start_limiter::StartLimiter, wave_reports::WaveReports},
-    crate::journal::JobJournal,
+    super::wave_reports::WaveReports,
+    crate::{delegates::CommandLimiter, journal::JobJournal},
     goldcreststall_core::ids::{LocalTime, Millis},
     goldcreststall_dispatch::owner::{CallId, CallResponse, JobCall, OwnerState},
-    std::collections::VecDeque,
-    tokio::sync::oneshot,
+    std::{collections::VecDeque, sync::Arc},
+    tokio::sync::{Semaphore, oneshot},
     tokio_util::sync::CancellationToken,
 };
 
 /// How long a call waits until the records of earlier terms were read.
 const QUEUE_TIMEOUT: Millis = Millis(1_000);
 
+/// Most start commands in flight to one runner, through all delegates. Each takes a connection; without a limit a flood of
+/// jobs opens one for every work item that it starts at a runner, for which small hosts have neither the memory nor the
+/// file descriptors.
+const MAX_STARTS_PER_RUNNER: usize = 4;
+/// Most moves and maintenance commands in flight to the host service. Each takes a connection, and the service answers a
+/// limited number of calls per second.
+const MAX_HOST_COMMANDS: usize = 16;
+
 /// A term of this process as owner.
 pub(super) struct OwnerTerm {
     /// Fencing token of the term.
@@ -19,7 +27,10 @@
     pub(super) state: Option<OwnerState>,
     /// `None` while a batch is being stored, and until the records of earlier terms were read.
     pub(super) journal: Option<Box<JobJournal>>,
-    pub(super) limiter: StartLimiter,
+    /// Limits the starts in flight to each runner.
+    pub(super) limiter: CommandLimiter,
+    /// Limits the moves and maintenance commands in flight.
+    pub(super) host_limiter: Arc<Semaphore>,
     pub(super) reports: WaveReports,
     /// Calls that arrived before the records of earlier terms were read, in the order of their arrival.
     pub(super) queued_calls: VecDeque<QueuedCall>,
@@ -50,7 +61,8 @@
             token,
             state: None,
             journal: None,
-            limiter: StartLimiter::default(),
+            limiter: CommandLimiter::new(MAX_STARTS_PER_RUNNER),
+            host_limiter: Arc::new(Semaphore::new(MAX_HOST_COMMANDS)),
             reports,
             queued_calls: VecDeque::new(),
             store_failing_since: None,
--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -5,6 +5,7 @@
         control::{ActorArgs, ControlEvent, OwnerActor},
         delegates::{
             CommandLimiter, DelegateProfile, DelegateRegistry, DelegateTask, DelegatedRunners,
+            MAX_COMMANDS_PER_RUNNER,
         },
         election::{ElectionEvent, ElectionTask, OwnerLease, OwnerLocation},
         feeds::{OperatorFeed, RunnerFeed, follow_hosts},
@@ -136,7 +137,7 @@
     let metrics = Arc::new(NodeMetrics::new()?);
     let lease = OwnerLease::default();
     let delegates = DelegateRegistry::new(lease.clone(), logger.clone());
-    let limiter = CommandLimiter::default();
+    let limiter = CommandLimiter::new(MAX_COMMANDS_PER_RUNNER);
     let args = ActorArgs {
         lease: lease.clone(),
         link_rate: settings.link_rate(),
--- a/crates/node/src/delegates/command_limiter.rs
+++ b/crates/node/src/delegates/command_limiter.rs
@@ -1,39 +1,52 @@
 use {
+    parking_lot::Mutex,
     std::sync::Arc,
     tokio::sync::{OwnedSemaphorePermit, Semaphore},
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Most starts, stops and paces that one entry host has in flight to one runner. Each takes a connection, and a runner
 /// accepts a limited number from all entry hosts together; a cancelled job can cause a stop for each of its work items.
-const MAX_COMMANDS_PER_RUNNER: usize = 4;
-/// More than there are runners, so that two runners rarely share a semaphore.
-const SEMAPHORE_COUNT: u64 = 1_024;
+pub const MAX_COMMANDS_PER_RUNNER: usize = 4;
+/// Number of semaphores from which on those without permits in use are removed before one is added.
+const PRUNE_LENGTH: usize = 1_024;
 
-/// Limits the commands that this entry host has in flight to each runner. Hold calls are not counted: the owner sends one
-/// at a time to each runner.
+/// Limits the commands in flight to each runner. Hold calls are not counted: the owner sends one at a time to each runner.
 #[derive(Clone, Debug)]
 pub struct CommandLimiter {
-    semaphores: Arc<Vec<Arc<Semaphore>>>,
+    max_commands: usize,
+    /// Id of each runner and its permits, sorted by id.
+    rows: Arc<Mutex<Vec<(String, Arc<Semaphore>)>>>,
 }
 
-impl Default for CommandLimiter {
-    fn default() -> Self {
-        let semaphores =
-            (0..SEMAPHORE_COUNT).map(|_| Arc::new(Semaphore::new(MAX_COMMANDS_PER_RUNNER)));
+impl CommandLimiter {
+    /// Creates a limiter of `max_commands` in flight to each runner.
+    pub fn new(max_commands: usize) -> Self {
         Self {
-            semaphores: Arc::new(semaphores.collect()),
+            max_commands,
+            rows: Arc::default(),
         }
     }
-}
 
-impl CommandLimiter {
     /// Waits until a command may be sent to the runner with the id `runner`; it counts until the permit is dropped. What
     /// allows the command has to be checked after the wait.
-    pub(super) async fn acquire(&self, runner: &str) -> Option<OwnedSemaphorePermit> {
-        let index = xxh3_64(runner.as_bytes()) % SEMAPHORE_COUNT;
-        let semaphore = Arc::clone(&self.semaphores[index as usize]);
+    pub async fn acquire(&self, runner: &str) -> Option<OwnedSemaphorePermit> {
         // Fails only for a closed semaphore, and these are never closed.
-        semaphore.acquire_owned().await.ok()
+        self.semaphore(runner).acquire_owned().await.ok()
+    }
+
+    fn semaphore(&self, runner: &str) -> Arc<Semaphore> {
+        let mut rows = self.rows.lock();
+        if rows.len() >= PRUNE_LENGTH {
+            // Permits and waiting commands hold a reference each.
+            rows.retain(|(_, semaphore)| Arc::strong_count(semaphore) > 1);
+        }
+        match rows.binary_search_by(|(id, _)| id.as_str().cmp(runner)) {
+            Ok(index) => Arc::clone(&rows[index].1),
+            Err(index) => {
+                let semaphore = Arc::new(Semaphore::new(self.max_commands));
+                rows.insert(index, (runner.to_owned(), Arc::clone(&semaphore)));
+                semaphore
+            }
+        }
     }
 }
--- a/crates/node/src/delegates/mod.rs
+++ b/crates/node/src/delegates/mod.rs
@@ -20,7 +20,7 @@
 
 pub(crate) use delegate_frames::RawRegistration;
 pub use {
-    command_limiter::CommandLimiter,
+    command_limiter::{CommandLimiter, MAX_COMMANDS_PER_RUNNER},
     delegate_frames::{DelegateOrder, DelegateOutcome, OrderBody},
     delegate_profile::DelegateProfile,
     delegate_registry::DelegateRegistry,
