Send a start directly after one that its delegate lost

What callers saw: not seen yet; found in the review. If the entry host that sends the starts of a job does not reach a runner, every start of that job there is lost, and each one keeps the runner from the work of other jobs for a time. Cause: starts took one path, whatever became of the last one. At most 32 runners are called directly at a time, so that a slow owner does not take over the fleet.

--- a/crates/node/src/delegates/bypass_table.rs
+++ b/crates/node/src/delegates/bypass_table.rs
@@ -3,6 +3,10 @@
 /// How long the owner calls a runner itself after its delegate got no response from it.
 pub(super) const BYPASS_DURATION: Millis = Millis(10_000);
 
+/// Most runners that the owner calls itself. With a slow owner all outcomes are late; it must not take over the commands for
+/// the whole fleet then.
+const MAX_BYPASSES: usize = 32;
+
 /// Runners that the owner calls itself, because their delegate may be unable to reach them. One of the two paths may fail
 /// alone, and work must not be given up while the other one works.
 #[derive(Debug, Default)]
@@ -12,13 +16,16 @@
 }
 
 impl BypassTable {
-    /// Starts a bypass, or extends it.
+    /// Starts a bypass, or extends it; does nothing while there are [`MAX_BYPASSES`] others.
     pub(super) fn insert(&mut self, runner: &str, now: LocalTime) {
         self.rows.retain(|(_, until)| *until > now);
         let until = now + BYPASS_DURATION;
         match self.index_of(runner) {
             Ok(index) => self.rows[index].1 = until,
-            Err(index) => self.rows.insert(index, (runner.to_owned(), until)),
+            Err(index) if self.rows.len() < MAX_BYPASSES => {
+                self.rows.insert(index, (runner.to_owned(), until));
+            }
+            Err(_) => {}
         }
     }
 
--- a/crates/node/src/delegates/delegated_runners.rs
+++ b/crates/node/src/delegates/delegated_runners.rs
@@ -39,9 +39,9 @@
     limiter: CommandLimiter,
     /// Runners whose delegates get no answer to hold calls.
     hold_bypasses: Mutex<BypassTable>,
-    /// Runners whose delegates get no answer to stops. Hold calls may still be answered, on a connection that is open
-    /// already, and must keep it then.
-    stop_bypasses: Mutex<BypassTable>,
+    /// Runners whose delegates get no answer to starts or stops. Hold calls may still be answered, on a connection that is
+    /// open already, and must keep it then.
+    command_bypasses: Mutex<BypassTable>,
 }
 
 impl DelegatedRunners {
@@ -57,7 +57,7 @@
             registry,
             limiter,
             hold_bypasses: Mutex::default(),
-            stop_bypasses: Mutex::default(),
+            command_bypasses: Mutex::default(),
         }
     }
 
@@ -71,11 +71,17 @@
         bypasses.contains(&runner.id, BootClock.now())
     }
 
-    fn bypasses_stops(&self, runner: &RunnerEndpoint) -> bool {
-        let bypasses = self.stop_bypasses.lock();
+    fn bypasses_commands(&self, runner: &RunnerEndpoint) -> bool {
+        let bypasses = self.command_bypasses.lock();
         bypasses.contains(&runner.id, BootClock.now()) || self.bypasses_holds(runner)
     }
 
+    /// Records that the delegate got no answer to a start or stop.
+    fn bypass_commands(&self, runner: &RunnerEndpoint) {
+        let mut bypasses = self.command_bypasses.lock();
+        bypasses.insert(&runner.id, BootClock.now());
+    }
+
     async fn hold_directly(&self, runner: &RunnerEndpoint, call: HoldCall) -> Option<HoldResponse> {
         let response = self.direct_service()?.hold(runner, call).await;
         if response.is_none() {
@@ -88,7 +94,7 @@
         let _permit = self.limiter.acquire(&runner.id).await;
         let clock_ms = self.direct_service()?.stop(runner, run).await;
         if clock_ms.is_none() {
-            self.stop_bypasses.lock().remove(&runner.id);
+            self.command_bypasses.lock().remove(&runner.id);
         }
         clock_ms
     }
@@ -140,6 +146,9 @@
             };
         };
         let response = direct.start(runner, start).await;
+        if response == StartResponse::Unknown {
+            self.command_bypasses.lock().remove(&runner.id);
+        }
         match response {
             StartResponse::Begun(_) | StartResponse::Fenced => response,
             _ if may_be_sent => StartResponse::Unknown,
@@ -168,20 +177,28 @@
     }
 
     async fn start(&self, runner: &RunnerEndpoint, start: &RunStart) -> StartResponse {
+        if self.bypasses_commands(runner) {
+            return self.start_directly(runner, start, false).await;
+        }
         let body = OrderBody::Start(start.clone());
         match self.delegate(runner, body, Millis(0)).await {
             DelegateAttempt::NotSent
             | DelegateAttempt::Executed(DelegateOutcome::Start(StartResponse::NotSent)) => {
                 self.start_directly(runner, start, false).await
             }
-            DelegateAttempt::Executed(DelegateOutcome::Start(response)) => response,
+            DelegateAttempt::Executed(DelegateOutcome::Start(response)) => {
+                if response == StartResponse::Unknown {
+                    self.bypass_commands(runner);
+                }
+                response
+            }
             DelegateAttempt::Late => StartResponse::Unknown,
             _ => self.start_directly(runner, start, true).await,
         }
     }
 
     async fn stop(&self, runner: &RunnerEndpoint, run: &RunName) -> Option<u64> {
-        if self.bypasses_stops(runner) {
+        if self.bypasses_commands(runner) {
             return self.stop_directly(runner, run).await;
         }
         let body = OrderBody::Stop(*run);
@@ -191,8 +208,7 @@
             _ => return self.stop_directly(runner, run).await,
         };
         if clock_ms.is_none() {
-            let mut bypasses = self.stop_bypasses.lock();
-            bypasses.insert(&runner.id, BootClock.now());
+            self.bypass_commands(runner);
         }
         clock_ms
     }
