Notice an owner whose connection to a delegate has gone silent

What callers saw: not seen yet; found in the review. Cause: the owner closes the connection of a delegate that is silent for 2 s. The delegate waited for frames without a limit, and the owner sent none while it had no commands: on a connection that went silent without a reset the entry host was no delegate any more until the next owner. Change: the owner sends a frame at least every 600 ms, and a delegate that gets none for 2 s registers again. Evidence: delegated_commands::silent_delegate_link failed before (not registered again 10 s after the silence began). An older delegate takes the empty frames as they are.

--- a/crates/node/src/delegates/delegate_link.rs
+++ b/crates/node/src/delegates/delegate_link.rs
@@ -7,13 +7,16 @@
     crate::{election::OwnerLease, links::FrameSink},
     bytes::Bytes,
     futures_util::SinkExt,
-    goldcreststall_core::ids::LocalTime,
+    goldcreststall_core::ids::{LocalTime, Millis},
     goldcreststall_entry::clock::BootClock,
     parking_lot::Mutex,
     prost::Message,
-    std::sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
     },
     tokio::sync::{mpsc, oneshot},
 };
@@ -23,6 +26,9 @@
 /// Most commands in one frame. With their texts they stay far below the longest frame.
 const MAX_FRAME_ORDERS: usize = 64;
 
+/// Time between two frames while there are no commands, so that the delegate notices a connection that has gone silent.
+const HEARTBEAT_INTERVAL: Millis = Millis(600);
+
 /// A command that waits to be written.
 struct QueuedOrder {
     order: DelegateOrder,
@@ -119,8 +125,16 @@
 impl OrderWriter {
     async fn run(mut self, mut orders: mpsc::Receiver<QueuedOrder>) {
         let mut queued = Vec::with_capacity(MAX_FRAME_ORDERS);
-        while orders.recv_many(&mut queued, MAX_FRAME_ORDERS).await > 0 {
-            let Some(frame) = self.pack(&mut queued) else {
+        let interval = Duration::from_millis(HEARTBEAT_INTERVAL.0);
+        loop {
+            let receiving = orders.recv_many(&mut queued, MAX_FRAME_ORDERS);
+            // Receiving takes no command before it is complete, so that the timeout loses none.
+            let frame = match tokio::time::timeout(interval, receiving).await {
+                Ok(0) => return,
+                Ok(_) => self.pack(&mut queued),
+                Err(_) => Some(self.frame(0, &OrderBatch::default())),
+            };
+            let Some(frame) = frame else {
                 continue;
             };
             if self.sink.send(frame).await.is_err() {
@@ -155,13 +169,17 @@
         if batch.orders.is_empty() {
             return None;
         }
-        // The batch holds only plain fields, so serialization cannot fail.
-        let batch = postcard::to_stdvec(&batch).expect("commands are serializable");
+        Some(self.frame(token, &batch))
+    }
+
+    /// Builds a frame; without commands it is a heartbeat.
+    fn frame(&self, token: u64, batch: &OrderBatch) -> Bytes {
         let raw = RawOrders {
             echo_ms: self.echo_ms.load(Ordering::Relaxed),
             token,
-            batch,
+            // The batch holds only plain fields, so serialization cannot fail.
+            batch: postcard::to_stdvec(batch).expect("commands are serializable"),
         };
-        Some(Bytes::from(raw.encode_to_vec()))
+        Bytes::from(raw.encode_to_vec())
     }
 }
--- a/crates/node/src/delegates/delegate_task.rs
+++ b/crates/node/src/delegates/delegate_task.rs
@@ -32,6 +32,8 @@
 const BUSY_INTERVAL: Millis = Millis(150);
 /// Time between two frames while there are none.
 const IDLE_INTERVAL: Millis = Millis(300);
+/// Silence of the owner after which its connection is given up and opened again. It sends a frame at least every 600 ms.
+const OWNER_SILENCE_TIMEOUT: Millis = Millis(2_000);
 /// Most outcomes that wait to be written.
 const OUTCOME_QUEUE_LENGTH: usize = 1_024;
 /// Most outcomes in one frame.
@@ -101,6 +103,7 @@
         let (sender, mut outcomes) = mpsc::channel(OUTCOME_QUEUE_LENGTH);
         let mut texts = TextCache::default();
         let mut waiting: usize = 0;
+        let mut last_frame = BootClock.now();
         let mut ready = Vec::with_capacity(MAX_FRAME_OUTCOMES);
         // The owner needs this time before its first command.
         let first = outcome_frame(&mut ready, self.stop.is_cancelled());
@@ -118,6 +121,7 @@
                     let Some(Ok(frame)) = frame else {
                         return "closed";
                     };
+                    last_frame = BootClock.now();
                     match self.execute_frame(frame, &mut texts, &sender) {
                         Some(count) => waiting += count,
                         None => return "a frame cannot be decoded",
@@ -136,6 +140,9 @@
                 }
                 () = tokio::time::sleep(Duration::from_millis(interval.0)) => {}
             }
+            if BootClock.now().since(last_frame) > OWNER_SILENCE_TIMEOUT {
+                return "silent";
+            }
             let frame = outcome_frame(&mut ready, self.stop.is_cancelled());
             if sink.send(frame).await.is_err() {
                 return "closed";
--- a/crates/node/tests/delegated_commands.rs
+++ b/crates/node/tests/delegated_commands.rs
@@ -12,7 +12,7 @@
     goldcreststall_node::{
         delegates::{
             CommandLimiter, DelegateProfile, DelegateRegistry, DelegateTask, DelegatedRunners,
-            MAX_ORDER_AGE, OrderAge,
+            MAX_COMMANDS_PER_RUNNER, MAX_ORDER_AGE, OrderAge,
         },
         election::OwnerLocation,
         links::{LinkServer, PeerDirectory},
@@ -60,7 +60,7 @@
     let service = DelegatedRunners::new(
         Arc::clone(&direct) as _,
         registry,
-        CommandLimiter::default(),
+        CommandLimiter::new(MAX_COMMANDS_PER_RUNNER),
     );
     TestOwner {
         test,
@@ -88,7 +88,7 @@
             link_mbps: 100,
         },
         runners: Arc::clone(&runners) as _,
-        limiter: CommandLimiter::default(),
+        limiter: CommandLimiter::new(MAX_COMMANDS_PER_RUNNER),
         stop: CancellationToken::new(),
         logger: logger(),
     };
@@ -409,7 +409,7 @@
     assert!(owner.service.hold(&endpoint(), hold_call()).await.is_none());
     assert!(
         owner.service.hold(&endpoint(), hold_call()).await.is_some(),
-        "the second hold call took the way that had failed"
+        "the second hold call took the path that had failed"
     );
     let run = RunName {
         name: run_start(1).name,
@@ -418,9 +418,9 @@
     assert_eq!(owner.service.stop(&endpoint(), &run).await, Some(1));
 }
 
-/// Guards against a stop that is repeated on a way that does not lead to the runner.
+/// Guards against a stop that is repeated on a path that does not lead to the runner.
 #[tokio::test]
-async fn stop_takes_the_other_way() {
+async fn stop_takes_the_other_path() {
     let owner = spawn_owner().await;
     let (delegate, _owner_watch) = spawn_delegate(owner.address);
     wait_for_delegate(&owner, &delegate).await;
@@ -483,3 +483,142 @@
     stop_at_once(&owner, 12).await;
     assert_eq!(delegate.most_stops.load(Ordering::SeqCst), 4);
 }
+
+/// Guards against a runner that is given up because its delegate, which is in contact, never has the outcome in time: it
+/// waits 600 ms for a runner that it cannot reach, and the owner waits 750 ms for it.
+#[tokio::test]
+async fn late_delegate() {
+    let owner = spawn_owner().await;
+    let (delegate, _owner_watch) = spawn_delegate(owner.address);
+    wait_for_delegate(&owner, &delegate).await;
+    delegate.block_holds.store(true, Ordering::SeqCst);
+    assert!(owner.service.hold(&endpoint(), hold_call()).await.is_none());
+    assert!(
+        owner.service.hold(&endpoint(), hold_call()).await.is_some(),
+        "the second hold call went to the delegate that was late"
+    );
+}
+
+/// Passes bytes on in both directions. While `silent` names a number of connections, that many of the first ones pass
+/// nothing on, neither bytes nor their end, and stay open.
+async fn spawn_silent_relay(target: SocketAddr, silent: watch::Receiver<usize>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        for number in 0.. {
+            let Ok((inbound, _)) = listener.accept().await else {
+                return;
+            };
+            let Ok(outbound) = TcpStream::connect(target).await else {
+                continue;
+            };
+            let (from_delegate, to_delegate) = inbound.into_split();
+            let (from_owner, to_owner) = outbound.into_split();
+            for (mut from, mut to) in [(from_delegate, to_owner), (from_owner, to_delegate)] {
+                let silent = silent.clone();
+                tokio::spawn(async move {
+                    let mut buffer = [0; 4_096];
+                    loop {
+                        let read = from.read(&mut buffer).await;
+                        if *silent.borrow() > number {
+                            std::future::pending::<()>().await;
+                        }
+                        let Ok(count @ 1..) = read else {
+                            return;
+                        };
+                        if to.write_all(&buffer[..count]).await.is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        }
+    });
+    address
+}
+
+/// Guards against delegates that are lost for the rest of a term: their connection to the owner goes silent without a
+/// reset, and they wait on it although a new one would work.
+#[tokio::test]
+async fn silent_delegate_link() {
+    let owner = spawn_owner().await;
+    let (silence, silent) = watch::channel(0);
+    let relay = spawn_silent_relay(owner.address, silent).await;
+    let (delegate, _owner_watch) = spawn_delegate(relay);
+    wait_for_delegate(&owner, &delegate).await;
+    silence.send_replace(1);
+    // The owner gives the connection up after 2 s.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    delegate.holds.store(0, Ordering::SeqCst);
+    let again = async {
+        while delegate.holds.load(Ordering::SeqCst) == 0 {
+            owner.service.hold(&endpoint(), hold_call()).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    assert!(
+        tokio::time::timeout(Duration::from_secs(7), again)
+            .await
+            .is_ok(),
+        "the delegate has not registered again 10 s after its connection went silent"
+    );
+}
+
+/// Guards against a job that never starts because the one entry host that its starts go through cannot reach the
+/// runner, although the owner can.
+#[tokio::test]
+async fn start_takes_the_other_path() {
+    let owner = spawn_owner().await;
+    let (delegate, _owner_watch) = spawn_delegate(owner.address);
+    wait_for_delegate(&owner, &delegate).await;
+    delegate.lose_starts.store(true, Ordering::SeqCst);
+    assert_eq!(start(&owner, 1).await, StartResponse::Unknown);
+    assert_eq!(
+        start(&owner, 2).await,
+        StartResponse::Begun(1),
+        "the second start of the job took the path that had failed"
+    );
+}
+
+/// Guards against stops that wait for other runners, which are out of reach, because they share their limit.
+#[tokio::test]
+async fn limits_are_separate() {
+    let owner = spawn_owner().await;
+    let with_id = |number: u32| RunnerEndpoint {
+        id: format!("runner-{number}"),
+        ..endpoint()
+    };
+    let run = RunName {
+        name: run_start(1).name,
+        run: 1,
+    };
+    let (out_of_reach, reachable) = ((0..100).map(with_id), (100..350).map(with_id));
+    owner
+        .direct
+        .hanging
+        .lock()
+        .extend(out_of_reach.clone().map(|runner| runner.id));
+    let service = Arc::new(owner.service);
+    for runner in out_of_reach {
+        for _ in 0..4 {
+            let (service, runner) = (Arc::clone(&service), runner.clone());
+            tokio::spawn(async move { service.stop(&runner, &run).await });
+        }
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let mut late = Vec::new();
+    for runner in reachable {
+        let stop = service.stop(&runner, &run);
+        if tokio::time::timeout(Duration::from_millis(200), stop)
+            .await
+            .is_err()
+        {
+            late.push(runner.id);
+        }
+    }
+    assert!(
+        late.is_empty(),
+        "{} of 250 runners that answer wait for others that do not: {late:?}",
+        late.len()
+    );
+}
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -228,6 +228,12 @@
     pub most_stops: AtomicUsize,
     /// No command reaches a runner.
     pub unreachable: AtomicBool,
+    /// Never ends hold calls.
+    pub block_holds: AtomicBool,
+    /// Gives no response to start commands.
+    pub lose_starts: AtomicBool,
+    /// Ids of the runners that never end stops.
+    pub hanging: Mutex<Vec<String>>,
     /// Refuses all start commands for lack of free capacity.
     pub refuse_starts: AtomicBool,
     pub starts: Mutex<Vec<RunStart>>,
@@ -246,6 +252,9 @@
 impl RunnerService for FakeRunners {
     async fn hold(&self, _runner: &RunnerEndpoint, _call: HoldCall) -> Option<HoldResponse> {
         self.holds.fetch_add(1, Ordering::SeqCst);
+        if self.block_holds.load(Ordering::SeqCst) {
+            std::future::pending::<()>().await;
+        }
         if self.unreachable.load(Ordering::SeqCst) {
             return None;
         }
@@ -259,6 +268,9 @@
         if self.unreachable.load(Ordering::SeqCst) {
             return StartResponse::NotSent;
         }
+        if self.lose_starts.load(Ordering::SeqCst) {
+            return StartResponse::Unknown;
+        }
         if self.refuse_starts.load(Ordering::SeqCst) {
             return StartResponse::NoRoom;
         }
@@ -271,7 +283,11 @@
         StartResponse::Begun(1)
     }
 
-    async fn stop(&self, _runner: &RunnerEndpoint, _run: &RunName) -> Option<u64> {
+    async fn stop(&self, runner: &RunnerEndpoint, _run: &RunName) -> Option<u64> {
+        let hangs = self.hanging.lock().contains(&runner.id);
+        if hangs {
+            std::future::pending::<()>().await;
+        }
         self.stops.fetch_add(1, Ordering::SeqCst);
         self.other_commands.fetch_add(1, Ordering::SeqCst);
         let open = self.open_stops.fetch_add(1, Ordering::SeqCst) + 1;
