Send no start that was stopped while it waited

Cause: starts wait until fewer than four are in flight to their runner. The stop of a cancelled job was sent meanwhile, and the start after it; only the runner's memory of the stop kept the work from running. Change: a stop withdraws the start of its run while it waits, and such a start counts as not sent and says nothing about its runner. Evidence: start_limiter::none_after_the_cancellation failed before (8 commands, not 4).

--- a/crates/dispatch/src/owner/owner_command.rs
+++ b/crates/dispatch/src/owner/owner_command.rs
@@ -80,6 +80,14 @@
 }
 
 impl StartCommand {
+    /// Returns the name of the run.
+    pub fn run_name(&self) -> RunName {
+        RunName {
+            name: self.name,
+            run: self.run,
+        }
+    }
+
     /// Returns what the runner is told.
     pub fn run_start(&self) -> RunStart {
         RunStart {
--- a/crates/dispatch/src/owner/start_responses.rs
+++ b/crates/dispatch/src/owner/start_responses.rs
@@ -49,11 +49,8 @@
         response: StartResponse,
         now: LocalTime,
     ) -> bool {
-        let StartCommand {
-            runner, item, run, ..
-        } = *command;
         let is_response = !matches!(response, StartResponse::NotSent | StartResponse::Unknown);
-        if is_response && let Some(state) = self.runners.get_mut(runner) {
+        if is_response && let Some(state) = self.runners.get_mut(command.runner) {
             state.last_response = now;
             state.unanswered_starts = 0;
         }
@@ -67,25 +64,7 @@
             | StartResponse::NotSent
             | StartResponse::OldRun
             | StartResponse::OtherLifetime
-            | StartResponse::Unhealthy => {
-                let detail = format!("run={run} answer={response:?}");
-                self.log_event("start refused", command.name.to_string(), detail);
-                self.detach_run(item, runner, run, now);
-                self.stop_gang(item, run);
-                if response == StartResponse::OldRun
-                    && let Some(item) = self.jobs.item_mut(item)
-                {
-                    item.last_run = item.last_run.saturating_add(RUN_NUMBER_STEP);
-                }
-                if response == StartResponse::NoTicket {
-                    if let Some(step) = self.step_key(item) {
-                        self.advice.remove_ticket(step, runner);
-                    }
-                } else if let Some(state) = self.runners.get_mut(runner) {
-                    state.cooldown_until = state.cooldown_until.max(now + REFUSAL_COOLDOWN);
-                    state.next_hold = state.next_hold.min(now);
-                }
-            }
+            | StartResponse::Unhealthy => self.start_refused(command, response, now),
         }
         true
     }
@@ -103,6 +82,35 @@
         }
     }
 
+    fn start_refused(&mut self, command: &StartCommand, response: StartResponse, now: LocalTime) {
+        let StartCommand {
+            runner, item, run, ..
+        } = *command;
+        let detail = format!("run={run} answer={response:?}");
+        self.log_event("start refused", command.name.to_string(), detail);
+        let was_withdrawn = response == StartResponse::NotSent
+            && self
+                .run_mut(item, runner, run)
+                .is_some_and(|recorded_run| recorded_run.phase != RunPhase::Starting);
+        self.detach_run(item, runner, run, now);
+        self.stop_gang(item, run);
+        if response == StartResponse::OldRun
+            && let Some(item) = self.jobs.item_mut(item)
+        {
+            item.last_run = item.last_run.saturating_add(RUN_NUMBER_STEP);
+        }
+        if response == StartResponse::NoTicket {
+            if let Some(step) = self.step_key(item) {
+                self.advice.remove_ticket(step, runner);
+            }
+        } else if let Some(state) = self.runners.get_mut(runner)
+            && !was_withdrawn
+        {
+            state.cooldown_until = state.cooldown_until.max(now + REFUSAL_COOLDOWN);
+            state.next_hold = state.next_hold.min(now);
+        }
+    }
+
     fn start_unknown(&mut self, command: &StartCommand, now: LocalTime) {
         let sent = self
             .run_mut(command.item, command.runner, command.run)
--- a/crates/node/src/control/command_executor.rs
+++ b/crates/node/src/control/command_executor.rs
@@ -2,6 +2,7 @@
     super::{
         ControlEvent,
         owner_actor::{ActorArgs, OwnerActor, send_event},
+        waiting_starts::WaitingStarts,
         wave_reports::WaveReports,
     },
     crate::{
@@ -31,6 +32,7 @@
     pub(super) token: u64,
     pub(super) reports: WaveReports,
     pub(super) limiter: CommandLimiter,
+    pub(super) waiting_starts: WaitingStarts,
     pub(super) host_limiter: Arc<Semaphore>,
     pub(super) stop: CancellationToken,
 }
@@ -123,11 +125,14 @@
         let token = self.token;
         let limiter = self.limiter.clone();
         let lease = self.args.lease.clone();
+        let waiting_starts = self.waiting_starts.clone();
+        waiting_starts.add(command.run_name());
         self.args.metrics.count_command("start");
         tokio::spawn(async move {
             let _permit = limiter.acquire(&endpoint.id).await;
-            // The lease may have ended while the command waited for the permit.
-            let response = if lease.is_held() {
+            // The lease may have ended, or the run been stopped, while the command waited for the permit.
+            let is_wanted = waiting_starts.remove(&command.run_name());
+            let response = if is_wanted && lease.is_held() {
                 service.start(&endpoint, &command.run_start()).await
             } else {
                 StartResponse::NotSent
@@ -148,6 +153,7 @@
         let service = Arc::clone(&self.args.runners);
         let actor = self.actor.clone();
         let token = self.token;
+        self.waiting_starts.remove(&command.run_name());
         self.args.metrics.count_command("stop");
         tokio::spawn(async move {
             let clock_ms = service.stop(&endpoint, &command.run_name()).await;
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod control_event;
 mod owner_actor;
 mod owner_term;
+mod waiting_starts;
 mod wave_reports;
 
 pub use {
--- a/crates/node/src/control/owner_actor.rs
+++ b/crates/node/src/control/owner_actor.rs
@@ -360,6 +360,7 @@
             token: term.token,
             reports: term.reports.clone(),
             limiter: term.limiter.clone(),
+            waiting_starts: term.waiting_starts.clone(),
             host_limiter: Arc::clone(&term.host_limiter),
             stop: term.stop.clone(),
         };
--- a/crates/node/src/control/owner_term.rs
+++ b/crates/node/src/control/owner_term.rs
@@ -1,5 +1,5 @@
 use {
-    super::wave_reports::WaveReports,
+    super::{waiting_starts::WaitingStarts, wave_reports::WaveReports},
     crate::{delegates::CommandLimiter, journal::JobJournal},
     goldcreststall_core::ids::{LocalTime, Millis},
     goldcreststall_dispatch::owner::{CallId, CallResponse, JobCall, OwnerState},
@@ -31,6 +31,7 @@
     pub(super) limiter: CommandLimiter,
     /// Limits the moves and maintenance commands in flight.
     pub(super) host_limiter: Arc<Semaphore>,
+    pub(super) waiting_starts: WaitingStarts,
     pub(super) reports: WaveReports,
     /// Calls that arrived before the records of earlier terms were read, in the order of their arrival.
     pub(super) queued_calls: VecDeque<QueuedCall>,
@@ -63,6 +64,7 @@
             journal: None,
             limiter: CommandLimiter::new(MAX_STARTS_PER_RUNNER),
             host_limiter: Arc::new(Semaphore::new(MAX_HOST_COMMANDS)),
+            waiting_starts: WaitingStarts::default(),
             reports,
             queued_calls: VecDeque::new(),
             store_failing_since: None,
--- a/crates/node/tests/start_limiter.rs
+++ b/crates/node/tests/start_limiter.rs
@@ -1,11 +1,15 @@
 //! Guards against a flood of jobs that opens a connection for each work item, and against start commands that are sent
-//! after the lease has ended.
+//! after the lease has ended or the job was cancelled.
 
 mod fakes;
 
 use {
     fakes::{TestActor, report, send_event, spawn_actor, submit_call},
     goldcreststall_core::ids::LocalTime,
+    goldcreststall_dispatch::{
+        jobs::JobId,
+        owner::{CallResponse, JobCall},
+    },
     goldcreststall_node::control::ControlEvent,
     std::{sync::atomic::Ordering, time::Duration},
     tokio::sync::oneshot,
@@ -67,3 +71,20 @@
         "a start command was sent after the lease had ended"
     );
 }
+
+/// Start commands of a cancelled job that still wait must not be sent: their stops may get lost.
+#[tokio::test]
+async fn none_after_the_cancellation() {
+    let test = unanswered_flood().await;
+    let (reply, response) = oneshot::channel();
+    let call = JobCall::Cancel(JobId(7));
+    send_event(&test, ControlEvent::Call { call, reply }).await;
+    assert_eq!(response.await, Ok(CallResponse::Accepted));
+    unblock_starts(&test);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(
+        test.runners.starts.lock().len(),
+        4,
+        "a start command was sent after its job was cancelled"
+    );
+}
