Count the work items on a runner, not those of the step, for its spread

What callers saw: nothing yet. One job of 20,000 work items, at most one for each runner, stops the owner for longer than its lease, and each owner that follows. Cause: for each waiting work item and each runner with room, all work items of the step were looked at: 20,000 times 20,000 times the runners in every pass of placement. Change: the work items that the runner has are counted.

--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -5,7 +5,7 @@
         unplaced_serving::add_unplaced,
     },
     crate::{
-        jobs::{ItemKey, ItemRun, JobState, RunPhase, StepSpec, WorkItem},
+        jobs::{ItemKey, JobState, RunPhase, StepSpec, WorkItem},
         routes::RouteRule,
         runners::{Capacity, RunnerKey, RunnerState},
     },
@@ -248,7 +248,7 @@
         let step = job.step_of(item);
         state.report.capacity.covers(&demand)
             && fits_label(step, state)
-            && fits_spread(job, item, runner)
+            && fits_spread(key, (job, item), state)
             && (item.failed_on != Some(runner) || self.is_only_runner(job, now))
             && self.ticket(key, runner, now).is_some()
     }
@@ -313,18 +313,19 @@
         .is_none_or(|label| state.has_label(label))
 }
 
-/// Returns whether one more work item of a step is allowed on a runner by the limit `anti_affinity`.
-pub(super) fn fits_spread(job: &JobState, item: &WorkItem, runner: RunnerKey) -> bool {
+/// Returns whether one more work item of a step is allowed on a runner by the limit `anti_affinity`. Only the work items
+/// on the runner are counted: the step may have thousands.
+pub(super) fn fits_spread(
+    key: ItemKey,
+    (job, item): (&JobState, &WorkItem),
+    state: &RunnerState,
+) -> bool {
     let step = job.step_of(item);
     if step.anti_affinity == 0 {
         return true;
     }
-    let here = |recorded_run: &&ItemRun| recorded_run.runner == runner;
-    let siblings = job.step_items(item.occurrence, item.step);
-    let count = siblings
-        .iter()
-        .flat_map(|item| &item.runs)
-        .filter(here)
-        .count();
+    let siblings = job.step_range(item.occurrence, item.step);
+    let is_sibling = |other: &&ItemKey| other.job == key.job && siblings.contains(&other.item);
+    let count = state.items.iter().filter(is_sibling).count();
     count < step.anti_affinity as usize
 }
--- a/crates/dispatch/src/owner/wave_control.rs
+++ b/crates/dispatch/src/owner/wave_control.rs
@@ -264,7 +264,7 @@
                 && state.report.service == job.queue.service
                 && state.accepts_work(now)
                 && state.free().covers(&demand)
-                && fits_spread(job, item, other)
+                && fits_spread(key, (job, item), state)
         })
     }
 
--- a/crates/dispatch/tests/odd_jobs.rs
+++ b/crates/dispatch/tests/odd_jobs.rs
@@ -199,3 +199,23 @@
     let moves = |command: &OwnerCommand| matches!(command, OwnerCommand::MoveHost { .. });
     assert!(!fleet.commands.iter().any(moves));
 }
+
+/// Guards against an effort that grows with the square of the work items of a step that are limited for each runner: the
+/// owner must decide within its lease.
+#[test]
+fn spread_step() {
+    let ids: Vec<String> = (0..50).map(|number| format!("r{number:02}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut fleet = TestFleet::new(1, &ids);
+    fleet.answer_first_holds();
+    let spread = StepSpec {
+        anti_affinity: 1,
+        ..step(20_000, 10)
+    };
+    fleet.submit(7, job(vec![spread]));
+    fleet.store();
+    fleet.advance(10);
+    assert_eq!(fleet.starts().len(), 50);
+    fleet.advance(500);
+    assert!(fleet.starts().is_empty());
+}
