Leave run numbers above those with which a term begins

What callers saw: nothing yet. Cause: a term begins its runs at 16 times its token. At a token of 2^28, after some years of renewals, that is the end of the 32-bit numbers: 15 starts later the number stayed, and runners refuse a number that they have seen. Change: a term begins at half of the largest number at most. The budget of starts saturates as well. Evidence (test failed before): odd_responses late_term, run.

--- a/crates/dispatch/src/owner/restore.rs
+++ b/crates/dispatch/src/owner/restore.rs
@@ -15,6 +15,8 @@
 /// Run numbers start at this multiple of the token, which skips those that earlier owners may have used: the token
 /// rises faster than they do.
 const RUNS_PER_TOKEN: u64 = 16;
+/// Highest run number with which a term begins, so that its starts have numbers left.
+const MAX_FIRST_RUN: u32 = u32::MAX / 2;
 
 impl OwnerState {
     /// Recovers the jobs and waves from the records of the store. Submissions and progress may come in any order.
@@ -63,7 +65,8 @@
             job.has_text = !job.spec.spec.is_empty();
             let first_run = self.token.saturating_mul(RUNS_PER_TOKEN);
             for item in &mut job.items {
-                item.last_run = u32::try_from(first_run).unwrap_or(u32::MAX / 2);
+                item.last_run =
+                    u32::try_from(first_run).map_or(MAX_FIRST_RUN, |run| run.min(MAX_FIRST_RUN));
             }
             self.jobs.insert(job);
             progress.remove(&id);
--- a/crates/dispatch/src/owner/start_budget.rs
+++ b/crates/dispatch/src/owner/start_budget.rs
@@ -37,7 +37,10 @@
             return;
         };
         let added = rate.saturating_mul(now.since(self.updated).0);
-        self.available = (self.available + added).min(rate * MAX_ACCUMULATION.0);
+        self.available = self
+            .available
+            .saturating_add(added)
+            .min(rate * MAX_ACCUMULATION.0);
         self.updated = now;
     }
 
--- a/crates/dispatch/tests/odd_responses.rs
+++ b/crates/dispatch/tests/odd_responses.rs
@@ -3,9 +3,11 @@
 mod fleet;
 
 use {
-    fleet::{TestFleet, empty_response, ended_run, listed_run, step},
+    fleet::{TestFleet, empty_response, ended_run, host, job, listed_run, route, rules, step},
     goldcreststall_dispatch::{
-        owner::{OwnerCommand, StartResponse},
+        jobs::JobId,
+        owner::{OwnerCommand, OwnerState, StartResponse},
+        records::{JobSubmission, StoreRecord},
         runners::{EndKind, HoldResponse},
     },
 };
@@ -82,6 +84,27 @@
     assert!(later.iter().all(|start| start.run > starts[0].run));
 }
 
+/// Guards against run numbers of a late term that begin so high that none is left above them.
+#[test]
+fn late_term() {
+    let (mut fleet, _) = TestFleet::with_work(&["r1"], Vec::new());
+    fleet.owner = OwnerState::new((1 << 28) - 1, rules(), fleet.now);
+    let submission = JobSubmission {
+        queue: route(),
+        job: job(vec![step(1, 1_000)]),
+        accepted_ms: 0,
+    };
+    let records = vec![StoreRecord::Submission(JobId(7), submission)];
+    fleet.owner.restore(records, fleet.now, 0);
+    fleet.list_runners();
+    fleet.list_hosts(vec![host("h1", fleet::POOL, Some("r1"))]);
+    fleet.answer_first_holds();
+    fleet.advance(200);
+    let starts = fleet.starts();
+    assert_eq!(starts.len(), 1);
+    assert!(starts[0].run <= u32::MAX / 2 + 1, "run {}", starts[0].run);
+}
+
 /// Guards against a use of capacity that overflows when a runner lists runs that it cannot have room for.
 #[test]
 fn capacity_at_limit() {
