Keep headers of the caller's connection from the target

Seen: a request with `Keep-Alive` reaches the target with that header, and so do the headers that `Connection` names. Cause: the list of headers that belong to one connection lacks `Keep-Alive`, and the names in `Connection`, which RFC 9110 section 7.6.1 counts among them, were not read. Change: both are removed from the forwarded headers.

--- a/crates/callers/src/request/caller_request.rs
+++ b/crates/callers/src/request/caller_request.rs
@@ -15,9 +15,10 @@
 pub const MAX_DEADLINE: Millis = Millis(10 * 60 * 1000);
 
 /// Headers that belong to one connection and are not forwarded.
-const HOP_BY_HOP: [header::HeaderName; 7] = [
+const HOP_BY_HOP: [header::HeaderName; 8] = [
     header::CONNECTION,
     header::HOST,
+    header::HeaderName::from_static("keep-alive"),
     header::PROXY_AUTHORIZATION,
     header::TE,
     header::TRAILER,
@@ -142,8 +143,16 @@
 }
 
 fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
-    for name in HOP_BY_HOP {
+    for name in connection_headers(&headers).into_iter().chain(HOP_BY_HOP) {
         headers.remove(name);
     }
     headers
 }
+
+/// Returns the headers that `Connection` names as belonging to the connection.
+fn connection_headers(headers: &HeaderMap) -> Vec<header::HeaderName> {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let texts = values.filter_map(|value| value.to_str().ok());
+    let names = texts.flat_map(|text| text.split(','));
+    names.filter_map(|name| name.trim().parse().ok()).collect()
+}
