Keep a rebooting host out of the stand-in's list until its reboot ends

Seen: in the stand-in of the host list, a change of any host, or the reboot of another one, lists a rebooting host again at once. Cause: each change was based on the last version, which during a reboot is the one that begins when the reboot ends. Change: a change applies from its time on, to the version of that time and to later ones.

--- a/crates/standins/src/hosts/hosts_handler.rs
+++ b/crates/standins/src/hosts/hosts_handler.rs
@@ -42,27 +42,17 @@
         }
     }
 
-    fn update_hosts(&self, update: impl FnOnce(&mut Vec<HostRow>)) {
-        let mut versions = self.versions.lock();
-        let mut hosts = versions
-            .last()
-            .map_or(Vec::new(), |last| last.hosts.clone());
-        update(&mut hosts);
-        versions.push(ListVersion {
-            hosts,
-            since: crate::log::platform_time(),
-        });
+    /// Changes the list from now on.
+    fn update_hosts(&self, update: impl Fn(&mut Vec<HostRow>)) {
+        let now = crate::log::platform_time();
+        update_from(&mut self.versions.lock(), now, update);
     }
 
     fn current_listing(&self) -> HostListing {
         let observed = crate::log::platform_time() - self.lag;
         let versions = self.versions.lock();
-        let visible = versions
-            .iter()
-            .rev()
-            .find(|version| version.since <= observed);
         HostListing {
-            hosts: visible.map_or(Vec::new(), |version| version.hosts.clone()),
+            hosts: hosts_at(&versions, observed).to_vec(),
             observed,
         }
     }
@@ -76,7 +66,7 @@
         };
         self.update_hosts(|hosts| {
             hosts.retain(|host| host.name != row.name);
-            hosts.push(row);
+            hosts.push(row.clone());
         });
         status(StatusCode::OK, "")
     }
@@ -89,26 +79,19 @@
         let incarnation: u64 = incarnation
             .and_then(|text| text.parse().ok())
             .unwrap_or_default();
+        let now = crate::log::platform_time();
         let mut versions = self.versions.lock();
-        let mut hosts = versions
-            .last()
-            .map_or(Vec::new(), |last| last.hosts.clone());
         let is_rebooted =
-            |host: &HostRow| Some(host.name.as_str()) == name && host.incarnation.0 == incarnation;
-        let Some(index) = hosts.iter().position(is_rebooted) else {
+            |host: &&HostRow| Some(host.name.as_str()) == name && host.incarnation.0 == incarnation;
+        let hosts = hosts_at(&versions, now);
+        let Some(mut row) = hosts.iter().find(is_rebooted).cloned() else {
             return status(StatusCode::OK, "another incarnation");
         };
-        let mut row = hosts.remove(index);
+        let remove = |hosts: &mut Vec<HostRow>| hosts.retain(|host| host.name != row.name);
+        update_from(&mut versions, now, remove);
         row.incarnation.0 += 1;
-        let now = crate::log::platform_time();
-        versions.push(ListVersion {
-            hosts: hosts.clone(),
-            since: now,
-        });
-        hosts.push(row);
-        versions.push(ListVersion {
-            hosts,
-            since: now + REBOOT_DURATION,
+        update_from(&mut versions, now + REBOOT_DURATION, |hosts| {
+            hosts.push(row.clone());
         });
         status(StatusCode::OK, "")
     }
@@ -159,6 +142,29 @@
     }
 }
 
+/// Returns the hosts that are listed at `time`.
+fn hosts_at(versions: &[ListVersion], time: LogTime) -> &[HostRow] {
+    let visible = versions.partition_point(|version| version.since <= time);
+    versions[..visible]
+        .last()
+        .map_or(&[], |version| &version.hosts)
+}
+
+/// Changes the list from `since` on. Later versions exist while hosts reboot; they get the change as well, so that a
+/// host stays missing until the end of its reboot.
+fn update_from(
+    versions: &mut Vec<ListVersion>,
+    since: LogTime,
+    update: impl Fn(&mut Vec<HostRow>),
+) {
+    let index = versions.partition_point(|version| version.since <= since);
+    let hosts = hosts_at(versions, since).to_vec();
+    versions.insert(index, ListVersion { hosts, since });
+    for version in &mut versions[index..] {
+        update(&mut version.hosts);
+    }
+}
+
 #[async_trait::async_trait]
 impl HttpHandler for HostsHandler {
     async fn handle(&self, request: Request<Incoming>) -> Option<HandlerResponse> {
