Look up tasks of the worker stand-in in one place

Change: renew, checkpoint and throttle check the incarnation, advance the tasks and find the task through one function.

--- a/crates/standins/src/worker/task_table.rs
+++ b/crates/standins/src/worker/task_table.rs
@@ -105,10 +105,7 @@
         now: LocalTime,
         request: &RenewRequest,
     ) -> Result<TaskReport, WorkerRefusal> {
-        self.check_incarnation(&request.task)?;
-        self.advance(now);
-        let task = self.tasks.get_mut(&request.task.grant);
-        let task = task.ok_or(WorkerRefusal::UnknownTask)?;
+        let task = self.known_task(now, &request.task)?;
         task.lease_end = task.lease_end.max(now + request.lease);
         Ok(task.report())
     }
@@ -183,10 +180,7 @@
         now: LocalTime,
         request: &TaskRequest,
     ) -> Result<TaskReport, WorkerRefusal> {
-        self.check_incarnation(request)?;
-        self.advance(now);
-        let task = self.tasks.get_mut(&request.grant);
-        let task = task.ok_or(WorkerRefusal::UnknownTask)?;
+        let task = self.known_task(now, request)?;
         match task.phase {
             TaskPhase::Running => task.checkpoint(),
             TaskPhase::Checkpointed(_) => {}
@@ -208,13 +202,23 @@
         if !(1..=100).contains(&request.percent) {
             return Err(WorkerRefusal::Invalid);
         }
-        self.advance(now);
-        let task = self.tasks.get_mut(&request.task.grant);
-        let task = task.ok_or(WorkerRefusal::UnknownTask)?;
+        let task = self.known_task(now, &request.task)?;
         task.throttle_percent = request.percent;
         Ok(task.report())
     }
 
+    /// Returns a task of this incarnation as it is at `now`.
+    fn known_task(
+        &mut self,
+        now: LocalTime,
+        request: &TaskRequest,
+    ) -> Result<&mut FakeTask, WorkerRefusal> {
+        self.check_incarnation(request)?;
+        self.advance(now);
+        let task = self.tasks.get_mut(&request.grant);
+        task.ok_or(WorkerRefusal::UnknownTask)
+    }
+
     fn check_incarnation(&self, request: &TaskRequest) -> Result<(), WorkerRefusal> {
         match request.incarnation == self.incarnation {
             true => Ok(()),
