--- a/crates/node/src/delegates/command_limiter.rs
+++ b/crates/node/src/delegates/command_limiter.rs
@@ -10,12 +10,15 @@
 /// Number of semaphores from which on those without permits in use are removed before one is added.
 const PRUNE_LENGTH: usize = 1_024;
 
+/// Id of a runner and its permits.
+type LimiterRow = (String, Arc<Semaphore>);
+
 /// Limits the commands in flight to each runner. Hold calls are not counted: the owner sends one at a time to each runner.
 #[derive(Clone, Debug)]
 pub struct CommandLimiter {
     max_commands: usize,
-    /// Id of each runner and its permits, sorted by id.
-    rows: Arc<Mutex<Vec<(String, Arc<Semaphore>)>>>,
+    /// Sorted by id.
+    rows: Arc<Mutex<Vec<LimiterRow>>>,
 }
 
 impl CommandLimiter {
