Limit the connections to each runner of the stand-in

The stand-in's runners took any number, so that no test and no soak run could show what follows from it. The configuration names the limit.

--- a/crates/soak/src/system/soak_system.rs
+++ b/crates/soak/src/system/soak_system.rs
@@ -1,7 +1,7 @@
 use {
     super::{address_block::AddressBlock, entry_process::EntryProcess},
     goldcreststall_adapter_standin::{
-        ConfigShape, FleetShape, PlatformStandIn, PoolShape, QueueShape,
+        ConfigShape, DEFAULT_MAX_CONNECTIONS, FleetShape, PlatformStandIn, PoolShape, QueueShape,
     },
     goldcreststall_dispatch::runners::Capacity,
     goldcreststall_standins::process::TcpRelay,
@@ -146,5 +146,6 @@
             pool(SPARE_POOL, spare_hosts, true),
         ],
         capacity: CAPACITY,
+        max_connections: DEFAULT_MAX_CONNECTIONS,
     }
 }
--- a/crates/standins/src/http/http_server.rs
+++ b/crates/standins/src/http/http_server.rs
@@ -6,7 +6,7 @@
     hyper_util::rt::TokioIo,
     serde::Serialize,
     std::{convert::Infallible, io, sync::Arc},
-    tokio::net::TcpListener,
+    tokio::net::{TcpListener, TcpStream},
 };
 
 /// Response of a stand-in; its body may fail while it is sent.
@@ -25,21 +25,23 @@
         let Ok((stream, _)) = listener.accept().await else {
             continue;
         };
-        let _ = stream.set_nodelay(true);
-        let handler = Arc::clone(&handler);
-        tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let handler = Arc::clone(&handler);
-                async move { handler.handle(request).await.ok_or(NoResponse) }
-            });
-            // The client may close the connection, and `NoResponse` is returned on purpose; neither is a fault here.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
+        tokio::spawn(serve_connection(stream, Arc::clone(&handler)));
     }
 }
 
+/// Serves one connection to its end; dropping the future closes the connection.
+pub async fn serve_connection(stream: TcpStream, handler: Arc<dyn HttpHandler>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let handler = Arc::clone(&handler);
+        async move { handler.handle(request).await.ok_or(NoResponse) }
+    });
+    // The client may close the connection, and `NoResponse` is returned on purpose; neither is a fault here.
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
 /// Error that makes hyper close the connection without a response.
 #[derive(Debug, thiserror::Error)]
 #[error("no response")]
--- a/crates/standins/src/http/mod.rs
+++ b/crates/standins/src/http/mod.rs
@@ -2,4 +2,4 @@
 
 mod http_server;
 
-pub use http_server::{HandlerResponse, HttpHandler, json, serve, status};
+pub use http_server::{HandlerResponse, HttpHandler, json, serve, serve_connection, status};
