Silence the connections of single clients in the relay

Cause: a host that loses power ends no connection, and whoever is connected with it keeps the connection open. The relay of the stand-ins passed on every end of a client, and also a reset on a connection that it was to hold. Change: TcpRelay::silence_clients stops forwarding on the open connections of given clients, by their address; their end is not passed on, whether it is orderly or a reset. The same now holds for held directions: an end is held like the bytes before it. An error on one side, or when connecting, reaches the other as a reset instead of an orderly end, as without the relay.

--- a/crates/standins/src/process/tcp_relay.rs
+++ b/crates/standins/src/process/tcp_relay.rs
@@ -1,10 +1,20 @@
 use {
-    std::{io, net::SocketAddr, time::Duration},
+    parking_lot::Mutex,
+    std::{
+        future::pending,
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc, Weak,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{
             TcpListener, TcpStream,
-            tcp::{OwnedReadHalf, OwnedWriteHalf},
+            tcp::{ReadHalf, WriteHalf},
         },
         sync::watch,
         task::{JoinHandle, JoinSet},
@@ -48,11 +58,12 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
-struct RelayState {
-    mode: RelayMode,
-    /// Incremented by `silence_open`; connections opened in an earlier generation forward nothing any more.
-    generation: u64,
+/// A connection that may still be open.
+#[derive(Debug)]
+struct RelayedConnection {
+    client: SocketAddr,
+    /// Once set, the connection forwards nothing any more, not even its end. Gone when the connection has ended.
+    silent: Weak<AtomicBool>,
 }
 
 /// Relays TCP connections to one server, and delays, holds or closes them on demand. Dropping it closes them.
@@ -60,7 +71,8 @@
 pub struct TcpRelay {
     /// Address on which the relay listens.
     pub address: SocketAddr,
-    state: watch::Sender<RelayState>,
+    mode: watch::Sender<RelayMode>,
+    connections: Arc<Mutex<Vec<RelayedConnection>>>,
     task: JoinHandle<()>,
 }
 
@@ -80,27 +92,46 @@
     pub async fn start_at(address: SocketAddr, server: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let (state, states) = watch::channel(RelayState {
-            mode: RelayMode::Open,
-            generation: 0,
-        });
-        let task = tokio::spawn(accept_connections(listener, server, states));
+        let (mode, modes) = watch::channel(RelayMode::Open);
+        let connections = Arc::default();
+        let acceptor = RelayAcceptor {
+            server,
+            modes,
+            connections: Arc::clone(&connections),
+        };
+        let task = tokio::spawn(acceptor.run(listener));
         Ok(Self {
             address,
-            state,
+            mode,
+            connections,
             task,
         })
     }
 
     /// Changes the mode of all connections, open and new.
     pub fn set(&self, mode: RelayMode) {
-        self.state.send_modify(|state| state.mode = mode);
+        self.mode.send_replace(mode);
     }
 
     /// Stops forwarding on the connections that are open now, for good and without closing them; new connections
     /// work.
     pub fn silence_open(&self) {
-        self.state.send_modify(|state| state.generation += 1);
+        self.silence(|_| true);
+    }
+
+    /// Stops forwarding on the open connections of clients that lose power, for good: neither the bytes nor the end of
+    /// such a client reach the server, which keeps the connections open.
+    pub fn silence_clients(&self, clients: &[SocketAddr]) {
+        self.silence(|client| clients.contains(&client));
+    }
+
+    fn silence(&self, wanted: impl Fn(SocketAddr) -> bool) {
+        let connections = self.connections.lock();
+        for connection in connections.iter().filter(|other| wanted(other.client)) {
+            if let Some(silent) = connection.silent.upgrade() {
+                silent.store(true, Ordering::Relaxed);
+            }
+        }
     }
 }
 
@@ -110,77 +141,107 @@
     }
 }
 
-async fn accept_connections(
-    listener: TcpListener,
+struct RelayAcceptor {
     server: SocketAddr,
-    states: watch::Receiver<RelayState>,
-) {
-    // Dropping the set closes the connections when the relay is dropped.
-    let mut connections = JoinSet::new();
-    while let Ok((client, _)) = listener.accept().await {
-        connections.spawn(relay(client, server, states.clone()));
-        while connections.try_join_next().is_some() {}
+    modes: watch::Receiver<RelayMode>,
+    connections: Arc<Mutex<Vec<RelayedConnection>>>,
+}
+
+impl RelayAcceptor {
+    async fn run(self, listener: TcpListener) {
+        // Dropping the set closes the connections when the relay is dropped.
+        let mut tasks = JoinSet::new();
+        while let Ok((stream, client)) = listener.accept().await {
+            let silent = Arc::default();
+            self.add(client, &silent);
+            tasks.spawn(relay(stream, self.server, self.modes.clone(), silent));
+            while tasks.try_join_next().is_some() {}
+        }
+    }
+
+    fn add(&self, client: SocketAddr, silent: &Arc<AtomicBool>) {
+        let mut connections = self.connections.lock();
+        connections.retain(|other| other.silent.strong_count() > 0);
+        connections.push(RelayedConnection {
+            client,
+            silent: Arc::downgrade(silent),
+        });
     }
 }
 
-async fn relay(client: TcpStream, server: SocketAddr, mut states: watch::Receiver<RelayState>) {
-    let initial = *states.borrow();
-    if initial.mode == RelayMode::Cut {
+async fn relay(
+    mut client: TcpStream,
+    server: SocketAddr,
+    mut modes: watch::Receiver<RelayMode>,
+    silent: Arc<AtomicBool>,
+) {
+    if *modes.borrow() == RelayMode::Cut {
         return;
     }
-    let Ok(server) = TcpStream::connect(server).await else {
+    let Ok(mut server) = TcpStream::connect(server).await else {
+        // Fails only when the client has ended the connection.
+        let _ = client.set_zero_linger();
         return;
     };
     let _ = (client.set_nodelay(true), server.set_nodelay(true));
-    let (client_read, client_write) = client.into_split();
-    let (server_read, server_write) = server.into_split();
-    let control = |direction| RelayControl {
-        states: states.clone(),
-        generation: initial.generation,
-        direction,
+    let has_failed = {
+        let (client_read, client_write) = client.split();
+        let (server_read, server_write) = server.split();
+        let control = |direction| RelayControl {
+            modes: modes.clone(),
+            silent: Arc::clone(&silent),
+            direction,
+        };
+        let upstream = forward(client_read, server_write, control(Direction::ToServer));
+        let downstream = forward(server_read, client_write, control(Direction::ToClient));
+        tokio::select! {
+            result = async { tokio::try_join!(upstream, downstream) } => result.is_err(),
+            _ = modes.wait_for(|mode| *mode == RelayMode::Cut) => false,
+        }
     };
-    let upstream = forward(client_read, server_write, control(Direction::ToServer));
-    let downstream = forward(server_read, client_write, control(Direction::ToClient));
-    tokio::select! {
-        // An error in one direction closes the whole connection.
-        _ = async { tokio::try_join!(upstream, downstream) } => {}
-        _ = states.wait_for(|state| state.mode == RelayMode::Cut) => {}
+    if has_failed {
+        // A reset by one side reaches the other as a reset. Setting fails only on a connection that has ended.
+        let _ = (client.set_zero_linger(), server.set_zero_linger());
     }
 }
 
 /// Delays or holds the bytes of one direction of one connection according to the state of the relay.
 struct RelayControl {
-    states: watch::Receiver<RelayState>,
-    generation: u64,
+    modes: watch::Receiver<RelayMode>,
+    silent: Arc<AtomicBool>,
     direction: Direction,
 }
 
 impl RelayControl {
     async fn wait_until_open(&mut self) -> io::Result<()> {
-        let (generation, direction) = (self.generation, self.direction);
-        let is_open =
-            |state: &RelayState| state.generation == generation && !state.mode.holds(direction);
-        let state = *self
-            .states
+        let direction = self.direction;
+        let is_open = |mode: &RelayMode| !mode.holds(direction);
+        let mode = *self
+            .modes
             .wait_for(is_open)
             .await
             .map_err(io::Error::other)?;
-        if let RelayMode::Delay(millis) = state.mode {
+        if let RelayMode::Delay(millis) = mode {
             tokio::time::sleep(Duration::from_millis(millis)).await;
         }
+        if self.silent.load(Ordering::Relaxed) {
+            return pending().await;
+        }
         Ok(())
     }
 }
 
 async fn forward(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     mut control: RelayControl,
 ) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
-        let length = from.read(&mut buffer).await?;
+        let read = from.read(&mut buffer).await;
+        // The end of a connection is held like its bytes, also when it is a reset.
         control.wait_until_open().await?;
+        let length = read?;
         if length == 0 {
             return to.shutdown().await;
         }
