Let entry hosts of the soak lose power

The soak killed processes, whose connections end, and had no limit. Change: a loss of power of one entry host or of all. The report shows the most connections that one runner had open and the number of resets. Ruled out: an invariant on the resets. The code does not bound the connections to a runner, so that no bound can be derived. Left out: new connections to an entry host without power are refused and do not hang.

--- a/crates/soak/src/arguments/soak_arguments.rs
+++ b/crates/soak/src/arguments/soak_arguments.rs
@@ -1,4 +1,5 @@
 use {
+    goldcreststall_adapter_standin::DEFAULT_MAX_CONNECTIONS,
     lexopt::{Arg, Parser, ValueExt},
     std::{path::PathBuf, time::Duration},
 };
@@ -12,7 +13,10 @@
   --entries N      entry hosts, 1 to 200 (default 5)
   --hosts N        hosts of the fleet, 4 to 400 (default 18)
   --rate N         jobs submitted per second, besides bursts (default 12)
-  --only WORD      inject only faults whose name contains WORD
+  --max-connections N
+                   connections that a runner accepts at a time, at least 1 (default 64)
+  --power          entry hosts lose power as well, one or all at once
+  --only WORD      inject only faults whose name contains WORD; `power` implies --power
   --format FORMAT  text or json (default text)
   --logs FOLDER    keep the process logs of each run that violates an invariant in FOLDER
   --help
@@ -23,6 +27,9 @@
 const MAX_ENTRIES: usize = 200;
 const HOST_RANGE: std::ops::RangeInclusive<usize> = 4..=400;
 
+/// Part of the names of the faults that `--power` adds.
+const POWER_WORD: &str = "power";
+
 /// Output format of a report.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReportFormat {
@@ -47,6 +54,10 @@
     pub hosts: usize,
     /// Jobs submitted per second, at least 1.
     pub rate: u32,
+    /// Connections that a runner accepts at a time, at least 1.
+    pub max_connections: usize,
+    /// Entry hosts lose power as well.
+    pub power_losses: bool,
     /// Only faults whose name contains this text are injected.
     pub only: Option<String>,
     /// Output format of the reports.
@@ -66,6 +77,8 @@
             entries: 5,
             hosts: 18,
             rate: 12,
+            max_connections: DEFAULT_MAX_CONNECTIONS,
+            power_losses: false,
             only: None,
             format: ReportFormat::Text,
             logs: None,
@@ -91,6 +104,10 @@
                 Arg::Long("entries") => arguments.entries = parser.value()?.parse()?,
                 Arg::Long("hosts") => arguments.hosts = parser.value()?.parse()?,
                 Arg::Long("rate") => arguments.rate = parser.value()?.parse()?,
+                Arg::Long("max-connections") => {
+                    arguments.max_connections = parser.value()?.parse()?;
+                }
+                Arg::Long("power") => arguments.power_losses = true,
                 Arg::Long("only") => arguments.only = Some(parser.value()?.string()?),
                 Arg::Long("format") => arguments.format = parser.value()?.parse_with(to_format)?,
                 Arg::Long("logs") => arguments.logs = Some(parser.value()?.into()),
@@ -99,6 +116,8 @@
             }
         }
         arguments.check()?;
+        let only = arguments.only.as_deref();
+        arguments.power_losses |= only.is_some_and(|only| only.contains(POWER_WORD));
         Ok(arguments)
     }
 
@@ -112,6 +131,11 @@
         if self.rate == 0 {
             return Err(lexopt::Error::Custom("--rate takes 1 or more".into()));
         }
+        if self.max_connections == 0 {
+            return Err(lexopt::Error::Custom(
+                "--max-connections takes 1 or more".into(),
+            ));
+        }
         Ok(())
     }
 }
--- a/crates/soak/src/plan/fault_plan.rs
+++ b/crates/soak/src/plan/fault_plan.rs
@@ -17,6 +17,15 @@
 const SERIES_INTERVAL_MS: u64 = 150;
 /// Delay of a slow connection.
 const CONNECTION_DELAY_MS: std::ops::Range<u64> = 20..400;
+/// Combined with the seed, so that the losses of power are drawn apart from the other faults, which stay the same.
+const POWER_SEED_MASK: u64 = 0x0070_6f77_6572;
+/// Time between two losses of power. The shorter ones are a series: the processes have just started again.
+const POWER_LOSS_INTERVAL_MS: std::ops::Range<u64> = 1_000..6_000;
+/// Time from a loss of power to the start of the processes.
+const POWER_DOWNTIME_MS: std::ops::Range<u64> = 300..1_500;
+/// Largest number of times that an entry host loses power in a run, on average over the entry hosts. Runners count the
+/// connections of entry hosts without power until the end of a run, so that more losses would exceed any limit.
+const MAX_POWER_LOSSES: usize = 2;
 const BURST_JOBS: std::ops::Range<usize> = 20..80;
 
 /// The sizes of the system that faults are drawn for.
@@ -28,6 +37,8 @@
     pub hosts: usize,
     /// Time during which faults are injected; only the rest of a series may start later.
     pub duration: Duration,
+    /// Entry hosts lose power as well.
+    pub power_losses: bool,
 }
 
 /// All faults of a run.
@@ -40,28 +51,11 @@
 impl FaultPlan {
     /// Draws the faults of a run. With `only`, faults whose name does not contain it are left out.
     pub fn draw(seed: u64, size: PlanSize, only: Option<&str>) -> Self {
-        let mut random = StdRng::seed_from_u64(seed);
-        let mut faults = Vec::new();
-        let end_ms = size.duration.as_millis() as u64;
-        let mut at_ms = 0;
-        while at_ms < end_ms {
-            let series_length = if random.random_bool(0.2) {
-                random.random_range(2..=MAX_SERIES_LENGTH)
-            } else {
-                1
-            };
-            for position in 0..series_length {
-                let fault = draw_fault(&mut random, size);
-                let wanted = only.is_none_or(|only| fault.name().contains(only));
-                if wanted {
-                    faults.push(PlannedFault {
-                        at: Duration::from_millis(at_ms + position as u64 * SERIES_INTERVAL_MS),
-                        fault,
-                    });
-                }
-            }
-            at_ms += random.random_range(FAULT_INTERVAL_MS / 3..FAULT_INTERVAL_MS * 5 / 3);
+        let mut faults = draw_faults(seed, size);
+        if size.power_losses {
+            faults.extend(draw_power_losses(seed, size));
         }
+        faults.retain(|planned| only.is_none_or(|only| planned.fault.name().contains(only)));
         faults.sort_by_key(|planned| planned.at);
         Self { faults }
     }
@@ -77,6 +71,54 @@
     }
 }
 
+fn draw_faults(seed: u64, size: PlanSize) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut faults = Vec::new();
+    let end_ms = size.duration.as_millis() as u64;
+    let mut at_ms = 0;
+    while at_ms < end_ms {
+        let series_length = if random.random_bool(0.2) {
+            random.random_range(2..=MAX_SERIES_LENGTH)
+        } else {
+            1
+        };
+        for position in 0..series_length {
+            faults.push(PlannedFault {
+                at: Duration::from_millis(at_ms + position as u64 * SERIES_INTERVAL_MS),
+                fault: draw_fault(&mut random, size),
+            });
+        }
+        at_ms += random.random_range(FAULT_INTERVAL_MS / 3..FAULT_INTERVAL_MS * 5 / 3);
+    }
+    faults
+}
+
+/// Draws losses of power of one entry host and of all of them.
+fn draw_power_losses(seed: u64, size: PlanSize) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed ^ POWER_SEED_MASK);
+    let mut faults = Vec::new();
+    let end_ms = size.duration.as_millis() as u64;
+    let mut losses = 0;
+    let mut at_ms = random.random_range(POWER_LOSS_INTERVAL_MS);
+    while at_ms < end_ms {
+        let entries = if random.random_bool(0.5) {
+            (0..size.entries).collect()
+        } else {
+            vec![random.random_range(0..size.entries)]
+        };
+        let downtime = Duration::from_millis(random.random_range(POWER_DOWNTIME_MS));
+        if losses + entries.len() <= MAX_POWER_LOSSES * size.entries {
+            losses += entries.len();
+            faults.push(PlannedFault {
+                at: Duration::from_millis(at_ms),
+                fault: Fault::LosePower(entries, downtime),
+            });
+        }
+        at_ms += random.random_range(POWER_LOSS_INTERVAL_MS);
+    }
+    faults
+}
+
 fn draw_fault(random: &mut StdRng, size: PlanSize) -> Fault {
     let entry = random.random_range(0..size.entries);
     let host = random.random_range(0..size.hosts);
--- a/crates/soak/src/plan/planned_fault.rs
+++ b/crates/soak/src/plan/planned_fault.rs
@@ -48,6 +48,8 @@
 pub enum Fault {
     /// Kills the processes of entry hosts and restarts them after a time.
     Kill(Vec<usize>, Duration),
+    /// Ends the processes of entry hosts without a sign to those they are connected with, and starts them after a time.
+    LosePower(Vec<usize>, Duration),
     /// Sends SIGTERM to the process of an entry host and restarts it once it has ended or was killed after a timeout.
     Terminate(usize),
     /// Suspends the process of an entry host (SIGSTOP) and resumes it after a time.
@@ -81,6 +83,8 @@
         match self {
             Self::Kill(entries, _) if entries.len() > 1 => "kill-many",
             Self::Kill(..) => "kill",
+            Self::LosePower(entries, _) if entries.len() > 1 => "power-loss-many",
+            Self::LosePower(..) => "power-loss",
             Self::Terminate(_) => "terminate",
             Self::Pause(..) => "pause",
             Self::Reload(_) => "reload",
--- a/crates/soak/src/report/soak_report.rs
+++ b/crates/soak/src/report/soak_report.rs
@@ -5,6 +5,7 @@
         load::{JobKind, SubmittedJob},
     },
     comfy_table::Table,
+    goldcreststall_adapter_standin::ConnectionCounts,
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::jobs::JobPhase,
     hdrhistogram::Histogram,
@@ -38,6 +39,10 @@
     pub most_ms: u64,
     /// Longest time between two consecutive acceptances of jobs, in milliseconds.
     pub longest_gap_ms: u64,
+    /// Largest number of connections that one runner had open at a time.
+    pub most_connections: usize,
+    /// Number of connections that runners reset because too many were open.
+    pub connection_resets: u64,
     /// Violations of invariants.
     #[serde(rename = "broken")]
     pub violations: Vec<InvariantViolation>,
@@ -66,10 +71,20 @@
             half_ms: times.value_at_quantile(0.5),
             most_ms: times.value_at_quantile(0.99),
             longest_gap_ms: longest_gap(jobs).0,
+            most_connections: 0,
+            connection_resets: 0,
             violations,
         }
     }
 
+    /// Adds the connections to the runner of each host.
+    pub fn with_connections(mut self, counts: &[ConnectionCounts]) -> Self {
+        let most_open = counts.iter().map(|counts| counts.most_open).max();
+        self.most_connections = most_open.unwrap_or(0);
+        self.connection_resets = counts.iter().map(|counts| counts.resets).sum();
+        self
+    }
+
     /// Formats the report.
     pub fn text(&self, format: ReportFormat) -> String {
         match format {
@@ -92,6 +107,8 @@
             "p50 ms",
             "p99 ms",
             "longest gap ms",
+            "connections",
+            "resets",
             "broken",
         ]);
         let values = [
@@ -105,6 +122,8 @@
             self.half_ms,
             self.most_ms,
             self.longest_gap_ms,
+            self.most_connections as u64,
+            self.connection_resets,
             self.violations.len() as u64,
         ];
         table.add_row(values.map(|value| value.to_string()));
--- a/crates/soak/src/run/program.rs
+++ b/crates/soak/src/run/program.rs
@@ -54,6 +54,8 @@
             hosts: arguments.hosts,
             rate: arguments.rate,
             duration: arguments.duration,
+            max_connections: arguments.max_connections,
+            power_losses: arguments.power_losses,
             only: arguments.only.clone(),
         };
         // Dropping the run ends its processes, so that none is left over when the soak test is stopped by a signal.
--- a/crates/soak/src/run/soak_run.rs
+++ b/crates/soak/src/run/soak_run.rs
@@ -38,6 +38,10 @@
     pub rate: u32,
     /// Time during which faults are injected.
     pub duration: Duration,
+    /// Connections that a runner accepts at a time.
+    pub max_connections: usize,
+    /// Entry hosts lose power as well.
+    pub power_losses: bool,
     /// If set, only faults whose name contains this text are injected.
     pub only: Option<String>,
 }
@@ -63,6 +67,7 @@
             seed,
             entries: shape.entries,
             hosts: shape.hosts,
+            max_connections: shape.max_connections,
         };
         let system = SoakSystem::start(size, folder).await?;
         let submitted_jobs = Arc::new(SubmittedJobs::default());
@@ -85,6 +90,7 @@
                 entries: self.shape.entries,
                 hosts: self.shape.hosts,
                 duration: self.shape.duration,
+                power_losses: self.shape.power_losses,
             },
             self.shape.only.as_deref(),
         );
@@ -209,12 +215,13 @@
         violations.extend_from_slice(self.checks.violations());
         violations.extend(check_callers(&submitted_jobs, &self.checks, now));
         violations.sort_by_key(|violation| (violation.at_ms, violation.invariant));
-        SoakReport::new(
+        let report = SoakReport::new(
             self.seed,
             faults,
             &submitted_jobs,
             self.checks.starts(),
             violations,
-        )
+        );
+        report.with_connections(&self.system.platform.connection_counts())
     }
 }
--- a/crates/soak/src/system/entry_process.rs
+++ b/crates/soak/src/system/entry_process.rs
@@ -1,12 +1,13 @@
 use {
-    super::address_block::AddressBlock,
+    super::{address_block::AddressBlock, process_sockets},
     goldcreststall_adapter_standin::{NodeAddresses, node_file},
     goldcreststall_standins::process::{ChildProcess, TcpRelay},
     rustix::process::Signal,
     std::{
         net::SocketAddr,
         path::{Path, PathBuf},
-        time::Duration,
+        thread,
+        time::{Duration, Instant},
     },
 };
 
@@ -14,6 +15,10 @@
 const NODE_FILE_VARIABLE: &str = "GOLDCRESTSTALL_NODE_FILE";
 const ADVERTISED_LINK_VARIABLE: &str = "GOLDCRESTSTALL_ADVERTISED_LINK";
 
+/// Time within which the kernel stops a process after SIGSTOP.
+const SUSPEND_TIMEOUT: Duration = Duration::from_millis(200);
+const SUSPEND_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
 /// One entry host: its process and the relays on its connections.
 pub(super) struct EntryProcess {
     pub(super) caller_relay: TcpRelay,
@@ -77,6 +82,19 @@
         }
     }
 
+    /// Waits until the process is suspended after SIGSTOP, and returns the local addresses of its connections.
+    pub(super) fn suspended_connections(&self) -> Vec<SocketAddr> {
+        let Some(child) = &self.child else {
+            return Vec::new();
+        };
+        let deadline = Instant::now() + SUSPEND_TIMEOUT;
+        while !process_sockets::is_stopped(child.id()) && Instant::now() < deadline {
+            thread::sleep(SUSPEND_POLL_INTERVAL);
+        }
+        // Reading fails when the process has ended, and with it its connections.
+        process_sockets::local_addresses(child.id()).unwrap_or_default()
+    }
+
     /// Kills the process if it runs; dropping a child process sends it SIGKILL.
     pub(super) fn kill(&mut self) {
         self.child = None;
--- a/crates/soak/src/system/fault_driver.rs
+++ b/crates/soak/src/system/fault_driver.rs
@@ -69,6 +69,10 @@
 ) {
     match fault {
         Fault::Kill(entries, downtime) => kill(&system, &entries, downtime).await,
+        Fault::LosePower(entries, downtime) => {
+            system.cut_power(&entries);
+            start_after(&system, &entries, downtime).await;
+        }
         Fault::Terminate(entry) => terminate(&system, entry).await,
         Fault::Pause(entry, duration) => {
             signal(&system, entry, Signal::STOP);
@@ -131,6 +135,10 @@
     for entry in entries {
         system.entries.lock()[*entry].kill();
     }
+    start_after(system, entries, downtime).await;
+}
+
+async fn start_after(system: &SoakSystem, entries: &[usize], downtime: Duration) {
     tokio::time::sleep(downtime).await;
     for entry in entries {
         start(system, *entry);
--- a/crates/soak/src/system/mod.rs
+++ b/crates/soak/src/system/mod.rs
@@ -3,9 +3,11 @@
 mod address_block;
 mod entry_process;
 mod fault_driver;
+mod process_sockets;
 mod soak_system;
 
 pub use {
     fault_driver::FaultDriver,
+    process_sockets::local_addresses,
     soak_system::{CAPACITY, POOLS, SoakSystem, SystemShape},
 };
--- a/crates/soak/src/system/soak_system.rs
+++ b/crates/soak/src/system/soak_system.rs
@@ -1,11 +1,12 @@
 use {
     super::{address_block::AddressBlock, entry_process::EntryProcess},
     goldcreststall_adapter_standin::{
-        ConfigShape, DEFAULT_MAX_CONNECTIONS, FleetShape, PlatformStandIn, PoolShape, QueueShape,
+        ConfigShape, FleetShape, PlatformStandIn, PoolShape, QueueShape,
     },
     goldcreststall_dispatch::runners::Capacity,
     goldcreststall_standins::process::TcpRelay,
     parking_lot::Mutex,
+    rustix::process::Signal,
     std::{net::SocketAddr, path::Path, sync::Arc},
 };
 
@@ -33,6 +34,8 @@
     pub entries: usize,
     /// Number of hosts in the fleet.
     pub hosts: usize,
+    /// Connections that a runner accepts at a time.
+    pub max_connections: usize,
 }
 
 /// All parts of a run apart from its callers. Dropping it ends the processes, relays and stand-ins.
@@ -55,7 +58,7 @@
         let relays = Mutex::new(Vec::new());
         let platform = PlatformStandIn::start(
             block.platform(),
-            fleet_shape(shape.hosts),
+            fleet_shape(shape.hosts, shape.max_connections),
             async |address| {
                 let relay = TcpRelay::start(address).await?;
                 let relay_address = relay.address;
@@ -86,6 +89,35 @@
         }))
     }
 
+    /// Ends the processes of entry hosts as a loss of power does: whoever has a connection with them does not learn that
+    /// they have ended, and keeps it open. New connections to them are refused.
+    pub(super) fn cut_power(&self, lost: &[usize]) {
+        let mut entries = self.entries.lock();
+        for entry in lost {
+            entries[*entry].signal(Signal::STOP);
+        }
+        let mut clients = Vec::new();
+        for entry in lost {
+            clients.extend(entries[*entry].suspended_connections());
+        }
+        let relays = entries.iter().flat_map(|entry| {
+            [
+                &entry.host_service_relay,
+                &entry.link_relay,
+                &entry.store_relay,
+            ]
+        });
+        for relay in self.runner_relays.iter().chain(relays) {
+            relay.silence_clients(&clients);
+        }
+        for entry in lost {
+            let entry = &mut entries[*entry];
+            entry.caller_relay.silence_open();
+            entry.link_relay.silence_open();
+            entry.kill();
+        }
+    }
+
     /// Returns the address at which callers reach each entry host: that of its relay.
     pub fn caller_addresses(&self) -> Vec<SocketAddr> {
         let entries = self.entries.lock();
@@ -131,7 +163,7 @@
     }
 }
 
-fn fleet_shape(hosts: usize) -> FleetShape {
+fn fleet_shape(hosts: usize, max_connections: usize) -> FleetShape {
     let spare_hosts = (hosts / SPARE_DIVISOR).max(1);
     let first_pool_hosts = (hosts - spare_hosts) / POOLS.len();
     let pool = |name: &str, hosts, spare| PoolShape {
@@ -146,6 +178,6 @@
             pool(SPARE_POOL, spare_hosts, true),
         ],
         capacity: CAPACITY,
-        max_connections: DEFAULT_MAX_CONNECTIONS,
+        max_connections,
     }
 }
--- a/crates/soak/tests/fault_plan.rs
+++ b/crates/soak/tests/fault_plan.rs
@@ -10,6 +10,11 @@
     entries: 5,
     hosts: 18,
     duration: Duration::from_secs(60),
+    power_losses: false,
+};
+const SIZE_WITH_POWER_LOSSES: PlanSize = PlanSize {
+    power_losses: true,
+    ..SIZE
 };
 
 #[test]
@@ -59,3 +64,34 @@
     assert!(!plan.faults.is_empty());
     assert!(plan.faults.iter().all(|planned| is_store(&planned.fault)));
 }
+
+/// The seeds of earlier failures would draw other faults otherwise.
+#[test]
+fn power_losses_change_no_other() {
+    for seed in 0..20 {
+        let plan = FaultPlan::draw(seed, SIZE_WITH_POWER_LOSSES, None);
+        let (lost, others): (Vec<_>, Vec<_>) = plan
+            .faults
+            .into_iter()
+            .partition(|planned| planned.fault.name().contains("power"));
+        assert!(!lost.is_empty());
+        assert_eq!(others, FaultPlan::draw(seed, SIZE, None).faults);
+        let only = FaultPlan::draw(seed, SIZE_WITH_POWER_LOSSES, Some("power"));
+        assert_eq!(lost, only.faults);
+    }
+}
+
+#[test]
+fn power_of_one_and_all() {
+    let plans = (0..20).map(|seed| FaultPlan::draw(seed, SIZE_WITH_POWER_LOSSES, Some("power")));
+    let faults = plans.flat_map(|plan| plan.faults);
+    let mut losses: Vec<usize> = faults
+        .map(|planned| match planned.fault {
+            Fault::LosePower(entries, _) => entries.len(),
+            other => panic!("{other:?} is no loss of power"),
+        })
+        .collect();
+    losses.sort_unstable();
+    losses.dedup();
+    assert_eq!(losses, [1, SIZE.entries]);
+}
--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -2,6 +2,7 @@
 //! invariant.
 
 use {
+    goldcreststall_adapter_standin::DEFAULT_MAX_CONNECTIONS,
     goldcreststall_soak::run::{RunShape, SoakRun},
     serde::Deserialize,
     std::{path::PathBuf, time::Duration},
@@ -22,6 +23,9 @@
     entries: usize,
     hosts: usize,
     rate: u32,
+    max_connections: Option<usize>,
+    #[serde(default)]
+    power_losses: bool,
     cause: String,
 }
 
@@ -48,6 +52,8 @@
         hosts: 14,
         rate: 8,
         duration: Duration::from_secs(8),
+        max_connections: DEFAULT_MAX_CONNECTIONS,
+        power_losses: false,
         only: None,
     };
     run(FIXED_SEED, shape, "the fixed seed").await;
@@ -63,6 +69,8 @@
             hosts: case.hosts,
             rate: case.rate,
             duration: Duration::from_secs(case.seconds),
+            max_connections: case.max_connections.unwrap_or(DEFAULT_MAX_CONNECTIONS),
+            power_losses: case.power_losses,
             only: None,
         };
         run(case.seed, shape, &case.cause).await;
