Check that work which can run starts in time after the faults

Change: the invariant Started. After the end of the faults and the load, a work item of an accepted job that can run must start within 14 s, after which users count it as lost. It can run when the steps before it are done, and a host of its pool that no wave has still to maintain has the cores and the anti-affinity for it. Each is reported once. Evidence: run_check, 3 new tests.

--- a/crates/soak/src/checks/invariant_violation.rs
+++ b/crates/soak/src/checks/invariant_violation.rs
@@ -23,6 +23,8 @@
     Processes,
     /// A run is placed in the pool of its queue, within the capacity of the host and the anti-affinity of its step.
     Room,
+    /// After the end of the faults and the load, a work item of an accepted job that can run starts in time.
+    Started,
     /// Only jobs that callers submitted run, with the submitted description.
     Submitted,
     /// Responses about a job contradict neither each other nor what its runs showed.
--- a/crates/soak/src/checks/mod.rs
+++ b/crates/soak/src/checks/mod.rs
@@ -4,6 +4,7 @@
 mod invariant_violation;
 mod item_history;
 mod run_check;
+mod waiting_items;
 
 pub use {
     caller_check::check_callers,
--- a/crates/soak/src/checks/run_check.rs
+++ b/crates/soak/src/checks/run_check.rs
@@ -2,6 +2,7 @@
     super::{
         Invariant, InvariantViolation,
         item_history::{ItemHistory, OpenRun},
+        waiting_items::WaitingItem,
     },
     crate::{
         load::{SubmittedJob, SubmittedJobs},
@@ -23,12 +24,14 @@
 
 /// Checks every change of every run against the invariants as it happens.
 pub struct RunCheck {
-    submitted_jobs: Arc<SubmittedJobs>,
-    items: Vec<ItemHistory>,
+    pub(super) submitted_jobs: Arc<SubmittedJobs>,
+    pub(super) items: Vec<ItemHistory>,
     /// Number of events handled so far, which is the index of the next event in the log of runs.
     handled: usize,
-    violations: Vec<InvariantViolation>,
+    pub(super) violations: Vec<InvariantViolation>,
     starts: u64,
+    /// Work items that can run and do not, sorted by name.
+    pub(super) waiting: Vec<WaitingItem>,
 }
 
 impl RunCheck {
@@ -40,6 +43,7 @@
             handled: 0,
             violations: Vec::new(),
             starts: 0,
+            waiting: Vec::new(),
         }
     }
 
@@ -101,6 +105,23 @@
         }
     }
 
+    /// Returns the thousandths of a core that the runs on a host use, and the number of work items among them that belong
+    /// to the step of `name`, without itself.
+    pub(super) fn use_of(&self, host: &str, name: ItemName) -> (u32, u32) {
+        let on_host = |item: &&ItemHistory| item.open.iter().any(|open| open.host == host);
+        let (mut used_cpu, mut siblings) = (0, 0);
+        for item in self.items.iter().filter(on_host) {
+            let other = self.submitted_jobs.get(item.name.job);
+            let steps = other.map(|other| other.spec.steps).unwrap_or_default();
+            used_cpu += steps
+                .get(item.name.step as usize)
+                .map_or(0, |step| step.cpu);
+            let same_step = item.name.job == name.job && item.name.step == name.step;
+            siblings += u32::from(same_step && item.name != name);
+        }
+        (used_cpu, siblings)
+    }
+
     fn handle_start(&mut self, event: &RunEvent, spec: &str) {
         self.starts += 1;
         match self.submitted_jobs.get(event.name.job) {
@@ -141,19 +162,19 @@
         let required = &job.spec.steps[event.name.step as usize].after;
         let done = required
             .iter()
-            .all(|step| self.step_is_done(event, job, *step));
+            .all(|step| self.step_is_done(event.name, job, *step));
         if !done {
             self.report_violation(Invariant::Order, event, "an earlier step is not done");
         }
     }
 
-    fn step_is_done(&self, event: &RunEvent, job: &SubmittedJob, step: u32) -> bool {
+    pub(super) fn step_is_done(&self, name: ItemName, job: &SubmittedJob, step: u32) -> bool {
         let count = job.spec.steps[step as usize].count;
         (0..count).all(|index| {
             let name = ItemName {
                 step,
                 index,
-                ..event.name
+                ..name
             };
             self.find(name)
                 .is_ok_and(|position| self.items[position].done)
@@ -181,18 +202,8 @@
             self.report_violation(Invariant::Room, event, &detail);
         }
         let step = &job.spec.steps[event.name.step as usize];
-        let on_host = |item: &&ItemHistory| item.open.iter().any(|open| open.host == event.host);
-        let mut used_cpu = step.cpu;
-        let mut siblings = 1;
-        for item in self.items.iter().filter(on_host) {
-            let other = self.submitted_jobs.get(item.name.job);
-            let steps = other.map(|other| other.spec.steps).unwrap_or_default();
-            used_cpu += steps
-                .get(item.name.step as usize)
-                .map_or(0, |step| step.cpu);
-            let same_step = item.name.job == event.name.job && item.name.step == event.name.step;
-            siblings += u32::from(same_step && item.name != event.name);
-        }
+        let (used_cpu, siblings) = self.use_of(&event.host, event.name);
+        let (used_cpu, siblings) = (used_cpu + step.cpu, siblings + 1);
         if used_cpu > CAPACITY.cpu {
             let detail = format!(
                 "{used_cpu} of {} thousandths of a core would be used",
@@ -259,7 +270,7 @@
             .push(InvariantViolation::new(invariant, event.at, detail));
     }
 
-    fn find(&self, name: ItemName) -> Result<usize, usize> {
+    pub(super) fn find(&self, name: ItemName) -> Result<usize, usize> {
         self.items.binary_search_by_key(&name, |item| item.name)
     }
 
@@ -275,7 +286,7 @@
     }
 }
 
-fn item_names(job: &SubmittedJob) -> Vec<ItemName> {
+pub(super) fn item_names(job: &SubmittedJob) -> Vec<ItemName> {
     let mut names = Vec::new();
     for (step, shape) in (0_u32..).zip(&job.spec.steps) {
         names.extend((0..shape.count).map(|index| ItemName {
--- a/crates/soak/src/run/soak_run.rs
+++ b/crates/soak/src/run/soak_run.rs
@@ -139,6 +139,9 @@
         while Instant::now() < deadline && !(self.all_jobs_ended() && self.waves_completed(waves)) {
             self.query_unfinished().await;
             self.check_runs().await;
+            let platform = &self.system.platform;
+            self.checks
+                .check_waiting(&platform.hosts_with_room(), platform.now());
         }
         for wave in 1..=waves {
             if self.system.platform.is_wave_completed(wave) {
--- a/crates/soak/tests/run_check.rs
+++ b/crates/soak/tests/run_check.rs
@@ -173,3 +173,78 @@
     fixture.observe("h1", 0, 1, 1, RunChange::Lost { commanded: true });
     assert_eq!(fixture.violations(), [Invariant::Available]);
 }
+
+/// Time between two checks of what waits.
+const CHECK_MS: u64 = 250;
+/// Longer than any bound on the wait of a work item.
+const LONG_MS: u64 = 60_000;
+
+impl Fixture {
+    fn accept(&self) {
+        self.submitted_jobs
+            .update(ID, |job| job.accepted = Some(Millis(0)));
+    }
+
+    /// Checks for [`LONG_MS`] what waits, while the host `h1` of a pool takes work.
+    fn wait(&mut self, pool: &str) {
+        let hosts = [("h1".to_owned(), pool.to_owned())];
+        let end = self.now + LONG_MS;
+        while self.now < end {
+            self.now += CHECK_MS;
+            self.check.check_waiting(&hosts, Millis(self.now));
+        }
+    }
+}
+
+#[test]
+fn never_started() {
+    let mut fixture = fixture(JobKind::Passing, vec![step(2, 100)]);
+    fixture.accept();
+    fixture.start("h1", 0, 0, 1);
+    fixture.wait("press");
+    assert_eq!(fixture.violations(), [Invariant::Started]);
+}
+
+#[test]
+fn never_started_again() {
+    let mut fixture = fixture(JobKind::Passing, vec![step(1, 100)]);
+    fixture.accept();
+    fixture.start("h1", 0, 0, 1);
+    fixture.end("h1", 0, 0, 1, EndKind::Lapsed);
+    fixture.wait("press");
+    assert_eq!(fixture.violations(), [Invariant::Started]);
+}
+
+/// What cannot run may wait: without room, before earlier steps are done, after the last attempt, and unaccepted.
+#[test]
+fn waits_for_cause() {
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1, 100)
+    };
+    let mut running = fixture(JobKind::Passing, vec![step(1, 15_950), second]);
+    running.accept();
+    running.start("h1", 0, 0, 1);
+    running.wait("press");
+    assert_eq!(running.violations(), []);
+    let mut full = fixture(JobKind::Passing, vec![step(2, 9_000)]);
+    full.accept();
+    full.start("h1", 0, 0, 1);
+    full.wait("press");
+    assert_eq!(full.violations(), []);
+    let mut elsewhere = fixture(JobKind::Passing, vec![step(1, 100)]);
+    elsewhere.accept();
+    elsewhere.wait("other");
+    assert_eq!(elsewhere.violations(), []);
+    let mut failed = fixture(JobKind::Hopeless, vec![step(1, 100)]);
+    failed.accept();
+    for run in 1..=2 {
+        failed.start("h1", 0, 0, run);
+        failed.end("h1", 0, 0, run, EndKind::Failed);
+    }
+    failed.wait("press");
+    assert_eq!(failed.violations(), []);
+    let mut unaccepted = fixture(JobKind::Passing, vec![step(1, 100)]);
+    unaccepted.wait("press");
+    assert_eq!(unaccepted.violations(), []);
+}
