--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -26,6 +26,7 @@
     max_connections: Option<usize>,
     #[serde(default)]
     power_losses: bool,
+    only: Option<String>,
     cause: String,
 }
 
@@ -71,7 +72,7 @@
             duration: Duration::from_secs(case.seconds),
             max_connections: case.max_connections.unwrap_or(DEFAULT_MAX_CONNECTIONS),
             power_losses: case.power_losses,
-            only: None,
+            only: case.only,
         };
         run(case.seed, shape, &case.cause).await;
     }
