--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -2,6 +2,7 @@
 //! invariant.
 
 use {
+    goldcreststall_adapter_standin::DEFAULT_MAX_CONNECTIONS,
     goldcreststall_soak::run::{RunShape, SoakRun},
     serde::Deserialize,
     std::{path::PathBuf, time::Duration},
@@ -22,6 +23,10 @@
     entries: usize,
     hosts: usize,
     rate: u32,
+    max_connections: Option<usize>,
+    #[serde(default)]
+    power_losses: bool,
+    only: Option<String>,
     cause: String,
 }
 
@@ -48,6 +53,8 @@
         hosts: 14,
         rate: 8,
         duration: Duration::from_secs(8),
+        max_connections: DEFAULT_MAX_CONNECTIONS,
+        power_losses: false,
         only: None,
     };
     run(FIXED_SEED, shape, "the fixed seed").await;
@@ -63,7 +70,9 @@
             hosts: case.hosts,
             rate: case.rate,
             duration: Duration::from_secs(case.seconds),
-            only: None,
+            max_connections: case.max_connections.unwrap_or(DEFAULT_MAX_CONNECTIONS),
+            power_losses: case.power_losses,
+            only: case.only,
         };
         run(case.seed, shape, &case.cause).await;
     }
