--- a/crates/platform/src/http/http_client.rs
+++ b/crates/platform/src/http/http_client.rs
@@ -19,8 +19,8 @@
 /// lost power acknowledges nothing, and a connection to it would hang for minutes.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// How long an idle connection is kept for the next call. Services limit the connections that all callers together may
-/// have open, and do not learn that a caller has lost power: what stays open unused is missing elsewhere.
+/// Time after which an idle connection is closed; the pool looks at this interval, so that it takes up to twice as long.
+/// Services limit the open connections of all callers together, and go on counting those of a caller that lost power.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Most idle connections that are kept to one address.
