--- a/crates/dispatch/src/owner/run_table.rs
+++ b/crates/dispatch/src/owner/run_table.rs
@@ -13,12 +13,7 @@
         let Some((job, item)) = self.jobs.item(key) else {
             return Capacity::default();
         };
-        let step = job.step_of(item);
-        Capacity {
-            cpu: step.counted_cpu(),
-            mem_mb: step.mem_mb,
-            gpu: step.gpu,
-        }
+        job.step_of(item).demand()
     }
 
     /// Records a run and the capacity that it uses on its runner.
@@ -88,6 +83,7 @@
 
     /// Issues a stop of a recorded run, unless one was issued already.
     pub(super) fn stop_run(&mut self, key: ItemKey, runner: RunnerKey, run: u32) {
+        let now = self.last_tick;
         let Some(recorded_run) = self.run_mut(key, runner, run) else {
             return;
         };
@@ -98,6 +94,7 @@
             return;
         }
         recorded_run.phase = RunPhase::Stopping;
+        recorded_run.progressed_at = now;
         self.issue_stop(key, runner, run);
     }
 
--- a/crates/dispatch/src/owner/start_responses.rs
+++ b/crates/dispatch/src/owner/start_responses.rs
@@ -10,9 +10,9 @@
 const REFUSAL_COOLDOWN: Millis = Millis(500);
 /// How long a runner gets no new work after a start command without a response. The time doubles with each further one in
 /// a row, because a runner that is out of reach for start commands may still answer hold calls.
-const SILENCE_COOLDOWN: Millis = Millis(250);
+const UNANSWERED_COOLDOWN: Millis = Millis(250);
 /// Number of doublings after which this time no longer grows.
-const MAX_SILENCE_DOUBLINGS: u32 = 4;
+const MAX_COOLDOWN_DOUBLINGS: u32 = 4;
 /// Step by which the run number advances to skip numbers that an earlier owner may have used.
 const RUN_NUMBER_STEP: u32 = 16;
 
@@ -49,13 +49,10 @@
         response: StartResponse,
         now: LocalTime,
     ) -> bool {
-        let StartCommand {
-            runner, item, run, ..
-        } = *command;
-        if response != StartResponse::Unknown
-            && let Some(state) = self.runners.get_mut(runner)
-        {
+        let is_response = !matches!(response, StartResponse::NotSent | StartResponse::Unknown);
+        if is_response && let Some(state) = self.runners.get_mut(command.runner) {
             state.last_response = now;
+            state.unanswered_starts = 0;
         }
         match response {
             StartResponse::Begun(clock) => self.start_accepted(command, clock, now),
@@ -67,25 +64,7 @@
             | StartResponse::NotSent
             | StartResponse::OldRun
             | StartResponse::OtherLifetime
-            | StartResponse::Unhealthy => {
-                let detail = format!("run={run} answer={response:?}");
-                self.log_event("start refused", command.name.to_string(), detail);
-                self.detach_run(item, runner, run, now);
-                self.stop_gang(item, run);
-                if response == StartResponse::OldRun
-                    && let Some(item) = self.jobs.item_mut(item)
-                {
-                    item.last_run += RUN_NUMBER_STEP;
-                }
-                if response == StartResponse::NoTicket {
-                    if let Some(step) = self.step_key(item) {
-                        self.advice.remove_ticket(step, runner);
-                    }
-                } else if let Some(state) = self.runners.get_mut(runner) {
-                    state.cooldown_until = now + REFUSAL_COOLDOWN;
-                    state.next_hold = state.next_hold.min(now);
-                }
-            }
+            | StartResponse::Unhealthy => self.start_refused(command, response, now),
         }
         true
     }
@@ -94,7 +73,6 @@
         if let Some(state) = self.runners.get_mut(command.runner) {
             state.clock.record_reading(clock, now);
             state.missed_holds = 0;
-            state.unanswered_starts = 0;
         }
         if let Some(recorded_run) = self.run_mut(command.item, command.runner, command.run)
             && recorded_run.phase == RunPhase::Starting
@@ -104,8 +82,40 @@
         }
     }
 
+    fn start_refused(&mut self, command: &StartCommand, response: StartResponse, now: LocalTime) {
+        let StartCommand {
+            runner, item, run, ..
+        } = *command;
+        let detail = format!("run={run} answer={response:?}");
+        self.log_event("start refused", command.name.to_string(), detail);
+        let was_withdrawn = response == StartResponse::NotSent
+            && self
+                .run_mut(item, runner, run)
+                .is_some_and(|recorded_run| recorded_run.phase != RunPhase::Starting);
+        self.detach_run(item, runner, run, now);
+        self.stop_gang(item, run);
+        if response == StartResponse::OldRun
+            && let Some(item) = self.jobs.item_mut(item)
+        {
+            item.last_run = item.last_run.saturating_add(RUN_NUMBER_STEP);
+        }
+        if response == StartResponse::NoTicket {
+            if let Some(step) = self.step_key(item) {
+                self.advice.remove_ticket(step, runner);
+            }
+        } else if let Some(state) = self.runners.get_mut(runner)
+            && !was_withdrawn
+        {
+            state.cooldown_until = state.cooldown_until.max(now + REFUSAL_COOLDOWN);
+            state.next_hold = state.next_hold.min(now);
+        }
+    }
+
     fn start_unknown(&mut self, command: &StartCommand, now: LocalTime) {
-        let unanswered_starts = self.avoid_silent_runner(command.runner, now);
+        let sent = self
+            .run_mut(command.item, command.runner, command.run)
+            .map_or(now, |recorded_run| recorded_run.sent);
+        let unanswered_starts = self.cool_down_unanswered(command.runner, sent, now);
         let detail = format!(
             "run={} unanswered_in_a_row={unanswered_starts} no response from the runner; stopping the run",
             command.run
@@ -115,20 +125,26 @@
             && recorded_run.phase == RunPhase::Starting
         {
             recorded_run.phase = RunPhase::Stopping;
+            recorded_run.progressed_at = now;
             self.issue_stop(command.item, command.runner, command.run);
             self.stop_gang(command.item, command.run);
         }
     }
 
     /// Gives no new work to a runner for a time after a start command without a response; returns the number of such
-    /// commands in a row.
-    fn avoid_silent_runner(&mut self, runner: RunnerKey, now: LocalTime) -> u32 {
+    /// commands in a row. One that was sent before the last of them was counted does not count: a lost delegate takes the
+    /// responses to all starts that are in flight through it.
+    fn cool_down_unanswered(&mut self, runner: RunnerKey, sent: LocalTime, now: LocalTime) -> u32 {
         let Some(state) = self.runners.get_mut(runner) else {
             return 0;
         };
-        let doublings = state.unanswered_starts.min(MAX_SILENCE_DOUBLINGS);
+        if state.unanswered_starts > 0 && sent <= state.unanswered_at {
+            return state.unanswered_starts;
+        }
+        state.unanswered_at = now;
+        let doublings = state.unanswered_starts.min(MAX_COOLDOWN_DOUBLINGS);
         state.unanswered_starts = state.unanswered_starts.saturating_add(1);
-        let cooldown = Millis(SILENCE_COOLDOWN.0 << doublings);
+        let cooldown = Millis(UNANSWERED_COOLDOWN.0 << doublings);
         state.cooldown_until = state.cooldown_until.max(now + cooldown);
         state.unanswered_starts
     }
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -1,9 +1,13 @@
 use {
     super::{Capacity, LeaseClock, RunnerReport, RunnerStatus},
-    crate::jobs::ItemKey,
-    goldcreststall_core::ids::LocalTime,
+    crate::jobs::{ItemKey, ItemName},
+    goldcreststall_core::ids::{LocalTime, Millis},
 };
 
+/// Time between two lists of a runner from which on they do not show what its work did in between. Hold calls wait for half
+/// of it.
+const LIST_GAP: Millis = Millis(1_500);
+
 /// Index of an instance of a runner in the [`super::RunnerTable`].
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct RunnerKey(pub u32);
@@ -30,6 +34,10 @@
     pub next_hold: LocalTime,
     /// When it last responded.
     pub last_response: LocalTime,
+    /// When it last listed its runs.
+    pub last_listed: LocalTime,
+    /// Since when its lists have come without a long gap, in which its work may have stood still.
+    pub listing_since: LocalTime,
     /// Hold calls in a row without a response.
     pub missed_holds: u32,
     /// Highest sequence number of an end that was processed.
@@ -42,12 +50,17 @@
     pub used: Capacity,
     /// Work items with a run on this runner, once for each run.
     pub items: Vec<ItemKey>,
-    /// It lists runs of unknown jobs, whose use of capacity is not known either.
-    pub has_unknown_runs: bool,
+    /// Listed runs of unknown jobs, whose use of capacity is not known either: work item, run, and when a stop was last
+    /// issued.
+    pub unknown_runs: Vec<(ItemName, u32, LocalTime)>,
+    /// The list names an earlier start than the one known; the next response shows which instance runs.
+    pub in_doubt: bool,
     /// It gets no new work before this time, after failures or refusals.
     pub cooldown_until: LocalTime,
     /// Start commands in a row without a response.
     pub unanswered_starts: u32,
+    /// When the last of them was counted.
+    pub unanswered_at: LocalTime,
     /// Number of consecutive failed runs.
     pub consecutive_failures: u32,
     /// It gets no new work, because its host is about to move or to be maintained.
@@ -71,15 +84,19 @@
             hold_sent: None,
             next_hold: now,
             last_response: LocalTime(0),
+            last_listed: LocalTime(0),
+            listing_since: now,
             missed_holds: 0,
             processed: 0,
             stored: 0,
             acknowledged: 0,
             used: Capacity::default(),
             items: Vec::new(),
-            has_unknown_runs: false,
+            unknown_runs: Vec::new(),
+            in_doubt: false,
             cooldown_until: LocalTime(0),
             unanswered_starts: 0,
+            unanswered_at: LocalTime(0),
             consecutive_failures: 0,
             cordoned: false,
             due: false,
@@ -98,11 +115,20 @@
         self.listed && !self.has_ended
     }
 
+    /// Records that the runner has listed its runs.
+    pub fn record_list(&mut self, now: LocalTime) {
+        if now.since(self.last_listed) > LIST_GAP {
+            self.listing_since = now;
+        }
+        self.last_listed = now;
+    }
+
     /// Returns whether new work may be started on the runner.
     pub fn accepts_work(&self, now: LocalTime) -> bool {
         self.is_present()
             && self.fenced
-            && !self.has_unknown_runs
+            && self.unknown_runs.is_empty()
+            && !self.in_doubt
             && !self.cordoned
             && self.missed_holds == 0
             && self.report.status == RunnerStatus::Ready
--- a/crates/node/src/control/command_executor.rs
+++ b/crates/node/src/control/command_executor.rs
@@ -2,10 +2,11 @@
     super::{
         ControlEvent,
         owner_actor::{ActorArgs, OwnerActor, send_event},
-        start_limiter::StartLimiter,
+        waiting_starts::WaitingStarts,
         wave_reports::WaveReports,
     },
     crate::{
+        delegates::CommandLimiter,
         journal::JobJournal,
         ports::{HoldCall, RunnerEndpoint},
     },
@@ -20,6 +21,7 @@
     kameo::actor::WeakActorRef,
     slog::{info, warn},
     std::sync::Arc,
+    tokio::sync::Semaphore,
     tokio_util::sync::CancellationToken,
 };
 
@@ -29,7 +31,9 @@
     pub(super) args: ActorArgs,
     pub(super) token: u64,
     pub(super) reports: WaveReports,
-    pub(super) limiter: StartLimiter,
+    pub(super) limiter: CommandLimiter,
+    pub(super) waiting_starts: WaitingStarts,
+    pub(super) host_limiter: Arc<Semaphore>,
     pub(super) stop: CancellationToken,
 }
 
@@ -121,11 +125,14 @@
         let token = self.token;
         let limiter = self.limiter.clone();
         let lease = self.args.lease.clone();
+        let waiting_starts = self.waiting_starts.clone();
+        waiting_starts.add(command.run_name());
         self.args.metrics.count_command("start");
         tokio::spawn(async move {
-            let _permit = limiter.acquire(command.runner).await;
-            // The lease may have ended while the command waited for the permit.
-            let response = if lease.is_held() {
+            let _permit = limiter.acquire(&endpoint.id).await;
+            // The lease may have ended, or the run been stopped, while the command waited for the permit.
+            let is_wanted = waiting_starts.remove(&command.run_name());
+            let response = if is_wanted && lease.is_held() {
                 service.start(&endpoint, &command.run_start()).await
             } else {
                 StartResponse::NotSent
@@ -146,6 +153,7 @@
         let service = Arc::clone(&self.args.runners);
         let actor = self.actor.clone();
         let token = self.token;
+        self.waiting_starts.remove(&command.run_name());
         self.args.metrics.count_command("stop");
         tokio::spawn(async move {
             let clock_ms = service.stop(&endpoint, &command.run_name()).await;
@@ -178,9 +186,17 @@
         let actor = self.actor.clone();
         let token = self.token;
         let logger = self.args.logger.clone();
+        let lease = self.args.lease.clone();
+        let limiter = Arc::clone(&self.host_limiter);
         self.args.metrics.count_command("move");
         tokio::spawn(async move {
-            let response = service.move_host(&host, &pool, token).await;
+            let sending = async {
+                // Fails only for a closed semaphore, and this one is never closed.
+                let _permit = limiter.acquire().await.ok();
+                service.move_host(&host, &pool, token).await
+            };
+            let response = lease.run_while_held(sending).await;
+            let response = response.unwrap_or(HostResponse::Unknown);
             info!(logger, "owner: the host service answered a move command"; "id" => &host,
                 "pool" => pool, "answer" => ?response);
             send_host_answered(&actor, token, host, response).await;
@@ -192,9 +208,17 @@
         let actor = self.actor.clone();
         let token = self.token;
         let logger = self.args.logger.clone();
+        let lease = self.args.lease.clone();
+        let limiter = Arc::clone(&self.host_limiter);
         self.args.metrics.count_command("maintain");
         tokio::spawn(async move {
-            let response = service.maintain(&host, wave, token).await;
+            let sending = async {
+                // Fails only for a closed semaphore, and this one is never closed.
+                let _permit = limiter.acquire().await.ok();
+                service.maintain(&host, wave, token).await
+            };
+            let response = lease.run_while_held(sending).await;
+            let response = response.unwrap_or(HostResponse::Unknown);
             info!(logger, "owner: the host service answered a maintenance command";
                 "id" => &host, "wave" => wave, "answer" => ?response);
             send_host_answered(&actor, token, host, response).await;
--- a/crates/node/tests/claim_race.rs
+++ b/crates/node/tests/claim_race.rs
@@ -4,10 +4,11 @@
 mod fakes;
 
 use {
+    bytes::Bytes,
     fakes::{FakeStore, logger},
     goldcreststall_core::ids::Millis,
     goldcreststall_node::{
-        election::{ElectionEvent, ElectionTask, OwnerLease, OwnerLocation},
+        election::{ElectionEvent, ElectionTask, OwnerLease, OwnerLocation, OwnershipRecord},
         links::PeerDirectory,
     },
     std::{
@@ -181,3 +182,82 @@
     assert_eq!(claims, 0, "another process has claimed");
     assert!(owner.lease.is_held());
 }
+
+/// The successor may claim as soon as the release is stored, which is before its response arrives. An owner that goes on
+/// until then issues commands beside its successor.
+#[tokio::test]
+async fn no_lease_after_release() {
+    let store = Arc::new(FakeStore::default());
+    let mut owner = spawn(&store, 7_000, "entry-0#1");
+    known_token(&mut owner).await;
+    let lease_held = async {
+        while !owner.lease.is_held() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, lease_held)
+        .await
+        .expect("a lease");
+    store
+        .delay_ownership_responses
+        .store(true, Ordering::SeqCst);
+    owner.stop.cancel();
+    let released = async {
+        while !is_released(&store) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, released)
+        .await
+        .expect("a release");
+    assert!(
+        !owner.lease.is_held(),
+        "the owner may still send commands although its successor may as well"
+    );
+}
+
+/// A store that refuses reads must not make a process that stops call it without a pause.
+#[tokio::test]
+async fn paced_release() {
+    let store = Arc::new(FakeStore::default());
+    let mut owner = spawn(&store, 7_000, "entry-0#1");
+    known_token(&mut owner).await;
+    // The topic is longer than the owner expects, and what was written cannot be read.
+    store.ownership.lock().push(Bytes::from_static(b"unknown"));
+    store.refuse_ownership_reads.store(true, Ordering::SeqCst);
+    owner.stop.cancel();
+    let before = store.ownership_appends.load(Ordering::SeqCst);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let appends = store.ownership_appends.load(Ordering::SeqCst) - before;
+    assert!(appends <= 8, "{appends} appends within 600 ms");
+}
+
+/// The claim is stored, but its response is lost. Until its lease has ended nobody else can claim, and a repeated claim
+/// would be lost in the same way.
+#[tokio::test]
+async fn claim_without_response() {
+    let store = Arc::new(FakeStore::default());
+    store.lose_ownership_responses.store(true, Ordering::SeqCst);
+    let mut owner = spawn(&store, 7_000, "entry-0#1");
+    let elected = tokio::time::timeout(Duration::from_millis(1_000), owner.events.recv()).await;
+    assert!(matches!(elected, Ok(Some(ElectionEvent::Elected(1)))));
+    let claims = store.ownership.lock().len();
+    assert_eq!(claims, 1, "the same process has claimed again");
+    let lease_held = async {
+        while !owner.lease.is_held() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, lease_held)
+        .await
+        .expect("a lease");
+    owner.stop.cancel();
+}
+
+/// Returns whether the last record of the ownership topic is a release.
+fn is_released(store: &FakeStore) -> bool {
+    let ownership = store.ownership.lock();
+    let last = ownership.last().expect("a record");
+    let record: OwnershipRecord = postcard::from_bytes(last).expect("an ownership record");
+    record.released
+}
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -26,9 +26,12 @@
     kameo::actor::{ActorRef, Spawn},
     parking_lot::Mutex,
     slog::{Discard, Logger, o},
-    std::sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
+        time::Duration,
     },
     tokio::sync::Notify,
 };
@@ -47,11 +50,19 @@
     pub lose_next_response: AtomicBool,
     /// Loses the responses to all appends to the ownership topic after their records were stored.
     pub lose_ownership_responses: AtomicBool,
+    /// Delays the responses to appends to the ownership topic after their records were stored.
+    pub delay_ownership_responses: AtomicBool,
+    /// Refuses all reads of the ownership topic.
+    pub refuse_ownership_reads: AtomicBool,
+    /// Number of appends to the ownership topic, including refused ones.
+    pub ownership_appends: AtomicUsize,
     pub reports: Mutex<Vec<WaveReport>>,
     /// Loses the next wave report before it is stored.
     pub lose_next_report: AtomicBool,
     /// Refuses all reads and appends of the ownership topic.
     pub refuse_ownership: AtomicBool,
+    /// Refuses all appends of job records.
+    pub refuse_jobs: AtomicBool,
     /// Blocks reads of job records.
     pub block_reads: AtomicBool,
     /// Number of reads of job records, including blocked ones.
@@ -106,19 +117,26 @@
         condition: AppendCondition,
         _timeout: Millis,
     ) -> Result<AppendPosition, StoreError> {
+        self.ownership_appends.fetch_add(1, Ordering::SeqCst);
         if self.refuse_ownership.load(Ordering::SeqCst) {
             return Err(StoreError::Refused);
         }
-        let mut ownership = self.ownership.lock();
-        let end = ownership.len() as u64;
-        if condition.at.is_some_and(|at| at != end) {
-            return Err(StoreError::NotAtEnd { end });
+        let end = {
+            let mut ownership = self.ownership.lock();
+            let end = ownership.len() as u64;
+            if condition.at.is_some_and(|at| at != end) {
+                return Err(StoreError::NotAtEnd { end });
+            }
+            ownership.extend_from_slice(records);
+            ownership.len()
+        };
+        while self.delay_ownership_responses.load(Ordering::SeqCst) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        ownership.extend_from_slice(records);
         if self.lose_ownership_responses.load(Ordering::SeqCst) {
             return Err(StoreError::Unknown);
         }
-        self.respond(ownership.len())
+        self.respond(end)
     }
 
     async fn append_keyed(
@@ -128,6 +146,9 @@
         condition: AppendCondition,
         _timeout: Millis,
     ) -> Result<AppendPosition, StoreError> {
+        if self.refuse_jobs.load(Ordering::SeqCst) {
+            return Err(StoreError::Refused);
+        }
         let fresh = self.check_fence(condition, records.len())?;
         let mut jobs = self.jobs.lock();
         if fresh {
@@ -143,7 +164,8 @@
         _wait: Millis,
     ) -> Result<ReadBatch, StoreError> {
         tokio::task::yield_now().await;
-        if self.refuse_ownership.load(Ordering::SeqCst) {
+        let refused = |flag: &AtomicBool| flag.load(Ordering::SeqCst);
+        if refused(&self.refuse_ownership) || refused(&self.refuse_ownership_reads) {
             return Err(StoreError::Refused);
         }
         let ownership = self.ownership.lock();
@@ -191,15 +213,35 @@
     }
 }
 
+/// How long a fake runner takes to answer a stop.
+const STOP_DURATION: Duration = Duration::from_millis(5);
+
 /// Runners that accept all commands.
 #[derive(Default)]
 pub struct FakeRunners {
     /// Number of hold calls.
     pub holds: AtomicUsize,
+    /// Number of stops.
+    pub stops: AtomicUsize,
+    /// Stops in progress, and the most at one time.
+    pub open_stops: AtomicUsize,
+    pub most_stops: AtomicUsize,
+    /// No command reaches a runner.
+    pub unreachable: AtomicBool,
+    /// Never ends hold calls.
+    pub block_holds: AtomicBool,
+    /// Gives no response to start commands.
+    pub lose_starts: AtomicBool,
+    /// Ids of the runners that never end stops.
+    pub hanging: Mutex<Vec<String>>,
     /// Refuses all start commands for lack of free capacity.
     pub refuse_starts: AtomicBool,
     pub starts: Mutex<Vec<RunStart>>,
+    /// Ids of the runners of the start commands.
+    pub started_on: Mutex<Vec<String>>,
     pub started: Notify,
+    /// Number of stops and of commands to change the pace.
+    pub other_commands: AtomicUsize,
     /// Blocks the responses to start commands.
     pub block_starts: AtomicBool,
     /// Wakes blocked responses; clear `block_starts` first.
@@ -210,17 +252,30 @@
 impl RunnerService for FakeRunners {
     async fn hold(&self, _runner: &RunnerEndpoint, _call: HoldCall) -> Option<HoldResponse> {
         self.holds.fetch_add(1, Ordering::SeqCst);
+        if self.block_holds.load(Ordering::SeqCst) {
+            std::future::pending::<()>().await;
+        }
+        if self.unreachable.load(Ordering::SeqCst) {
+            return None;
+        }
         Some(HoldResponse {
             clock_ms: 1,
             ..HoldResponse::default()
         })
     }
 
-    async fn start(&self, _runner: &RunnerEndpoint, start: &RunStart) -> StartResponse {
+    async fn start(&self, runner: &RunnerEndpoint, start: &RunStart) -> StartResponse {
+        if self.unreachable.load(Ordering::SeqCst) {
+            return StartResponse::NotSent;
+        }
+        if self.lose_starts.load(Ordering::SeqCst) {
+            return StartResponse::Unknown;
+        }
         if self.refuse_starts.load(Ordering::SeqCst) {
             return StartResponse::NoRoom;
         }
         self.starts.lock().push(start.clone());
+        self.started_on.lock().push(runner.id.clone());
         self.started.notify_one();
         while self.block_starts.load(Ordering::SeqCst) {
             self.unblocked.notified().await;
@@ -228,11 +283,22 @@
         StartResponse::Begun(1)
     }
 
-    async fn stop(&self, _runner: &RunnerEndpoint, _run: &RunName) -> Option<u64> {
-        Some(1)
+    async fn stop(&self, runner: &RunnerEndpoint, _run: &RunName) -> Option<u64> {
+        let hangs = self.hanging.lock().contains(&runner.id);
+        if hangs {
+            std::future::pending::<()>().await;
+        }
+        self.stops.fetch_add(1, Ordering::SeqCst);
+        self.other_commands.fetch_add(1, Ordering::SeqCst);
+        let open = self.open_stops.fetch_add(1, Ordering::SeqCst) + 1;
+        self.most_stops.fetch_max(open, Ordering::SeqCst);
+        tokio::time::sleep(STOP_DURATION).await;
+        self.open_stops.fetch_sub(1, Ordering::SeqCst);
+        (!self.unreachable.load(Ordering::SeqCst)).then_some(1)
     }
 
     async fn pace(&self, _runner: &RunnerEndpoint, _run: &RunName, _percent: u32) -> bool {
+        self.other_commands.fetch_add(1, Ordering::SeqCst);
         true
     }
 }
@@ -252,7 +318,28 @@
 }
 
 /// A host service without hosts that is always busy.
-pub struct FakeHosts;
+#[derive(Default)]
+pub struct FakeHosts {
+    /// Hosts for which a command has reached the service.
+    pub commanded: Mutex<Vec<String>>,
+    /// Commands wait for a connection.
+    pub block_connections: AtomicBool,
+    /// Number of commands that have waited for a connection.
+    pub waiting: AtomicUsize,
+    /// Wakes waiting commands; clear `block_connections` first.
+    pub unblocked: Notify,
+}
+
+impl FakeHosts {
+    async fn take_command(&self, host: &str) -> HostResponse {
+        while self.block_connections.load(Ordering::SeqCst) {
+            self.waiting.fetch_add(1, Ordering::SeqCst);
+            self.unblocked.notified().await;
+        }
+        self.commanded.lock().push(host.to_owned());
+        HostResponse::Busy
+    }
+}
 
 #[async_trait]
 impl HostService for FakeHosts {
@@ -260,24 +347,26 @@
         Ok(Vec::new())
     }
 
-    async fn move_host(&self, _host: &str, _pool: &str, _token: u64) -> HostResponse {
-        HostResponse::Busy
+    async fn move_host(&self, host: &str, _pool: &str, _token: u64) -> HostResponse {
+        self.take_command(host).await
     }
 
-    async fn maintain(&self, _host: &str, _wave: u64, _token: u64) -> HostResponse {
-        HostResponse::Busy
+    async fn maintain(&self, host: &str, _wave: u64, _token: u64) -> HostResponse {
+        self.take_command(host).await
     }
 }
 
 /// A control actor that uses the fakes.
 pub struct TestActor {
     pub actor: ActorRef<OwnerActor>,
+    pub hosts: Arc<FakeHosts>,
     pub lease: OwnerLease,
     pub runners: Arc<FakeRunners>,
     pub store: Arc<FakeStore>,
 }
 
 pub fn spawn_actor() -> TestActor {
+    let hosts = Arc::new(FakeHosts::default());
     let lease = OwnerLease::default();
     let runners = Arc::new(FakeRunners::default());
     let store = Arc::new(FakeStore::default());
@@ -289,11 +378,12 @@
         metrics: Arc::new(NodeMetrics::new().expect("metrics")),
         advice: Arc::new(NoAdvice),
         runners: Arc::clone(&runners) as _,
-        hosts: Arc::new(FakeHosts),
+        hosts: Arc::clone(&hosts) as _,
         store: Arc::clone(&store) as _,
     });
     TestActor {
         actor,
+        hosts,
         lease,
         runners,
         store,
