--- a/crates/node/src/control/command_executor.rs
+++ b/crates/node/src/control/command_executor.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         ControlEvent,
-        owner_actor::{ActorArgs, OwnerActor, send_event},
+        actor_events::send_event,
+        owner_actor::{ActorArgs, OwnerActor},
         waiting_starts::WaitingStarts,
         wave_reports::WaveReports,
     },
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control actor: it holds the owner's state and executes the commands that the state decides on.
 
+mod actor_events;
 mod command_executor;
 mod control_event;
 mod owner_actor;
--- a/crates/node/src/election/election_task.rs
+++ b/crates/node/src/election/election_task.rs
@@ -1,5 +1,8 @@
 use {
-    super::{OwnerLease, OwnershipRecord},
+    super::{
+        OwnerLease, OwnershipRecord,
+        renewal_schedule::{APPEND_TIMEOUT, MAX_LEASE, MIN_LEASE, RETRY_DELAY, RenewalSchedule},
+    },
     crate::{
         links::PeerDirectory,
         ports::{AppendCondition, PlatformStore, StoreError, StoreTopic},
@@ -13,27 +16,14 @@
     tokio_util::sync::CancellationToken,
 };
 
-/// Shortest time from sending a renewal until the owner stops sending commands.
-const MIN_LEASE: Millis = Millis(1_300);
-/// Longest such time. A slow store must not end the term of an owner that nobody could replace any faster.
-const MAX_LEASE: Millis = Millis(3_000);
 /// Time that other entry hosts wait beyond the owner's lease before they claim.
 const CLAIM_MARGIN: Millis = Millis(200);
 /// How long the topic must be silent after an outage of the store before another process claims. The owner could not
 /// renew during the outage; it knows all runners, while a new owner would have to read the jobs and query each runner
 /// again.
 const OUTAGE_GRACE: Millis = Millis(700);
-/// Time between renewals; three fit into a lease.
-const RENEWAL_INTERVAL: Millis = Millis(400);
 /// Longest wait of a read for the next record.
 const LONG_POLL_TIMEOUT: Millis = Millis(600);
-/// Longest wait for the response to a claim or renewal.
-const APPEND_TIMEOUT: Millis = Millis(1_200);
-/// Longest wait for the response to a renewal that follows a failed one. The store may have recovered while the earlier
-/// one was still waiting on a silent connection.
-const RETRY_TIMEOUT: Millis = Millis(600);
-/// Delay after a failed call to the store.
-const RETRY_DELAY: Millis = Millis(150);
 
 /// Where the owner of the fleet is, as far as this entry host knows.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -86,51 +76,6 @@
     pub logger: Logger,
 }
 
-/// Decides when renewals are sent and how long their leases are.
-#[derive(Default)]
-struct RenewalSchedule {
-    /// When the renewal was first sent that is not known to be stored; `None` if the last one is stored.
-    first_sent: Option<LocalTime>,
-    latency: Millis,
-}
-
-impl RenewalSchedule {
-    /// Returns the delay before the next renewal. The latency of a slow store counts as part of the interval, and a
-    /// renewal that is not known to be stored is repeated soon.
-    fn delay(&self) -> Millis {
-        if self.first_sent.is_some() {
-            return RETRY_DELAY;
-        }
-        Millis(RENEWAL_INTERVAL.0.saturating_sub(self.latency.0))
-    }
-
-    /// Returns the longest wait for the response to the next renewal.
-    fn timeout(&self) -> Millis {
-        if self.first_sent.is_some() {
-            return RETRY_TIMEOUT.max(self.latency + self.latency);
-        }
-        APPEND_TIMEOUT
-    }
-
-    /// Returns a lease that lasts beyond the next renewal even if the store stays as slow as it was.
-    fn lease(&self) -> Millis {
-        let wanted = Millis(self.latency.0 * 2) + RENEWAL_INTERVAL;
-        wanted.clamp(MIN_LEASE, MAX_LEASE)
-    }
-
-    fn record_send(&mut self) {
-        self.first_sent.get_or_insert_with(|| BootClock.now());
-    }
-
-    /// Records that the renewal is stored, and returns when it was first sent.
-    fn record_stored(&mut self) -> LocalTime {
-        let now = BootClock.now();
-        let first_sent = self.first_sent.take().unwrap_or(now);
-        self.latency = now.since(first_sent);
-        first_sent
-    }
-}
-
 /// State of the owner as read from the topic.
 struct OwnerWatch {
     next_offset: u64,
--- a/crates/node/src/election/mod.rs
+++ b/crates/node/src/election/mod.rs
@@ -3,6 +3,7 @@
 mod election_task;
 mod owner_lease;
 mod ownership_record;
+mod renewal_schedule;
 
 pub use {
     election_task::{ElectionEvent, ElectionTask, OwnerLocation},
