--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -27,6 +27,7 @@
         "restart" => restart(trouble, folder, record),
         "label" => label(trouble, folder, record),
         "pending" => pending(trouble, folder, record),
+        "wave" => wave(trouble, folder, record),
         "missing" => missing(trouble, folder, record),
         "reserved" => reserved(trouble, folder, record),
         _ => Err(io::Error::other("no such case")),
@@ -410,3 +411,76 @@
     }
     None
 }
+
+/// Two machines are due for upkeep, and there is one free place for the work that leaves them.
+fn wave(trouble: bool, folder: &Path, record: &Arc<Record>) -> io::Result<Option<String>> {
+    const RUNNERS: usize = 5;
+    const MEM_MB: u64 = 32_768;
+    const WIDE_MB: u64 = 12_000;
+    const SINGLE_MB: u64 = 17_000;
+    const SINGLES: usize = 4;
+    const DUE: usize = 2;
+    const WAVE_S: u64 = 26;
+    /// From this time after the last run on, a work item that lasts may not wait for 3 s.
+    const AFTER_RUN_MS: u64 = 6_000;
+    const IDLE_MS: u64 = 3_000;
+    let shape = Shape {
+        pools: vec![("sorting", RUNNERS, false), ("billing", 4, false)],
+        cpu: 16_000,
+        mem_mb: MEM_MB,
+        special: None,
+    };
+    let system = System::start(&shape, folder, record)?;
+    let wide = "0000000000000aa0";
+    let body = format!(
+        "{{\"Spec\":\"work=0\",\"Steps\":[{{\"Count\":{RUNNERS},\"Cpu\":1000,\"MemMb\":{WIDE_MB},\"EstimateMs\":900,\"AntiAffinity\":1,\"LongRunning\":true}}]}}"
+    );
+    let mut accepted = system.submit("sorting", wide, &body);
+    sleep_ms(1_000);
+    let singles: Vec<String> = (0..SINGLES)
+        .map(|number| format!("{:016x}", 0xaa1 + number))
+        .collect();
+    for id in &singles {
+        let body = format!(
+            "{{\"Spec\":\"work=0\",\"Steps\":[{{\"Count\":1,\"Cpu\":1000,\"MemMb\":{SINGLE_MB},\"EstimateMs\":900,\"LongRunning\":true}}]}}"
+        );
+        accepted &= system.submit("sorting", id, &body);
+        sleep_ms(300);
+    }
+    sleep_ms(2_000);
+    let running = system.fleet.running();
+    let is_single = |task: &str| singles.iter().any(|id| task.starts_with(id.as_str()));
+    let due = running.iter().filter(|(_, task, _)| is_single(task));
+    let due: Vec<String> = due
+        .map(|(machine, _, _)| machine.clone())
+        .take(DUE)
+        .collect();
+    if !accepted || running.len() != RUNNERS + SINGLES {
+        return Err(io::Error::other("the jobs do not run as expected"));
+    }
+    if trouble {
+        system.fleet.request_wave(1, &due, WAVE_S, DUE as u64);
+    }
+    sleep_ms(AFTER_RUN_MS + IDLE_MS + 6_000);
+    let running = system.fleet.running();
+    let mut used = [0_u64; RUNNERS];
+    for (machine, task, _) in &running {
+        let mem_mb = if is_single(task) { SINGLE_MB } else { WIDE_MB };
+        let index: usize = machine[2..].parse().unwrap_or(0);
+        used[index] += mem_mb;
+    }
+    let room: u64 = used.iter().map(|used| (MEM_MB - used) / SINGLE_MB).sum();
+    record.line(&format!(
+        "runners: memory in use {used:?} of {MEM_MB} MB each"
+    ));
+    let (events, now) = (record.events(), record.now());
+    let waiting = singles
+        .iter()
+        .find(|id| waiting_time(&events, id, now) > AFTER_RUN_MS + IDLE_MS);
+    Ok(waiting.filter(|_| room >= 2).map(|id| {
+        format!(
+            "the work item of {id}, which lasts, has had no run for {} ms after a stop, with room for it on {room} runners",
+            waiting_time(&events, id, now)
+        )
+    }))
+}
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -376,6 +376,19 @@
         loses
     }
 
+    /// Asks for the upkeep of machines, as the operator does.
+    pub fn request_wave(&self, number: u64, machines: &[String], duration_s: u64, cap: u64) {
+        let names: Vec<String> = machines.iter().map(|name| quote(name)).collect();
+        let value = format!(
+            "{{\"Wave\":{number},\"Machines\":[{}],\"DurationS\":{duration_s},\"Cap\":{cap}}}",
+            names.join(",")
+        );
+        self.record
+            .line(&format!("operator: op/wave/{number} {value}"));
+        self.store
+            .put("keyed.op", &format!("wave/{number}"), &value);
+    }
+
     /// Returns the work that runs now: machine, work item and run.
     pub fn running(&self) -> Vec<(String, String, u64)> {
         let mut running = Vec::new();
