Keep starts that the next instance of a runner may have taken

Cause: once a later instance was known, all runs of the earlier one counted as certainly ended. A start is sent to an id, and the next instance executes what was sent before the owner knew of it. Change: runs that the ended instance had listed end with it; others are recorded at the next instance until its list, or its acknowledgement of a stop, tells what became of them. Why this works: an answer of the next instance, asked for after the start was answered, is the only proof that it has not taken the start. Related paths: the response to a hold call that shows the new instance (same fault, same change); starts and stops without a response; the acknowledgement of a stop by the ended instance; the lease. Moves, maintenance and a change of the owner are not affected. Test replaced: gang_runs::lost_member_stops_all took a run for lost that no instance had listed, which is the faulty rule. The member is now listed first; the assertion is the same.

--- a/crates/dispatch/src/jobs/work_item.rs
+++ b/crates/dispatch/src/jobs/work_item.rs
@@ -59,10 +59,13 @@
     pub runner: RunnerKey,
     /// Known state of the run.
     pub phase: RunPhase,
+    /// The instance of the runner has listed the run, so that no other instance can have it.
+    pub listed: bool,
     /// When the start command was sent.
     pub sent: LocalTime,
     /// Time on the runner's clock, in milliseconds, after which the start command cannot be executed any more; 0 for an
-    /// adopted run, whose start has been executed.
+    /// adopted run, whose start has been executed, and [`u64::MAX`] for a start whose deadline is on the clock of an
+    /// earlier instance.
     pub start_deadline_ms: u64,
     /// Share of the work that is done, in percent; for a long-running work item the share of its start-up.
     pub percent: u32,
@@ -81,6 +84,7 @@
             run,
             runner,
             phase: RunPhase::Starting,
+            listed: false,
             sent: now,
             start_deadline_ms: deadline_ms,
             percent: 0,
@@ -94,10 +98,27 @@
     pub fn adopted(run: u32, runner: RunnerKey, now: LocalTime) -> Self {
         Self {
             phase: RunPhase::Running { since: now },
+            listed: true,
             ..Self::starting(run, runner, 0, now)
         }
     }
 
+    /// Returns the run as one that the next instance of its runner may have accepted. A stop that the ended instance has
+    /// acknowledged means nothing to the next one.
+    pub fn transferred(self, next: RunnerKey, now: LocalTime) -> Self {
+        let phase = match self.phase {
+            RunPhase::Stopped { .. } => RunPhase::Stopping,
+            phase => phase,
+        };
+        Self {
+            runner: next,
+            phase,
+            start_deadline_ms: u64::MAX,
+            progressed_at: now,
+            ..self
+        }
+    }
+
     /// Returns whether the run has certainly ended, or never begins, if a list that was requested at `requested` and
     /// made at `clock_ms` of the runner's clock does not show it.
     pub fn ended_if_unlisted(&self, requested: LocalTime, clock_ms: u64) -> bool {
--- a/crates/dispatch/src/owner/hold_planner.rs
+++ b/crates/dispatch/src/owner/hold_planner.rs
@@ -2,7 +2,7 @@
     super::{OwnerCommand, OwnerState},
     crate::{
         jobs::RunPhase,
-        runners::{RunnerKey, RunnerState, max_lapse_delay},
+        runners::{RunnerKey, RunnerState},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
 };
@@ -77,10 +77,7 @@
                 continue;
             };
             let silent = state.missed_holds > 0 || !state.is_present();
-            let lapse_time = state
-                .clock
-                .lapse_time()
-                .unwrap_or(state.first_seen + max_lapse_delay());
+            let lapse_time = state.clock.lapse_time(state.first_seen);
             let is_certain = now > lapse_time && now > self.stall_grace_until;
             if silent && is_certain && !state.items.is_empty() {
                 self.release_lost_runs(key, "the lease has ended", now);
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -6,6 +6,7 @@
 mod host_commands;
 mod host_moves;
 mod host_table;
+mod instance_change;
 mod job_calls;
 mod journal_queue;
 mod owner_command;
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -12,7 +12,7 @@
         jobs::{JobKey, JobTable},
         pools::ArrivalRate,
         routes::FleetRules,
-        runners::{RunnerKey, RunnerReport, RunnerTable, max_lapse_delay},
+        runners::{DEFAULT_MAX_LEASE, RunnerKey, RunnerReport, RunnerTable, max_lapse_delay},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
     std::{net::SocketAddr, sync::Arc},
@@ -64,6 +64,8 @@
     pub(super) arrivals: ArrivalRate,
     pub(super) advice: AdviceTable,
     pub(super) start_budget: StartBudget,
+    /// Longest lease that a runner accepts.
+    pub(super) max_lease: Millis,
     pub(super) recovered: bool,
     pub(super) has_runner_list: bool,
     /// Listed reports of instances that started before the known ones; they are handled once those have ended.
@@ -98,6 +100,7 @@
             arrivals: ArrivalRate::default(),
             advice: AdviceTable::default(),
             start_budget: StartBudget::default(),
+            max_lease: DEFAULT_MAX_LEASE,
             recovered: false,
             has_runner_list: false,
             deferred_reports: Vec::new(),
@@ -118,6 +121,11 @@
         self.journal.limit_link(link_rate);
     }
 
+    /// Sets the longest lease that a runner accepts.
+    pub fn set_max_lease(&mut self, max_lease: Millis) {
+        self.max_lease = max_lease;
+    }
+
     /// Replaces the configuration if the new one has a higher version.
     pub fn set_rules(&mut self, rules: Arc<FleetRules>) {
         if rules.version > self.rules.version {
--- a/crates/dispatch/src/owner/restore.rs
+++ b/crates/dispatch/src/owner/restore.rs
@@ -164,9 +164,9 @@
         }
         let detail = format!("service={} born={}", report.service, report.started_ms);
         self.log_event("runner seen", report.id.clone(), detail);
-        let (_, replaced) = self.runners.insert(report, now);
+        let (next, replaced) = self.runners.insert(report, now);
         if let Some(old) = replaced {
-            self.end_runner(old, "a new instance is listed", now);
+            self.end_replaced(old, next, "a new instance is listed", now);
         }
     }
 
--- a/crates/dispatch/src/owner/runner_responses.rs
+++ b/crates/dispatch/src/owner/runner_responses.rs
@@ -71,7 +71,8 @@
             // The call was sent before; its runs have ended with the instance.
             return;
         }
-        self.handle_running(key, &response.running, now);
+        let is_known_instance = response.started_ms.is_some();
+        self.handle_running(key, &response.running, is_known_instance, now);
         if lists_all_ends {
             self.detach_unlisted(key, sent, &response, now);
         }
@@ -81,8 +82,6 @@
 
     /// Ends an instance because another one has responded under its id. Returns the key of that one; `None` if a later
     /// one is known already.
-    ///
-    /// The next instance may have accepted a start that was meant for the ended one, and lists that run in its response.
     fn replace_instance(
         &mut self,
         key: RunnerKey,
@@ -95,22 +94,32 @@
             started_ms,
             ..state.report.clone()
         };
-        self.end_runner(key, "a new instance responded", now);
         if !is_newest {
+            self.end_runner(key, "a new instance responded", now);
             return None;
         }
         let (next, _) = self.runners.insert(report, now);
+        self.end_replaced(key, next, "a new instance responded", now);
         // It may be of another kind, so that it gets no work before the list contains it.
         self.runners.get_mut(next)?.listed = false;
         Some(next)
     }
 
-    fn handle_running(&mut self, runner: RunnerKey, running: &[ListedRun], now: LocalTime) {
+    /// Handles the runs that a runner lists. `is_known_instance` tells that the list names its instance.
+    fn handle_running(
+        &mut self,
+        runner: RunnerKey,
+        running: &[ListedRun],
+        is_known_instance: bool,
+        now: LocalTime,
+    ) {
         let mut unknown_runs = Vec::new();
         for listed in running {
             if !self.handle_listed(runner, listed, now) {
                 let stopped_at = self.stop_unknown_run(runner, listed, now);
                 unknown_runs.push((listed.name, listed.run, stopped_at));
+            } else if is_known_instance {
+                self.mark_listed(runner, listed);
             }
         }
         if let Some(state) = self.runners.get_mut(runner) {
@@ -185,6 +194,13 @@
         true
     }
 
+    fn mark_listed(&mut self, runner: RunnerKey, listed: &ListedRun) {
+        let key = self.jobs.find_item(&listed.name);
+        if let Some(recorded_run) = key.and_then(|key| self.run_mut(key, runner, listed.run)) {
+            recorded_run.listed = true;
+        }
+    }
+
     /// Issues a stop of a run whose job is not known, unless one was issued recently. Returns when the last one was.
     fn stop_unknown_run(
         &mut self,
--- a/crates/dispatch/src/owner/start_responses.rs
+++ b/crates/dispatch/src/owner/start_responses.rs
@@ -54,8 +54,12 @@
             state.last_response = now;
             state.unanswered_starts = 0;
         }
+        if let StartResponse::Begun(clock) = response {
+            self.record_start_reading(command.runner, clock, now);
+        }
+        let command = &*self.readdressed(command);
         match response {
-            StartResponse::Begun(clock) => self.start_accepted(command, clock, now),
+            StartResponse::Begun(_) => self.start_accepted(command, now),
             StartResponse::Fenced => return false,
             StartResponse::Unknown => self.start_unknown(command, now),
             StartResponse::Late(_)
@@ -69,11 +73,14 @@
         true
     }
 
-    fn start_accepted(&mut self, command: &StartCommand, clock: u64, now: LocalTime) {
-        if let Some(state) = self.runners.get_mut(command.runner) {
+    fn record_start_reading(&mut self, runner: RunnerKey, clock: u64, now: LocalTime) {
+        if let Some(state) = self.runners.get_mut(runner) {
             state.clock.record_reading(clock, now);
             state.missed_holds = 0;
         }
+    }
+
+    fn start_accepted(&mut self, command: &StartCommand, now: LocalTime) {
         if let Some(recorded_run) = self.run_mut(command.item, command.runner, command.run)
             && recorded_run.phase == RunPhase::Starting
         {
--- a/crates/dispatch/src/runners/lease_clock.rs
+++ b/crates/dispatch/src/runners/lease_clock.rs
@@ -3,6 +3,8 @@
 /// How long a runner keeps its work after the last command or hold call that reached it. This is longer than an
 /// election and reading the store take, so that work survives a change of the owner.
 pub const RUNNER_LEASE: Millis = Millis(3_500);
+/// Longest lease that a runner accepts, unless the settings name another.
+pub const DEFAULT_MAX_LEASE: Millis = Millis(10_000);
 /// Added to the end of a lease: the time that the runner needs to end its work.
 const KILL_MARGIN: Millis = Millis(300);
 /// Bound on the drift of a runner's clock. The clock may be slow by one fiftieth, so that real time exceeds the time on
@@ -28,6 +30,8 @@
 pub struct LeaseClock {
     reading: Option<(u64, LocalTime)>,
     granted: u64,
+    /// Longest lease that may have been granted on the clock before its first reading, if longer than [`RUNNER_LEASE`].
+    earlier_lease: Option<Millis>,
 }
 
 impl LeaseClock {
@@ -38,11 +42,23 @@
         }
         if self.reading.is_none() {
             // An earlier owner may have granted a lease immediately before.
-            self.granted = clock_ms + RUNNER_LEASE.0;
+            self.granted = clock_ms + self.earlier_lease().0;
         }
         self.reading = Some((clock_ms, now));
     }
 
+    /// Records that a command with a deadline on another clock may have granted a lease of up to `lease`.
+    pub fn expect_lease(&mut self, lease: Millis) {
+        self.earlier_lease = Some(lease.max(self.earlier_lease()));
+        if let Some((clock_ms, _)) = self.reading {
+            self.granted = self.granted.max(clock_ms + lease.0);
+        }
+    }
+
+    fn earlier_lease(&self) -> Millis {
+        self.earlier_lease.unwrap_or(RUNNER_LEASE)
+    }
+
     /// Returns the end of the lease for a command that is sent now, in milliseconds on the runner's clock, and records
     /// it as granted; none before the first reading.
     pub fn grant(&mut self, now: LocalTime) -> Option<u64> {
@@ -58,9 +74,12 @@
         Some(Millis(clock))
     }
 
-    /// Returns when every granted lease has certainly lapsed; none before the first reading.
-    pub fn lapse_time(&self) -> Option<LocalTime> {
-        let (clock, at) = self.reading?;
-        Some(at + add_safety_margin(self.granted.saturating_sub(clock)))
+    /// Returns when every granted lease has certainly lapsed. Before the first reading, `first_seen` is taken for the time
+    /// of the last command.
+    pub fn lapse_time(&self, first_seen: LocalTime) -> LocalTime {
+        match self.reading {
+            Some((clock, at)) => at + add_safety_margin(self.granted.saturating_sub(clock)),
+            None => first_seen + add_safety_margin(self.earlier_lease().0),
+        }
     }
 }
--- a/crates/dispatch/tests/gang_runs.rs
+++ b/crates/dispatch/tests/gang_runs.rs
@@ -7,7 +7,7 @@
     goldcreststall_dispatch::{
         jobs::{JobId, JobPhase, StepSpec},
         owner::{CallResponse, JobCall, OwnerCommand, StartCommand, StartResponse},
-        runners::EndKind,
+        runners::{EndKind, HoldResponse},
     },
 };
 
@@ -155,7 +155,17 @@
     let mut fleet = fleet_with_racks();
     let starts = submit(&mut fleet, 1, vec![gang(3, 6_000)]);
     fleet.accept_starts(&starts);
-    // The runner of the first member restarts as a new instance.
+    fleet.advance(100);
+    let clock = fleet.clock();
+    fleet.answer_holds(|runner| {
+        let here = starts.iter().filter(|start| start.runner == runner);
+        Some(HoldResponse {
+            started_ms: Some(1),
+            running: here.map(listed_run).collect(),
+            ..empty_response(clock)
+        })
+    });
+    // The runner of the first member, which has listed it, restarts as a new instance.
     let (id, _) = fleet
         .owner
         .runner_address(starts[0].runner)
--- a/crates/dispatch/tests/restarted_runner.rs
+++ b/crates/dispatch/tests/restarted_runner.rs
@@ -7,8 +7,8 @@
 use {
     fleet::{TestFleet, empty_response, ended_run, listed_run, step},
     goldcreststall_dispatch::{
-        owner::OwnerCommand,
-        runners::{EndKind, HoldResponse},
+        owner::{OwnerCommand, RunCommand, StartCommand, StartResponse},
+        runners::{DEFAULT_MAX_LEASE, EndKind, HoldResponse, ListedRun, RunnerKey},
     },
 };
 
@@ -90,3 +90,188 @@
     fleet.advance(10);
     assert_eq!(fleet.starts().len(), 1, "the work waits for an ended run");
 }
+
+/// Returns a fleet of two runners, of which the first, idle one has restarted and then got the start of a work item, before
+/// its new entry was read.
+fn restarted_before_start() -> (TestFleet, StartCommand) {
+    let mut fleet = TestFleet::new(1, &["r1", "r2"]);
+    fleet.answer_first_holds();
+    let start = fleet.submit_work(1, vec![step(1, 1_000)]).remove(0);
+    (fleet, start)
+}
+
+fn list_restarted(fleet: &mut TestFleet) {
+    fleet.runners[0].started_ms = 2;
+    fleet.list_runners();
+    fleet.advance(10);
+}
+
+/// Answers all hold calls; the next instance of the first runner lists `running`.
+fn answer_restarted(fleet: &mut TestFleet, running: &[ListedRun]) {
+    let clock = fleet.clock();
+    let response = HoldResponse {
+        started_ms: Some(2),
+        running: running.to_vec(),
+        ..empty_response(200)
+    };
+    fleet.answer_holds_by_id(|id| {
+        Some(match id {
+            "r1" => response.clone(),
+            _ => empty_response(clock),
+        })
+    });
+    fleet.advance(10);
+}
+
+fn stops_of(fleet: &TestFleet, start: &StartCommand) -> Vec<RunCommand> {
+    let stop = |command: &OwnerCommand| match command {
+        OwnerCommand::Stop(stop) if stop.name == start.name => Some(*stop),
+        _ => None,
+    };
+    fleet.commands.iter().filter_map(stop).collect()
+}
+
+fn started_ms(fleet: &TestFleet, runner: RunnerKey) -> Option<u64> {
+    Some(fleet.owner.runner_report(runner)?.started_ms)
+}
+
+/// Guards against a second run beside the one that the next instance has accepted, when its entry is read before its
+/// first list.
+#[test]
+fn entry_before_list() {
+    let (mut fleet, start) = restarted_before_start();
+    fleet.accept_starts(std::slice::from_ref(&start));
+    list_restarted(&mut fleet);
+    assert_eq!(
+        fleet.starts(),
+        [],
+        "the run was taken for lost without a list of the next instance"
+    );
+    for _ in 0..10 {
+        answer_restarted(&mut fleet, &[listed_run(&start)]);
+        fleet.advance(100);
+    }
+    assert_eq!(fleet.starts(), []);
+    assert_eq!(stops_of(&fleet, &start), [], "wanted work was stopped");
+}
+
+/// Guards against a second run beside a start that is in flight while the next instance responds with a list made before.
+#[test]
+fn list_before_start() {
+    let (mut fleet, start) = restarted_before_start();
+    fleet.advance(10);
+    answer_restarted(&mut fleet, &[]);
+    // The next instance has listed nothing, but may still accept the start.
+    fleet.advance(100);
+    answer_restarted(&mut fleet, &[]);
+    assert_eq!(
+        fleet.starts(),
+        [],
+        "a start in flight was taken for a lost run"
+    );
+    fleet.accept_starts(std::slice::from_ref(&start));
+    for _ in 0..10 {
+        answer_restarted(&mut fleet, &[listed_run(&start)]);
+        fleet.advance(100);
+    }
+    assert_eq!(fleet.starts(), []);
+}
+
+/// Guards against a start without a response that the next instance executes late: its deadline is on the clock of the
+/// ended instance, so that only an acknowledged stop rules it out.
+#[test]
+fn unknown_start_is_stopped() {
+    let (mut fleet, start) = restarted_before_start();
+    list_restarted(&mut fleet);
+    fleet
+        .owner
+        .start_answered(&start, StartResponse::Unknown, fleet.now);
+    fleet.advance(10);
+    let stop = *stops_of(&fleet, &start).last().expect("a stop");
+    assert_eq!(started_ms(&fleet, stop.runner), Some(2));
+    for _ in 0..5 {
+        answer_restarted(&mut fleet, &[]);
+        fleet.advance(100);
+    }
+    assert_eq!(fleet.starts(), [], "the start may still be executed");
+    fleet.owner.stop_answered(&stop, Some(800), fleet.now);
+    let mut again = Vec::new();
+    for _ in 0..5 {
+        fleet.advance(100);
+        answer_restarted(&mut fleet, &[]);
+        again.extend(fleet.starts());
+    }
+    assert_eq!(again.len(), 1, "the work item waits for a run that is void");
+}
+
+/// Guards against the acknowledgement of a stop by the ended instance that passes for one of the next: the next one would
+/// still execute the start.
+#[test]
+fn old_stop_proves_nothing() {
+    let (mut fleet, start) = restarted_before_start();
+    fleet
+        .owner
+        .start_answered(&start, StartResponse::Unknown, fleet.now);
+    fleet.advance(10);
+    let old_stop = stops_of(&fleet, &start)[0];
+    let clock = fleet.clock();
+    fleet.owner.stop_answered(&old_stop, Some(clock), fleet.now);
+    list_restarted(&mut fleet);
+    for _ in 0..5 {
+        answer_restarted(&mut fleet, &[]);
+        fleet.advance(100);
+    }
+    assert_eq!(fleet.starts(), [], "the start may still be executed");
+    let stop = *stops_of(&fleet, &start).last().expect("a stop");
+    assert_eq!(started_ms(&fleet, stop.runner), Some(2));
+}
+
+/// Guards against work that waits although it has certainly ended: the ended instance had listed it.
+#[test]
+fn listed_run_ended() {
+    let (mut fleet, start) = restarted_before_start();
+    fleet.accept_starts(std::slice::from_ref(&start));
+    fleet.advance(100);
+    let clock = fleet.clock();
+    fleet.answer_holds_by_id(|id| {
+        let running = match id {
+            "r1" => vec![listed_run(&start)],
+            _ => Vec::new(),
+        };
+        Some(HoldResponse {
+            running,
+            started_ms: Some(1),
+            ..empty_response(clock)
+        })
+    });
+    list_restarted(&mut fleet);
+    assert_eq!(fleet.starts().len(), 1);
+}
+
+/// Guards against a second run while the next instance holds a lease that only its own limit has cut: the deadline of the
+/// start was on the clock of the ended instance.
+#[test]
+fn silent_next_instance() {
+    let (mut fleet, start) = restarted_before_start();
+    fleet.accept_starts(std::slice::from_ref(&start));
+    list_restarted(&mut fleet);
+    answer_restarted(&mut fleet, &[listed_run(&start)]);
+    let lease_end = fleet.now + DEFAULT_MAX_LEASE;
+    let answer_second = |fleet: &mut TestFleet| {
+        let clock = fleet.clock();
+        fleet.answer_holds_by_id(|id| (id == "r2").then(|| empty_response(clock)));
+        fleet.advance(100);
+    };
+    while fleet.now < lease_end {
+        answer_second(&mut fleet);
+        assert_eq!(
+            fleet.starts(),
+            [],
+            "work was started again within its lease"
+        );
+    }
+    for _ in 0..10 {
+        answer_second(&mut fleet);
+    }
+    assert_eq!(fleet.starts().len(), 1);
+}
--- a/crates/node/src/control/owner_actor.rs
+++ b/crates/node/src/control/owner_actor.rs
@@ -44,6 +44,8 @@
     pub logger: Logger,
     /// How long the maintenance of a host takes.
     pub maintenance: Millis,
+    /// Longest lease that a runner accepts.
+    pub max_lease: Millis,
     /// Counters and histograms.
     pub metrics: Arc<NodeMetrics>,
     /// The advice service.
@@ -277,6 +279,7 @@
         };
         let mut state = OwnerState::new(token, Arc::clone(&self.rules), term.started_at);
         state.limit_link(self.args.link_rate, now);
+        state.set_max_lease(self.args.max_lease);
         state.restore(records, now, wall_time().0);
         for wave in &self.waves {
             state.wave_requested(wave.clone(), now);
--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -66,6 +66,8 @@
     pub grace: Millis,
     /// How long the maintenance of a host takes.
     pub maintenance: Millis,
+    /// Longest lease that a runner accepts.
+    pub max_lease: Millis,
 }
 
 impl NodeSettings {
@@ -143,6 +145,7 @@
         link_rate: settings.link_rate(),
         logger: logger.clone(),
         maintenance: settings.maintenance,
+        max_lease: settings.max_lease,
         metrics: Arc::clone(&metrics),
         advice: Arc::clone(&ports.advice),
         runners: Arc::new(DelegatedRunners::new(
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -375,6 +375,7 @@
         link_rate: 1_000_000,
         logger: logger(),
         maintenance: Millis(2_000),
+        max_lease: Millis(10_000),
         metrics: Arc::new(NodeMetrics::new().expect("metrics")),
         advice: Arc::new(NoAdvice),
         runners: Arc::clone(&runners) as _,
--- a/crates/node/tests/task_panic.rs
+++ b/crates/node/tests/task_panic.rs
@@ -75,6 +75,7 @@
         link_mbps: 1_000,
         grace: Millis(6_000),
         maintenance: Millis(2_000),
+        max_lease: Millis(10_000),
     }
 }
 
