Acknowledge an end of a run once, not with every hold call

What callers could see: work that is done runs again. Cause: each hold call repeated the highest acknowledgement. A runner that restarts under its id numbers its ends anew; the call that was meant for the ended instance makes it forget the ends with these numbers, and the work counts as lost. Change: a number is sent until a response confirms it, and 0 after that, which forgets nothing. Why this works: between two ends there is no acknowledgement that a next instance could take for its own; the one that is sent after an end remains, for the time until it is answered. Tests: restarted_runner::acknowledged_once fails before (9 acknowledgements instead of 1).

--- a/crates/dispatch/src/owner/hold_planner.rs
+++ b/crates/dispatch/src/owner/hold_planner.rs
@@ -45,7 +45,7 @@
             None
         };
         state.hold_sent = Some(now);
-        let last_seen = state.stored;
+        let last_seen = state.unacknowledged_end();
         self.commands.push(OwnerCommand::Hold {
             runner: key,
             deadline_ms,
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -115,6 +115,17 @@
         self.listed && !self.has_ended
     }
 
+    /// Returns the highest number of an end that is still to be acknowledged; 0 if there is none. An acknowledgement is not
+    /// repeated once it was answered: the next instance under the same id, which numbers its ends anew, would take it for
+    /// its own and forget them.
+    pub fn unacknowledged_end(&self) -> u64 {
+        if self.stored > self.acknowledged {
+            self.stored
+        } else {
+            0
+        }
+    }
+
     /// Records that the runner has listed its runs.
     pub fn record_list(&mut self, now: LocalTime) {
         if now.since(self.last_listed) > LIST_GAP {
--- a/crates/dispatch/tests/restarted_runner.rs
+++ b/crates/dispatch/tests/restarted_runner.rs
@@ -275,3 +275,32 @@
     }
     assert_eq!(fleet.starts().len(), 1);
 }
+
+/// Guards against an end that the next instance forgets, so that work which is done runs again: it took an acknowledgement
+/// that the ended instance had answered before for one of its own ends.
+#[test]
+fn acknowledged_once() {
+    let (mut fleet, starts) = TestFleet::with_work(&["r1"], vec![step(2, 1_000)]);
+    let (done, running) = (&starts[0], &starts[1]);
+    let mut acknowledgements = Vec::new();
+    for _ in 0..10 {
+        fleet.advance(300);
+        acknowledgements.extend(fleet.commands.iter().filter_map(|command| match command {
+            OwnerCommand::Hold { last_seen, .. } => Some(*last_seen),
+            _ => None,
+        }));
+        let response = HoldResponse {
+            started_ms: Some(1),
+            running: vec![listed_run(running)],
+            ended: vec![ended_run(40, done, EndKind::Done)],
+            ..empty_response(fleet.clock())
+        };
+        fleet.answer_holds(|_| Some(response.clone()));
+        fleet.store();
+    }
+    let count = acknowledgements
+        .iter()
+        .filter(|number| **number == 40)
+        .count();
+    assert_eq!(count, 1, "{acknowledgements:?}");
+}
