Empty a host for maintenance only when all its lasting work has room

Cause: the free capacity of other runners was checked for each work item by itself and not reserved, so that several were stopped for the same room; and a host was kept free, with a part of its work stopped, although the rest could not leave. Change: a host is emptied by a plan for all of its long-running work, on runners that may run it; the plans of a round add up over hosts and waves. The room of stopped work is reserved until it starts. A host that has room for waiting long-running work is not kept free. Why this works: nothing is stopped without a place that is kept for it, and a host that cannot be emptied stays in use. Related paths: two waves at once, other work that takes the room, labels and approvals (same fault, mended here); draining runners and hosts that pools give up (not affected).

--- a/crates/dispatch/src/owner/host_commands.rs
+++ b/crates/dispatch/src/owner/host_commands.rs
@@ -109,8 +109,9 @@
             return;
         }
         if self.earlier_commands_expired(now) && !self.is_recovering(now) {
+            let mut round = self.renew_evacuations(now);
             for wave in 0..self.waves.waves.len() {
-                self.advance_wave(wave, now);
+                self.advance_wave(wave, &mut round, now);
             }
         }
         self.decide_moves(now);
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! The owner's state - jobs, runners, hosts and waves - and its reaction to each event.
 
 mod admission;
+mod evacuation;
 mod gang_placement;
 mod hold_planner;
 mod host_commands;
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -2,6 +2,7 @@
     super::{
         OwnerCommand,
         admission::PoolBacklog,
+        evacuation::EvacuationTable,
         host_table::{HostTable, WaveTable},
         journal_queue::JournalQueue,
         runner_advice::AdviceTable,
@@ -63,6 +64,7 @@
     pub(super) backlogs: Vec<PoolBacklog>,
     pub(super) arrivals: ArrivalRate,
     pub(super) advice: AdviceTable,
+    pub(super) evacuations: EvacuationTable,
     pub(super) start_budget: StartBudget,
     /// Longest lease that a runner accepts.
     pub(super) max_lease: Millis,
@@ -99,6 +101,7 @@
             backlogs: Vec::new(),
             arrivals: ArrivalRate::default(),
             advice: AdviceTable::default(),
+            evacuations: EvacuationTable::default(),
             start_budget: StartBudget::default(),
             max_lease: DEFAULT_MAX_LEASE,
             recovered: false,
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -57,11 +57,12 @@
         };
         let queue = Arc::clone(&job.queue);
         // If a smaller work item of the service did not fit, this one does not fit either.
+        let target = self.evacuations.target(key);
         let cannot_fit = pass
             .full_queues
             .iter()
             .any(|(other, unmet)| other.service == queue.service && demand.covers(unmet));
-        if cannot_fit {
+        if cannot_fit && target.is_none() {
             return;
         }
         let pool_index = self.pool_of_pass(&queue, pass, now);
@@ -71,10 +72,16 @@
         }
         let eligible = |runner: &RunnerKey| self.is_eligible(key, *runner, demand, now);
         let fits = |runner: &RunnerKey| {
+            let is_target = target == Some(*runner);
+            let own = if is_target {
+                demand
+            } else {
+                Capacity::default()
+            };
             let state = self.runners.get(*runner);
-            let unreserved = !pass.reserved.contains(runner);
-            unreserved
-                && state.is_some_and(|state| state.free().covers(&demand))
+            let allowed = is_target || !pass.reserved.contains(runner);
+            allowed
+                && state.is_some_and(|state| state.free_beside(&own).covers(&demand))
                 && eligible(runner)
         };
         let pool = &pass.pools[pool_index].1;
@@ -248,7 +255,7 @@
         let step = job.step_of(item);
         state.report.capacity.covers(&demand)
             && fits_label(step, state)
-            && fits_spread(key, (job, item), state)
+            && fits_spread(key, (job, item), &state.items)
             && (item.failed_on != Some(runner) || self.is_only_runner(job, now))
             && self.ticket(key, runner, now).is_some()
     }
@@ -304,6 +311,7 @@
         self.take_start_budget(key, command.spec.len());
         let recorded_run = ItemRun::starting(command.run, runner, deadline_ms, now);
         self.attach_run(key, recorded_run);
+        self.end_evacuation(key);
         self.commands.push(OwnerCommand::Start(command));
     }
 }
@@ -314,12 +322,12 @@
         .is_none_or(|label| state.has_label(label))
 }
 
-/// Returns whether one more work item of a step is allowed on a runner by the limit `anti_affinity`. Only the work items
-/// on the runner are counted: the step may have thousands.
-pub(super) fn fits_spread(
+/// Returns whether one more work item of a step is allowed beside `items` of a runner by the limit `anti_affinity`. Only
+/// these are counted: the step may have thousands.
+pub(super) fn fits_spread<'a>(
     key: ItemKey,
     (job, item): (&JobState, &WorkItem),
-    state: &RunnerState,
+    items: impl IntoIterator<Item = &'a ItemKey>,
 ) -> bool {
     let step = job.step_of(item);
     if step.anti_affinity == 0 {
@@ -327,6 +335,6 @@
     }
     let siblings = job.step_range(item.occurrence, item.step);
     let is_sibling = |other: &&ItemKey| other.job == key.job && siblings.contains(&other.item);
-    let count = state.items.iter().filter(is_sibling).count();
+    let count = items.into_iter().filter(is_sibling).count();
     count < step.anti_affinity as usize
 }
--- a/crates/dispatch/src/owner/unplaced_serving.rs
+++ b/crates/dispatch/src/owner/unplaced_serving.rs
@@ -1,8 +1,10 @@
 use {
+    super::OwnerState,
     crate::{
-        jobs::{JobState, StepKey, WorkItem},
-        runners::Capacity,
+        jobs::{ItemKey, JobState, StepKey, WorkItem},
+        runners::{Capacity, RunnerKey},
     },
+    goldcreststall_core::ids::LocalTime,
     std::sync::Arc,
 };
 
@@ -16,6 +18,35 @@
     demand: Capacity,
 }
 
+impl OwnerState {
+    /// Returns whether a runner accepts work and has room for long-running work that found no runner in the last pass of
+    /// placement.
+    pub(super) fn is_room_for_unplaced(&self, runner: RunnerKey, now: LocalTime) -> bool {
+        let runner_state = self.runners.get(runner);
+        let Some(state) = runner_state.filter(|state| state.accepts_work(now)) else {
+            return false;
+        };
+        self.unplaced_serving.iter().any(|step| {
+            *step.service == state.report.service
+                && state.free().covers(&step.demand)
+                && self
+                    .idle_item(step.step)
+                    .is_some_and(|item| self.is_eligible(item, runner, step.demand, now))
+        })
+    }
+
+    /// Returns a work item of a step that has no run.
+    fn idle_item(&self, step: StepKey) -> Option<ItemKey> {
+        let job = self.jobs.get(step.job)?;
+        let mut indexes = job.step_range(step.occurrence, step.step);
+        let item = indexes.find(|index| job.items[*index as usize].is_idle())?;
+        Some(ItemKey {
+            job: step.job,
+            item,
+        })
+    }
+}
+
 /// Adds a work item to the others of its step.
 pub(super) fn add_unplaced(
     unplaced: &mut Vec<UnplacedServing>,
--- a/crates/dispatch/src/owner/wave_control.rs
+++ b/crates/dispatch/src/owner/wave_control.rs
@@ -1,12 +1,9 @@
 use {
     super::{
-        HostStatus, OwnerCommand, OwnerState, WaveRequest, host_table::HostOperation,
-        placement::fits_spread,
-    },
-    crate::{
-        jobs::{ItemKey, ItemRun, RunPhase},
-        runners::RunnerKey,
+        HostStatus, OwnerCommand, OwnerState, WaveRequest, evacuation::EvacuationRound,
+        host_table::HostOperation,
     },
+    crate::runners::RunnerKey,
     goldcreststall_core::ids::{LocalTime, Millis},
 };
 
@@ -15,8 +12,6 @@
 const WAVE_MARGIN: Millis = Millis(3_000);
 /// Minimum time between two log lines about the hosts that a wave waits for.
 const LOG_INTERVAL: Millis = Millis(2_000);
-/// Reported percentage at which a long-running work item has completed its start-up and counts as serving.
-const SERVING_PERCENT: u32 = 100;
 
 /// Reason why the maintenance of a host has not started.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -25,6 +20,8 @@
     Host,
     /// Too many other hosts are away, or are drained first.
     Others,
+    /// No other host has room for all of its long-running work, or work that waits could start here.
+    Room,
     /// Its runner is not listed, and may still have work.
     Runner,
     /// It has work that may not be ended yet.
@@ -32,7 +29,12 @@
 }
 
 impl OwnerState {
-    pub(super) fn advance_wave(&mut self, index: usize, now: LocalTime) {
+    pub(super) fn advance_wave(
+        &mut self,
+        index: usize,
+        round: &mut EvacuationRound,
+        now: LocalTime,
+    ) {
         let wave = &mut self.waves.waves[index];
         let number = wave.request.number;
         if !wave.reported {
@@ -77,7 +79,7 @@
         let needed = Millis(rounds * WAVE_MARGIN.0);
         let end = requested_at + request.duration;
         let late = now + needed >= end;
-        self.start_maintenance(&request, remaining, away, late, now);
+        self.start_maintenance(&request, remaining, away, late, round, now);
     }
 
     fn complete_wave(&mut self, index: usize) {
@@ -112,6 +114,7 @@
         mut remaining: Vec<String>,
         away: u32,
         late: bool,
+        round: &mut EvacuationRound,
         now: LocalTime,
     ) {
         remaining.sort_by_cached_key(|host| self.drain_cost(host));
@@ -138,6 +141,10 @@
                 waiting.push((host, WaveWait::Runner));
                 continue;
             }
+            if key.is_some_and(|key| self.is_room_for_unplaced(key, now)) {
+                waiting.push((host, WaveWait::Room));
+                continue;
+            }
             if let Some(key) = key.filter(|key| self.has_work(*key)) {
                 let long_running = self.has_long_running(key);
                 let budget = if long_running {
@@ -149,8 +156,11 @@
                     waiting.push((host, WaveWait::Others));
                     continue;
                 }
+                if !self.evacuate_runner(key, round, now) {
+                    waiting.push((host, WaveWait::Room));
+                    continue;
+                }
                 *budget -= 1;
-                self.evacuate_runner(key, now);
                 let force = late && !long_running;
                 if !force || start_budget == 0 {
                     waiting.push((host, WaveWait::Work));
@@ -183,8 +193,9 @@
             .last()
             .map(|(host, wait)| format!("{host}:{wait:?}"));
         let detail = format!(
-            "for_work={} for_runner={} for_host={} for_others={} one={}",
+            "for_work={} for_room={} for_runner={} for_host={} for_others={} one={}",
             count(WaveWait::Work),
+            count(WaveWait::Room),
             count(WaveWait::Runner),
             count(WaveWait::Host),
             count(WaveWait::Others),
@@ -205,69 +216,6 @@
             .any(|(item, _)| self.is_long_running(*item))
     }
 
-    fn is_long_running(&self, key: ItemKey) -> bool {
-        self.jobs
-            .item(key)
-            .is_some_and(|(job, item)| job.step_of(item).long_running)
-    }
-
-    /// Keeps new work off a runner, and stops its long-running work when it can restart on another runner.
-    fn evacuate_runner(&mut self, key: RunnerKey, now: LocalTime) {
-        if let Some(state) = self.runners.get_mut(key) {
-            state.cordoned = true;
-        }
-        for (item, recorded_run) in self.runs_on(key) {
-            let running = matches!(recorded_run.phase, RunPhase::Running { .. });
-            if running
-                && self.is_long_running(item)
-                && self.may_miss(item)
-                && self.has_alternative_runner(item, key, now)
-            {
-                self.stop_run(item, key, recorded_run.run);
-            }
-        }
-    }
-
-    /// Returns whether a long-running work item may be stopped now without exceeding the limit `may_miss` of its step.
-    fn may_miss(&self, key: ItemKey) -> bool {
-        let Some((job, item)) = self.jobs.item(key) else {
-            return false;
-        };
-        let step = job.step_of(item);
-        if step.may_miss == 0 {
-            return true;
-        }
-        let siblings = job.step_items(item.occurrence, item.step);
-        let others = siblings.iter().filter(|other| other.index != item.index);
-        let away = others
-            .filter(|other| !other.runs.iter().any(|run| self.is_serving(run)))
-            .count();
-        (away as u32) < step.may_miss
-    }
-
-    /// Returns whether a run of long-running work is known to have completed its start-up: its runner responds and
-    /// has listed it with the full percentage.
-    fn is_serving(&self, recorded_run: &ItemRun) -> bool {
-        let runner = self.runners.get(recorded_run.runner);
-        let answers = runner.is_some_and(|runner| runner.missed_holds == 0 && runner.fenced);
-        let running = matches!(recorded_run.phase, RunPhase::Running { .. });
-        answers && running && recorded_run.percent >= SERVING_PERCENT
-    }
-
-    fn has_alternative_runner(&self, key: ItemKey, runner: RunnerKey, now: LocalTime) -> bool {
-        let demand = self.demand(key);
-        let Some((job, item)) = self.jobs.item(key) else {
-            return false;
-        };
-        self.runners.all().any(|(other, state)| {
-            other != runner
-                && state.report.service == job.queue.service
-                && state.accepts_work(now)
-                && state.free().covers(&demand)
-                && fits_spread(key, (job, item), state)
-        })
-    }
-
     /// Sort key of the order in which hosts are maintained: first those that are switched off, then empty ones, then
     /// those with the least work; hosts with long-running work after those without.
     fn drain_cost(&self, host: &str) -> (u32, u32) {
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -48,6 +48,8 @@
     pub acknowledged: u64,
     /// Capacity used by runs.
     pub used: Capacity,
+    /// Capacity that is reserved for long-running work which is on its way here.
+    pub reserved: Capacity,
     /// Work items with a run on this runner, once for each run.
     pub items: Vec<ItemKey>,
     /// Listed runs of unknown jobs, whose use of capacity is not known either: work item, run, and when a stop was last
@@ -91,6 +93,7 @@
             stored: 0,
             acknowledged: 0,
             used: Capacity::default(),
+            reserved: Capacity::default(),
             items: Vec::new(),
             unknown_runs: Vec::new(),
             in_doubt: false,
@@ -104,9 +107,15 @@
         }
     }
 
-    /// Returns the free capacity.
+    /// Returns the capacity that is neither used nor reserved.
     pub fn free(&self) -> Capacity {
-        self.report.capacity.minus(&self.used)
+        self.free_beside(&Capacity::default())
+    }
+
+    /// Returns the free capacity for work that holds `own` of the reservations.
+    pub fn free_beside(&self, own: &Capacity) -> Capacity {
+        let taken = self.used.plus(&self.reserved.minus(own));
+        self.report.capacity.minus(&taken)
     }
 
     /// Returns whether the runner is listed and may still run. The list keeps an entry for some seconds after its runner
