Reserve runners only for work that can be placed there

Cause: for each unplaced long-running work item the least loaded runner was closed to other work, if only its whole capacity is large enough. Long-running work on it never ends, so that the runner never becomes free, and the work item never becomes late. The log now tells which work finds no runner and what is reserved for it. Change: only a runner is reserved that has room once all work on it has ended that ends by itself; for a gang, runners are reserved only if all members then fit. Why this works: a reservation ends when that work has ended, at the latest. Related paths: gangs (same fault, mended here); hosts that move to a pool for work larger than any host (mended here); backlog and demand (not affected).

--- a/crates/dispatch/src/owner/gang_placement.rs
+++ b/crates/dispatch/src/owner/gang_placement.rs
@@ -2,7 +2,7 @@
     super::OwnerState,
     crate::{
         jobs::{ItemKey, ItemRun, JobState, RunPhase},
-        runners::{Capacity, RunnerKey},
+        runners::{Capacity, RunnerKey, RunnerState},
     },
     goldcreststall_core::ids::LocalTime,
 };
@@ -21,12 +21,13 @@
         Some(indexes.map(|item| ItemKey { item, ..key }).collect())
     }
 
-    /// Finds runners for all members of a gang at once; in one rack if possible, when the members are slower on
-    /// several.
+    /// Finds runners with enough of the capacity `room` for all members of a gang at once; in one rack if possible, when
+    /// the members are slower on several.
     pub(super) fn find_gang_placement(
         &self,
         members: &[ItemKey],
         pool: &[RunnerKey],
+        room: fn(&RunnerState) -> Capacity,
         now: LocalTime,
     ) -> Option<GangPlacement> {
         let first = members.first()?;
@@ -38,24 +39,25 @@
                     .copied()
                     .filter(|runner| self.is_in_rack(*runner, &rack))
                     .collect();
-                self.fit_gang(members, &in_rack, now)
+                self.fit_gang(members, &in_rack, room, now)
             });
             if in_one_rack.is_some() {
                 return in_one_rack;
             }
         }
-        self.fit_gang(members, pool, now)
+        self.fit_gang(members, pool, room, now)
     }
 
     fn fit_gang(
         &self,
         members: &[ItemKey],
         pool: &[RunnerKey],
+        room: fn(&RunnerState) -> Capacity,
         now: LocalTime,
     ) -> Option<GangPlacement> {
         let mut free_capacities: Vec<(RunnerKey, Capacity, u32)> = pool
             .iter()
-            .filter_map(|runner| Some((*runner, self.runners.get(*runner)?.free(), 0)))
+            .filter_map(|runner| Some((*runner, room(self.runners.get(*runner)?), 0)))
             .collect();
         let mut placement = GangPlacement::new();
         for member in members {
--- a/crates/dispatch/src/owner/host_moves.rs
+++ b/crates/dispatch/src/owner/host_moves.rs
@@ -110,7 +110,7 @@
             }
         }
         for pool in &mut stats {
-            pool.serving = self.serving_hosts(&pool.name, pool.host_capacity, now);
+            pool.serving = self.serving_hosts(&pool.name, pool.host_capacity, largest, now);
             let arriving = self.arrivals.demand_cpu(&pool.name, now);
             pool.demand_cpu = pool.demand_cpu.max(arriving);
         }
@@ -118,8 +118,15 @@
     }
 
     /// Returns the number of hosts of a pool that accept work, and of those that long-running work waits for beyond them.
-    fn serving_hosts(&self, service: &str, host: Capacity, now: LocalTime) -> (usize, usize) {
-        let missing = hosts_for_unplaced(&self.unplaced_serving, service, host);
+    /// Work that is larger than `largest`, the largest host, needs none.
+    fn serving_hosts(
+        &self,
+        service: &str,
+        host: Capacity,
+        largest: Capacity,
+        now: LocalTime,
+    ) -> (usize, usize) {
+        let missing = hosts_for_unplaced(&self.unplaced_serving, service, host, largest);
         if missing == 0 {
             return (0, 0);
         }
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -2,7 +2,7 @@
     super::{
         OwnerCommand, OwnerState, StartCommand,
         ready_items::{PlacementTier, ReadyItem},
-        unplaced_serving::add_unplaced,
+        unplaced_serving::{UnplacedServing, add_unplaced},
     },
     crate::{
         jobs::{ItemKey, ItemRun, JobState, StepSpec, WorkItem},
@@ -22,6 +22,8 @@
     full_queues: Vec<(Arc<RouteRule>, Capacity)>,
     /// Runners that get no other work until a serving work item or a gang fits.
     reserved: Vec<RunnerKey>,
+    /// Long-running work that had found no runner in the pass before.
+    unplaced_before: Vec<UnplacedServing>,
     /// A gang has found no free capacity in this pass, and runners were reserved for it.
     gang_waiting: bool,
 }
@@ -31,8 +33,10 @@
     pub(super) fn place_items(&mut self, now: LocalTime, wall_ms: u64) {
         let mut ready = self.ready_items(now, wall_ms);
         ready.sort_unstable_by_key(|ready| (ready.rank, ready.key));
-        let mut pass = PlacementPass::default();
-        self.unplaced_serving.clear();
+        let mut pass = PlacementPass {
+            unplaced_before: std::mem::take(&mut self.unplaced_serving),
+            ..PlacementPass::default()
+        };
         self.start_budget.refill(now);
         for ReadyItem { key, rank } in ready {
             if !self.start_budget.is_available() {
@@ -106,9 +110,12 @@
         match chosen {
             Some(runner) => self.issue_start(key, runner, now),
             None if tier == PlacementTier::Serving => {
-                let least_loaded = self.least_loaded(pool, &pass.reserved, eligible);
+                let can_drain = |runner: &RunnerKey| self.fits_drained(*runner, demand);
+                let least_loaded = self.least_loaded(pool, &pass.reserved, |runner| {
+                    can_drain(runner) && eligible(runner)
+                });
                 pass.reserved.extend(least_loaded);
-                self.record_unplaced(key, demand);
+                self.record_unplaced(key, demand, least_loaded, &pass.unplaced_before);
             }
             None if !self.is_constrained(key) => pass.full_queues.push((queue, demand)),
             None => {}
@@ -125,10 +132,31 @@
             .take(if carries_text { text_bytes } else { 0 });
     }
 
-    fn record_unplaced(&mut self, key: ItemKey, demand: Capacity) {
-        if let (Some(step), Some(found)) = (self.step_key(key), self.jobs.item(key)) {
-            add_unplaced(&mut self.unplaced_serving, step, found, demand);
+    /// Records long-running work that found no runner. Logs it with the runner that is reserved for it, unless its step had
+    /// found none in the pass before either.
+    fn record_unplaced(
+        &mut self,
+        key: ItemKey,
+        demand: Capacity,
+        reserved: Option<RunnerKey>,
+        before: &[UnplacedServing],
+    ) {
+        let (Some(step), Some((job, item))) = (self.step_key(key), self.jobs.item(key)) else {
+            return;
+        };
+        let is_first = add_unplaced(&mut self.unplaced_serving, step, (job, item), demand);
+        if !is_first || before.iter().any(|unplaced| unplaced.step == step) {
+            return;
         }
+        let name = job.item_name(key.item).to_string();
+        let reserved = reserved.and_then(|runner| self.runner_address(runner));
+        let detail = format!(
+            "cpu={} mem_mb={} reserved={}",
+            demand.cpu,
+            demand.mem_mb,
+            reserved.map_or("none", |(id, _)| id)
+        );
+        self.log_event("no runner for lasting work", name, detail);
     }
 
     /// Starts all members of a gang, or none. Runners are reserved for the first gang that finds no free capacity.
@@ -147,7 +175,7 @@
             .copied()
             .filter(|runner| !reserved.contains(runner))
             .collect();
-        if let Some(placement) = self.find_gang_placement(members, &pool, now) {
+        if let Some(placement) = self.find_gang_placement(members, &pool, RunnerState::free, now) {
             let last_run =
                 |key: &ItemKey| self.jobs.item(*key).map_or(0, |(_, item)| item.last_run);
             let run = members
@@ -165,17 +193,27 @@
             self.request_advice(*first, &pool, now);
         }
         let can_be_in_time = matches!(tier, PlacementTier::Started | PlacementTier::New);
-        if can_be_in_time && !pass.gang_waiting {
+        if !can_be_in_time || pass.gang_waiting {
+            return;
+        }
+        // Runners with less work can be expected to be free first.
+        let least_loaded: Vec<RunnerKey> = pool.into_iter().rev().collect();
+        let room = RunnerState::free_when_drained;
+        let drained = self.find_gang_placement(members, &least_loaded, room, now);
+        if let Some(placement) = drained {
             pass.gang_waiting = true;
-            for member in members {
-                let demand = self.demand(*member);
-                let eligible = |runner: &RunnerKey| self.is_eligible(*member, *runner, demand, now);
-                let least_loaded = self.least_loaded(&pool, &pass.reserved, eligible);
-                pass.reserved.extend(least_loaded);
-            }
+            pass.reserved
+                .extend(placement.into_iter().map(|(_, runner)| runner));
         }
     }
 
+    /// Returns whether a runner has room for the demand once all work has ended that ends by itself.
+    fn fits_drained(&self, runner: RunnerKey, demand: Capacity) -> bool {
+        self.runners
+            .get(runner)
+            .is_some_and(|state| state.free_when_drained().covers(&demand))
+    }
+
     /// Returns the index of the queue's pool in the pass; the pool is added at its first use.
     fn pool_of_pass(
         &self,
--- a/crates/dispatch/src/owner/run_table.rs
+++ b/crates/dispatch/src/owner/run_table.rs
@@ -16,11 +16,22 @@
         job.step_of(item).demand()
     }
 
+    /// Returns the capacity that a run of the work item uses until it is stopped.
+    fn demand_for_good(&self, key: ItemKey) -> Capacity {
+        if self.is_long_running(key) {
+            self.demand(key)
+        } else {
+            Capacity::default()
+        }
+    }
+
     /// Records a run and the capacity that it uses on its runner.
     pub(super) fn attach_run(&mut self, key: ItemKey, recorded_run: ItemRun) {
         let demand = self.demand(key);
+        let demand_for_good = self.demand_for_good(key);
         if let Some(state) = self.runners.get_mut(recorded_run.runner) {
             state.used = state.used.plus(&demand);
+            state.used_for_good = state.used_for_good.plus(&demand_for_good);
             state.items.push(key);
         }
         let Some(job) = self.jobs.get_mut(key.job) else {
@@ -41,6 +52,7 @@
         now: LocalTime,
     ) -> bool {
         let demand = self.demand(key);
+        let demand_for_good = self.demand_for_good(key);
         let Some(item) = self.jobs.item_mut(key) else {
             return false;
         };
@@ -52,6 +64,7 @@
         item.runs.remove(index);
         if let Some(state) = self.runners.get_mut(runner) {
             state.used = state.used.minus(&demand);
+            state.used_for_good = state.used_for_good.minus(&demand_for_good);
             if let Some(index) = state.items.iter().position(|item_key| *item_key == key) {
                 state.items.swap_remove(index);
             }
--- a/crates/dispatch/src/owner/unplaced_serving.rs
+++ b/crates/dispatch/src/owner/unplaced_serving.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct UnplacedServing {
     service: Arc<str>,
-    step: StepKey,
+    pub(super) step: StepKey,
     items: u32,
     anti_affinity: u32,
     demand: Capacity,
@@ -47,17 +47,17 @@
     }
 }
 
-/// Adds a work item to the others of its step.
+/// Adds a work item to the others of its step. Returns whether it is the first one.
 pub(super) fn add_unplaced(
     unplaced: &mut Vec<UnplacedServing>,
     key: StepKey,
     (job, item): (&JobState, &WorkItem),
     demand: Capacity,
-) {
+) -> bool {
     // The work items of a step are placed one after the other.
     if let Some(last) = unplaced.last_mut().filter(|last| last.step == key) {
         last.items += 1;
-        return;
+        return false;
     }
     unplaced.push(UnplacedServing {
         service: Arc::from(job.queue.service.as_str()),
@@ -66,16 +66,21 @@
         anti_affinity: job.step_of(item).anti_affinity,
         demand,
     });
+    true
 }
 
 /// Returns the number of hosts of this capacity that the unplaced work of a service needs: enough for the spread of each
-/// step, and for the demand of all steps together.
+/// step, and for the demand of all steps together. Work that is larger than `largest`, the largest host, is left out: no
+/// number of hosts is enough for it.
 pub(super) fn hosts_for_unplaced(
     unplaced: &[UnplacedServing],
     service: &str,
     host: Capacity,
+    largest: Capacity,
 ) -> usize {
-    let steps = || unplaced.iter().filter(|step| &*step.service == service);
+    let can_fit =
+        |step: &&UnplacedServing| &*step.service == service && largest.covers(&step.demand);
+    let steps = || unplaced.iter().filter(can_fit);
     let spread = |step: &UnplacedServing| match step.anti_affinity {
         0 => 1,
         max_per_host => step.items.div_ceil(max_per_host),
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -48,6 +48,8 @@
     pub acknowledged: u64,
     /// Capacity used by runs.
     pub used: Capacity,
+    /// Part of it that is used by long-running work, which does not end by itself.
+    pub used_for_good: Capacity,
     /// Capacity that is reserved for long-running work which is on its way here.
     pub reserved: Capacity,
     /// Work items with a run on this runner, once for each run.
@@ -93,6 +95,7 @@
             stored: 0,
             acknowledged: 0,
             used: Capacity::default(),
+            used_for_good: Capacity::default(),
             reserved: Capacity::default(),
             items: Vec::new(),
             unknown_runs: Vec::new(),
@@ -118,6 +121,12 @@
         self.report.capacity.minus(&taken)
     }
 
+    /// Returns the capacity that is free once all work has ended that ends by itself.
+    pub fn free_when_drained(&self) -> Capacity {
+        let taken = self.used_for_good.plus(&self.reserved);
+        self.report.capacity.minus(&taken)
+    }
+
     /// Returns whether the runner is listed and may still run. The list keeps an entry for some seconds after its runner
     /// has ended.
     pub fn is_present(&self) -> bool {
