Replace the room reserved on a runner that falls silent, and split the choice of a runner

Work that a wave has stopped had no place any more when the runner that was to take it accepted no work for a moment. Room is now reserved on another one in the next round. Found by reading the change before; wave_room::silent_target fails without it. The choice of a runner has a function of its own; what it decides is unchanged.

--- a/crates/dispatch/src/owner/evacuation.rs
+++ b/crates/dispatch/src/owner/evacuation.rs
@@ -54,8 +54,8 @@
 }
 
 impl OwnerState {
-    /// Forgets the reservations of work items that run again or are not wanted any more, and of runners that accept no
-    /// work. Starts a round of plans.
+    /// Starts a round of plans. Forgets the reservations of work items that run again or are not wanted any more, and
+    /// replaces those on runners that accept no work.
     pub(super) fn renew_evacuations(&mut self, now: LocalTime) -> EvacuationRound {
         let items = std::mem::take(&mut self.evacuations.items);
         for EvacuatedItem { target, .. } in &items {
@@ -63,17 +63,30 @@
                 state.reserved = Capacity::default();
             }
         }
+        let mut without_target = Vec::new();
         for evacuated in items {
             let target = self.runners.get(evacuated.target);
             let is_usable = target.is_some_and(|state| state.accepts_work(now));
-            if is_usable && self.is_between_runs(evacuated.item) {
+            if !self.is_between_runs(evacuated.item) {
+                continue;
+            }
+            if is_usable {
                 self.reserve(evacuated);
+            } else {
+                without_target.push(evacuated);
             }
         }
-        EvacuationRound {
+        let mut round = EvacuationRound {
             planned: self.evacuations.items.clone(),
             ..EvacuationRound::default()
+        };
+        for EvacuatedItem { item, target } in without_target {
+            if let Some(target) = self.find_target(item, target, &mut round, now) {
+                round.planned.push(EvacuatedItem { item, target });
+                self.reserve(EvacuatedItem { item, target });
+            }
         }
+        round
     }
 
     /// Returns whether a work item is wanted and has no run but stopped ones.
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -32,6 +32,16 @@
     gang_waiting: bool,
 }
 
+/// A work item to be placed, and what decides on which runner.
+#[derive(Clone, Copy, Debug)]
+struct PlacedItem {
+    key: ItemKey,
+    tier: PlacementTier,
+    demand: Capacity,
+    /// Runner with capacity that is reserved for it.
+    target: Option<RunnerKey>,
+}
+
 impl OwnerState {
     /// Starts ready work items on runners with free capacity.
     pub(super) fn place_items(&mut self, now: LocalTime, wall_ms: u64) {
@@ -59,18 +69,23 @@
         pass: &mut PlacementPass,
         now: LocalTime,
     ) {
-        let demand = self.demand(key);
         let Some(job) = self.jobs.get(key.job) else {
             return;
         };
         let queue = Arc::clone(&job.queue);
+        let demand = self.demand(key);
+        let item = PlacedItem {
+            key,
+            tier,
+            demand,
+            target: self.evacuations.target(key),
+        };
         // If a smaller work item of the service did not fit, this one does not fit either.
-        let target = self.evacuations.target(key);
         let cannot_fit = pass
             .full_queues
             .iter()
             .any(|(other, unmet)| other.service == queue.service && demand.covers(unmet));
-        if cannot_fit && target.is_none() {
+        if cannot_fit && item.target.is_none() {
             return;
         }
         let pool_index = self.pool_of_pass(&queue, pass, now);
@@ -78,54 +93,68 @@
             self.place_gang(&members, tier, pool_index, pass, now);
             return;
         }
-        let eligible = |runner: &RunnerKey| self.is_eligible(key, *runner, demand, now);
-        let fits = |runner: &RunnerKey| {
-            let is_target = target == Some(*runner);
-            let own = if is_target {
-                demand
-            } else {
-                Capacity::default()
-            };
-            let state = self.runners.get(*runner);
-            let allowed = is_target || !pass.reserved.contains(runner);
-            allowed
-                && state.is_some_and(|state| state.free_beside(&own).covers(&demand))
-                && eligible(runner)
-        };
         let pool = &pass.pools[pool_index].1;
-        let rack = self.data_rack(key);
-        let choose = |can_run: &dyn Fn(&RunnerKey) -> bool| {
-            let mut candidates = pool.iter().copied().filter(|runner| can_run(runner));
-            match rack {
-                None if tier == PlacementTier::Serving => candidates
-                    .min_by_key(|runner| self.runners.get(*runner).is_some_and(|state| state.due)),
-                Some(rack) => candidates.max_by_key(|runner| self.has_label(*runner, rack)),
-                None => candidates.next(),
-            }
-        };
-        let failed_on = self.failed_on(key);
-        let chosen = choose(&|runner| failed_on != Some(*runner) && fits(runner))
-            .or_else(|| failed_on.filter(|runner| pool.contains(runner) && fits(runner)));
-        if chosen.is_none() && queue.advice.is_some() {
+        if let Some(runner) = self.choose_runner(&item, pool, &pass.reserved, now) {
+            self.issue_start(key, runner, now);
+        } else if queue.advice.is_some() {
             let pool = pool.clone();
             self.request_advice(key, &pool, now);
-            return;
-        }
-        match chosen {
-            Some(runner) => self.issue_start(key, runner, now),
-            None if tier == PlacementTier::Serving => {
-                let can_drain = |runner: &RunnerKey| self.fits_drained(*runner, demand);
-                let least_loaded = self.least_loaded(pool, &pass.reserved, |runner| {
-                    can_drain(runner) && eligible(runner)
-                });
-                pass.reserved.extend(least_loaded);
-                self.record_unplaced(key, demand, least_loaded, &pass.unplaced_before);
-            }
-            None if !self.is_constrained(key) => pass.full_queues.push((queue, demand)),
-            None => {}
+        } else if tier == PlacementTier::Serving {
+            let reserved = self.least_loaded(pool, &pass.reserved, |runner| {
+                self.fits_drained(*runner, demand) && self.is_eligible(key, *runner, demand, now)
+            });
+            pass.reserved.extend(reserved);
+            self.record_unplaced(key, demand, reserved, &pass.unplaced_before);
+        } else if !self.is_constrained(key) {
+            pass.full_queues.push((queue, demand));
         }
     }
 
+    /// Returns the runner of a pool on which a work item starts now; that of its last failed run only if no other one has
+    /// room.
+    fn choose_runner(
+        &self,
+        item: &PlacedItem,
+        pool: &[RunnerKey],
+        reserved: &[RunnerKey],
+        now: LocalTime,
+    ) -> Option<RunnerKey> {
+        let failed_on = self.failed_on(item.key);
+        let can_start = |runner: &RunnerKey| self.can_start(item, *runner, reserved, now);
+        let mut candidates = pool
+            .iter()
+            .copied()
+            .filter(|runner| failed_on != Some(*runner) && can_start(runner));
+        let chosen = match self.data_rack(item.key) {
+            None if item.tier == PlacementTier::Serving => candidates
+                .min_by_key(|runner| self.runners.get(*runner).is_some_and(|state| state.due)),
+            Some(rack) => candidates.max_by_key(|runner| self.has_label(*runner, rack)),
+            None => candidates.next(),
+        };
+        chosen.or_else(|| failed_on.filter(|runner| pool.contains(runner) && can_start(runner)))
+    }
+
+    /// Returns whether a work item may start on a runner and has room there, beside what is reserved for other work.
+    fn can_start(
+        &self,
+        item: &PlacedItem,
+        runner: RunnerKey,
+        reserved: &[RunnerKey],
+        now: LocalTime,
+    ) -> bool {
+        let Some(state) = self.runners.get(runner) else {
+            return false;
+        };
+        let room = if item.target == Some(runner) {
+            state.free_beside(&item.demand)
+        } else if reserved.contains(&runner) {
+            return false;
+        } else {
+            state.free()
+        };
+        room.covers(&item.demand) && self.is_eligible(item.key, runner, item.demand, now)
+    }
+
     /// Takes a start command from the budget. The first one of a job carries its text.
     fn take_start_budget(&mut self, key: ItemKey, text_bytes: usize) {
         let Some(job) = self.jobs.get_mut(key.job) else {
--- a/crates/dispatch/tests/wave_room.rs
+++ b/crates/dispatch/tests/wave_room.rs
@@ -18,6 +18,7 @@
     fleet: TestFleet,
     running: Vec<StartCommand>,
     ended: Vec<(RunnerKey, EndedRun)>,
+    silent: Option<RunnerKey>,
 }
 
 impl ServingFleet {
@@ -36,6 +37,7 @@
             fleet,
             running: Vec::new(),
             ended: Vec::new(),
+            silent: None,
         }
     }
 
@@ -56,13 +58,18 @@
         self.fleet.owner.wave_requested(request, self.fleet.now);
     }
 
-    /// Lets some time pass in which the runners answer hold calls and carry out starts, and stops if `stops`.
+    /// Lets some time pass in which the runners answer hold calls, unless they are `silent`, and carry out starts, and stops
+    /// if `stops`.
     fn pass_time(&mut self, rounds: u32, stops: bool) {
         for _ in 0..rounds {
             self.fleet.advance(50);
             let clock = self.fleet.clock();
             let (running, ended) = (&self.running, &self.ended);
+            let silent = self.silent;
             self.fleet.answer_holds(|runner| {
+                if silent == Some(runner) {
+                    return None;
+                }
                 let mut response = empty_response(clock);
                 let here = running.iter().filter(|start| start.runner == runner);
                 response.running = here.map(listed_run).collect();
@@ -248,3 +255,38 @@
     serving_fleet.pass_time(20, true);
     assert_eq!(serving_fleet.stops(), []);
 }
+
+/// Guards against stopped work without a place when the runner that was to take it falls silent: room is reserved on another
+/// one.
+#[test]
+fn silent_target() {
+    let mut serving_fleet = ServingFleet::new(runners(&["r1", "r2", "r3"]));
+    // All runners have work, so that each answers hold calls.
+    let others = serving_fleet.start(1, vec![spread(3, 1_000)]);
+    let single = serving_fleet.start(2, vec![serving(1, 9_000)]).remove(0);
+    let host = serving_fleet
+        .hosts_of(std::slice::from_ref(&single))
+        .remove(0);
+    serving_fleet.fleet.call(8, JobCall::Cancel(JobId(1)));
+    serving_fleet.fleet.commands.clear();
+    serving_fleet.request_wave(&[&host]);
+    serving_fleet.pass_time(2, false);
+    // The work goes to the fullest of the other runners, both of which have the same load.
+    serving_fleet.silent = others
+        .iter()
+        .map(|start| start.runner)
+        .find(|runner| *runner != single.runner);
+    serving_fleet.pass_time(4, false);
+    let large = StepSpec {
+        mem_mb: 8_000,
+        ..step(1, 100)
+    };
+    serving_fleet.fleet.submit(3, job(vec![large]));
+    serving_fleet.fleet.store();
+    serving_fleet.pass_time(1, false);
+    assert_eq!(
+        serving_fleet.runners_of(3),
+        Vec::<&str>::new(),
+        "the reserved room was taken"
+    );
+}
