--- a/crates/dispatch/src/owner/wave_control.rs
+++ b/crates/dispatch/src/owner/wave_control.rs
@@ -28,6 +28,18 @@
     Work,
 }
 
+/// Numbers of hosts that a wave may still take in a round of decisions.
+#[derive(Clone, Copy, Debug)]
+struct WaveBudgets {
+    /// Hosts whose maintenance may start.
+    starts: u32,
+    /// Hosts without long-running work that may be emptied.
+    drains: u32,
+    /// Hosts with long-running work that may be emptied. It moves one work item of a step at a time, so that its hosts
+    /// start early, in parallel to the others.
+    evacuations: u32,
+}
+
 impl OwnerState {
     pub(super) fn advance_wave(
         &mut self,
@@ -118,60 +130,17 @@
         now: LocalTime,
     ) {
         remaining.sort_by_cached_key(|host| self.drain_cost(host));
-        let mut start_budget = request.cap.saturating_sub(away);
-        let mut drain_budget = request.cap;
-        // Long-running work moves one work item of a step at a time, so that its hosts have a budget of their
-        // own and start early, in parallel to the others.
-        let mut evacuation_budget = request.cap;
+        let mut budgets = WaveBudgets {
+            starts: request.cap.saturating_sub(away),
+            drains: request.cap,
+            evacuations: request.cap,
+        };
         let mut waiting: Vec<(String, WaveWait)> = Vec::new();
         for host in remaining {
-            let Some(state) = self.hosts.get(&host) else {
-                continue;
-            };
-            let up = state.report.status == HostStatus::Up;
-            if !up || state.operation.is_some() || state.moved.is_some() || state.paused_until > now
-            {
-                waiting.push((host, WaveWait::Host));
-                continue;
-            }
-            let off = self.rules.is_spare(&state.report.pool);
-            let key = state.runner_key(&self.runners);
-            if key.is_none() && !off {
-                // A runner whose entry has lapsed may still have work.
-                waiting.push((host, WaveWait::Runner));
+            if let Err(wait) = self.prepare_host(&host, late, &mut budgets, round, now) {
+                waiting.push((host, wait));
                 continue;
             }
-            if key.is_some_and(|key| self.is_room_for_unplaced(key, now)) {
-                waiting.push((host, WaveWait::Room));
-                continue;
-            }
-            if let Some(key) = key.filter(|key| self.has_work(*key)) {
-                let long_running = self.has_long_running(key);
-                let budget = if long_running {
-                    &mut evacuation_budget
-                } else {
-                    &mut drain_budget
-                };
-                if *budget == 0 {
-                    waiting.push((host, WaveWait::Others));
-                    continue;
-                }
-                if !self.evacuate_runner(key, round, now) {
-                    waiting.push((host, WaveWait::Room));
-                    continue;
-                }
-                *budget -= 1;
-                let force = late && !long_running;
-                if !force || start_budget == 0 {
-                    waiting.push((host, WaveWait::Work));
-                    continue;
-                }
-            }
-            if start_budget == 0 {
-                waiting.push((host, WaveWait::Others));
-                continue;
-            }
-            start_budget -= 1;
             let wave = request.number;
             let reason = format!("away={away} cap={} late={late}", request.cap);
             self.start_operation(&host, HostOperation::Maintain { wave }, reason, now);
@@ -179,6 +148,63 @@
         self.log_waiting(request.number, &waiting, now);
     }
 
+    /// Empties a host as far as the budgets allow. Returns why its maintenance cannot start yet, if it cannot.
+    fn prepare_host(
+        &mut self,
+        host: &str,
+        late: bool,
+        budgets: &mut WaveBudgets,
+        round: &mut EvacuationRound,
+        now: LocalTime,
+    ) -> Result<(), WaveWait> {
+        let runner = self.maintainable_runner(host, now)?;
+        if runner.is_some_and(|key| self.is_room_for_unplaced(key, now)) {
+            return Err(WaveWait::Room);
+        }
+        if let Some(key) = runner.filter(|key| self.has_work(*key)) {
+            let long_running = self.has_long_running(key);
+            let budget = if long_running {
+                &mut budgets.evacuations
+            } else {
+                &mut budgets.drains
+            };
+            if *budget == 0 {
+                return Err(WaveWait::Others);
+            }
+            if !self.evacuate_runner(key, round, now) {
+                return Err(WaveWait::Room);
+            }
+            *budget -= 1;
+            let force = late && !long_running;
+            if !force || budgets.starts == 0 {
+                return Err(WaveWait::Work);
+            }
+        }
+        budgets.starts = budgets.starts.checked_sub(1).ok_or(WaveWait::Others)?;
+        Ok(())
+    }
+
+    /// Returns the runner of a host that can be maintained; none if the host is switched off.
+    fn maintainable_runner(
+        &self,
+        host: &str,
+        now: LocalTime,
+    ) -> Result<Option<RunnerKey>, WaveWait> {
+        let state = self.hosts.get(host).ok_or(WaveWait::Host)?;
+        let is_up = state.report.status == HostStatus::Up;
+        let is_idle = state.operation.is_none() && state.moved.is_none();
+        if !is_up || !is_idle || state.paused_until > now {
+            return Err(WaveWait::Host);
+        }
+        let is_off = self.rules.is_spare(&state.report.pool);
+        let key = state.runner_key(&self.runners);
+        if key.is_none() && !is_off {
+            // A runner whose entry has lapsed may still have work.
+            return Err(WaveWait::Runner);
+        }
+        Ok(key)
+    }
+
     /// Logs how many hosts a wave waits for and why, at most once per interval.
     fn log_waiting(&mut self, number: u64, waiting: &[(String, WaveWait)], now: LocalTime) {
         if waiting.is_empty() || now < self.waves.logged + LOG_INTERVAL {
