--- a/crates/dispatch/src/owner/runner_responses.rs
+++ b/crates/dispatch/src/owner/runner_responses.rs
@@ -115,11 +115,9 @@
     ) {
         let mut unknown_runs = Vec::new();
         for listed in running {
-            if !self.handle_listed(runner, listed, now) {
+            if !self.handle_listed(runner, listed, is_known_instance, now) {
                 let stopped_at = self.stop_unknown_run(runner, listed, now);
                 unknown_runs.push((listed.name, listed.run, stopped_at));
-            } else if is_known_instance {
-                self.mark_listed(runner, listed);
             }
         }
         if let Some(state) = self.runners.get_mut(runner) {
@@ -165,7 +163,13 @@
     }
 
     /// Handles one run that a runner lists. Returns false when the run and its use of capacity are unknown.
-    fn handle_listed(&mut self, runner: RunnerKey, listed: &ListedRun, now: LocalTime) -> bool {
+    fn handle_listed(
+        &mut self,
+        runner: RunnerKey,
+        listed: &ListedRun,
+        is_known_instance: bool,
+        now: LocalTime,
+    ) -> bool {
         let Some(key) = self.jobs.find_item(&listed.name) else {
             return false;
         };
@@ -180,6 +184,7 @@
             self.share_checkpoint(key, &listed.checkpoint);
         }
         if let Some(recorded_run) = self.run_mut(key, runner, listed.run) {
+            recorded_run.listed |= is_known_instance;
             if recorded_run.phase == RunPhase::Starting {
                 recorded_run.phase = RunPhase::Running { since: now };
             }
@@ -194,13 +199,6 @@
         true
     }
 
-    fn mark_listed(&mut self, runner: RunnerKey, listed: &ListedRun) {
-        let key = self.jobs.find_item(&listed.name);
-        if let Some(recorded_run) = key.and_then(|key| self.run_mut(key, runner, listed.run)) {
-            recorded_run.listed = true;
-        }
-    }
-
     /// Issues a stop of a run whose job is not known, unless one was issued recently. Returns when the last one was.
     fn stop_unknown_run(
         &mut self,
