Keep hosts in use to which long-running work is on its way

What callers would have seen: long-running work that waits for the end of a maintenance. A host to which a wave sends work could be emptied for the same wave while its room was reserved, so that the work found no runner there and no other place. Change: a host with a reservation is not emptied before the work has started there; a reservation on a runner that may not run the work any more is replaced. Tests: wave_room::target_stays_in_use fails without it.

--- a/crates/dispatch/src/owner/evacuation.rs
+++ b/crates/dispatch/src/owner/evacuation.rs
@@ -55,7 +55,7 @@
 
 impl OwnerState {
     /// Starts a round of plans. Forgets the reservations of work items that run again or are not wanted any more, and
-    /// replaces those on runners that accept no work.
+    /// replaces those on runners that accept no work or may not run them.
     pub(super) fn renew_evacuations(&mut self, now: LocalTime) -> EvacuationRound {
         let items = std::mem::take(&mut self.evacuations.items);
         for EvacuatedItem { target, .. } in &items {
@@ -65,12 +65,10 @@
         }
         let mut without_target = Vec::new();
         for evacuated in items {
-            let target = self.runners.get(evacuated.target);
-            let is_usable = target.is_some_and(|state| state.accepts_work(now));
             if !self.is_between_runs(evacuated.item) {
                 continue;
             }
-            if is_usable {
+            if self.can_still_take(evacuated, now) {
                 self.reserve(evacuated);
             } else {
                 without_target.push(evacuated);
@@ -89,6 +87,23 @@
         round
     }
 
+    /// Returns whether the target of a work item accepts work and may run it.
+    fn can_still_take(
+        &self,
+        EvacuatedItem { item, target }: EvacuatedItem,
+        now: LocalTime,
+    ) -> bool {
+        let state = self.runners.get(target);
+        state.is_some_and(|state| state.accepts_work(now))
+            && self.is_eligible(item, target, self.demand(item), now)
+    }
+
+    /// Returns whether capacity of a runner is reserved for work that is on its way there.
+    pub(super) fn has_reservation(&self, runner: RunnerKey) -> bool {
+        let items = &self.evacuations.items;
+        items.iter().any(|evacuated| evacuated.target == runner)
+    }
+
     /// Returns whether a work item is wanted and has no run but stopped ones.
     fn is_between_runs(&self, key: ItemKey) -> bool {
         let Some((job, item)) = self.jobs.item(key) else {
--- a/crates/dispatch/src/owner/wave_control.rs
+++ b/crates/dispatch/src/owner/wave_control.rs
@@ -20,7 +20,7 @@
     Host,
     /// Too many other hosts are away, or are drained first.
     Others,
-    /// No other host has room for all of its long-running work, or work that waits could start here.
+    /// No other host has room for all of its long-running work, or work is on its way here or waits and could start here.
     Room,
     /// Its runner is not listed, and may still have work.
     Runner,
@@ -158,7 +158,7 @@
         now: LocalTime,
     ) -> Result<(), WaveWait> {
         let runner = self.maintainable_runner(host, now)?;
-        if runner.is_some_and(|key| self.is_room_for_unplaced(key, now)) {
+        if runner.is_some_and(|key| self.is_needed(key, now)) {
             return Err(WaveWait::Room);
         }
         if let Some(key) = runner.filter(|key| self.has_work(*key)) {
@@ -184,6 +184,11 @@
         Ok(())
     }
 
+    /// Returns whether long-running work is on its way to a runner, or waits and could start there.
+    fn is_needed(&self, key: RunnerKey, now: LocalTime) -> bool {
+        self.has_reservation(key) || self.is_room_for_unplaced(key, now)
+    }
+
     /// Returns the runner of a host that can be maintained; none if the host is switched off.
     fn maintainable_runner(
         &self,
--- a/crates/dispatch/tests/wave_room.rs
+++ b/crates/dispatch/tests/wave_room.rs
@@ -290,3 +290,33 @@
         "the reserved room was taken"
     );
 }
+
+/// Guards against a host that is emptied for the same wave while work is on its way to it: the work would wait until the
+/// maintenance is over.
+#[test]
+fn target_stays_in_use() {
+    let mut reports = runners(&["r1", "r2", "r3"]);
+    for (report, labels) in reports
+        .iter_mut()
+        .zip([&["x"][..], &["x", "y"], &["y", "z"]])
+    {
+        report.labels = labels.iter().map(|label| (*label).to_owned()).collect();
+    }
+    let labelled = |count, mem_mb, label: &str| StepSpec {
+        required_label: Some(label.to_owned()),
+        ..serving(count, mem_mb)
+    };
+    let mut serving_fleet = ServingFleet::new(reports);
+    let single = serving_fleet
+        .start(1, vec![labelled(1, 9_000, "x")])
+        .remove(0);
+    serving_fleet.start(2, vec![labelled(2, 1_000, "y")]);
+    serving_fleet.start(3, vec![labelled(1, 8_500, "z")]);
+    assert_eq!(serving_fleet.runners_of(1), ["r1"]);
+    assert_eq!(serving_fleet.runners_of(2), ["r2", "r2"]);
+    serving_fleet.request_wave(&["h1", "h2"]);
+    serving_fleet.pass_time(4, false);
+    assert_eq!(serving_fleet.stops(), [(single.name, single.run)]);
+    serving_fleet.pass_time(8, true);
+    assert_eq!(serving_fleet.runners_of(1), ["r2"]);
+}
