--- a/review/standin-2/case_crash.rs
+++ b/review/standin-2/case_crash.rs
@@ -19,8 +19,16 @@
 const WAVE: [usize; 2] = [0, 1];
 
 pub fn play(record: Record, trouble: bool) -> Result<Vec<String>, String> {
-    let press = MachineShape { service: "press", labels: vec!["a", "r1-1"], cpu: 16_000, mem_mb: 32_768 };
-    let queue = Queue { name: "plates", service: "press" };
+    let press = MachineShape {
+        service: "press",
+        labels: vec!["a", "r1-1"],
+        cpu: 16_000,
+        mem_mb: 32_768,
+    };
+    let queue = Queue {
+        name: "plates",
+        service: "press",
+    };
     let mut system = System::start(&vec![press; RUNNERS], &[], &[queue], record.clone())?;
     sleep(Duration::from_secs(3));
     let lasting = format!(
@@ -29,7 +37,10 @@
     if !system.submit(queue, "00000000000000e0", &lasting) {
         return Err("the lasting job was not accepted".to_owned());
     }
-    let now_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|e| e.to_string())?.as_millis();
+    let now_ms = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_err(|e| e.to_string())?
+        .as_millis();
     let scheduled = format!(
         "{{\"Spec\":\"ms=1000\",\"Steps\":[{{\"Count\":1,\"Cpu\":1000,\"MemMb\":512,\"EstimateMs\":1000}}],\"StartAtMs\":{},\"IntervalMs\":60000,\"Times\":1}}",
         now_ms + 8 * 3_600_000
@@ -47,12 +58,18 @@
                     }
                     let id = format!("{:016x}", 0x5c0e_0000_u64 + number as u64);
                     let answer = system.quiet_call(worker % NODES, "POST", queue, &id, scheduled);
-                    accepted.fetch_add(usize::from(answer.is_some_and(|(status, _)| status == 200)), Ordering::SeqCst);
+                    accepted.fetch_add(
+                        usize::from(answer.is_some_and(|(status, _)| status == 200)),
+                        Ordering::SeqCst,
+                    );
                 }
             });
         }
     });
-    record.line(&format!("{} scheduled jobs accepted", accepted.load(Ordering::SeqCst)));
+    record.line(&format!(
+        "{} scheduled jobs accepted",
+        accepted.load(Ordering::SeqCst)
+    ));
     if trouble {
         system.fleet.request_wave(&system.store, 1, &WAVE, 26, 1);
         record.line("a wave is requested");
@@ -80,15 +97,22 @@
                 }
                 continue;
             }
-            let Some(state) = system.ended(index) else { continue };
+            let Some(state) = system.ended(index) else {
+                continue;
+            };
             ends[index] += 1;
             down[index] = Some(Instant::now());
             let panics = system.log_lines(index, "panicked at");
             panic = panics.first().cloned().unwrap_or_default();
-            record.line(&format!("{} has ended by itself ({state}): {panic}", system.nodes[index].name));
+            record.line(&format!(
+                "{} has ended by itself ({state}): {panic}",
+                system.nodes[index].name
+            ));
         }
     }
-    record.line(&format!("{number} jobs cancelled; processes that ended by themselves, by entry host: {ends:?}"));
+    record.line(&format!(
+        "{number} jobs cancelled; processes that ended by themselves, by entry host: {ends:?}"
+    ));
     let total: u32 = ends.iter().sum();
     if total == 0 {
         return Ok(Vec::new());
--- a/review/standin-2/case_stuck.rs
+++ b/review/standin-2/case_stuck.rs
@@ -13,10 +13,18 @@
 const WATCHED: Duration = Duration::from_secs(30);
 
 pub fn play(record: Record, trouble: bool) -> Result<Vec<String>, String> {
-    let shape = |kind| MachineShape { service: "archive", labels: vec![kind, "r1-1"], cpu: 16_000, mem_mb: 32_768 };
+    let shape = |kind| MachineShape {
+        service: "archive",
+        labels: vec![kind, "r1-1"],
+        cpu: 16_000,
+        mem_mb: 32_768,
+    };
     let mut machines = vec![shape("a"); 5];
     machines.push(shape("b"));
-    let queue = Queue { name: "night", service: "archive" };
+    let queue = Queue {
+        name: "night",
+        service: "archive",
+    };
     let system = System::start(&machines, &[], &[queue], record.clone())?;
     sleep(Duration::from_secs(3));
     // The same job, but its work takes ten times as long.
@@ -49,7 +57,10 @@
     system.call(0, "GET", queue, id, "");
     let events = system.fleet.events_of(&item);
     let starts = events.iter().filter(|event| event.what == "start").count();
-    let stops = events.iter().filter(|event| event.what == "stopped").count();
+    let stops = events
+        .iter()
+        .filter(|event| event.what == "stopped")
+        .count();
     record.line(&format!("{starts} starts, {stops} runs stopped, completed {completed}; longest time without a run {:.2} s", longest_idle.as_secs_f64()));
     let mut broken = Vec::new();
     if !completed && longest_idle >= Duration::from_secs(3) {
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -16,7 +16,10 @@
 
 impl Request {
     pub fn field(&self, name: &str) -> Option<&str> {
-        self.query.iter().find(|(k, _)| k == name).map(|(_, v)| v.as_str())
+        self.query
+            .iter()
+            .find(|(k, _)| k == name)
+            .map(|(_, v)| v.as_str())
     }
     pub fn number(&self, name: &str) -> Option<u64> {
         self.field(name)?.parse().ok()
@@ -38,11 +41,17 @@
 }
 
 pub fn reply(status: u16, body: impl Into<Vec<u8>>) -> Option<Response> {
-    Some(Response { status, body: body.into() })
+    Some(Response {
+        status,
+        body: body.into(),
+    })
 }
 
 /// Serves connections; a handler that returns nothing closes the connection without a response.
-pub fn serve(listener: TcpListener, handler: impl Fn(Request) -> Option<Response> + Send + Sync + 'static) {
+pub fn serve(
+    listener: TcpListener,
+    handler: impl Fn(Request) -> Option<Response> + Send + Sync + 'static,
+) {
     let handler = Arc::new(handler);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -53,7 +62,9 @@
                 let mut reader = BufReader::new(read);
                 let mut writer = stream;
                 while let Some(request) = read_request(&mut reader) {
-                    let Some(response) = handler(request) else { return };
+                    let Some(response) = handler(request) else {
+                        return;
+                    };
                     let head = format!(
                         "HTTP/1.1 {} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                         response.status,
@@ -88,7 +99,12 @@
         .filter_map(|part| part.split_once('='))
         .map(|(k, v)| (k.to_owned(), percent_decode(v)))
         .collect();
-    Some(Request { path: path.to_owned(), query, headers, body })
+    Some(Request {
+        path: path.to_owned(),
+        query,
+        headers,
+        body,
+    })
 }
 
 fn percent_decode(text: &str) -> String {
--- a/review/standin-2/record.rs
+++ b/review/standin-2/record.rs
@@ -14,7 +14,10 @@
 
 impl Record {
     pub fn create(path: &str) -> std::io::Result<Self> {
-        Ok(Self { file: Arc::new(Mutex::new(File::create(path)?)), start: Instant::now() })
+        Ok(Self {
+            file: Arc::new(Mutex::new(File::create(path)?)),
+            start: Instant::now(),
+        })
     }
     pub fn line(&self, text: &str) {
         let at = self.start.elapsed().as_secs_f64();
