Renewals name at least the lease that the owner holds

Cause: the owner kept the latest end of lease that any of its records had named, the other processes go by the newest record. The renewal after an outage names 3 s, the next one 1.3 s: a cut between the two ends leaves two owners.

Change: a renewal names the longer one of the lease that the store's latency asks for and the lease that is still held. Whichever attempt is stored, the others wait longer than the owner sends commands. Ruled out: that the owner gives up the longer lease when it sends a shorter one. It would be without a lease after the next lost answer.

--- a/crates/node/src/election/election_task.rs
+++ b/crates/node/src/election/election_task.rs
@@ -300,7 +300,8 @@
                 // The successor may act as soon as the release is stored, which is before the response arrives.
                 self.lease.end();
             }
-            let (lease, timeout) = (schedule.lease(), schedule.timeout());
+            let lease = schedule.lease(self.lease.remaining());
+            let timeout = schedule.timeout();
             schedule.record_send();
             match self.append((token, end), lease, stopped, timeout).await {
                 Ok(()) => {
--- a/crates/node/src/election/owner_lease.rs
+++ b/crates/node/src/election/owner_lease.rs
@@ -1,5 +1,5 @@
 use {
-    goldcreststall_core::ids::LocalTime,
+    goldcreststall_core::ids::{LocalTime, Millis},
     goldcreststall_entry::clock::BootClock,
     std::{
         future::{Future, poll_fn},
@@ -31,7 +31,13 @@
 
     /// Returns whether commands may be sent now.
     pub fn is_held(&self) -> bool {
-        BootClock.now().0 < self.until.load(Ordering::Relaxed)
+        self.remaining() > Millis(0)
+    }
+
+    /// Returns for how long commands may still be sent.
+    pub fn remaining(&self) -> Millis {
+        let until = LocalTime(self.until.load(Ordering::Relaxed));
+        until.since(BootClock.now())
     }
 
     /// Runs a future while the lease is held; `None` when it ends before. The lease is checked before each step, so that
--- a/crates/node/src/election/renewal_schedule.rs
+++ b/crates/node/src/election/renewal_schedule.rs
@@ -43,10 +43,11 @@
         APPEND_TIMEOUT
     }
 
-    /// Returns a lease that lasts beyond the next renewal even if the store stays as slow as it was.
-    pub(super) fn lease(&self) -> Millis {
+    /// Returns a lease that lasts beyond the next renewal even if the store stays as slow as it was, and at least as long
+    /// as the owner already holds one. The other processes know the lease of the newest record only.
+    pub(super) fn lease(&self, held: Millis) -> Millis {
         let wanted = Millis(self.latency.0 * 2) + RENEWAL_INTERVAL;
-        wanted.clamp(MIN_LEASE, MAX_LEASE)
+        wanted.max(held).clamp(MIN_LEASE, MAX_LEASE)
     }
 
     pub(super) fn record_send(&mut self) {
