The lease of a restarted runner may be the longest one

Cause: a call that was meant for the ended instance extends the lease of all work on the next one, up to the longest lease that a runner accepts (10 s on these sites), because its deadline is on another clock. The owner counted that lease only for a run whose start may have gone to the next instance, not for work that it placed there afterwards, and not after hold calls. It took that work for ended 3.9 s after the last response, and started it elsewhere.

Change: when an instance is replaced, the owner counts the longest lease on the next one, from the time at which the last call for the ended one can have arrived: now for an answered one, 3 s after now for one that is in flight or was given up. Each outcome of such a call that comes later is counted anew. `runner restarted` in the log names the span.

Related paths: a hold call that the next instance answers, one in flight, one given up before; starts with and without a response; a third instance within the span.

--- a/crates/dispatch/src/owner/instance_change.rs
+++ b/crates/dispatch/src/owner/instance_change.rs
@@ -4,10 +4,14 @@
         jobs::{ItemKey, ItemRun, RunPhase},
         runners::RunnerKey,
     },
-    goldcreststall_core::ids::LocalTime,
+    goldcreststall_core::ids::{LocalTime, Millis},
     std::borrow::Cow,
 };
 
+/// How long after it was given up, or after its runner is known to have restarted, a command may still arrive: a delegate
+/// executes commands up to a second old, and waits up to 1.3 s for the response.
+pub(super) const STRAY_TIMEOUT: Millis = Millis(3_000);
+
 impl OwnerState {
     /// Records that an instance has ended because `next` has started under its id.
     ///
@@ -21,12 +25,57 @@
         reason: &'static str,
         now: LocalTime,
     ) {
+        let strays_until = self.strays_until(runner, now);
         for (key, recorded_run) in self.runs_on(runner) {
             if !recorded_run.listed {
                 self.transfer_run(key, recorded_run.transferred(next, now), runner, now);
             }
         }
         self.end_runner(runner, reason, now);
+        self.expect_strays(next, strays_until);
+        if let Some(report) = self.runner_report(next) {
+            let detail = format!(
+                "born={} why={reason} strays_ms={}",
+                report.started_ms,
+                strays_until.since(now).0
+            );
+            let id = report.id.clone();
+            self.log_event("runner restarted", id, detail);
+        }
+    }
+
+    /// Returns until when commands for a runner that has restarted may arrive at its next instance.
+    fn strays_until(&self, runner: RunnerKey, now: LocalTime) -> LocalTime {
+        let Some(state) = self.runners.get(runner) else {
+            return now;
+        };
+        let is_starting = |phase| phase == RunPhase::Starting;
+        let mut runs = self.runs_on(runner).into_iter();
+        let has_calls = state.hold_sent.is_some() || runs.any(|(_, run)| is_starting(run.phase));
+        let settled = if has_calls { now + STRAY_TIMEOUT } else { now };
+        settled.max(state.unanswered_until)
+    }
+
+    fn expect_strays(&mut self, runner: RunnerKey, until: LocalTime) {
+        let max_lease = self.max_lease;
+        if let Some(state) = self.runners.get_mut(runner) {
+            state.clock.expect_strays(max_lease, until);
+            // They may also arrive at the instance after this one.
+            state.unanswered_until = state.unanswered_until.max(until);
+        }
+    }
+
+    /// Records that a command to an instance got a response that carries its deadline, or got none and may arrive until
+    /// `until`. If the instance has ended, the next one may have taken the command.
+    pub(super) fn record_arrival(&mut self, runner: RunnerKey, until: LocalTime) {
+        let Some(state) = self.runners.get_mut(runner) else {
+            return;
+        };
+        state.unanswered_until = state.unanswered_until.max(until);
+        let ended = Some(&state.report.id).filter(|_| state.has_ended).cloned();
+        if let Some(next) = ended.and_then(|id| self.runners.find(&id)) {
+            self.expect_strays(next, until);
+        }
     }
 
     fn transfer_run(
@@ -42,10 +91,6 @@
         let is_stopping = transferred.phase == RunPhase::Stopping;
         self.detach_run(key, earlier, run, now);
         self.attach_run(key, transferred);
-        if let Some(state) = self.runners.get_mut(next) {
-            // The deadline of the start is on the clock of the ended instance.
-            state.clock.expect_lease(self.max_lease);
-        }
         if is_stopping {
             self.issue_stop(key, next, run);
         }
--- a/crates/dispatch/src/owner/runner_responses.rs
+++ b/crates/dispatch/src/owner/runner_responses.rs
@@ -1,5 +1,8 @@
 use {
-    super::{OwnerCommand, OwnerState, RunCommand, hold_planner::STOP_RETRY_INTERVAL},
+    super::{
+        OwnerCommand, OwnerState, RunCommand, hold_planner::STOP_RETRY_INTERVAL,
+        instance_change::STRAY_TIMEOUT,
+    },
     crate::{
         jobs::{ItemKey, ItemName, ItemRun, MAX_PACE_PERCENT, RunPhase},
         runners::{HoldResponse, ListedRun, RunnerKey, RunnerReport},
@@ -28,6 +31,7 @@
             let age = now.since(state.last_response);
             self.log_event("runner silent", id, format!("last_answer_ms={}", age.0));
         }
+        self.record_arrival(runner, now + STRAY_TIMEOUT);
     }
 
     /// Handles the response to a hold call that was sent at `sent` and acknowledged ends up to `last_seen`.
@@ -69,6 +73,7 @@
         self.handle_ends(key, &response.ended, now);
         if has_ended {
             // The call was sent before; its runs have ended with the instance.
+            self.record_arrival(key, now);
             return;
         }
         let is_known_instance = response.started_ms.is_some();
@@ -96,6 +101,7 @@
         };
         if !is_newest {
             self.end_runner(key, "a new instance responded", now);
+            self.record_arrival(key, now);
             return None;
         }
         let (next, _) = self.runners.insert(report, now);
--- a/crates/dispatch/src/owner/start_responses.rs
+++ b/crates/dispatch/src/owner/start_responses.rs
@@ -1,5 +1,5 @@
 use {
-    super::{OwnerState, RunCommand, StartCommand},
+    super::{OwnerState, RunCommand, StartCommand, instance_change::STRAY_TIMEOUT},
     crate::{jobs::RunPhase, runners::RunnerKey},
     goldcreststall_core::ids::{LocalTime, Millis},
     serde::{Deserialize, Serialize},
@@ -41,6 +41,13 @@
     Unknown,
 }
 
+impl StartResponse {
+    /// Returns whether the runner has extended the lease of its work to the deadline of the command.
+    fn extends_lease(self) -> bool {
+        matches!(self, Self::Begun(_) | Self::NoRoom | Self::OldRun)
+    }
+}
+
 impl OwnerState {
     /// Handles the outcome of a start command. Returns false when a newer owner exists.
     pub fn start_answered(
@@ -57,6 +64,11 @@
         if let StartResponse::Begun(clock) = response {
             self.record_start_reading(command.runner, clock, now);
         }
+        if response == StartResponse::Unknown {
+            self.record_arrival(command.runner, now + STRAY_TIMEOUT);
+        } else if response.extends_lease() {
+            self.record_arrival(command.runner, now);
+        }
         let command = &*self.readdressed(command);
         match response {
             StartResponse::Begun(_) => self.start_accepted(command, now),
--- a/crates/dispatch/src/runners/lease_clock.rs
+++ b/crates/dispatch/src/runners/lease_clock.rs
@@ -17,12 +17,23 @@
 
 /// Returns how long after a command the lease that it granted has certainly lapsed.
 pub fn max_lapse_delay() -> Millis {
-    add_safety_margin(RUNNER_LEASE.0)
+    lapse_delay(RUNNER_LEASE)
 }
 
-/// Adds the possible clock drift and the time to end the work.
-fn add_safety_margin(millis: u64) -> Millis {
-    Millis(millis + millis / CLOCK_DRIFT_DIVISOR + KILL_MARGIN.0)
+/// Returns how long after the arrival of a command a lease of up to `lease` has certainly lapsed: adds the possible clock
+/// drift and the time to end the work.
+pub fn lapse_delay(lease: Millis) -> Millis {
+    lease + Millis(lease.0 / CLOCK_DRIFT_DIVISOR) + KILL_MARGIN
+}
+
+/// Commands that were meant for an earlier instance of a runner and may reach the next one. Their deadlines are on another
+/// clock, so that each may grant a lease as long as the runner accepts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct StrayCommands {
+    /// When the last of them has arrived.
+    until: LocalTime,
+    /// Longest lease that one of them may grant.
+    lease: Millis,
 }
 
 /// Last known reading of a runner's steady clock, and the latest lease granted on that clock.
@@ -30,8 +41,8 @@
 pub struct LeaseClock {
     reading: Option<(u64, LocalTime)>,
     granted: u64,
-    /// Longest lease that may have been granted on the clock before its first reading, if longer than [`RUNNER_LEASE`].
-    earlier_lease: Option<Millis>,
+    /// None once a reading shows that their time is over.
+    strays: Option<StrayCommands>,
 }
 
 impl LeaseClock {
@@ -42,23 +53,27 @@
         }
         if self.reading.is_none() {
             // An earlier owner may have granted a lease immediately before.
-            self.granted = clock_ms + self.earlier_lease().0;
+            self.granted = clock_ms + RUNNER_LEASE.0;
+        }
+        if let Some(strays) = self.strays {
+            self.granted = self.granted.max(clock_ms + strays.lease.0);
+            self.strays = Some(strays).filter(|strays| now <= strays.until);
         }
         self.reading = Some((clock_ms, now));
     }
 
-    /// Records that a command with a deadline on another clock may have granted a lease of up to `lease`.
-    pub fn expect_lease(&mut self, lease: Millis) {
-        self.earlier_lease = Some(lease.max(self.earlier_lease()));
+    /// Records that commands for an earlier instance may arrive until `until`, and grant leases of up to `lease`.
+    pub fn expect_strays(&mut self, lease: Millis, until: LocalTime) {
+        let earlier = self.strays.unwrap_or(StrayCommands { until, lease });
+        self.strays = Some(StrayCommands {
+            until: until.max(earlier.until),
+            lease: lease.max(earlier.lease),
+        });
         if let Some((clock_ms, _)) = self.reading {
             self.granted = self.granted.max(clock_ms + lease.0);
         }
     }
 
-    fn earlier_lease(&self) -> Millis {
-        self.earlier_lease.unwrap_or(RUNNER_LEASE)
-    }
-
     /// Returns the end of the lease for a command that is sent now, in milliseconds on the runner's clock, and records
     /// it as granted; none before the first reading.
     pub fn grant(&mut self, now: LocalTime) -> Option<u64> {
@@ -77,9 +92,13 @@
     /// Returns when every granted lease has certainly lapsed. Before the first reading, `first_seen` is taken for the time
     /// of the last command.
     pub fn lapse_time(&self, first_seen: LocalTime) -> LocalTime {
-        match self.reading {
-            Some((clock, at)) => at + add_safety_margin(self.granted.saturating_sub(clock)),
-            None => first_seen + add_safety_margin(self.earlier_lease().0),
-        }
+        let granted = match self.reading {
+            Some((clock, at)) => at + lapse_delay(Millis(self.granted.saturating_sub(clock))),
+            None => first_seen + max_lapse_delay(),
+        };
+        let stray = self
+            .strays
+            .map(|strays| strays.until + lapse_delay(strays.lease));
+        stray.map_or(granted, |stray| stray.max(granted))
     }
 }
--- a/crates/dispatch/src/runners/mod.rs
+++ b/crates/dispatch/src/runners/mod.rs
@@ -6,7 +6,9 @@
 mod runner_table;
 
 pub use {
-    lease_clock::{DEFAULT_MAX_LEASE, LeaseClock, MAX_CLOCK_MS, RUNNER_LEASE, max_lapse_delay},
+    lease_clock::{
+        DEFAULT_MAX_LEASE, LeaseClock, MAX_CLOCK_MS, RUNNER_LEASE, lapse_delay, max_lapse_delay,
+    },
     runner_report::{
         Capacity, EndKind, EndedRun, HoldResponse, ListedRun, RunnerReport, RunnerStatus,
     },
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -40,6 +40,8 @@
     pub listing_since: LocalTime,
     /// Hold calls in a row without a response.
     pub missed_holds: u32,
+    /// Until when commands without a response may still arrive at its address.
+    pub unanswered_until: LocalTime,
     /// Highest sequence number of an end that was processed.
     pub processed: u64,
     /// Highest sequence number of an end whose outcome is stored, so that it may be acknowledged.
@@ -91,6 +93,7 @@
             last_listed: LocalTime(0),
             listing_since: now,
             missed_holds: 0,
+            unanswered_until: LocalTime(0),
             processed: 0,
             stored: 0,
             acknowledged: 0,
--- /dev/null
+++ b/crates/dispatch/tests/stray_commands.rs
@@ -0,0 +1,151 @@
+//! Guards against work that runs twice when a runner restarts under its id and takes commands that were meant for its earlier
+//! instance: their deadlines are on another clock, so that it may hold its work for as long as it accepts at all.
+
+mod fleet;
+
+use {
+    fleet::{TestFleet, empty_response, listed_run, runner, step},
+    goldcreststall_core::ids::Millis,
+    goldcreststall_dispatch::{
+        owner::{OwnerCommand, StartCommand},
+        runners::{DEFAULT_MAX_LEASE, HoldResponse, RunnerKey},
+    },
+};
+
+/// Number of the instance that follows the first one.
+const NEXT: u64 = 2;
+/// Commands without a response may still arrive for this time, and the slowest clock stretches the longest lease by less
+/// than the rest.
+const LONGEST_WAIT: Millis = Millis(DEFAULT_MAX_LEASE.0 + 4_000);
+
+/// One runner that has work and restarts under its id, and what its next instance runs.
+struct RestartedRunner {
+    fleet: TestFleet,
+    running: Vec<StartCommand>,
+}
+
+impl RestartedRunner {
+    /// Creates a runner that lists the run of job 1; a hold call to it is in flight.
+    fn new() -> Self {
+        let (mut fleet, starts) = TestFleet::with_work(&["r1"], vec![step(1, 1_000)]);
+        fleet.advance(100);
+        let lists = HoldResponse {
+            started_ms: Some(1),
+            running: vec![listed_run(&starts[0])],
+            ..empty_response(fleet.clock())
+        };
+        fleet.answer_holds(|_| Some(lists.clone()));
+        fleet.advance(100);
+        assert_eq!(fleet.holds(), 1);
+        Self {
+            fleet,
+            running: Vec::new(),
+        }
+    }
+
+    /// Returns the instance to which the hold call in flight was sent.
+    fn held_instance(&self) -> RunnerKey {
+        let held = |command: &OwnerCommand| match command {
+            OwnerCommand::Hold { runner, .. } => Some(*runner),
+            _ => None,
+        };
+        self.fleet
+            .commands
+            .iter()
+            .find_map(held)
+            .expect("a hold call")
+    }
+
+    fn list_next(&mut self) {
+        self.fleet.runners[0].started_ms = NEXT;
+        self.fleet.list_runners();
+    }
+
+    fn lists(&self) -> HoldResponse {
+        HoldResponse {
+            started_ms: Some(NEXT),
+            running: self.running.iter().map(listed_run).collect(),
+            ..empty_response(self.fleet.clock())
+        }
+    }
+
+    /// The next instance answers all hold calls but those to `silent`, and begins what it is told to.
+    fn answer(&mut self, silent: Option<RunnerKey>) {
+        let lists = self.lists();
+        self.fleet
+            .answer_holds(|key| (Some(key) != silent).then(|| lists.clone()));
+        self.fleet.advance(10);
+        self.fleet.store();
+        self.fleet.advance(10);
+        let starts = self.fleet.starts();
+        self.fleet.accept_starts(&starts);
+        self.running.extend(starts);
+    }
+
+    /// The next instance gets the work again and lists it.
+    fn start_again(&mut self) {
+        for _ in 0..5 {
+            self.answer(None);
+        }
+        assert_eq!(self.running.len(), 1, "the work is not started again");
+    }
+
+    /// Cuts the next instance off, and returns when its work is started on another runner.
+    fn cut_off(mut self) -> Millis {
+        self.fleet.runners.push(runner("r2"));
+        self.fleet.list_runners();
+        let cut = self.fleet.now;
+        while self.fleet.now.since(cut) < LONGEST_WAIT + LONGEST_WAIT {
+            let clock = self.fleet.clock();
+            self.fleet
+                .answer_holds_by_id(|id| (id == "r2").then(|| empty_response(clock)));
+            self.fleet.advance(50);
+            if !self.fleet.starts().is_empty() {
+                return self.fleet.now.since(cut);
+            }
+        }
+        panic!("the work is never started again");
+    }
+}
+
+fn assert_waits(wait: Millis) {
+    assert!(
+        wait >= DEFAULT_MAX_LEASE,
+        "started again after {wait}, within the lease"
+    );
+    assert!(wait <= LONGEST_WAIT, "started again only after {wait}");
+}
+
+/// Guards against a lease that is taken for one on the clock of the instance that responds, when the call was meant for its
+/// earlier one.
+#[test]
+fn hold_answered_by_next() {
+    let mut runner = RestartedRunner::new();
+    runner.answer(None);
+    runner.list_next();
+    runner.start_again();
+    assert_waits(runner.cut_off());
+}
+
+/// Guards against a hold call in flight that the next instance executes after its entry was read.
+#[test]
+fn hold_in_flight() {
+    let mut runner = RestartedRunner::new();
+    let earlier = runner.held_instance();
+    runner.list_next();
+    runner.fleet.advance(10);
+    runner.answer(Some(earlier));
+    runner.start_again();
+    assert_waits(runner.cut_off());
+}
+
+/// Guards against a hold call that was given up before the next instance was known, and that it executes late.
+#[test]
+fn hold_given_up() {
+    let mut runner = RestartedRunner::new();
+    runner.fleet.answer_holds(|_| None);
+    runner.list_next();
+    runner.fleet.advance(10);
+    runner.start_again();
+    assert_waits(runner.cut_off());
+}
