Store the restarts of runners for the next owner

Cause: an instance that took a call for the ended one holds its work for up to the longest lease that it accepts. The next owner knows nothing of the restart. Where it cannot reach the runner it waited 3.9 s, the time for the leases that owners grant, and then started the work elsewhere.

Change: the owner stores each restart under `r/TOKEN-N` before the runner gets new work, and removes it when the lease has certainly lapsed. The next owner waits for that lease where the runner has not answered, also when its entry has left the list, and counts it where it has. Other pools wait as before. Ruled out: waiting for the longest lease after every change of the owner (recovered work of a pool with one lost runner would wait 13.5 s); leaving restarted runners without work until their lease is short again (10 s without a pool that restarts as a whole).

`late_list_of_ended_instance` now lets the store answer before it expects the start, since a restarted runner gets work only then; what it asserts is unchanged.

--- a/crates/dispatch/src/owner/instance_change.rs
+++ b/crates/dispatch/src/owner/instance_change.rs
@@ -33,6 +33,7 @@
         }
         self.end_runner(runner, reason, now);
         self.expect_strays(next, strays_until);
+        self.store_restart(next, strays_until);
         if let Some(report) = self.runner_report(next) {
             let detail = format!(
                 "born={} why={reason} strays_ms={}",
@@ -72,9 +73,13 @@
             return;
         };
         state.unanswered_until = state.unanswered_until.max(until);
-        let ended = Some(&state.report.id).filter(|_| state.has_ended).cloned();
-        if let Some(next) = ended.and_then(|id| self.runners.find(&id)) {
+        if !state.has_ended {
+            return;
+        }
+        let id = state.report.id.clone();
+        if let Some(next) = self.runners.find(&id) {
             self.expect_strays(next, until);
+            self.extend_restart(&id, until);
         }
     }
 
--- a/crates/dispatch/src/owner/journal_queue.rs
+++ b/crates/dispatch/src/owner/journal_queue.rs
@@ -41,6 +41,8 @@
     Acknowledge(RunnerKey, u64),
     /// The response to a call about the job may be sent.
     Reply(JobKey, CallId, CallResponse),
+    /// The instance of a runner may get work: its restart is known to later owners.
+    AllowWork(RunnerKey),
 }
 
 /// Records that wait to be stored, and the effects that wait for them.
@@ -50,6 +52,8 @@
     dirty: Vec<JobKey>,
     waves: Vec<(u64, WaveProgress)>,
     forgotten: Vec<JobId>,
+    /// Records of the restarts of runners.
+    restarts: Vec<StoreRecord>,
     effects: Vec<StoredEffect>,
     in_flight: Option<(BatchId, Vec<StoredEffect>)>,
     last_id: BatchId,
@@ -64,6 +68,7 @@
             dirty: Vec::new(),
             waves: Vec::new(),
             forgotten: Vec::new(),
+            restarts: Vec::new(),
             effects: Vec::new(),
             in_flight: None,
             last_id: BatchId::default(),
@@ -98,6 +103,10 @@
         self.forgotten.push(id);
     }
 
+    pub(super) fn store_restart(&mut self, record: StoreRecord) {
+        self.restarts.push(record);
+    }
+
     pub(super) fn on_stored(&mut self, effect: StoredEffect) {
         self.effects.push(effect);
     }
@@ -106,7 +115,8 @@
         let records = !self.submissions.is_empty()
             || !self.dirty.is_empty()
             || !self.waves.is_empty()
-            || !self.forgotten.is_empty();
+            || !self.forgotten.is_empty()
+            || !self.restarts.is_empty();
         records || !self.effects.is_empty()
     }
 
@@ -186,6 +196,9 @@
         for id in journal.forgotten.drain(..) {
             push(StoreRecord::Forgotten(id));
         }
+        for record in journal.restarts.drain(..) {
+            push(record);
+        }
         // Effects other than an acceptance may depend on any record, so that they wait until all records are stored.
         let complete = deferred.is_empty() && unsent.is_empty();
         let (ready, waiting) =
@@ -242,6 +255,11 @@
                 self.commands
                     .push(OwnerCommand::Reply { call_id, response });
             }
+            StoredEffect::AllowWork(key) => {
+                if let Some(runner) = self.runners.get_mut(key) {
+                    runner.is_restart_unstored = false;
+                }
+            }
         }
     }
 
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -15,6 +15,7 @@
 mod pace_control;
 mod placement;
 mod ready_items;
+mod restart_table;
 mod restore;
 mod run_ends;
 mod run_table;
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -5,6 +5,7 @@
         evacuation::EvacuationTable,
         host_table::{HostTable, WaveTable},
         journal_queue::JournalQueue,
+        restart_table::RestartTable,
         runner_advice::AdviceTable,
         start_budget::StartBudget,
         unplaced_serving::UnplacedServing,
@@ -65,6 +66,7 @@
     pub(super) arrivals: ArrivalRate,
     pub(super) advice: AdviceTable,
     pub(super) evacuations: EvacuationTable,
+    pub(super) restarts: RestartTable,
     pub(super) start_budget: StartBudget,
     /// Longest lease that a runner accepts.
     pub(super) max_lease: Millis,
@@ -102,6 +104,7 @@
             arrivals: ArrivalRate::default(),
             advice: AdviceTable::default(),
             evacuations: EvacuationTable::default(),
+            restarts: RestartTable::default(),
             start_budget: StartBudget::default(),
             max_lease: DEFAULT_MAX_LEASE,
             recovered: false,
@@ -168,6 +171,7 @@
         if now >= self.next_slow_round {
             self.next_slow_round = now + SLOW_ROUND_INTERVAL;
             self.expire_runs(now);
+            self.settle_restarts(now);
             self.retry_deferred(now);
             self.recover(now);
             self.stop_stuck_runs(now);
@@ -200,7 +204,8 @@
         let waited = now >= self.started + max_lapse_delay();
         let mut services: Vec<String> = self.unrecovered_services();
         services.retain(|service| {
-            self.has_pool_answered(service) || (waited && self.has_pool_been_called(service))
+            let lapsed = waited && !self.has_unsettled_restart(Some(service), now);
+            self.has_pool_answered(service) || (lapsed && self.has_pool_been_called(service))
         });
         for service in &services {
             self.recover_pool(service, waited);
--- a/crates/dispatch/src/owner/restore.rs
+++ b/crates/dispatch/src/owner/restore.rs
@@ -34,7 +34,11 @@
                     progress.insert(id, stored);
                 }
                 StoreRecord::Wave(number, stored) => self.waves.restore(number, stored),
-                StoreRecord::Ended(..) | StoreRecord::Forgotten(_) | StoreRecord::Text(..) => {}
+                StoreRecord::Restarted(id, restart) => self.restore_restart(id, restart),
+                StoreRecord::Ended(..)
+                | StoreRecord::Forgotten(_)
+                | StoreRecord::RestartSettled(_)
+                | StoreRecord::Text(..) => {}
             }
         }
         submissions.retain(|(id, submission)| {
@@ -165,6 +169,7 @@
         let detail = format!("service={} born={}", report.service, report.started_ms);
         self.log_event("runner seen", report.id.clone(), detail);
         let (next, replaced) = self.runners.insert(report, now);
+        self.inherit_restart(next);
         if let Some(old) = replaced {
             self.end_replaced(old, next, "a new instance is listed", now);
         }
@@ -190,6 +195,7 @@
 
     /// Returns whether work of an earlier owner may still run on runners that have not answered this owner.
     pub(super) fn is_recovering(&self, now: LocalTime) -> bool {
-        !self.recovered && now < self.started + max_lapse_delay()
+        let waits = now < self.started + max_lapse_delay() || self.has_unsettled_restart(None, now);
+        !self.recovered && waits
     }
 }
--- a/crates/dispatch/src/records/mod.rs
+++ b/crates/dispatch/src/records/mod.rs
@@ -1,8 +1,9 @@
-//! Records that the owner keeps in the store: the submission and the progress of each job, and the progress of each
-//! wave.
+//! Records that the owner keeps in the store: the submission and the progress of each job, the progress of each wave, and
+//! the restarts of runners.
 
 mod store_record;
 
 pub use store_record::{
-    FIRST_KEY_AFTER_TEXTS, JobProgress, JobSubmission, RecordError, StoreRecord, WaveProgress,
+    FIRST_KEY_AFTER_TEXTS, JobProgress, JobSubmission, RecordError, RestartId, RunnerRestart,
+    StoreRecord, WaveProgress,
 };
--- a/crates/dispatch/src/records/store_record.rs
+++ b/crates/dispatch/src/records/store_record.rs
@@ -65,6 +65,40 @@
     pub completed: bool,
 }
 
+/// Identifies the restart of a runner that an owner has seen.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct RestartId {
+    /// Fencing token of the owner's term.
+    pub token: u64,
+    /// Number of the instance within the term.
+    pub instance: u32,
+}
+
+impl RestartId {
+    fn key(&self) -> String {
+        format!("r/{}-{}", self.token, self.instance)
+    }
+
+    fn parse(name: &str) -> Option<Self> {
+        let (token, instance) = name.split_once('-')?;
+        Some(Self {
+            token: token.parse().ok()?,
+            instance: instance.parse().ok()?,
+        })
+    }
+}
+
+/// A runner that has restarted under its id. Calls for the ended instance may have granted it the longest lease.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RunnerRestart {
+    /// Id of the runner.
+    pub runner: String,
+    /// Its service.
+    pub service: String,
+    /// Start of the new instance in Unix milliseconds.
+    pub started_ms: u64,
+}
+
 /// A record of the owner's topic. Each replaces the earlier record under its key.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StoreRecord {
@@ -80,6 +114,10 @@
     Wave(u64, WaveProgress),
     /// The job was removed.
     Forgotten(JobId),
+    /// A runner has restarted under its id.
+    Restarted(RestartId, RunnerRestart),
+    /// The leases have lapsed that calls for the ended instance may have granted.
+    RestartSettled(RestartId),
 }
 
 impl StoreRecord {
@@ -127,6 +165,8 @@
                     (format!("p/{id}"), Vec::new()),
                 ]
             }
+            Self::Restarted(id, restart) => vec![(id.key(), encode(FORMAT, restart))],
+            Self::RestartSettled(id) => vec![(id.key(), Vec::new())],
         }
     }
 
@@ -150,6 +190,10 @@
                 let id = JobId::try_from(name).map_err(|_| unknown())?;
                 Ok(Self::Progress(id, decode(key, value, FORMAT)?))
             }
+            "r" => {
+                let id = RestartId::parse(name).ok_or_else(unknown)?;
+                Ok(Self::Restarted(id, decode(key, value, FORMAT)?))
+            }
             "w" => {
                 let number = name.parse().map_err(|_| unknown())?;
                 Ok(Self::Wave(number, decode(key, value, FORMAT)?))
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -61,6 +61,8 @@
     pub unknown_runs: Vec<(ItemName, u32, LocalTime)>,
     /// The list names an earlier start than the one known; the next response shows which instance runs.
     pub in_doubt: bool,
+    /// It has restarted under its id, and no later owner would know of it yet: it gets no new work.
+    pub is_restart_unstored: bool,
     /// It gets no new work before this time, after failures or refusals.
     pub cooldown_until: LocalTime,
     /// Start commands in a row without a response.
@@ -103,6 +105,7 @@
             items: Vec::new(),
             unknown_runs: Vec::new(),
             in_doubt: false,
+            is_restart_unstored: false,
             cooldown_until: LocalTime(0),
             unanswered_starts: 0,
             unanswered_at: LocalTime(0),
@@ -161,6 +164,7 @@
             && self.fenced
             && self.unknown_runs.is_empty()
             && !self.in_doubt
+            && !self.is_restart_unstored
             && !self.cordoned
             && self.missed_holds == 0
             && self.report.status == RunnerStatus::Ready
--- a/crates/dispatch/tests/record_bytes.rs
+++ b/crates/dispatch/tests/record_bytes.rs
@@ -7,8 +7,8 @@
     goldcreststall_dispatch::{
         jobs::{ItemName, JobId, JobPhase},
         records::{
-            FIRST_KEY_AFTER_TEXTS, JobProgress, JobSubmission, RecordError, StoreRecord,
-            WaveProgress,
+            FIRST_KEY_AFTER_TEXTS, JobProgress, JobSubmission, RecordError, RestartId,
+            RunnerRestart, StoreRecord, WaveProgress,
         },
     },
 };
@@ -63,12 +63,26 @@
         completed: false,
     };
     round_trip(&StoreRecord::Wave(4, wave));
+    let id = RestartId {
+        token: u64::MAX,
+        instance: u32::MAX,
+    };
+    let restart = RunnerRestart {
+        runner: "i-1".to_owned(),
+        service: "press".to_owned(),
+        started_ms: 1_800_000_000_000,
+    };
+    round_trip(&StoreRecord::Restarted(id, restart));
 }
 
 #[test]
 fn damaged_values() {
     let unknown = StoreRecord::decode("x/1", &[1]);
     assert_eq!(unknown, Err(RecordError::Key("x/1".to_owned())));
+    for key in ["r/1", "r/1-", "r/-1", "r/1-4294967296"] {
+        let odd = StoreRecord::decode(key, &[1]);
+        assert_eq!(odd, Err(RecordError::Key(key.to_owned())));
+    }
     let other_format = StoreRecord::decode("w/1", &[9, 0, 0]);
     assert_eq!(other_format, Err(RecordError::Value("w/1".to_owned())));
     let truncated = StoreRecord::decode("w/1", &[1, 5]);
--- a/crates/dispatch/tests/restarted_runner.rs
+++ b/crates/dispatch/tests/restarted_runner.rs
@@ -84,6 +84,7 @@
         ..empty_response(fleet.clock())
     };
     fleet.answer_holds(|_| Some(late.clone()));
+    fleet.store();
     fleet.advance(100);
     let clock = fleet.clock();
     fleet.answer_holds(|_| Some(empty_response(clock)));
