Withdraw starts that wait while their runner restarts

Callers could see: a start is executed by the next instance of a runner seconds after the owner knows of the restart, which extends the lease of all work there to the longest one.

Cause: at most four starts are in flight to a runner, the others wait in the executor. The restart of the runner did not withdraw them, so that they were sent one after the other, each with a deadline on the clock of the ended instance.

Evidence: `start_limiter::none_after_the_restart` failed on the old code: 8 starts instead of 4 reached the runner.

Change: each run that is recorded at the next instance is withdrawn if its start still waits, and counts as not sent.

--- a/crates/dispatch/src/owner/instance_change.rs
+++ b/crates/dispatch/src/owner/instance_change.rs
@@ -1,5 +1,5 @@
 use {
-    super::{OwnerState, StartCommand},
+    super::{OwnerCommand, OwnerState, RunName, StartCommand},
     crate::{
         jobs::{ItemKey, ItemRun, RunPhase},
         runners::RunnerKey,
@@ -100,10 +100,12 @@
             self.issue_stop(key, next, run);
         }
         if let Some(job) = self.jobs.get(key.job) {
-            let name = job.item_name(key.item).to_string();
+            let name = job.item_name(key.item);
+            self.commands
+                .push(OwnerCommand::Withdraw(RunName { name, run }));
             self.log_event(
                 "run in doubt",
-                name,
+                name.to_string(),
                 format!("run={run} why=its runner has restarted"),
             );
         }
--- a/crates/dispatch/src/owner/owner_command.rs
+++ b/crates/dispatch/src/owner/owner_command.rs
@@ -132,6 +132,8 @@
     Start(StartCommand),
     /// Stop a run.
     Stop(RunCommand),
+    /// Do not send the start of a run if it still waits to be sent.
+    Withdraw(RunName),
     /// Set the share of its full speed that a run may use, in percent.
     Pace(RunCommand, u32),
     /// Move a host to another pool.
--- a/crates/node/src/control/command_executor.rs
+++ b/crates/node/src/control/command_executor.rs
@@ -57,6 +57,9 @@
             OwnerCommand::Advise(command) => self.advise(state, command),
             OwnerCommand::Start(command) => self.start(state, command),
             OwnerCommand::Stop(command) => self.stop(state, command),
+            OwnerCommand::Withdraw(name) => {
+                self.waiting_starts.remove(&name);
+            }
             OwnerCommand::Pace(command, percent) => self.pace(state, command, percent),
             OwnerCommand::MoveHost { host, pool } => self.move_host(host, pool),
             OwnerCommand::MaintainHost { host, wave } => self.maintain(host, wave),
--- a/crates/node/src/control/waiting_starts.rs
+++ b/crates/node/src/control/waiting_starts.rs
@@ -1,7 +1,7 @@
 use {goldcreststall_dispatch::owner::RunName, parking_lot::Mutex, std::sync::Arc};
 
 /// Runs whose start commands wait until they may be sent. A stop withdraws them: a start that is sent after its stop would
-/// run unless another stop arrives.
+/// run unless another stop arrives. So does the restart of their runner, whose next instance would execute them.
 #[derive(Clone, Debug, Default)]
 pub(super) struct WaitingStarts {
     names: Arc<Mutex<Vec<RunName>>>,
--- a/crates/node/tests/start_limiter.rs
+++ b/crates/node/tests/start_limiter.rs
@@ -8,7 +8,8 @@
     goldcreststall_core::ids::LocalTime,
     goldcreststall_dispatch::{
         jobs::JobId,
-        owner::{CallResponse, JobCall},
+        owner::{CallResponse, JobCall, RunStart},
+        runners::RunnerReport,
     },
     goldcreststall_node::control::ControlEvent,
     std::{sync::atomic::Ordering, time::Duration},
@@ -72,6 +73,27 @@
     );
 }
 
+/// Start commands that still wait while their runner restarts must not be sent: the next instance under its id would execute
+/// them, with deadlines on the clock of the ended one.
+#[tokio::test]
+async fn none_after_the_restart() {
+    let test = unanswered_flood().await;
+    let next = RunnerReport {
+        started_ms: 2,
+        ..report("r1")
+    };
+    send_event(&test, ControlEvent::RunnersListed(vec![next])).await;
+    unblock_starts(&test);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let starts = test.runners.starts.lock();
+    let is_first = |start: &&RunStart| start.run == 1;
+    assert_eq!(
+        starts.iter().filter(is_first).count(),
+        4,
+        "a start command was sent after its runner had restarted"
+    );
+}
+
 /// Start commands of a cancelled job that still wait must not be sent: their stops may get lost.
 #[tokio::test]
 async fn none_after_the_cancellation() {
