No work on a restarted runner while an old acknowledgement may arrive

Callers could see: work that is done runs again. An acknowledgement of ends that was meant for the ended instance arrives at the next one under its id, which forgets its own ends up to that number; one of them may not have been listed yet.

Cause: an acknowledgement is not repeated once it was answered, but one in flight or given up at the restart was forgotten.

Evidence: `stray_commands::acknowledgement_in_flight` and `acknowledgement_given_up` failed on the old code: the next instance got work after 20 ms.

Change: if a hold call that acknowledges ends has no response when its instance is replaced, the next one gets no new work for 3 s after the last such call was given up. Without such a call it gets work at once (`no_acknowledgement`). Ruled out: gaps in the numbers of ends, which show that one was forgotten, but not how it ended.

--- a/crates/dispatch/src/owner/hold_planner.rs
+++ b/crates/dispatch/src/owner/hold_planner.rs
@@ -46,6 +46,7 @@
         };
         state.hold_sent = Some(now);
         let last_seen = state.unacknowledged_end();
+        state.hold_acknowledges = last_seen > 0;
         self.commands.push(OwnerCommand::Hold {
             runner: key,
             deadline_ms,
--- a/crates/dispatch/src/owner/instance_change.rs
+++ b/crates/dispatch/src/owner/instance_change.rs
@@ -26,6 +26,7 @@
         now: LocalTime,
     ) {
         let strays_until = self.strays_until(runner, now);
+        self.expect_acknowledgement(runner, next, now);
         for (key, recorded_run) in self.runs_on(runner) {
             if !recorded_run.listed {
                 self.transfer_run(key, recorded_run.transferred(next, now), runner, now);
@@ -66,6 +67,49 @@
         }
     }
 
+    /// Gives no new work to the next instance of a runner while an acknowledgement that was meant for `runner` may arrive
+    /// there: it would forget ends of its own that no list has shown.
+    fn expect_acknowledgement(&mut self, runner: RunnerKey, next: RunnerKey, now: LocalTime) {
+        let Some(state) = self.runners.get(runner) else {
+            return;
+        };
+        let in_flight = state.hold_sent.is_some() && state.hold_acknowledges;
+        let until = if in_flight {
+            now + STRAY_TIMEOUT
+        } else {
+            state.acknowledged_until
+        };
+        self.block_until(next, until);
+    }
+
+    fn block_until(&mut self, runner: RunnerKey, until: LocalTime) {
+        if let Some(state) = self.runners.get_mut(runner) {
+            state.blocked_until = state.blocked_until.max(until);
+            state.acknowledged_until = state.acknowledged_until.max(until);
+        }
+    }
+
+    /// Records that a hold call got no response, which may have been an acknowledgement that the next instance executes.
+    pub(super) fn record_lost_hold(&mut self, runner: RunnerKey, now: LocalTime) {
+        let Some(state) = self.runners.get_mut(runner) else {
+            return;
+        };
+        if !state.hold_acknowledges {
+            return;
+        }
+        let until = now + STRAY_TIMEOUT;
+        state.acknowledged_until = until;
+        if let Some(next) = self.next_instance(runner) {
+            self.block_until(next, until);
+        }
+    }
+
+    /// Returns the newest instance under the id of one that has ended.
+    fn next_instance(&self, runner: RunnerKey) -> Option<RunnerKey> {
+        let state = self.runners.get(runner).filter(|state| state.has_ended)?;
+        self.runners.find(&state.report.id)
+    }
+
     /// Records that a command to an instance got a response that carries its deadline, or got none and may arrive until
     /// `until`. If the instance has ended, the next one may have taken the command.
     pub(super) fn record_arrival(&mut self, runner: RunnerKey, until: LocalTime) {
@@ -73,11 +117,8 @@
             return;
         };
         state.unanswered_until = state.unanswered_until.max(until);
-        if !state.has_ended {
-            return;
-        }
         let id = state.report.id.clone();
-        if let Some(next) = self.runners.find(&id) {
+        if let Some(next) = self.next_instance(runner) {
             self.expect_strays(next, until);
             self.extend_restart(&id, until);
         }
--- a/crates/dispatch/src/owner/runner_responses.rs
+++ b/crates/dispatch/src/owner/runner_responses.rs
@@ -32,6 +32,7 @@
             self.log_event("runner silent", id, format!("last_answer_ms={}", age.0));
         }
         self.record_arrival(runner, now + STRAY_TIMEOUT);
+        self.record_lost_hold(runner, now);
     }
 
     /// Handles the response to a hold call that was sent at `sent` and acknowledged ends up to `last_seen`.
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -42,6 +42,10 @@
     pub missed_holds: u32,
     /// Until when commands without a response may still arrive at its address.
     pub unanswered_until: LocalTime,
+    /// The hold call in flight, or the last one, acknowledges ends.
+    pub hold_acknowledges: bool,
+    /// Until when an acknowledgement without a response may still arrive at its address.
+    pub acknowledged_until: LocalTime,
     /// Highest sequence number of an end that was processed.
     pub processed: u64,
     /// Highest sequence number of an end whose outcome is stored, so that it may be acknowledged.
@@ -63,6 +67,8 @@
     pub in_doubt: bool,
     /// It has restarted under its id, and no later owner would know of it yet: it gets no new work.
     pub is_restart_unstored: bool,
+    /// It gets no new work before this time, because it may forget ends that no list has shown.
+    pub blocked_until: LocalTime,
     /// It gets no new work before this time, after failures or refusals.
     pub cooldown_until: LocalTime,
     /// Start commands in a row without a response.
@@ -96,6 +102,8 @@
             listing_since: now,
             missed_holds: 0,
             unanswered_until: LocalTime(0),
+            hold_acknowledges: false,
+            acknowledged_until: LocalTime(0),
             processed: 0,
             stored: 0,
             acknowledged: 0,
@@ -106,6 +114,7 @@
             unknown_runs: Vec::new(),
             in_doubt: false,
             is_restart_unstored: false,
+            blocked_until: LocalTime(0),
             cooldown_until: LocalTime(0),
             unanswered_starts: 0,
             unanswered_at: LocalTime(0),
@@ -169,6 +178,7 @@
             && self.missed_holds == 0
             && self.report.status == RunnerStatus::Ready
             && self.cooldown_until <= now
+            && self.blocked_until <= now
     }
 
     /// Returns whether the runner reports the label.
--- a/crates/dispatch/tests/stray_commands.rs
+++ b/crates/dispatch/tests/stray_commands.rs
@@ -4,11 +4,11 @@
 mod fleet;
 
 use {
-    fleet::{TestFleet, empty_response, listed_run, runner, step},
+    fleet::{TestFleet, empty_response, ended_run, job, listed_run, runner, step},
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::{
         owner::{OwnerCommand, StartCommand},
-        runners::{DEFAULT_MAX_LEASE, HoldResponse, RunnerKey},
+        runners::{DEFAULT_MAX_LEASE, EndKind, HoldResponse, RunnerKey},
     },
 };
 
@@ -18,6 +18,9 @@
 /// than the rest.
 const LONGEST_WAIT: Millis = Millis(DEFAULT_MAX_LEASE.0 + 4_000);
 
+/// How long a command without a response may still arrive.
+const STRAY_TIME: Millis = Millis(3_000);
+
 /// One runner that has work and restarts under its id, and what its next instance runs.
 struct RestartedRunner {
     fleet: TestFleet,
@@ -149,3 +152,69 @@
     runner.start_again();
     assert_waits(runner.cut_off());
 }
+
+/// Returns a runner whose only run has ended, and a hold call in flight that acknowledges the end.
+fn acknowledged_runner() -> RestartedRunner {
+    let (mut fleet, starts) = TestFleet::with_work(&["r1"], vec![step(1, 1_000)]);
+    fleet.advance(100);
+    let lists = HoldResponse {
+        started_ms: Some(1),
+        ended: vec![ended_run(40, &starts[0], EndKind::Done)],
+        ..empty_response(fleet.clock())
+    };
+    fleet.answer_holds(|_| Some(lists.clone()));
+    fleet.store();
+    fleet.advance(100);
+    let acknowledges =
+        |command: &OwnerCommand| matches!(command, OwnerCommand::Hold { last_seen: 40, .. });
+    assert!(fleet.commands.iter().any(acknowledges));
+    RestartedRunner {
+        fleet,
+        running: Vec::new(),
+    }
+}
+
+/// Lists the next instance, and returns after which time it gets work; hold calls to `earlier` get no response.
+fn wait_for_work(runner: &mut RestartedRunner, earlier: Option<RunnerKey>) -> Millis {
+    let restarted = runner.fleet.now;
+    runner.list_next();
+    runner.fleet.advance(10);
+    runner.fleet.submit(2, job(vec![step(1, 1_000)]));
+    for _ in 0..200 {
+        runner.answer(earlier);
+        if !runner.running.is_empty() {
+            return runner.fleet.now.since(restarted);
+        }
+    }
+    panic!("the next instance gets no work");
+}
+
+/// Guards against work that is done and runs again: an acknowledgement that was meant for the ended instance arrives at the
+/// next one, which forgets an end of its own that no list has shown yet.
+#[test]
+fn acknowledgement_in_flight() {
+    let mut runner = acknowledged_runner();
+    let earlier = runner.held_instance();
+    let wait = wait_for_work(&mut runner, Some(earlier));
+    assert!(wait >= STRAY_TIME, "work after {wait}");
+    assert!(wait <= STRAY_TIME + Millis(500), "work only after {wait}");
+}
+
+/// Guards against the same when the acknowledgement was given up before the restart was known.
+#[test]
+fn acknowledgement_given_up() {
+    let mut runner = acknowledged_runner();
+    runner.fleet.answer_holds(|_| None);
+    let wait = wait_for_work(&mut runner, None);
+    assert!(wait >= STRAY_TIME, "work after {wait}");
+    assert!(wait <= STRAY_TIME + Millis(500), "work only after {wait}");
+}
+
+/// Guards against a restarted runner that stays idle although no acknowledgement can reach it.
+#[test]
+fn no_acknowledgement() {
+    let mut runner = RestartedRunner::new();
+    let earlier = runner.held_instance();
+    let wait = wait_for_work(&mut runner, Some(earlier));
+    assert!(wait <= Millis(500), "work only after {wait}");
+}
