--- a/crates/dispatch/tests/fleet/mod.rs
+++ b/crates/dispatch/tests/fleet/mod.rs
@@ -10,7 +10,7 @@
             CallId, CallResponse, HostReport, HostStatus, JobCall, JournalBatch, OwnerCommand,
             OwnerState, StartCommand, StartResponse,
         },
-        records::JobSubmission,
+        records::{JobSubmission, StoreRecord},
         routes::{FleetRules, RouteRule, ServiceRule},
         runners::{
             Capacity, EndKind, EndedRun, HoldResponse, ListedRun, RunnerKey, RunnerReport,
@@ -100,6 +100,11 @@
 impl TestFleet {
     /// Creates an owner in the term with `token`, with a complete list of runners that have not responded yet.
     pub fn new(token: u64, ids: &[&str]) -> Self {
+        Self::restored(token, Vec::new(), 0, ids)
+    }
+
+    /// Creates an owner in the term with `token` that has read `records` at `wall_ms`.
+    pub fn restored(token: u64, records: Vec<StoreRecord>, wall_ms: u64, ids: &[&str]) -> Self {
         let now = LocalTime(100_000);
         let mut fleet = Self {
             owner: OwnerState::new(token, rules(), now),
@@ -107,7 +112,7 @@
             commands: Vec::new(),
             runners: ids.iter().map(|id| runner(id)).collect(),
         };
-        fleet.owner.restore(Vec::new(), now, 0);
+        fleet.owner.restore(records, now, wall_ms);
         fleet.list_runners();
         fleet
     }
--- a/crates/dispatch/tests/owner_change.rs
+++ b/crates/dispatch/tests/owner_change.rs
@@ -4,8 +4,7 @@
 mod fleet;
 
 use {
-    fleet::{TestFleet, empty_response, host, job, listed_run, route, rules, runner, step},
-    goldcreststall_core::ids::LocalTime,
+    fleet::{TestFleet, empty_response, host, job, listed_run, route, rules, step},
     goldcreststall_dispatch::{
         jobs::{ItemName, JobId, JobPhase},
         owner::{CallResponse, JobCall, OwnerState, StartCommand},
@@ -19,16 +18,7 @@
 const WALL_MS: u64 = 1_800_000_000_000;
 
 fn restored_fleet(records: Vec<StoreRecord>, ids: &[&str]) -> TestFleet {
-    let now = LocalTime(100_000);
-    let mut fleet = TestFleet {
-        owner: OwnerState::new(TOKEN, rules(), now),
-        now,
-        commands: Vec::new(),
-        runners: ids.iter().map(|id| runner(id)).collect(),
-    };
-    fleet.owner.restore(records, now, WALL_MS);
-    fleet.list_runners();
-    fleet
+    TestFleet::restored(TOKEN, records, WALL_MS, ids)
 }
 
 fn submission(id: u64) -> StoreRecord {
--- a/crates/dispatch/tests/restart_records.rs
+++ b/crates/dispatch/tests/restart_records.rs
@@ -4,11 +4,11 @@
 mod fleet;
 
 use {
-    fleet::{POOL, TestFleet, empty_response, job, listed_run, route, rules, runner, step},
-    goldcreststall_core::ids::{LocalTime, Millis},
+    fleet::{POOL, TestFleet, empty_response, job, listed_run, route, step},
+    goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::{
         jobs::JobId,
-        owner::{OwnerState, StartCommand},
+        owner::StartCommand,
         records::{JobSubmission, RestartId, RunnerRestart, StoreRecord},
         runners::{DEFAULT_MAX_LEASE, HoldResponse, max_lapse_delay},
     },
@@ -71,16 +71,7 @@
 
 /// Returns the fleet of the next owner, which lists the runners `ids`.
 fn next_fleet(records: Vec<StoreRecord>, ids: &[&str]) -> TestFleet {
-    let now = LocalTime(200_000);
-    let mut fleet = TestFleet {
-        owner: OwnerState::new(NEXT_TOKEN, rules(), now),
-        now,
-        commands: Vec::new(),
-        runners: ids.iter().map(|id| runner(id)).collect(),
-    };
-    fleet.owner.restore(records, now, WALL_MS);
-    fleet.list_runners();
-    fleet
+    TestFleet::restored(NEXT_TOKEN, records, WALL_MS, ids)
 }
 
 /// Returns after which time the work starts on r2, while r1 is cut off.
--- a/crates/node/tests/claim_race.rs
+++ b/crates/node/tests/claim_race.rs
@@ -5,31 +5,18 @@
 
 use {
     bytes::Bytes,
-    fakes::{FakeStore, logger},
+    fakes::{Candidate, FakeStore, spawn_candidate},
     goldcreststall_core::ids::Millis,
-    goldcreststall_node::{
-        election::{ElectionEvent, ElectionTask, OwnerLease, OwnerLocation, OwnershipRecord},
-        links::PeerDirectory,
-    },
+    goldcreststall_node::election::{ElectionEvent, OwnershipRecord},
     std::{
         collections::BTreeSet,
-        net::SocketAddr,
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
-    tokio::sync::{mpsc, watch},
-    tokio_util::sync::CancellationToken,
 };
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
-struct Candidate {
-    events: mpsc::UnboundedReceiver<ElectionEvent>,
-    lease: OwnerLease,
-    owner: watch::Receiver<Option<OwnerLocation>>,
-    stop: CancellationToken,
-}
-
 fn spawn(store: &Arc<FakeStore>, port: u16, claimant: &str) -> Candidate {
     spawn_delayed(store, port, claimant, Millis(0))
 }
@@ -40,30 +27,7 @@
     claimant: &str,
     claim_delay: Millis,
 ) -> Candidate {
-    let address = SocketAddr::from(([127, 0, 0, 1], port));
-    let (events, received_events) = mpsc::unbounded_channel();
-    let (owner, owner_updates) = watch::channel(None);
-    let stop = CancellationToken::new();
-    let lease = OwnerLease::default();
-    let task = ElectionTask {
-        claimant: claimant.to_owned(),
-        address,
-        store: Arc::clone(store) as _,
-        events,
-        peers: PeerDirectory::new(address, owner.clone()),
-        owner,
-        lease: lease.clone(),
-        claim_delay,
-        stop: stop.clone(),
-        logger: logger(),
-    };
-    tokio::spawn(task.run());
-    Candidate {
-        events: received_events,
-        lease,
-        owner: owner_updates,
-        stop,
-    }
+    spawn_candidate(Arc::clone(store) as _, port, claimant, claim_delay)
 }
 
 async fn known_token(candidate: &mut Candidate) -> u64 {
--- a/crates/node/tests/lease_records.rs
+++ b/crates/node/tests/lease_records.rs
@@ -6,26 +6,22 @@
 use {
     async_trait::async_trait,
     bytes::Bytes,
-    fakes::{FakeStore, logger},
+    fakes::{Candidate, FakeStore, spawn_candidate},
     goldcreststall_core::ids::Millis,
     goldcreststall_node::{
-        election::{ElectionTask, OwnerLease, OwnershipRecord},
-        links::PeerDirectory,
+        election::OwnershipRecord,
         ports::{
             AppendCondition, AppendPosition, NewestPage, PlatformStore, ReadBatch, StoreError,
             StoreTopic,
         },
     },
     std::{
-        net::SocketAddr,
         sync::{
             Arc,
             atomic::{AtomicBool, Ordering},
         },
         time::Duration,
     },
-    tokio::sync::{mpsc, watch},
-    tokio_util::sync::CancellationToken,
 };
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
@@ -111,37 +107,8 @@
     }
 }
 
-struct Candidate {
-    lease: OwnerLease,
-    stop: CancellationToken,
-}
-
-impl Drop for Candidate {
-    fn drop(&mut self) {
-        self.stop.cancel();
-    }
-}
-
 fn spawn(path: &Arc<StorePath>, port: u16, claimant: &str) -> Candidate {
-    let address = SocketAddr::from(([127, 0, 0, 1], port));
-    let (events, _) = mpsc::unbounded_channel();
-    let (owner, _) = watch::channel(None);
-    let stop = CancellationToken::new();
-    let lease = OwnerLease::default();
-    let task = ElectionTask {
-        claimant: claimant.to_owned(),
-        address,
-        store: Arc::clone(path) as _,
-        events,
-        peers: PeerDirectory::new(address, owner.clone()),
-        owner,
-        lease: lease.clone(),
-        claim_delay: Millis(0),
-        stop: stop.clone(),
-        logger: logger(),
-    };
-    tokio::spawn(task.run());
-    Candidate { lease, stop }
+    spawn_candidate(Arc::clone(path) as _, port, claimant, Millis(0))
 }
 
 fn decode(record: &Bytes) -> OwnershipRecord {
@@ -194,7 +161,8 @@
         .await
         .expect("a claim of the other process");
     assert_eq!(overlap, Millis(0), "two processes may send commands");
-    drop(second);
+    first.stop.cancel();
+    second.stop.cancel();
 }
 
 /// Guards against a record that names less time than its owner holds, at any moment after an outage.
@@ -226,4 +194,5 @@
     tokio::time::timeout(TEST_TIMEOUT, renewed)
         .await
         .expect("renewals after the outage");
+    owner.stop.cancel();
 }
