Interfaces for organisations, process limits and service bounds

Records and calls without an organisation keep their bytes: the field is skipped. Result: clippy without warnings, record_bytes passes.

--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -18,6 +18,8 @@
     pub id: JobId,
     /// The queue's configuration at the time when the job was accepted.
     pub queue: Arc<RouteRule>,
+    /// Organisation that has submitted the job; `None` for a call without a key.
+    pub organisation: Option<String>,
     /// Description by the caller; empty after [`Self::shrink`].
     pub spec: JobSpec,
     /// The work items, ordered by occurrence, step and index; empty after [`Self::shrink`].
@@ -76,7 +78,10 @@
     /// Creates a job that has not started; [`JobSpec::check`] must have accepted its description.
     pub fn new(id: JobId, submission: JobSubmission, first_seen: LocalTime) -> Self {
         let JobSubmission {
-            queue, job: spec, ..
+            queue,
+            job: spec,
+            organisation,
+            ..
         } = submission;
         let mut items = Vec::new();
         for occurrence in 0..spec.occurrences() {
@@ -94,6 +99,7 @@
         Self {
             id,
             queue: Arc::new(queue),
+            organisation,
             items,
             first_seen,
             phase: JobPhase::Queued,
@@ -116,6 +122,7 @@
         Self {
             id,
             queue: Arc::default(),
+            organisation: None,
             spec: JobSpec::default(),
             items: Vec::new(),
             first_seen: now,
--- a/crates/dispatch/src/owner/job_calls.rs
+++ b/crates/dispatch/src/owner/job_calls.rs
@@ -13,7 +13,8 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct CallId(pub u64);
 
-/// A call of the job interface, already routed to its queue.
+/// A call of the job interface, already routed to its queue. Entry hosts of other versions know the variants by their
+/// place: new ones go to the end.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum JobCall {
     /// Cancel a job.
@@ -22,8 +23,10 @@
     Pending(String),
     /// Query the state of a job.
     State(JobId),
-    /// Submit a job.
+    /// Submit a job without an organisation.
     Submit(JobId, Box<JobSubmission>),
+    /// Submit a job of the named organisation.
+    SubmitFor(JobId, Box<JobSubmission>, String),
 }
 
 /// The response to a call.
@@ -45,6 +48,21 @@
     Unknown,
 }
 
+impl JobCall {
+    /// Returns the id of the job that the call submits.
+    pub fn submitted_id(&self) -> Option<JobId> {
+        match self {
+            Self::Submit(id, _) | Self::SubmitFor(id, ..) => Some(*id),
+            Self::Cancel(_) | Self::Pending(_) | Self::State(_) => None,
+        }
+    }
+
+    /// Returns whether the call changes a job.
+    pub fn is_change(&self) -> bool {
+        self.submitted_id().is_some() || matches!(self, Self::Cancel(_))
+    }
+}
+
 impl OwnerState {
     /// Handles a call. Its response is issued as a command, immediately or once the records that it depends on are
     /// stored.
@@ -56,6 +74,10 @@
             }
             JobCall::State(id) => self.reply(call_id, self.job_state(id)),
             JobCall::Submit(id, submission) => self.submit(call_id, id, *submission, now),
+            JobCall::SubmitFor(id, mut submission, organisation) => {
+                submission.organisation = Some(organisation);
+                self.submit(call_id, id, *submission, now);
+            }
         }
     }
 
--- a/crates/dispatch/src/records/store_record.rs
+++ b/crates/dispatch/src/records/store_record.rs
@@ -34,6 +34,9 @@
     pub job: JobSpec,
     /// Time of day at which an entry host accepted it, in Unix milliseconds; 0 when unknown.
     pub accepted_ms: u64,
+    /// Organisation whose key the call carried. The formats without organisations lack it.
+    #[serde(skip)]
+    pub organisation: Option<String>,
 }
 
 /// Submission in [`FORMAT`], as stored by earlier versions.
@@ -129,6 +132,7 @@
                     queue,
                     job,
                     accepted_ms,
+                    organisation,
                 } = submission.clone();
                 let JobSpec { spec: text, .. } = job;
                 let job = JobSpec {
@@ -139,6 +143,7 @@
                     queue,
                     job,
                     accepted_ms,
+                    organisation,
                 };
                 let mut rows = Self::Text(*id, text).encode();
                 rows.push((format!("j/{id}"), encode(TIMED_FORMAT, &submission)));
@@ -212,6 +217,7 @@
         queue,
         job,
         accepted_ms: 0,
+        organisation: None,
     })
 }
 
--- a/crates/dispatch/src/routes/fleet_rules.rs
+++ b/crates/dispatch/src/routes/fleet_rules.rs
@@ -1,4 +1,5 @@
 use {
+    crate::organisations::OrganisationRule,
     goldcreststall_core::ids::Millis,
     serde::{Deserialize, Serialize},
 };
@@ -77,6 +78,10 @@
     pub services: Vec<ServiceRule>,
     /// Limits of callers' connections and requests.
     pub limits: CallLimits,
+    /// Organisations, sorted by name; `None` when the configuration has none, and calls need no key.
+    pub organisations: Option<Vec<OrganisationRule>>,
+    /// Names of the queues whose calls need no key, sorted.
+    pub public_routes: Vec<String>,
 }
 
 impl FleetRules {
@@ -91,6 +96,19 @@
         Some((route, &path[route.prefix.len()..]))
     }
 
+    /// Returns whether a call on this queue needs the key of an organisation.
+    pub fn needs_key(&self, route: &RouteRule) -> bool {
+        let is_public = self.public_routes.binary_search(&route.name).is_ok();
+        self.organisations.is_some() && !is_public
+    }
+
+    /// Returns the organisation with this name.
+    pub fn organisation(&self, name: &str) -> Option<&OrganisationRule> {
+        let rules = self.organisations.as_ref()?;
+        let index = rules.binary_search_by(|rule| rule.name.as_str().cmp(name));
+        Some(&rules[index.ok()?])
+    }
+
     /// Returns whether the hosts of a pool are switched off.
     pub fn is_spare(&self, pool: &str) -> bool {
         self.services
--- a/crates/dispatch/tests/advice_tickets.rs
+++ b/crates/dispatch/tests/advice_tickets.rs
@@ -27,6 +27,7 @@
         queue,
         job: job(vec![step(2, 1_000)]),
         accepted_ms: 0,
+        organisation: None,
     };
     let call = JobCall::Submit(JobId(1), Box::new(submission));
     fleet.owner.call(CallId(1), call, fleet.now);
--- a/crates/dispatch/tests/ended_jobs.rs
+++ b/crates/dispatch/tests/ended_jobs.rs
@@ -19,6 +19,7 @@
         queue: fleet::route(),
         job: job(vec![step(500, 1_000)]),
         accepted_ms: 0,
+        organisation: None,
     };
     let mut state = JobState::new(JobId(7), submission, goldcreststall_core::ids::LocalTime(0));
     assert!(!state.has_ended());
--- a/crates/dispatch/tests/fleet/mod.rs
+++ b/crates/dispatch/tests/fleet/mod.rs
@@ -210,6 +210,7 @@
             queue: route(),
             job: spec,
             accepted_ms: 0,
+            organisation: None,
         };
         let call = JobCall::Submit(JobId(id), Box::new(submission));
         self.owner.call(CallId(id), call, self.now);
--- a/crates/dispatch/tests/odd_jobs.rs
+++ b/crates/dispatch/tests/odd_jobs.rs
@@ -28,6 +28,7 @@
         queue,
         job,
         accepted_ms: 0,
+        organisation: None,
     }
 }
 
--- a/crates/dispatch/tests/odd_responses.rs
+++ b/crates/dispatch/tests/odd_responses.rs
@@ -93,6 +93,7 @@
         queue: route(),
         job: job(vec![step(1, 1_000)]),
         accepted_ms: 0,
+        organisation: None,
     };
     let records = vec![StoreRecord::Submission(JobId(7), submission)];
     fleet.owner.restore(records, fleet.now, 0);
--- a/crates/dispatch/tests/owner_change.rs
+++ b/crates/dispatch/tests/owner_change.rs
@@ -29,6 +29,7 @@
             queue: route(),
             job,
             accepted_ms: 0,
+            organisation: None,
         },
     )
 }
@@ -209,6 +210,7 @@
             queue: route(),
             job: job(vec![step(1, 8_000)]),
             accepted_ms: WALL_MS - 10_000,
+            organisation: None,
         },
     );
     let mut fleet = restored_fleet(vec![old], &["r1"]);
--- a/crates/dispatch/tests/record_bytes.rs
+++ b/crates/dispatch/tests/record_bytes.rs
@@ -49,6 +49,7 @@
         queue: route(),
         job: job(vec![step(3, 1_000)]),
         accepted_ms: 1_800_000_000_000,
+        organisation: None,
     };
     submission_round_trip(JobId(7), &submission);
     let progress = JobProgress {
@@ -115,6 +116,7 @@
         queue: route(),
         job: job(vec![step(3, 1_000)]),
         accepted_ms: 0,
+        organisation: None,
     };
     let mut value = vec![1];
     value.extend(postcard::to_stdvec(&(&submission.queue, &submission.job)).expect("bytes"));
--- a/crates/dispatch/tests/restart_records.rs
+++ b/crates/dispatch/tests/restart_records.rs
@@ -52,6 +52,7 @@
             queue: route(),
             job: job(vec![step(1, 1_000)]),
             accepted_ms: 0,
+            organisation: None,
         },
     )
 }
--- a/crates/node/src/api/job_api.rs
+++ b/crates/node/src/api/job_api.rs
@@ -164,6 +164,7 @@
                     queue,
                     job,
                     accepted_ms: wall_time().0,
+                    organisation: None,
                 });
                 self.call_owner(JobCall::Submit(id, submission), timeout)
                     .await
--- a/crates/node/src/api/owner_client.rs
+++ b/crates/node/src/api/owner_client.rs
@@ -85,7 +85,7 @@
         let started = BootClock.now();
         let deadline = started + timeout;
         let unsent_deadline = deadline.min(started + NO_OWNER_TIMEOUT);
-        let is_change = matches!(call, JobCall::Submit(..) | JobCall::Cancel(_));
+        let is_change = call.is_change();
         let mut lost = false;
         let mut refused_attempts = 0;
         loop {
--- a/crates/node/src/control/owner_actor.rs
+++ b/crates/node/src/control/owner_actor.rs
@@ -319,7 +319,8 @@
             return;
         };
         // A known job may be stored, so that its repeated submission must not be refused.
-        let is_submission = matches!(&call, JobCall::Submit(id, _) if !state.knows_job(*id));
+        let submitted = call.submitted_id();
+        let is_submission = submitted.is_some_and(|id| !state.knows_job(id));
         let failing_too_long = |since: LocalTime| now.since(since) > STORE_FAILURE_TIMEOUT;
         if is_submission && term.store_failing_since.is_some_and(failing_too_long) {
             let _ = reply.send(CallResponse::Unavailable);
--- a/crates/node/src/daemon/mod.rs
+++ b/crates/node/src/daemon/mod.rs
@@ -3,4 +3,4 @@
 mod essential_tasks;
 mod node_daemon;
 
-pub use node_daemon::{NodeIngress, NodeSettings, PlatformPorts, run};
+pub use node_daemon::{NodeIngress, NodeSettings, PlatformPorts, ProcessLimits, run};
--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -18,7 +18,7 @@
     anyhow::{Context, bail},
     async_trait::async_trait,
     goldcreststall_core::ids::Millis,
-    goldcreststall_dispatch::runners::RunnerReport,
+    goldcreststall_dispatch::{routes::ServiceBounds, runners::RunnerReport},
     goldcreststall_entry::clock::wall_time,
     kameo::actor::{ActorRef, Spawn},
     slog::{Logger, error, info},
@@ -68,6 +68,19 @@
     pub maintenance: Millis,
     /// Longest lease that a runner accepts.
     pub max_lease: Millis,
+    /// Memory and descriptors that the process may use.
+    pub limits: ProcessLimits,
+    /// Bounds of the deployment.
+    pub bounds: ServiceBounds,
+}
+
+/// Limits of the process by its host.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ProcessLimits {
+    /// Memory in MB; `None` if the settings name none.
+    pub memory_mb: Option<u32>,
+    /// Number of file descriptors; `None` if the settings name none.
+    pub max_fds: Option<u32>,
 }
 
 impl NodeSettings {
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -153,6 +153,7 @@
         queue,
         job,
         accepted_ms: 0,
+        organisation: None,
     };
     JobCall::Submit(JobId(id), Box::new(submission))
 }
--- a/crates/node/tests/task_panic.rs
+++ b/crates/node/tests/task_panic.rs
@@ -7,10 +7,10 @@
     async_trait::async_trait,
     fakes::{FakeHosts, FakeRunners, FakeStore, NoAdvice},
     goldcreststall_core::ids::Millis,
-    goldcreststall_dispatch::runners::RunnerReport,
+    goldcreststall_dispatch::{routes::ServiceBounds, runners::RunnerReport},
     goldcreststall_node::{
         api::JobApi,
-        daemon::{NodeIngress, NodeSettings, PlatformPorts, run},
+        daemon::{NodeIngress, NodeSettings, PlatformPorts, ProcessLimits, run},
         ports::{FeedBatch, OperatorRecord, RecordFeed, StoreError},
     },
     slog::{Drain, Logger, Never, OwnedKVList, Record, o},
@@ -76,6 +76,8 @@
         grace: Millis(6_000),
         maintenance: Millis(2_000),
         max_lease: Millis(10_000),
+        limits: ProcessLimits::default(),
+        bounds: ServiceBounds::default(),
     }
 }
 
