Keys of ended jobs are not followed in lists that outlive a round

Cause: the list of lasting work without a runner is renewed by passes of placement. Where passes are more than 100 ms apart (from 4,800 unfinished jobs on), a job could end and be shrunk before the next pass, and a wave looked up the range of a step that was gone: the process of the owner panicked. With any number of jobs, hosts moved to a pool for work that was cancelled since the last pass. Results of the advice service were kept for steps of ended jobs until they expired.

Change: JobTable::unfinished_step looks up a kept StepKey and finds nothing for an ended or removed job. The list is cleared of ended jobs before decisions on hosts; results of advice are dropped with their job.

--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -206,7 +206,7 @@
         &self.items[range.start as usize..range.end as usize]
     }
 
-    /// Returns the range of indexes in `items` of one step in one occurrence.
+    /// Returns the range of indexes in `items` of one step in one occurrence. The job must not have been shrunk.
     pub fn step_range(&self, occurrence: u32, step: u32) -> std::ops::Range<u32> {
         let before = self.steps[step as usize].first_item;
         let first = occurrence * self.items_per_occurrence + before;
--- a/crates/dispatch/src/jobs/job_table.rs
+++ b/crates/dispatch/src/jobs/job_table.rs
@@ -1,4 +1,7 @@
-use super::{ItemKey, ItemName, JobId, JobKey, JobState, WorkItem};
+use {
+    super::{ItemKey, ItemName, JobId, JobKey, JobState, StepKey, WorkItem},
+    std::ops::Range,
+};
 
 /// All jobs known to the owner, in an arena with an index by id.
 #[derive(Debug, Default)]
@@ -52,6 +55,13 @@
         Some((job, job.items.get(key.item as usize)?))
     }
 
+    /// Returns the job of a step and the indexes of its work items; none when the job has ended or was removed. A key that
+    /// was kept from an earlier round must be looked up here, because [`JobState::shrink`] removes the steps.
+    pub fn unfinished_step(&self, key: StepKey) -> Option<(&JobState, Range<u32>)> {
+        let job = self.get(key.job).filter(|job| !job.phase.is_final())?;
+        Some((job, job.step_range(key.occurrence, key.step)))
+    }
+
     /// Returns a work item for changes.
     pub fn item_mut(&mut self, key: ItemKey) -> Option<&mut WorkItem> {
         self.get_mut(key.job)?.items.get_mut(key.item as usize)
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -177,9 +177,10 @@
             self.stop_stuck_runs(now);
             self.stop_incomplete_gangs();
             self.measure_backlogs(now);
+            self.forget_ended_unplaced();
             self.decide_hosts(now);
             self.forget_ended(now);
-            self.advice.forget_expired(now);
+            self.advice.forget_expired(&self.jobs, now);
             self.placement_due = true;
         }
         if self.placement_due && now.since(self.last_placement) >= self.placement_interval() {
--- a/crates/dispatch/src/owner/runner_advice.rs
+++ b/crates/dispatch/src/owner/runner_advice.rs
@@ -1,7 +1,7 @@
 use {
     super::{AdviceCommand, OwnerCommand, OwnerState},
     crate::{
-        jobs::{ItemKey, StepKey, StepName},
+        jobs::{ItemKey, JobTable, StepKey, StepName},
         runners::RunnerKey,
     },
     goldcreststall_core::ids::{LocalTime, Millis},
@@ -71,8 +71,11 @@
         }
     }
 
-    pub(super) fn forget_expired(&mut self, now: LocalTime) {
-        self.rows.retain(|advice| now < advice.until);
+    /// Removes the results that have expired, and those for steps of ended jobs: thousands of jobs can end within the time
+    /// for which a ticket is valid.
+    pub(super) fn forget_expired(&mut self, jobs: &JobTable, now: LocalTime) {
+        self.rows
+            .retain(|advice| now < advice.until && jobs.unfinished_step(advice.step).is_some());
     }
 }
 
@@ -146,7 +149,8 @@
         now: LocalTime,
     ) {
         self.advice.in_flight.retain(|step| *step != command.step);
-        let Some(job) = self.jobs.get(command.step.job) else {
+        // The job may have ended while the service decided.
+        let Some((job, _)) = self.jobs.unfinished_step(command.step) else {
             return;
         };
         let valid = job
--- a/crates/dispatch/src/owner/unplaced_serving.rs
+++ b/crates/dispatch/src/owner/unplaced_serving.rs
@@ -35,10 +35,17 @@
         })
     }
 
+    /// Removes the steps of jobs that have ended since the last pass of placement: with thousands of unfinished jobs,
+    /// several rounds of decisions come between two passes.
+    pub(super) fn forget_ended_unplaced(&mut self) {
+        let jobs = &self.jobs;
+        self.unplaced_serving
+            .retain(|unplaced| jobs.unfinished_step(unplaced.step).is_some());
+    }
+
     /// Returns a work item of a step that has no run.
     fn idle_item(&self, step: StepKey) -> Option<ItemKey> {
-        let job = self.jobs.get(step.job)?;
-        let mut indexes = job.step_range(step.occurrence, step.step);
+        let (job, mut indexes) = self.jobs.unfinished_step(step)?;
         let item = indexes.find(|index| job.items[*index as usize].is_idle())?;
         Some(ItemKey {
             job: step.job,
--- a/crates/dispatch/tests/advice_tickets.rs
+++ b/crates/dispatch/tests/advice_tickets.rs
@@ -119,3 +119,18 @@
     fleet.advance(10);
     assert!(fleet.starts().is_empty());
 }
+
+/// Guards against results that are kept for a job which ended while the service decided.
+#[test]
+fn answer_for_ended_job() {
+    let mut fleet = fleet_with_advice();
+    let command = advice_commands(&mut fleet).remove(0);
+    fleet.call(2, JobCall::Cancel(JobId(1)));
+    fleet.store();
+    fleet.advance(100);
+    fleet.owner.take_events();
+    approve(&mut fleet, &command, "r1");
+    let events = fleet.owner.take_events();
+    let taken = events.iter().find(|event| event.event == "advice taken");
+    assert_eq!(taken, None);
+}
