Runs of a job that is removed as not stored leave their runners

Cause: a job whose submission is refused because the store does not respond is removed at once. A run that a runner had listed under its id, as one of a forgotten job with the same id, was recorded for it; the key stayed among the runner's work items, and its capacity in use, for the rest of the term. A wave would wait for that host without end.

Change: the runs are detached before the job is removed; a later list shows them as runs of an unknown job, which are stopped.

Result: run_of_refused_job passes (no start before); all tests of the package pass.

--- a/crates/dispatch/src/owner/journal_queue.rs
+++ b/crates/dispatch/src/owner/journal_queue.rs
@@ -267,6 +267,7 @@
     pub fn refuse_unsent(&mut self) {
         let (keys, call_ids) = self.journal.take_unsent();
         for key in keys {
+            self.detach_job_runs(key);
             if let Some(job) = self.jobs.remove(key) {
                 let detail = "the store does not respond; the job was not sent to it".to_owned();
                 self.log_event("submission refused", job.id.to_string(), detail);
--- a/crates/dispatch/src/owner/run_table.rs
+++ b/crates/dispatch/src/owner/run_table.rs
@@ -134,6 +134,18 @@
         }
     }
 
+    /// Removes every run of a job that is about to be removed: their runners would count their capacity as used for ever.
+    /// A run that is listed later is stopped as that of an unknown job.
+    pub(super) fn detach_job_runs(&mut self, key: JobKey) {
+        let now = self.last_tick;
+        let items = self.jobs.get(key).map_or(0, |job| job.items.len() as u32);
+        for item in (0..items).map(|item| ItemKey { job: key, item }) {
+            for (runner, run) in self.recorded_runs(item) {
+                self.detach_run(item, runner, run, now);
+            }
+        }
+    }
+
     /// Issues a stop of every run of a work item.
     pub(super) fn stop_item_runs(&mut self, key: ItemKey) {
         for (runner, run) in self.recorded_runs(key) {
--- a/crates/dispatch/tests/stale_keys.rs
+++ b/crates/dispatch/tests/stale_keys.rs
@@ -3,12 +3,12 @@
 mod fleet;
 
 use {
-    fleet::{POOL, TestFleet, host, job, step},
+    fleet::{POOL, TestFleet, empty_response, host, job, listed_run, step},
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::{
-        jobs::{JobId, JobSpec, StepSpec},
+        jobs::{ItemName, JobId, JobSpec, StepSpec},
         owner::{JobCall, OwnerCommand, WaveRequest},
-        runners::RunnerReport,
+        runners::{ListedRun, RunnerReport},
     },
 };
 
@@ -90,3 +90,40 @@
     let moves = |command: &&OwnerCommand| matches!(command, OwnerCommand::MoveHost { .. });
     assert_eq!(fleet.commands.iter().filter(moves).count(), 0);
 }
+
+/// Guards against capacity of a runner that stays in use by a job that was removed because the store does not respond: a
+/// wave would wait for the end of its work for ever.
+#[test]
+fn run_of_refused_job() {
+    let mut fleet = TestFleet::new(1, &["r1"]);
+    fleet.list_hosts(vec![host("h1", POOL, Some("r1"))]);
+    fleet.answer_first_holds();
+    // The runner lists a run of an earlier job with the same id, which was forgotten.
+    let earlier = ListedRun {
+        name: ItemName {
+            job: JobId(7),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        },
+        run: 3,
+        checkpoint: String::new(),
+        percent: 50,
+        load: 0,
+    };
+    let running = fleet.start_work(6, vec![step(1, 100)]).remove(0);
+    fleet.submit(7, job(vec![step(1, 8_000)]));
+    fleet.advance(100);
+    let mut response = empty_response(fleet.clock());
+    response.running = vec![earlier, listed_run(&running)];
+    fleet.answer_holds(|_| Some(response.clone()));
+    fleet.owner.refuse_unsent();
+    for _ in 0..5 {
+        fleet.advance(100);
+        let mut response = empty_response(fleet.clock());
+        response.running = vec![listed_run(&running)];
+        fleet.answer_holds(|_| Some(response.clone()));
+    }
+    let starts = fleet.submit_work(8, vec![step(1, 7_000)]);
+    assert_eq!(starts.len(), 1, "the runner has free capacity");
+}
