Quotas of organisations on what runs at the same time

An organisation could use the whole fleet: nothing counted what it has running.

Change: a table of organisations with small keys counts the processor time, memory and accelerators of every recorded run, where runs are attached and detached; a check before a start takes constant time. Recovered work that may still run on runners that have not answered counts too, up to the capacity of those runners. Jobs of an organisation keep their submission in the store while runs of them are being stopped, so that the next owner can count these. Jobs without an organisation are not checked.

--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -1,6 +1,7 @@
 use {
     super::{ItemName, JobId, JobPhase, JobSpec, StepSpec, WorkItem},
     crate::{
+        organisations::OrganisationKey,
         records::{JobProgress, JobSubmission},
         routes::RouteRule,
     },
@@ -20,6 +21,8 @@
     pub queue: Arc<RouteRule>,
     /// Organisation that has submitted the job; `None` for a call without a key.
     pub organisation: Option<String>,
+    /// Its key in the owner's table of organisations, which the owner sets when it learns of the job.
+    pub organisation_key: OrganisationKey,
     /// Description by the caller; empty after [`Self::shrink`].
     pub spec: JobSpec,
     /// The work items, ordered by occurrence, step and index; empty after [`Self::shrink`].
@@ -100,6 +103,7 @@
             id,
             queue: Arc::new(queue),
             organisation,
+            organisation_key: OrganisationKey::NONE,
             items,
             first_seen,
             phase: JobPhase::Queued,
@@ -123,6 +127,7 @@
             id,
             queue: Arc::default(),
             organisation: None,
+            organisation_key: OrganisationKey::NONE,
             spec: JobSpec::default(),
             items: Vec::new(),
             first_seen: now,
@@ -299,7 +304,12 @@
 
     /// Returns whether the final phase is stored and no run of the job is left.
     pub fn has_ended(&self) -> bool {
-        self.stored_phase.is_final() && self.items.iter().all(|item| item.runs.is_empty())
+        self.stored_phase.is_final() && self.has_no_runs()
+    }
+
+    /// Returns whether no run of the job is left.
+    pub fn has_no_runs(&self) -> bool {
+        self.items.iter().all(|item| item.runs.is_empty())
     }
 
     /// Returns the phase that callers see: a final one only when it is stored.
--- a/crates/dispatch/src/organisations/mod.rs
+++ b/crates/dispatch/src/organisations/mod.rs
@@ -1,5 +1,11 @@
 //! Organisations: who may submit jobs, how much of it may run at the same time, and which share is due.
 
 mod organisation_rule;
+mod organisation_table;
+mod resource_use;
 
-pub use organisation_rule::{OrganisationRule, ResourceCap};
+pub use {
+    organisation_rule::{OrganisationRule, ResourceCap},
+    organisation_table::{OrganisationKey, OrganisationTable},
+    resource_use::ResourceUse,
+};
--- /dev/null
+++ b/crates/dispatch/src/organisations/organisation_table.rs
@@ -0,0 +1,206 @@
+use {
+    super::{ResourceCap, ResourceUse},
+    crate::routes::FleetRules,
+};
+
+/// Index of an organisation in the [`OrganisationTable`].
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct OrganisationKey(u32);
+
+impl OrganisationKey {
+    /// Stands for all work without an organisation.
+    pub const NONE: Self = Self(0);
+
+    fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// What is known of one organisation.
+#[derive(Clone, Debug)]
+struct OrganisationRow {
+    name: String,
+    weight: u64,
+    cap: ResourceCap,
+    /// Use of the recorded runs.
+    used: ResourceUse,
+    /// Use that runs of an earlier owner may have on runners that have not answered this owner.
+    assumed: ResourceUse,
+    /// Work items that the quota kept from starting in the last pass of placement.
+    over_quota: u32,
+}
+
+impl OrganisationRow {
+    fn new(name: &str, rules: &FleetRules) -> Self {
+        let mut row = Self {
+            name: name.to_owned(),
+            weight: 1,
+            cap: ResourceCap::default(),
+            used: ResourceUse::default(),
+            assumed: ResourceUse::default(),
+            over_quota: 0,
+        };
+        row.set_rule(rules);
+        row
+    }
+
+    /// An organisation that is not in the configuration has no quota and weight 1.
+    fn set_rule(&mut self, rules: &FleetRules) {
+        let rule = rules.organisation(&self.name);
+        self.weight = rule.map_or(1, |rule| rule.weight.max(1));
+        self.cap = rule.map(|rule| rule.cap).unwrap_or_default();
+    }
+
+    fn total(&self) -> ResourceUse {
+        self.used.plus(&self.assumed)
+    }
+}
+
+/// The organisations that have had jobs in this term, with what they use. Designed for 10,000 organisations and thousands
+/// of checks in a pass of placement: a check and an update take constant time.
+#[derive(Clone, Debug)]
+pub struct OrganisationTable {
+    by_name: Vec<(String, OrganisationKey)>,
+    /// The first row stands for work without an organisation.
+    rows: Vec<OrganisationRow>,
+    /// Organisations that the quota kept from starting work in the last pass of placement, and in the one before.
+    over_quota: Vec<OrganisationKey>,
+    over_quota_before: Vec<OrganisationKey>,
+}
+
+impl OrganisationTable {
+    /// Creates a table without organisations.
+    pub fn new(rules: &FleetRules) -> Self {
+        let mut table = Self {
+            by_name: Vec::new(),
+            rows: vec![OrganisationRow::new("", &FleetRules::default())],
+            over_quota: Vec::new(),
+            over_quota_before: Vec::new(),
+        };
+        table.set_rules(rules);
+        table
+    }
+
+    /// Returns the key of an organisation, which is added at its first use.
+    pub fn intern(&mut self, name: Option<&str>, rules: &FleetRules) -> OrganisationKey {
+        let Some(name) = name else {
+            return OrganisationKey::NONE;
+        };
+        let found = self
+            .by_name
+            .binary_search_by(|(other, _)| other.as_str().cmp(name));
+        match found {
+            Ok(index) => self.by_name[index].1,
+            Err(index) => {
+                let key = OrganisationKey(self.rows.len() as u32);
+                self.rows.push(OrganisationRow::new(name, rules));
+                self.by_name.insert(index, (name.to_owned(), key));
+                key
+            }
+        }
+    }
+
+    /// Applies the quotas and weights of a configuration. Work without an organisation has no quota and the mean weight of
+    /// the configured organisations: it shares capacity like one more organisation, so that calls without a key cannot take
+    /// that of the others.
+    pub fn set_rules(&mut self, rules: &FleetRules) {
+        for row in &mut self.rows[1..] {
+            row.set_rule(rules);
+        }
+        let configured = rules.organisations.as_deref().unwrap_or_default();
+        let weights = configured.iter().map(|rule| rule.weight);
+        let total = weights.fold(0, u64::saturating_add);
+        self.rows[0].weight = total
+            .checked_div(configured.len() as u64)
+            .unwrap_or(1)
+            .max(1);
+    }
+
+    /// Adds the use of a run that may have started.
+    pub fn add_use(&mut self, key: OrganisationKey, demand: &ResourceUse) {
+        let row = &mut self.rows[key.index()];
+        row.used = row.used.plus(demand);
+    }
+
+    /// Removes the use of a run that has certainly ended.
+    pub fn remove_use(&mut self, key: OrganisationKey, demand: &ResourceUse) {
+        let row = &mut self.rows[key.index()];
+        row.used = row.used.minus(demand);
+    }
+
+    /// Replaces the use that runs of an earlier owner may have.
+    pub fn set_assumed(
+        &mut self,
+        assumed: impl IntoIterator<Item = (OrganisationKey, ResourceUse)>,
+    ) {
+        for row in &mut self.rows {
+            row.assumed = ResourceUse::default();
+        }
+        for (key, assumed_use) in assumed {
+            let row = &mut self.rows[key.index()];
+            row.assumed = row.assumed.plus(&assumed_use);
+        }
+    }
+
+    /// Returns whether the quota of an organisation has room for `demand`. Work that uses nothing of a limited part may
+    /// start when the use of that part is above its limit.
+    pub fn allows(&self, key: OrganisationKey, demand: &ResourceUse) -> bool {
+        let row = &self.rows[key.index()];
+        let ResourceCap { cpu, mem_mb, gpu } = row.cap;
+        let limit = |demand: u64, cap: u64| if demand == 0 { 0 } else { cap };
+        let cap = ResourceCap {
+            cpu: limit(demand.cpu, cpu),
+            mem_mb: limit(demand.mem_mb, mem_mb),
+            gpu: limit(demand.gpu, gpu),
+        };
+        row.total().plus(demand).is_within(&cap)
+    }
+
+    /// Returns the dominant share that an organisation uses of `capacity`, in billionths, divided by its weight.
+    pub fn weighted_share(&self, key: OrganisationKey, capacity: &ResourceUse) -> u64 {
+        let row = &self.rows[key.index()];
+        row.total().dominant_share(capacity) / row.weight
+    }
+
+    /// Returns the use of an organisation, with that of runs of an earlier owner that may still run.
+    pub fn total_use(&self, key: OrganisationKey) -> ResourceUse {
+        self.rows[key.index()].total()
+    }
+
+    /// Returns the quota of an organisation.
+    pub fn cap(&self, key: OrganisationKey) -> ResourceCap {
+        self.rows[key.index()].cap
+    }
+
+    /// Returns the name of an organisation; empty for work without one.
+    pub fn name(&self, key: OrganisationKey) -> &str {
+        &self.rows[key.index()].name
+    }
+
+    /// Returns the number of work items that the quota kept from starting in the last pass of placement.
+    pub fn over_quota(&self, key: OrganisationKey) -> u32 {
+        self.rows[key.index()].over_quota
+    }
+
+    /// Begins a pass of placement.
+    pub fn begin_pass(&mut self) {
+        for key in &self.over_quota {
+            self.rows[key.index()].over_quota = 0;
+        }
+        std::mem::swap(&mut self.over_quota, &mut self.over_quota_before);
+        self.over_quota.clear();
+        self.over_quota_before.sort_unstable();
+    }
+
+    /// Counts work items that the quota keeps from starting in this pass. Returns whether the quota has kept none from
+    /// starting in this pass and the one before.
+    pub fn record_over_quota(&mut self, key: OrganisationKey, items: u32) -> bool {
+        let row = &mut self.rows[key.index()];
+        let is_first = row.over_quota == 0;
+        row.over_quota += items;
+        if is_first {
+            self.over_quota.push(key);
+        }
+        is_first && self.over_quota_before.binary_search(&key).is_err()
+    }
+}
--- a/crates/dispatch/src/owner/host_table.rs
+++ b/crates/dispatch/src/owner/host_table.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        organisations::ResourceUse,
         records::WaveProgress,
         runners::{Capacity, RunnerKey, RunnerTable},
     },
@@ -86,6 +87,18 @@
     pub(super) fn runner_key(&self, runners: &RunnerTable) -> Option<RunnerKey> {
         runners.find(self.report.runner.as_deref()?)
     }
+
+    /// Returns whether the host has no work unknown to this owner.
+    fn has_answered(&self, runners: &RunnerTable) -> bool {
+        if matches!(
+            self.report.status,
+            HostStatus::Moving | HostStatus::Maintenance
+        ) {
+            return true;
+        }
+        let runner = self.runner_key(runners).and_then(|key| runners.get(key));
+        runner.is_some_and(|runner| runner.fenced)
+    }
 }
 
 /// The hosts, sorted by name.
@@ -118,18 +131,28 @@
     /// evidence of such work. A host without a registered runner may have one that is cut off and whose entry has
     /// lapsed.
     pub(super) fn pool_answered(&self, pool: &str, runners: &RunnerTable) -> Option<bool> {
-        let has_answered = |state: &HostState| {
-            let report = &state.report;
-            if matches!(report.status, HostStatus::Moving | HostStatus::Maintenance) {
-                return true;
-            }
-            let runner = state.runner_key(runners).and_then(|key| runners.get(key));
-            runner.is_some_and(|runner| runner.fenced)
-        };
+        let has_answered = |state: &HostState| state.has_answered(runners);
         let mut members = self.hosts.iter().filter(|state| state.report.pool == pool);
         let first = members.next()?;
         Some(has_answered(first) && members.all(has_answered))
     }
+
+    /// Returns the capacity of the hosts of a pool that may have work unknown to this owner, as in
+    /// [`Self::pool_answered`]; none while the hosts of the pool are not known.
+    pub(super) fn unanswered_capacity(
+        &self,
+        pool: &str,
+        runners: &RunnerTable,
+    ) -> Option<ResourceUse> {
+        let mut members = self.hosts.iter().filter(|state| state.report.pool == pool);
+        let first = members.next()?;
+        let unanswered = std::iter::once(first)
+            .chain(members)
+            .filter(|state| !state.has_answered(runners));
+        Some(unanswered.fold(ResourceUse::default(), |sum, state| {
+            sum.plus(&ResourceUse::from(state.report.capacity))
+        }))
+    }
 }
 
 #[derive(Debug)]
--- a/crates/dispatch/src/owner/job_calls.rs
+++ b/crates/dispatch/src/owner/job_calls.rs
@@ -102,7 +102,10 @@
             self.reply(call_id, CallResponse::Unavailable);
             return;
         }
-        let job = JobState::new(id, submission.clone(), now);
+        let mut job = JobState::new(id, submission.clone(), now);
+        job.organisation_key = self
+            .organisations
+            .intern(job.organisation.as_deref(), &self.rules);
         if let Some(retry_after) = self.retry_after(&job) {
             let detail = format!("queue={} come_back_ms={}", job.queue.name, retry_after.0);
             self.log_event("job refused", id.to_string(), detail);
--- a/crates/dispatch/src/owner/journal_queue.rs
+++ b/crates/dispatch/src/owner/journal_queue.rs
@@ -184,7 +184,10 @@
                 deferred.push(key);
                 continue;
             }
-            has_space = push(if job.phase.is_final() {
+            // A later owner counts the runs that are being stopped against the quota of the job's organisation, and so needs
+            // the submission until none is left.
+            let is_counted = job.organisation.is_some() && !job.has_no_runs();
+            has_space = push(if job.phase.is_final() && !is_counted {
                 StoreRecord::Ended(job.id, job.phase)
             } else {
                 StoreRecord::Progress(job.id, job.progress())
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -14,6 +14,7 @@
 mod owner_state;
 mod pace_control;
 mod placement;
+mod quotas;
 mod ready_items;
 mod restart_table;
 mod restore;
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -11,7 +11,8 @@
         unplaced_serving::UnplacedServing,
     },
     crate::{
-        jobs::{JobKey, JobTable},
+        jobs::{JobKey, JobState, JobTable},
+        organisations::OrganisationTable,
         pools::ArrivalRate,
         routes::FleetRules,
         runners::{DEFAULT_MAX_LEASE, RunnerKey, RunnerReport, RunnerTable, max_lapse_delay},
@@ -56,6 +57,9 @@
     pub(super) rules: Arc<FleetRules>,
     pub(super) jobs: JobTable,
     pub(super) runners: RunnerTable,
+    pub(super) organisations: OrganisationTable,
+    /// The table of organisations counts use that runs of an earlier owner may have.
+    pub(super) has_assumed_use: bool,
     pub(super) hosts: HostTable,
     pub(super) waves: WaveTable,
     pub(super) journal: JournalQueue,
@@ -91,6 +95,8 @@
     pub fn new(token: u64, rules: Arc<FleetRules>, now: LocalTime) -> Self {
         Self {
             token,
+            organisations: OrganisationTable::new(&rules),
+            has_assumed_use: false,
             rules,
             jobs: JobTable::default(),
             runners: RunnerTable::default(),
@@ -135,7 +141,9 @@
     /// Replaces the configuration if the new one has a higher version.
     pub fn set_rules(&mut self, rules: Arc<FleetRules>) {
         if rules.version > self.rules.version {
+            self.organisations.set_rules(&rules);
             self.rules = rules;
+            self.placement_due |= self.rules.organisations.is_some();
         }
     }
 
@@ -248,10 +256,29 @@
                 job.unconfirmed = false;
             }
         }
+        self.settle_ended_jobs(service);
         let detail = format!("pool={service} jobs={jobs} lease_waited={waited}");
         self.log_event("recovery settled", format!("token {}", self.token), detail);
     }
 
+    /// Stops counting recovered jobs with a final phase against the quotas: none of their runs is left unlisted.
+    fn settle_ended_jobs(&mut self, service: &str) {
+        let is_settled = |job: &JobState| {
+            job.phase.is_final() && job.unconfirmed && job.queue.service == service
+        };
+        let ended: Vec<JobKey> = self
+            .jobs
+            .all()
+            .filter(|(_, job)| is_settled(job))
+            .map(|(key, _)| key)
+            .collect();
+        for key in ended {
+            if let Some(job) = self.jobs.get_mut(key) {
+                job.unconfirmed = false;
+            }
+        }
+    }
+
     /// Returns whether every runner that may have work of the pool has answered this owner.
     fn has_pool_answered(&self, service: &str) -> bool {
         let all_fenced = || {
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -45,23 +45,33 @@
 impl OwnerState {
     /// Starts ready work items on runners with free capacity.
     pub(super) fn place_items(&mut self, now: LocalTime, wall_ms: u64) {
+        self.count_unconfirmed();
+        self.organisations.begin_pass();
         let mut ready = self.ready_items(now, wall_ms);
-        ready.sort_unstable_by_key(|ready| (ready.rank, ready.key));
         let mut pass = PlacementPass {
             unplaced_before: std::mem::take(&mut self.unplaced_serving),
             ..PlacementPass::default()
         };
         self.start_budget.refill(now);
-        for ReadyItem { key, rank } in ready {
-            if !self.start_budget.is_available() {
-                // What is left waits for the link, in its order.
-                self.placement_due = true;
+        ready.sort_unstable_by_key(|ready| (ready.rank, ready.key));
+        for ready in ready {
+            if !self.place_next(ready, &mut pass, now) {
                 break;
             }
-            self.place_item(key, rank.tier, &mut pass, now);
         }
     }
 
+    /// Places a work item. Returns false when the link carries no further start command now.
+    fn place_next(&mut self, ready: ReadyItem, pass: &mut PlacementPass, now: LocalTime) -> bool {
+        if !self.start_budget.is_available() {
+            // What is left waits for the link, in its order.
+            self.placement_due = true;
+            return false;
+        }
+        self.place_item(ready.key, ready.rank.tier, pass, now);
+        true
+    }
+
     fn place_item(
         &mut self,
         key: ItemKey,
@@ -69,6 +79,9 @@
         pass: &mut PlacementPass,
         now: LocalTime,
     ) {
+        if !self.fits_quota(key) {
+            return;
+        }
         let Some(job) = self.jobs.get(key.job) else {
             return;
         };
--- a/crates/dispatch/src/owner/restore.rs
+++ b/crates/dispatch/src/owner/restore.rs
@@ -55,6 +55,9 @@
                 accepted_ms => Millis(wall_ms.saturating_sub(accepted_ms)).min(MAX_RECOVERED_AGE),
             };
             let mut job = JobState::new(id, submission, now - age);
+            job.organisation_key = self
+                .organisations
+                .intern(job.organisation.as_deref(), &self.rules);
             job.accepted = true;
             if let Some(stored) = progress.get(&id) {
                 job.restore(stored);
--- a/crates/dispatch/src/owner/run_table.rs
+++ b/crates/dispatch/src/owner/run_table.rs
@@ -34,6 +34,8 @@
             state.used_for_good = state.used_for_good.plus(&demand_for_good);
             state.items.push(key);
         }
+        let (organisation, quota_demand) = self.quota_demand(key);
+        self.organisations.add_use(organisation, &quota_demand);
         let Some(job) = self.jobs.get_mut(key.job) else {
             return;
         };
@@ -62,6 +64,8 @@
             return false;
         };
         item.runs.remove(index);
+        let (organisation, quota_demand) = self.quota_demand(key);
+        self.organisations.remove_use(organisation, &quota_demand);
         if let Some(state) = self.runners.get_mut(runner) {
             state.used = state.used.minus(&demand);
             state.used_for_good = state.used_for_good.minus(&demand_for_good);
--- a/crates/dispatch/tests/fleet/mod.rs
+++ b/crates/dispatch/tests/fleet/mod.rs
@@ -6,6 +6,7 @@
     goldcreststall_core::ids::{LocalTime, Millis},
     goldcreststall_dispatch::{
         jobs::{JobId, JobSpec, StepSpec},
+        organisations::{OrganisationRule, ResourceCap},
         owner::{
             CallId, CallResponse, HostReport, HostStatus, JobCall, JournalBatch, OwnerCommand,
             OwnerState, StartCommand, StartResponse,
@@ -49,6 +50,23 @@
     })
 }
 
+/// A configuration with organisations, sorted by name: name, weight, and quota of processor time.
+pub fn organisation_rules(version: u64, organisations: &[(&str, u64, u64)]) -> Arc<FleetRules> {
+    let rule = |(name, weight, cpu): &(&str, u64, u64)| OrganisationRule {
+        name: (*name).to_owned(),
+        weight: *weight,
+        cap: ResourceCap {
+            cpu: *cpu,
+            ..ResourceCap::default()
+        },
+    };
+    Arc::new(FleetRules {
+        version,
+        organisations: Some(organisations.iter().map(rule).collect()),
+        ..FleetRules::clone(&rules())
+    })
+}
+
 pub fn route() -> RouteRule {
     RouteRule {
         name: "proofs".to_owned(),
@@ -216,6 +234,24 @@
         self.owner.call(CallId(id), call, self.now);
     }
 
+    /// Submits a job of an organisation.
+    pub fn submit_for(&mut self, id: u64, organisation: &str, spec: JobSpec) {
+        let submission = JobSubmission {
+            queue: route(),
+            job: spec,
+            accepted_ms: 0,
+            organisation: None,
+        };
+        let call = JobCall::SubmitFor(JobId(id), Box::new(submission), organisation.to_owned());
+        self.owner.call(CallId(id), call, self.now);
+    }
+
+    /// Applies a configuration with these organisations: name, weight, and quota of processor time.
+    pub fn set_organisations(&mut self, version: u64, organisations: &[(&str, u64, u64)]) {
+        self.owner
+            .set_rules(organisation_rules(version, organisations));
+    }
+
     pub fn call(&mut self, call_id: u64, call: JobCall) -> Option<CallResponse> {
         self.owner.call(CallId(call_id), call, self.now);
         self.commands.extend(self.owner.take_commands());
