Store the organisation of a job, and cancel it on its behalf only

The organisation of a submission was known in memory only: it was lost with the owner, and a job could be cancelled by whoever knew its id, also through a queue that needs no key.

Change: format 3 of the record j/ID holds the organisation after the fields of format 2; submissions without one keep format 2. New calls CancelFor and StateFor at the end of JobCall name the caller's organisation: a job of an organisation is cancelled with its keys only, seen with the key of any, and neither without a key.

--- a/crates/dispatch/src/owner/job_calls.rs
+++ b/crates/dispatch/src/owner/job_calls.rs
@@ -27,6 +27,10 @@
     Submit(JobId, Box<JobSubmission>),
     /// Submit a job of the named organisation.
     SubmitFor(JobId, Box<JobSubmission>, String),
+    /// Cancel a job on behalf of the named organisation, or of a caller without a key.
+    CancelFor(JobId, Option<String>),
+    /// Query the state of a job on behalf of the named organisation, or of a caller without a key.
+    StateFor(JobId, Option<String>),
 }
 
 /// The response to a call.
@@ -53,13 +57,17 @@
     pub fn submitted_id(&self) -> Option<JobId> {
         match self {
             Self::Submit(id, _) | Self::SubmitFor(id, ..) => Some(*id),
-            Self::Cancel(_) | Self::Pending(_) | Self::State(_) => None,
+            Self::Cancel(_)
+            | Self::CancelFor(..)
+            | Self::Pending(_)
+            | Self::State(_)
+            | Self::StateFor(..) => None,
         }
     }
 
     /// Returns whether the call changes a job.
     pub fn is_change(&self) -> bool {
-        self.submitted_id().is_some() || matches!(self, Self::Cancel(_))
+        self.submitted_id().is_some() || matches!(self, Self::Cancel(_) | Self::CancelFor(..))
     }
 }
 
@@ -69,6 +77,15 @@
     pub fn call(&mut self, call_id: CallId, call: JobCall, now: LocalTime) {
         match call {
             JobCall::Cancel(id) => self.cancel(call_id, id, now),
+            JobCall::CancelFor(id, caller) if self.may_cancel(id, caller.as_deref()) => {
+                self.cancel(call_id, id, now);
+            }
+            JobCall::StateFor(id, caller) if self.may_see(id, caller.as_deref()) => {
+                self.reply(call_id, self.job_state(id));
+            }
+            JobCall::CancelFor(..) | JobCall::StateFor(..) => {
+                self.reply(call_id, CallResponse::Gone);
+            }
             JobCall::Pending(queue) => {
                 self.reply(call_id, CallResponse::Pending(self.pending(&queue)))
             }
@@ -86,6 +103,23 @@
         self.jobs.find(id).is_some()
     }
 
+    /// Returns whether a caller may cancel a job: one of an organisation only with a key of it.
+    fn may_cancel(&self, id: JobId, caller: Option<&str>) -> bool {
+        let organisation = self.organisation_of(id);
+        organisation.is_none() || organisation == caller
+    }
+
+    /// Returns whether a caller may see the state of a job: one of an organisation only with a key, of whichever
+    /// organisation.
+    fn may_see(&self, id: JobId, caller: Option<&str>) -> bool {
+        caller.is_some() || self.organisation_of(id).is_none()
+    }
+
+    fn organisation_of(&self, id: JobId) -> Option<&str> {
+        let job = self.jobs.find(id).and_then(|key| self.jobs.get(key))?;
+        job.organisation.as_deref()
+    }
+
     fn reply(&mut self, call_id: CallId, response: CallResponse) {
         self.commands
             .push(OwnerCommand::Reply { call_id, response });
--- a/crates/dispatch/src/records/store_record.rs
+++ b/crates/dispatch/src/records/store_record.rs
@@ -11,6 +11,9 @@
 /// Format of submissions with the time of day of their acceptance; submissions in [`FORMAT`] lack it.
 const TIMED_FORMAT: u8 = 2;
 
+/// Format of submissions with an organisation, which is stored after the fields of [`TIMED_FORMAT`].
+const ORGANISATION_FORMAT: u8 = 3;
+
 /// First key that sorts after those of all texts.
 pub const FIRST_KEY_AFTER_TEXTS: &str = "b";
 
@@ -34,7 +37,8 @@
     pub job: JobSpec,
     /// Time of day at which an entry host accepted it, in Unix milliseconds; 0 when unknown.
     pub accepted_ms: u64,
-    /// Organisation whose key the call carried. The formats without organisations lack it.
+    /// Organisation whose key the call carried. It is encoded beside the submission, because the encoding without an
+    /// organisation is that of earlier versions.
     #[serde(skip)]
     pub organisation: Option<String>,
 }
@@ -143,10 +147,14 @@
                     queue,
                     job,
                     accepted_ms,
-                    organisation,
+                    organisation: None,
+                };
+                let value = match organisation {
+                    None => encode(TIMED_FORMAT, &submission),
+                    Some(name) => encode(ORGANISATION_FORMAT, &(submission, name)),
                 };
                 let mut rows = Self::Text(*id, text).encode();
-                rows.push((format!("j/{id}"), encode(TIMED_FORMAT, &submission)));
+                rows.push((format!("j/{id}"), value));
                 rows
             }
             Self::Text(id, text) => vec![(format!("a/{id}"), encode(FORMAT, text))],
@@ -209,8 +217,17 @@
 }
 
 fn decode_submission(key: &str, value: &[u8]) -> Result<JobSubmission, RecordError> {
-    if value.first() == Some(&TIMED_FORMAT) {
-        return decode(key, value, TIMED_FORMAT);
+    match value.first() {
+        Some(&TIMED_FORMAT) => return decode(key, value, TIMED_FORMAT),
+        Some(&ORGANISATION_FORMAT) => {
+            let (submission, organisation): (JobSubmission, String) =
+                decode(key, value, ORGANISATION_FORMAT)?;
+            return Ok(JobSubmission {
+                organisation: Some(organisation),
+                ..submission
+            });
+        }
+        _ => {}
     }
     let UntimedSubmission { queue, job } = decode(key, value, FORMAT)?;
     Ok(JobSubmission {
