--- a/crates/dispatch/src/organisations/mod.rs
+++ b/crates/dispatch/src/organisations/mod.rs
@@ -1,5 +1,9 @@
 //! Organisations: who may submit jobs, how much of it may run at the same time, and which share is due.
 
+mod key_index;
 mod organisation_rule;
 
-pub use organisation_rule::{OrganisationRule, ResourceCap};
+pub use {
+    key_index::{KeyConflict, KeyIndex},
+    organisation_rule::{OrganisationRule, ResourceCap},
+};
--- a/crates/dispatch/src/routes/fleet_rules.rs
+++ b/crates/dispatch/src/routes/fleet_rules.rs
@@ -1,5 +1,5 @@
 use {
-    crate::organisations::OrganisationRule,
+    crate::organisations::{KeyIndex, OrganisationRule},
     goldcreststall_core::ids::Millis,
     serde::{Deserialize, Serialize},
 };
@@ -80,6 +80,8 @@
     pub limits: CallLimits,
     /// Organisations, sorted by name; `None` when the configuration has none, and calls need no key.
     pub organisations: Option<Vec<OrganisationRule>>,
+    /// The keys of all organisations.
+    pub keys: KeyIndex,
     /// Names of the queues whose calls need no key, sorted.
     pub public_routes: Vec<String>,
 }
