Refuse calls without a valid key before their body is read

A call on a queue that is not public needs the key of an organisation once the configuration has some.

Change: JobApi::refuse_early decides from the head: 503 without a configuration, 404 for an unknown queue, 401 without a valid key. JobApi::respond checks again after the body was read, and sends the organisation with the submission, cancellation or query.

--- a/crates/node/src/api/api_request.rs
+++ b/crates/node/src/api/api_request.rs
@@ -1,4 +1,5 @@
 use {
+    super::ApiHead,
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::jobs::{JobPhase, JobSpec},
 };
@@ -17,10 +18,8 @@
 /// A request of a caller.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ApiRequest {
-    /// Host name in the request, without a port.
-    pub host: String,
-    /// Path of the queue, followed by the id of a job unless the queue itself is queried.
-    pub path: String,
+    /// What is known of the request before its body is read.
+    pub head: ApiHead,
     /// What is requested.
     pub action: ApiAction,
     /// How long the caller waits; `None` if the request does not say.
@@ -42,6 +41,8 @@
     Pending(u32),
     /// State of the job.
     State(JobPhase),
+    /// The queue is not public and the request has no key of an organisation; nothing was done.
+    Unauthorized,
     /// Nothing was done and nothing will be; the caller may retry after this time.
     Unavailable(Millis),
     /// The outcome is unknown: the request may have been executed.
@@ -58,6 +59,7 @@
             Self::NoRoute => "no_route",
             Self::Pending(_) => "pending",
             Self::State(_) => "state",
+            Self::Unauthorized => "unauthorized",
             Self::Unavailable(_) => "unavailable",
             Self::Unknown => "unknown",
         }
--- a/crates/node/src/api/job_api.rs
+++ b/crates/node/src/api/job_api.rs
@@ -1,12 +1,12 @@
 use {
-    super::{ApiAction, ApiRequest, ApiResponse, OwnerClient},
+    super::{ApiAction, ApiHead, ApiRequest, ApiResponse, OwnerClient, PresentedKey},
     crate::metrics::NodeMetrics,
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::{
         jobs::{JobId, JobSpec, SpecError},
         owner::{CallResponse, JobCall},
         records::JobSubmission,
-        routes::{CallLimits, FleetRules, RouteRule},
+        routes::{CallLimits, CallOrigin, CallRefusal, CheckedCall, FleetRules, RouteRule},
     },
     goldcreststall_entry::clock::{BootClock, wall_time},
     slog::{Logger, info},
@@ -95,30 +95,59 @@
         self.metrics.text()
     }
 
-    /// Handles a request and returns its response.
+    /// Returns the refusal of a request that its head decides: there is no configuration, no such queue, or no valid key.
+    /// Its body need not be read then.
+    pub fn refuse_early(&self, head: &ApiHead) -> Option<ApiResponse> {
+        let rules = self.rules.borrow().clone();
+        let refusal = match &rules {
+            None => ApiResponse::Unavailable(RETRY_AFTER_NO_OWNER),
+            Some(rules) => check_head(rules, head).err()?,
+        };
+        self.record_response(head, rules.as_deref(), &refusal, Millis(0));
+        Some(refusal)
+    }
+
+    /// Handles a request and returns its response. The head is checked again: the configuration may have changed while
+    /// the body was read.
     pub async fn respond(&self, request: ApiRequest) -> ApiResponse {
         let started = BootClock.now();
-        let (host, path) = (request.host.clone(), request.path.clone());
+        let head = request.head.clone();
         let rules = self.rules.borrow().clone();
-        let version = rules.as_ref().map(|rules| rules.version);
-        let response = match rules {
+        let response = match &rules {
             None => ApiResponse::Unavailable(RETRY_AFTER_NO_OWNER),
-            Some(rules) => self.route(&rules, request).await,
+            Some(rules) => self.route(rules, request).await,
         };
         let elapsed = BootClock.now().since(started);
+        self.record_response(&head, rules.as_deref(), &response, elapsed);
+        response
+    }
+
+    fn record_response(
+        &self,
+        head: &ApiHead,
+        rules: Option<&FleetRules>,
+        response: &ApiResponse,
+        elapsed: Millis,
+    ) {
         self.metrics.count_response(response.name(), elapsed.0);
         let is_query_result = matches!(response, ApiResponse::State(_) | ApiResponse::Pending(_));
         if !is_query_result {
-            info!(self.logger, "call: answered"; "host" => host, "id" => path,
+            let version = rules.map(|rules| rules.version);
+            info!(self.logger, "call: answered"; "host" => &head.host, "id" => &head.path,
                 "config" => ?version, "answer" => ?response, "took_ms" => elapsed.0);
         }
-        response
     }
 
     async fn route(&self, rules: &FleetRules, request: ApiRequest) -> ApiResponse {
-        let Some((route, job_path)) = rules.route(&request.host, &request.path) else {
-            return ApiResponse::NoRoute;
+        let checked = match check_head(rules, &request.head) {
+            Ok(checked) => checked,
+            Err(refusal) => return refusal,
         };
+        let CheckedCall {
+            route,
+            job_path,
+            origin,
+        } = checked;
         let caller_timeout = request.timeout.unwrap_or(DEFAULT_TIMEOUT);
         let timeout = Millis(
             caller_timeout
@@ -135,9 +164,9 @@
             return ApiResponse::NoRoute;
         };
         match request.action {
-            ApiAction::Cancel => self.call_owner(JobCall::Cancel(id), timeout).await,
-            ApiAction::Query => self.call_owner(JobCall::State(id), timeout).await,
-            ApiAction::Submit(Ok(job)) => self.submit(id, route, job, timeout).await,
+            ApiAction::Cancel => self.call_owner(cancel_call(id, &origin), timeout).await,
+            ApiAction::Query => self.call_owner(state_call(id, &origin), timeout).await,
+            ApiAction::Submit(Ok(job)) => self.submit(id, route, job, &origin, timeout).await,
             ApiAction::Submit(Err(reason)) => ApiResponse::Invalid(reason),
         }
     }
@@ -147,6 +176,7 @@
         id: JobId,
         route: &RouteRule,
         job: JobSpec,
+        origin: &CallOrigin,
         timeout: Millis,
     ) -> ApiResponse {
         let spec_check = job.check().and_then(|()| job.check_stored_size());
@@ -166,8 +196,13 @@
                     accepted_ms: wall_time().0,
                     organisation: None,
                 });
-                self.call_owner(JobCall::Submit(id, submission), timeout)
-                    .await
+                let call = match origin {
+                    CallOrigin::Open | CallOrigin::Public => JobCall::Submit(id, submission),
+                    CallOrigin::Organisation(name) => {
+                        JobCall::SubmitFor(id, submission, name.to_string())
+                    }
+                };
+                self.call_owner(call, timeout).await
             }
             Err(error @ SpecError::Unsupported(_)) => {
                 info!(self.logger, "call: a job cannot be run"; "id" => %id, "why" => %error);
@@ -189,3 +224,37 @@
         }
     }
 }
+
+fn check_head<'a>(
+    rules: &'a FleetRules,
+    head: &'a ApiHead,
+) -> Result<CheckedCall<'a>, ApiResponse> {
+    let key = head.key.as_ref().map(PresentedKey::as_bytes);
+    let checked = rules.check_call(&head.host, &head.path, key);
+    checked.map_err(|refusal| match refusal {
+        CallRefusal::NoKey => ApiResponse::Unauthorized,
+        CallRefusal::NoRoute => ApiResponse::NoRoute,
+    })
+}
+
+/// Returns the organisation of a call, as its job's owner compares it; `None` without a key.
+fn caller_name(origin: &CallOrigin) -> Option<String> {
+    match origin {
+        CallOrigin::Open | CallOrigin::Public => None,
+        CallOrigin::Organisation(name) => Some(name.to_string()),
+    }
+}
+
+fn cancel_call(id: JobId, origin: &CallOrigin) -> JobCall {
+    match origin {
+        CallOrigin::Open => JobCall::Cancel(id),
+        _ => JobCall::CancelFor(id, caller_name(origin)),
+    }
+}
+
+fn state_call(id: JobId, origin: &CallOrigin) -> JobCall {
+    match origin {
+        CallOrigin::Open => JobCall::State(id),
+        _ => JobCall::StateFor(id, caller_name(origin)),
+    }
+}
--- a/crates/node/tests/owner_reach.rs
+++ b/crates/node/tests/owner_reach.rs
@@ -12,7 +12,7 @@
         routes::{FleetRules, RouteRule},
     },
     goldcreststall_node::{
-        api::{ApiAction, ApiRequest, ApiResponse, JobApi, OwnerClient},
+        api::{ApiAction, ApiHead, ApiRequest, ApiResponse, JobApi, OwnerClient},
         control::ControlEvent,
         election::OwnerLocation,
         links::{OwnerLink, PeerDirectory},
@@ -97,8 +97,11 @@
     tokio::spawn(async move { probing_api.probe_owner_loop().await });
     assert!(api.is_ready());
     let request = ApiRequest {
-        host: "press".to_owned(),
-        path: "/0000000000000007".to_owned(),
+        head: ApiHead {
+            host: "press".to_owned(),
+            path: "/0000000000000007".to_owned(),
+            key: None,
+        },
         action: ApiAction::Query,
         timeout: None,
     };
