--- /dev/null
+++ b/crates/callers/src/intake/caller_intake.rs
@@ -0,0 +1,234 @@
+use {
+    super::{CloseReason, ConnectionStop, IntakeLimits, IntakeTable, Reservation},
+    goldcreststall_core::ids::{LocalTime, Millis},
+    parking_lot::Mutex,
+    slog::{Logger, warn},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Time between two looks at the time limits; a limit takes effect that much later.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Fewest sweeps between two log lines about closed connections, so that a flood writes a line every five seconds.
+const SWEEPS_PER_LINE: u32 = 20;
+
+/// What callers make the process hold, for metrics.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct IntakeFigures {
+    /// Open connections.
+    pub connections: usize,
+    /// Bytes that are reserved for bodies.
+    pub held_bytes: usize,
+    /// How many connections were closed or refused, in the order of [`CloseReason::ALL`].
+    pub stops: [u64; CloseReason::COUNT],
+}
+
+/// Signals to the tasks of one connection.
+#[derive(Clone, Debug, Default)]
+struct ConnectionSignals {
+    close: CancellationToken,
+    refuse: CancellationToken,
+}
+
+#[derive(Debug)]
+struct IntakeState {
+    table: IntakeTable,
+    /// Sorted by id.
+    signals: Vec<(u64, ConnectionSignals)>,
+}
+
+impl IntakeState {
+    fn send(&self, stop: ConnectionStop) {
+        let (ConnectionStop::Close(id, _) | ConnectionStop::Refuse(id, _)) = stop;
+        if let Ok(index) = self.signals.binary_search_by_key(&id, |(other, _)| *other) {
+            let signals = &self.signals[index].1;
+            match stop {
+                ConnectionStop::Close(..) => signals.close.cancel(),
+                ConnectionStop::Refuse(..) => signals.refuse.cancel(),
+            }
+        }
+    }
+}
+
+/// Counts what the connections of a server hold and sheds some under pressure. Clones share their state.
+#[derive(Clone, Debug)]
+pub struct CallerIntake {
+    started: Instant,
+    state: Arc<Mutex<IntakeState>>,
+}
+
+impl CallerIntake {
+    /// Creates an intake without connections.
+    pub fn new(limits: IntakeLimits) -> Self {
+        Self {
+            started: Instant::now(),
+            state: Arc::new(Mutex::new(IntakeState {
+                table: IntakeTable::new(limits),
+                signals: Vec::new(),
+            })),
+        }
+    }
+
+    /// Admits a new connection; `None` when it has to be closed at once.
+    pub fn open(&self) -> Option<ConnectionIntake> {
+        let mut state = self.state.lock();
+        let (id, stop) = state.table.open(self.now());
+        if let Some(stop) = stop {
+            state.send(stop);
+        }
+        let id = id?;
+        let signals = ConnectionSignals::default();
+        state.signals.push((id, signals.clone()));
+        Some(ConnectionIntake {
+            id,
+            intake: self.clone(),
+            signals,
+        })
+    }
+
+    /// Returns what is held now.
+    pub fn figures(&self) -> IntakeFigures {
+        let state = self.state.lock();
+        IntakeFigures {
+            connections: state.table.connections(),
+            held_bytes: state.table.held(),
+            stops: state.table.stops(),
+        }
+    }
+
+    /// Sets the time limit on headers.
+    pub fn set_header_timeout(&self, timeout: Millis) {
+        self.state.lock().table.set_header_timeout(timeout);
+    }
+
+    /// Applies the time limits and reports to `report`, until the future is dropped.
+    pub async fn sweep(&self, logger: &Logger, mut report: impl FnMut(IntakeFigures)) {
+        let mut logged = self.figures().stops;
+        let mut sweeps = 0;
+        loop {
+            tokio::time::sleep(SWEEP_INTERVAL).await;
+            {
+                let mut state = self.state.lock();
+                let stops = state.table.expire(self.now());
+                stops.into_iter().for_each(|stop| state.send(stop));
+            }
+            let figures = self.figures();
+            report(figures);
+            sweeps += 1;
+            if sweeps >= SWEEPS_PER_LINE && is_unusual(&figures.stops, &logged) {
+                let new: Vec<(&str, u64)> = CloseReason::ALL
+                    .into_iter()
+                    .map(|reason| {
+                        (
+                            reason.name(),
+                            figures.stops[reason as usize] - logged[reason as usize],
+                        )
+                    })
+                    .filter(|(_, count)| *count > 0)
+                    .collect();
+                warn!(logger, "call: connections were closed or refused"; "reasons" => ?new,
+                    "connections" => figures.connections, "held_bytes" => figures.held_bytes);
+                logged = figures.stops;
+                sweeps = 0;
+            }
+        }
+    }
+
+    fn now(&self) -> LocalTime {
+        LocalTime(self.started.elapsed().as_millis() as u64)
+    }
+}
+
+/// Connections that are closed because they are idle are no reason for a log line of their own.
+fn is_unusual(stops: &[u64; CloseReason::COUNT], logged: &[u64; CloseReason::COUNT]) -> bool {
+    let mut reasons = CloseReason::ALL.into_iter();
+    reasons.any(|reason| {
+        reason != CloseReason::Idle && stops[reason as usize] > logged[reason as usize]
+    })
+}
+
+/// A connection that counts as open until it is dropped.
+#[derive(Debug)]
+pub struct ConnectionIntake {
+    id: u64,
+    intake: CallerIntake,
+    signals: ConnectionSignals,
+}
+
+impl ConnectionIntake {
+    /// Waits until the connection has to be closed.
+    pub async fn closed(&self) {
+        self.signals.close.cancelled().await;
+    }
+
+    /// Waits until the request whose body is being read has to be refused.
+    pub async fn refused(&self) {
+        self.signals.refuse.cancelled().await;
+    }
+
+    /// Returns whether the request has to be refused.
+    pub fn is_refused(&self) -> bool {
+        self.signals.refuse.is_cancelled()
+    }
+
+    /// Notes that bytes arrived.
+    pub fn receive(&self) {
+        self.update(|table, now| table.receive(self.id, now));
+    }
+
+    /// Notes that the headers of a request are complete, and that its body has at most `remaining` bytes.
+    pub fn begin_body(&self, remaining: usize) {
+        self.update(|table, now| table.begin_body(self.id, remaining, now));
+    }
+
+    /// Notes that `bytes` of a body arrived.
+    pub fn receive_body(&self, bytes: usize) {
+        self.update(|table, now| table.receive_body(self.id, bytes, now));
+    }
+
+    /// Reserves `bytes` in place of what the request held; returns false when the request is refused.
+    #[must_use]
+    pub fn reserve(&self, bytes: usize) -> bool {
+        let mut state = self.intake.state.lock();
+        match state.table.reserve(self.id, bytes, self.intake.now()) {
+            Reservation::Granted(stops) => {
+                stops.into_iter().for_each(|stop| state.send(stop));
+                true
+            }
+            Reservation::Refused => false,
+        }
+    }
+
+    /// Notes that the request is complete and is handled.
+    pub fn begin_handling(&self) {
+        self.update(|table, now| table.begin_handling(self.id, now));
+    }
+
+    /// Notes that the answer is ready.
+    pub fn begin_answer(&self) {
+        self.update(|table, now| table.begin_answer(self.id, now));
+    }
+
+    /// Notes that everything was written to the caller.
+    pub fn finish_answer(&self) {
+        self.update(|table, now| table.finish_answer(self.id, now));
+    }
+
+    fn update(&self, change: impl FnOnce(&mut IntakeTable, LocalTime)) {
+        change(&mut self.intake.state.lock().table, self.intake.now());
+    }
+}
+
+impl Drop for ConnectionIntake {
+    fn drop(&mut self) {
+        let mut state = self.intake.state.lock();
+        state.table.close(self.id);
+        let signals = &mut state.signals;
+        if let Ok(index) = signals.binary_search_by_key(&self.id, |(id, _)| *id) {
+            signals.remove(index);
+        }
+    }
+}
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -2,5 +2,6 @@
 //!
 //! `docs/CALLERS.md` documents the headers.
 
+pub mod intake;
 pub mod request;
 pub mod server;
