--- a/crates/node/src/api/job_api.rs
+++ b/crates/node/src/api/job_api.rs
@@ -95,6 +95,11 @@
         self.metrics.text()
     }
 
+    /// Returns the counters of this entry host.
+    pub fn node_metrics(&self) -> &NodeMetrics {
+        &self.metrics
+    }
+
     /// Handles a request and returns its response.
     pub async fn respond(&self, request: ApiRequest) -> ApiResponse {
         let started = BootClock.now();
--- a/crates/node/src/metrics/node_metrics.rs
+++ b/crates/node/src/metrics/node_metrics.rs
@@ -2,7 +2,7 @@
     goldcreststall_entry::metrics::MetricsRegistry,
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Histogram},
+        metrics::{Counter, Gauge, Histogram},
     },
 };
 
@@ -12,6 +12,9 @@
     responses: Counter<u64>,
     response_ms: Histogram<u64>,
     commands: Counter<u64>,
+    caller_stops: Counter<u64>,
+    caller_connections: Gauge<u64>,
+    caller_bytes: Gauge<u64>,
     registry: MetricsRegistry,
 }
 
@@ -27,6 +30,9 @@
             responses: meter.u64_counter("gcs_answers").build(),
             response_ms: meter.u64_histogram("gcs_answer_milliseconds").build(),
             commands: meter.u64_counter("gcs_orders").build(),
+            caller_stops: meter.u64_counter("gcs_caller_stops").build(),
+            caller_connections: meter.u64_gauge("gcs_caller_connections").build(),
+            caller_bytes: meter.u64_gauge("gcs_caller_bytes").build(),
             registry,
         })
     }
@@ -43,6 +49,20 @@
         self.commands.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Records the open connections of callers and the bytes that are reserved for their requests.
+    pub fn record_intake(&self, connections: u64, held_bytes: u64) {
+        self.caller_connections.record(connections, &[]);
+        self.caller_bytes.record(held_bytes, &[]);
+    }
+
+    /// Counts connections of callers that were closed, or whose request was refused, for a reason.
+    pub fn count_stops(&self, reason: &'static str, count: u64) {
+        if count > 0 {
+            let labels = [KeyValue::new("reason", reason)];
+            self.caller_stops.add(count, &labels);
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         self.registry.text()
