--- a/crates/node/src/api/job_api.rs
+++ b/crates/node/src/api/job_api.rs
@@ -95,6 +95,11 @@
         self.metrics.text()
     }
 
+    /// Returns the counters of this entry host.
+    pub fn node_metrics(&self) -> &NodeMetrics {
+        &self.metrics
+    }
+
     /// Returns the refusal of a request that its head decides: there is no configuration, no such queue, or no valid key.
     /// Its body need not be read then.
     pub fn refuse_early(&self, head: &ApiHead) -> Option<ApiResponse> {
