Refuse calls that need a key while the store is silent, where the settings ask for it

A key may be revoked while an entry host cannot read the configuration. Deployments choose with FailClosed whether it serves on.

Change: the operator feed records when it has read successfully; a response that was read late counts for the latest time at which it can have been made. With FailClosed, calls on queues that are not public are answered 503 after RevokeMs of silence, and the entry host is not ready unless the configuration has public queues.

--- a/crates/dispatch/src/routes/call_check.rs
+++ b/crates/dispatch/src/routes/call_check.rs
@@ -21,6 +21,8 @@
     NoRoute,
     /// The queue is not public, and the call has no key of an organisation.
     NoKey,
+    /// The queue is not public, and the configuration may be too old to tell which keys are valid.
+    Unverified,
 }
 
 /// A call that may be executed.
@@ -35,21 +37,26 @@
 }
 
 impl FleetRules {
-    /// Decides from host, path and key whether a call may be executed.
+    /// Decides from host, path and key whether a call may be executed. `is_stale` tells that a newer configuration may
+    /// have revoked keys.
     ///
     /// # Errors
-    /// When there is no such queue, or the call needs a key and has none that belongs to an organisation.
+    /// When there is no such queue, or the call needs a key and has none that belongs to an organisation, or none can be
+    /// verified.
     pub fn check_call<'a>(
         &'a self,
         host: &str,
         path: &'a str,
         key: Option<&[u8]>,
+        is_stale: bool,
     ) -> Result<CheckedCall<'a>, CallRefusal> {
         let (route, job_path) = self.route(host, path).ok_or(CallRefusal::NoRoute)?;
         let origin = if self.organisations.is_none() {
             CallOrigin::Open
         } else if !self.needs_key(route) {
             CallOrigin::Public
+        } else if is_stale {
+            return Err(CallRefusal::Unverified);
         } else {
             let organisation = key.and_then(|key| self.keys.organisation(key));
             CallOrigin::Organisation(Arc::clone(organisation.ok_or(CallRefusal::NoKey)?))
--- a/crates/dispatch/tests/organisation_keys.rs
+++ b/crates/dispatch/tests/organisation_keys.rs
@@ -82,7 +82,7 @@
 }
 
 fn origin(rules: &FleetRules, path: &str, key: Option<&str>) -> Result<CallOrigin, CallRefusal> {
-    let checked = rules.check_call("press", path, key.map(str::as_bytes));
+    let checked = rules.check_call("press", path, key.map(str::as_bytes), false);
     checked.map(|checked| checked.origin)
 }
 
@@ -102,6 +102,21 @@
     }
 }
 
+/// Guards against a stale configuration that decides on keys, or refuses calls that need none.
+#[test]
+fn stale_configuration() {
+    let mut rules = rules();
+    let origin = |rules: &FleetRules, path| {
+        let checked = rules.check_call("press", path, Some(b"secret-1"), true);
+        checked.map(|checked| checked.origin)
+    };
+    assert_eq!(origin(&rules, "/proofs/7"), Err(CallRefusal::Unverified));
+    assert_eq!(origin(&rules, "/none/7"), Err(CallRefusal::NoRoute));
+    assert_eq!(origin(&rules, "/open/7"), Ok(CallOrigin::Public));
+    rules.organisations = None;
+    assert_eq!(origin(&rules, "/proofs/7"), Ok(CallOrigin::Open));
+}
+
 /// Guards against keys that are needed without organisations, and a configuration whose list is empty that needs none.
 #[test]
 fn no_organisations() {
--- a/crates/node/src/api/api_request.rs
+++ b/crates/node/src/api/api_request.rs
@@ -45,6 +45,9 @@
     Unauthorized,
     /// Nothing was done and nothing will be; the caller may retry after this time.
     Unavailable(Millis),
+    /// The queue is not public and keys cannot be verified while the store is silent; nothing was done and nothing will be.
+    /// The caller may retry after this time.
+    Unverified(Millis),
     /// The outcome is unknown: the request may have been executed.
     Unknown,
 }
@@ -61,6 +64,7 @@
             Self::State(_) => "state",
             Self::Unauthorized => "unauthorized",
             Self::Unavailable(_) => "unavailable",
+            Self::Unverified(_) => "unverified",
             Self::Unknown => "unknown",
         }
     }
--- a/crates/node/src/api/job_api.rs
+++ b/crates/node/src/api/job_api.rs
@@ -1,6 +1,6 @@
 use {
     super::{ApiAction, ApiHead, ApiRequest, ApiResponse, OwnerClient, PresentedKey},
-    crate::metrics::NodeMetrics,
+    crate::{feeds::StoreContact, metrics::NodeMetrics},
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::{
         jobs::{JobId, JobSpec, SpecError},
@@ -9,7 +9,7 @@
         routes::{CallLimits, CallOrigin, CallRefusal, CheckedCall, FleetRules, RouteRule},
     },
     goldcreststall_entry::clock::{BootClock, wall_time},
-    slog::{Logger, info},
+    slog::{Logger, info, warn},
     std::{
         sync::{
             Arc,
@@ -22,6 +22,8 @@
 
 /// Time after which a caller may retry while there is no owner: elections take about this long.
 const RETRY_AFTER_NO_OWNER: Millis = Millis(1_000);
+/// Time after which a caller may retry while keys cannot be verified: another entry host may reach the store.
+const RETRY_AFTER_UNVERIFIED: Millis = Millis(1_000);
 /// Time after which a caller may retry a job that cannot be run at all.
 const RETRY_AFTER_UNSUPPORTED: Millis = Millis(60_000);
 /// Part of a caller's timeout that is kept for sending the response.
@@ -35,6 +37,8 @@
 pub struct JobApi {
     owner_client: OwnerClient,
     draining: AtomicBool,
+    /// Longest silence of the store after which keys are still accepted; `None` for no limit.
+    silence_limit: Option<(StoreContact, Millis)>,
     logger: Logger,
     has_advice: bool,
     metrics: Arc<NodeMetrics>,
@@ -54,6 +58,7 @@
         Self {
             owner_client,
             draining: AtomicBool::new(false),
+            silence_limit: None,
             logger,
             has_advice,
             metrics,
@@ -61,14 +66,35 @@
         }
     }
 
-    /// Returns whether the load balancer should send new callers here.
+    /// Refuses calls that need a key while the store has been silent for longer than `limit`.
+    pub fn with_silence_limit(self, contact: StoreContact, limit: Millis) -> Self {
+        Self {
+            silence_limit: Some((contact, limit)),
+            ..self
+        }
+    }
+
+    /// Returns whether the configuration may be too old to tell which keys are valid.
+    fn is_stale(&self) -> bool {
+        let now = BootClock.now();
+        let is_silent = |(contact, limit): &(StoreContact, Millis)| contact.is_silent(*limit, now);
+        self.silence_limit.as_ref().is_some_and(is_silent)
+    }
+
+    /// Returns whether the load balancer should send new callers here. While keys cannot be verified, other entry hosts
+    /// serve them better, unless some queues need no key.
     pub fn is_ready(&self) -> bool {
-        let has_rules = self.rules.borrow().is_some();
+        let is_stale = self.is_stale();
+        let serves = |rules: &Arc<FleetRules>| {
+            !is_stale || rules.organisations.is_none() || !rules.public_routes.is_empty()
+        };
+        let has_rules = self.rules.borrow().as_ref().is_some_and(serves);
         has_rules && self.owner_client.can_reach_owner() && !self.draining.load(Ordering::Relaxed)
     }
 
-    /// Probes the owner while it is unreachable, until the process ends.
+    /// Probes the owner while it is unreachable, until the process ends; logs when calls that need a key are refused.
     pub async fn probe_owner_loop(&self) {
+        let mut was_stale = false;
         loop {
             tokio::time::sleep(Duration::from_millis(PROBE_INTERVAL.0)).await;
             let ready = self.is_ready();
@@ -76,6 +102,12 @@
             if ready != self.is_ready() {
                 info!(self.logger, "call: readiness has changed"; "ready" => !ready);
             }
+            let is_stale = self.rules.borrow().is_some() && self.is_stale();
+            if is_stale != was_stale {
+                warn!(self.logger, "config: whether keys can be verified has changed";
+                    "verified" => !is_stale);
+                was_stale = is_stale;
+            }
         }
     }
 
@@ -101,7 +133,7 @@
         let rules = self.rules.borrow().clone();
         let refusal = match &rules {
             None => ApiResponse::Unavailable(RETRY_AFTER_NO_OWNER),
-            Some(rules) => check_head(rules, head).err()?,
+            Some(rules) => self.check_head(rules, head).err()?,
         };
         self.record_response(head, rules.as_deref(), &refusal, Millis(0));
         Some(refusal)
@@ -139,7 +171,7 @@
     }
 
     async fn route(&self, rules: &FleetRules, request: ApiRequest) -> ApiResponse {
-        let checked = match check_head(rules, &request.head) {
+        let checked = match self.check_head(rules, &request.head) {
             Ok(checked) => checked,
             Err(refusal) => return refusal,
         };
@@ -171,6 +203,20 @@
         }
     }
 
+    fn check_head<'a>(
+        &self,
+        rules: &'a FleetRules,
+        head: &'a ApiHead,
+    ) -> Result<CheckedCall<'a>, ApiResponse> {
+        let key = head.key.as_ref().map(PresentedKey::as_bytes);
+        let checked = rules.check_call(&head.host, &head.path, key, self.is_stale());
+        checked.map_err(|refusal| match refusal {
+            CallRefusal::NoKey => ApiResponse::Unauthorized,
+            CallRefusal::NoRoute => ApiResponse::NoRoute,
+            CallRefusal::Unverified => ApiResponse::Unverified(RETRY_AFTER_UNVERIFIED),
+        })
+    }
+
     async fn submit(
         &self,
         id: JobId,
@@ -225,18 +271,6 @@
     }
 }
 
-fn check_head<'a>(
-    rules: &'a FleetRules,
-    head: &'a ApiHead,
-) -> Result<CheckedCall<'a>, ApiResponse> {
-    let key = head.key.as_ref().map(PresentedKey::as_bytes);
-    let checked = rules.check_call(&head.host, &head.path, key);
-    checked.map_err(|refusal| match refusal {
-        CallRefusal::NoKey => ApiResponse::Unauthorized,
-        CallRefusal::NoRoute => ApiResponse::NoRoute,
-    })
-}
-
 /// Returns the organisation of a call, as its job's owner compares it; `None` without a key.
 fn caller_name(origin: &CallOrigin) -> Option<String> {
     match origin {
--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -8,7 +8,7 @@
             MAX_COMMANDS_PER_RUNNER,
         },
         election::{ElectionEvent, ElectionTask, OwnerLease, OwnerLocation},
-        feeds::{OperatorFeed, RunnerFeed, follow_hosts},
+        feeds::{OperatorFeed, RunnerFeed, StoreContact, follow_hosts},
         links::{LinkServer, OwnerLink, PeerDirectory},
         metrics::NodeMetrics,
         ports::{
@@ -194,6 +194,8 @@
         stop: stop_claims.clone(),
         logger: logger.clone(),
     };
+    let contact = StoreContact::default();
+    let feed_contact = contact.clone();
     let operators = Arc::clone(&ports.operators);
     let feed_logger = logger.clone();
     let runner_feed = (Arc::clone(&ports.runner_reports), owner_updates.clone());
@@ -204,6 +206,7 @@
             feed: operators,
             actor: actor.clone(),
             rules,
+            contact: feed_contact,
             logger: feed_logger.clone(),
         };
         tasks.spawn(operator_feed.run());
@@ -228,13 +231,18 @@
         .context("the traffic runtime was not built")?;
     let link = OwnerLink::new(peers.clone(), logger.clone());
     let owner_client = OwnerClient::new(actor.clone(), link, owner_updates);
-    let api = Arc::new(JobApi::new(
+    let mut api = JobApi::new(
         owner_client,
         rules_updates,
         ports.advice.is_configured(),
         metrics,
         logger.clone(),
-    ));
+    );
+    let bounds = settings.bounds;
+    if bounds.fail_closed {
+        api = api.with_silence_limit(contact, bounds.revoke);
+    }
+    let api = Arc::new(api);
     let server = LinkServer {
         actor,
         delegates,
--- a/crates/node/src/feeds/mod.rs
+++ b/crates/node/src/feeds/mod.rs
@@ -3,5 +3,9 @@
 mod host_feed;
 mod operator_feed;
 mod runner_feed;
+mod store_contact;
 
-pub use {host_feed::follow_hosts, operator_feed::OperatorFeed, runner_feed::RunnerFeed};
+pub use {
+    host_feed::follow_hosts, operator_feed::OperatorFeed, runner_feed::RunnerFeed,
+    store_contact::StoreContact,
+};
--- a/crates/node/tests/feed_restarts.rs
+++ b/crates/node/tests/feed_restarts.rs
@@ -11,7 +11,7 @@
     goldcreststall_node::{
         control::ControlEvent,
         election::OwnerLocation,
-        feeds::{OperatorFeed, RunnerFeed},
+        feeds::{OperatorFeed, RunnerFeed, StoreContact},
         ports::{FeedBatch, OperatorRecord, RecordFeed, StoreError},
     },
     parking_lot::Mutex,
@@ -159,6 +159,7 @@
         feed: Arc::clone(&feed) as _,
         actor: spawn_actor().actor,
         rules,
+        contact: StoreContact::default(),
         logger: logger(),
     };
     tokio::spawn(operator_feed.run());
