Fair shares of organisations in the order of placement

Within a tier and a priority the order was by latest start alone, so that a flood of one organisation delayed all others.

Change: within a tier and a priority, the organisation with the smallest dominant share in relation to its weight comes next; within an organisation the order is by latest start. Work without an organisation shares like one more organisation of mean weight. A configuration without organisations keeps the order as it was.

--- a/crates/dispatch/src/organisations/organisation_table.rs
+++ b/crates/dispatch/src/organisations/organisation_table.rs
@@ -17,15 +17,16 @@
 }
 
 /// What is known of one organisation.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct OrganisationRow {
-    name: String,
     weight: u64,
     cap: ResourceCap,
     /// Use of the recorded runs.
     used: ResourceUse,
     /// Use that runs of an earlier owner may have on runners that have not answered this owner.
     assumed: ResourceUse,
+    /// Weighted share as of [`OrganisationTable::weighted_share`] in the pass of placement with this number.
+    share: (u64, u64),
     /// Work items that the quota kept from starting in the last pass of placement.
     over_quota: u32,
 }
@@ -33,20 +34,20 @@
 impl OrganisationRow {
     fn new(name: &str, rules: &FleetRules) -> Self {
         let mut row = Self {
-            name: name.to_owned(),
             weight: 1,
             cap: ResourceCap::default(),
             used: ResourceUse::default(),
             assumed: ResourceUse::default(),
+            share: (0, 0),
             over_quota: 0,
         };
-        row.set_rule(rules);
+        row.set_rule(name, rules);
         row
     }
 
     /// An organisation that is not in the configuration has no quota and weight 1.
-    fn set_rule(&mut self, rules: &FleetRules) {
-        let rule = rules.organisation(&self.name);
+    fn set_rule(&mut self, name: &str, rules: &FleetRules) {
+        let rule = rules.organisation(name);
         self.weight = rule.map_or(1, |rule| rule.weight.max(1));
         self.cap = rule.map(|rule| rule.cap).unwrap_or_default();
     }
@@ -66,6 +67,9 @@
     /// Organisations that the quota kept from starting work in the last pass of placement, and in the one before.
     over_quota: Vec<OrganisationKey>,
     over_quota_before: Vec<OrganisationKey>,
+    /// Number of the present pass of placement, from 1, and the capacity that shares are parts of.
+    pass: u64,
+    capacity: ResourceUse,
 }
 
 impl OrganisationTable {
@@ -76,6 +80,8 @@
             rows: vec![OrganisationRow::new("", &FleetRules::default())],
             over_quota: Vec::new(),
             over_quota_before: Vec::new(),
+            pass: 0,
+            capacity: ResourceUse::default(),
         };
         table.set_rules(rules);
         table
@@ -104,8 +110,8 @@
     /// the configured organisations: it shares capacity like one more organisation, so that calls without a key cannot take
     /// that of the others.
     pub fn set_rules(&mut self, rules: &FleetRules) {
-        for row in &mut self.rows[1..] {
-            row.set_rule(rules);
+        for (name, key) in &self.by_name {
+            self.rows[key.index()].set_rule(name, rules);
         }
         let configured = rules.organisations.as_deref().unwrap_or_default();
         let weights = configured.iter().map(|rule| rule.weight);
@@ -120,6 +126,7 @@
     pub fn add_use(&mut self, key: OrganisationKey, demand: &ResourceUse) {
         let row = &mut self.rows[key.index()];
         row.used = row.used.plus(demand);
+        row.share = (0, 0);
     }
 
     /// Removes the use of a run that has certainly ended.
@@ -156,10 +163,15 @@
         row.total().plus(demand).is_within(&cap)
     }
 
-    /// Returns the dominant share that an organisation uses of `capacity`, in billionths, divided by its weight.
-    pub fn weighted_share(&self, key: OrganisationKey, capacity: &ResourceUse) -> u64 {
-        let row = &self.rows[key.index()];
-        row.total().dominant_share(capacity) / row.weight
+    /// Returns the dominant share that an organisation uses of the capacity, in billionths, divided by its weight. It is
+    /// computed once a pass, and again after a start: the order of work asks for it for each work item.
+    pub fn weighted_share(&mut self, key: OrganisationKey) -> u64 {
+        let row = &mut self.rows[key.index()];
+        if row.share.0 != self.pass {
+            let share = row.total().dominant_share(&self.capacity) / row.weight;
+            row.share = (self.pass, share);
+        }
+        row.share.1
     }
 
     /// Returns the use of an organisation, with that of runs of an earlier owner that may still run.
@@ -172,18 +184,15 @@
         self.rows[key.index()].cap
     }
 
-    /// Returns the name of an organisation; empty for work without one.
-    pub fn name(&self, key: OrganisationKey) -> &str {
-        &self.rows[key.index()].name
-    }
-
     /// Returns the number of work items that the quota kept from starting in the last pass of placement.
     pub fn over_quota(&self, key: OrganisationKey) -> u32 {
         self.rows[key.index()].over_quota
     }
 
-    /// Begins a pass of placement.
-    pub fn begin_pass(&mut self) {
+    /// Begins a pass of placement over runners with this capacity.
+    pub fn begin_pass(&mut self, capacity: ResourceUse) {
+        self.pass += 1;
+        self.capacity = capacity;
         for key in &self.over_quota {
             self.rows[key.index()].over_quota = 0;
         }
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod evacuation;
+mod fair_order;
 mod gang_placement;
 mod hold_planner;
 mod host_commands;
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -1,11 +1,13 @@
 use {
     super::{
         OwnerCommand, OwnerState, StartCommand,
+        fair_order::FairOrder,
         ready_items::{PlacementTier, ReadyItem},
         unplaced_serving::{UnplacedServing, add_unplaced},
     },
     crate::{
         jobs::{ItemKey, ItemRun, JobState, StepSpec, WorkItem},
+        organisations::ResourceUse,
         routes::RouteRule,
         runners::{Capacity, RunnerKey, RunnerState},
     },
@@ -46,13 +48,22 @@
     /// Starts ready work items on runners with free capacity.
     pub(super) fn place_items(&mut self, now: LocalTime, wall_ms: u64) {
         self.count_unconfirmed();
-        self.organisations.begin_pass();
+        self.organisations.begin_pass(self.present_capacity());
         let mut ready = self.ready_items(now, wall_ms);
         let mut pass = PlacementPass {
             unplaced_before: std::mem::take(&mut self.unplaced_serving),
             ..PlacementPass::default()
         };
         self.start_budget.refill(now);
+        if self.rules.organisations.is_some() {
+            let mut order = FairOrder::new(ready);
+            while let Some(ready) = order.pop(|key| self.organisations.weighted_share(key)) {
+                if !self.place_next(ready, &mut pass, now) {
+                    break;
+                }
+            }
+            return;
+        }
         ready.sort_unstable_by_key(|ready| (ready.rank, ready.key));
         for ready in ready {
             if !self.place_next(ready, &mut pass, now) {
@@ -68,20 +79,21 @@
             self.placement_due = true;
             return false;
         }
-        self.place_item(ready.key, ready.rank.tier, pass, now);
+        self.place_item(&ready, pass, now);
         true
     }
 
-    fn place_item(
-        &mut self,
-        key: ItemKey,
-        tier: PlacementTier,
-        pass: &mut PlacementPass,
-        now: LocalTime,
-    ) {
-        if !self.fits_quota(key) {
-            return;
-        }
+    /// Returns the capacity of all runners that are present.
+    fn present_capacity(&self) -> ResourceUse {
+        let runners = self.runners.all().map(|(_, state)| state);
+        let present = runners.filter(|state| state.is_present());
+        present.fold(ResourceUse::default(), |sum, state| {
+            sum.plus(&ResourceUse::from(state.report.capacity))
+        })
+    }
+
+    fn place_item(&mut self, ready: &ReadyItem, pass: &mut PlacementPass, now: LocalTime) {
+        let (key, tier) = (ready.key, ready.rank.tier);
         let Some(job) = self.jobs.get(key.job) else {
             return;
         };
@@ -101,6 +113,9 @@
         if cannot_fit && item.target.is_none() {
             return;
         }
+        if !self.fits_quota(ready) {
+            return;
+        }
         let pool_index = self.pool_of_pass(&queue, pass, now);
         if let Some(members) = self.gang_of(key) {
             self.place_gang(&members, tier, pool_index, pass, now);
--- a/crates/dispatch/src/owner/quotas.rs
+++ b/crates/dispatch/src/owner/quotas.rs
@@ -1,5 +1,5 @@
 use {
-    super::OwnerState,
+    super::{OwnerState, ready_items::ReadyItem},
     crate::{
         jobs::{ItemKey, JobState, WorkItem},
         organisations::{OrganisationKey, ResourceUse},
@@ -31,17 +31,17 @@
 
     /// Returns whether the quota of its organisation lets a work item start now, and with it all members of its gang.
     /// Logs an organisation that has reached its quota.
-    pub(super) fn fits_quota(&mut self, key: ItemKey) -> bool {
-        let Some((job, item)) = self.jobs.item(key) else {
-            return false;
-        };
-        if job.organisation.is_none() {
+    pub(super) fn fits_quota(&mut self, ready: &ReadyItem) -> bool {
+        let organisation = ready.organisation;
+        if organisation == OrganisationKey::NONE {
             return true;
         }
+        let Some((job, item)) = self.jobs.item(ready.key) else {
+            return false;
+        };
         let step = job.step_of(item);
         let count = if step.gang { step.count } else { 1 };
         let demand = ResourceUse::of_step(step, count);
-        let organisation = job.organisation_key;
         // An owner that has not read the configuration knows no quotas.
         let has_rules = self.rules.version > 0;
         if has_rules && self.organisations.allows(organisation, &demand) {
@@ -54,7 +54,7 @@
                 "used_cpu={} used_mem_mb={} used_gpu={} cap_cpu={} cap_mem_mb={} cap_gpu={} demand_cpu={} has_rules={has_rules}",
                 used.cpu, used.mem_mb, used.gpu, cap.cpu, cap.mem_mb, cap.gpu, demand.cpu
             );
-            let name = self.organisations.name(organisation).to_owned();
+            let name = job.organisation.clone().unwrap_or_default();
             self.log_event("quota reached", name, detail);
         }
         false
--- a/crates/dispatch/src/owner/ready_items.rs
+++ b/crates/dispatch/src/owner/ready_items.rs
@@ -2,6 +2,7 @@
     super::OwnerState,
     crate::{
         jobs::{ItemKey, JobKey, JobState, WorkItem},
+        organisations::OrganisationKey,
         runners::RunnerState,
     },
     goldcreststall_core::ids::{LocalTime, Millis},
@@ -13,7 +14,14 @@
     pub(super) tier: PlacementTier,
     priority: u32,
     /// Latest start, in milliseconds of the local clock, at which the job can be in time.
-    latest_start: u64,
+    pub(super) latest_start: u64,
+}
+
+impl PlacementRank {
+    /// Returns the part of the rank that goes before shares of organisations.
+    pub(super) fn group(&self) -> (PlacementTier, u32) {
+        (self.tier, self.priority)
+    }
 }
 
 /// Classes of work items, in the order in which they are placed. In a flood, started jobs are finished before new ones
@@ -40,6 +48,7 @@
 pub(super) struct ReadyItem {
     pub(super) rank: PlacementRank,
     pub(super) key: ItemKey,
+    pub(super) organisation: OrganisationKey,
 }
 
 /// One in this many: the fraction of the remaining critical path that a job which has not started needs as reserve.
@@ -112,7 +121,11 @@
                 job: key,
                 item: number,
             };
-            ready.push(ReadyItem { rank, key });
+            ready.push(ReadyItem {
+                rank,
+                key,
+                organisation: job.organisation_key,
+            });
         }
     }
 }
