Pool sizes by what quotas allow to run

Work beyond the quota of its organisation counted as demand, so that pools requested hosts that could run none of it.

Change: of the waiting work of an organisation with a quota, over all pools together, only the part counts that fits beside what runs; the same for arrivals. Long-running work without a runner counts against the quota of its organisation within a pass of placement, so that a quota for a few work items reserves no runners and requests no hosts for hundreds.

--- a/crates/dispatch/src/organisations/organisation_table.rs
+++ b/crates/dispatch/src/organisations/organisation_table.rs
@@ -25,6 +25,12 @@
     used: ResourceUse,
     /// Use that runs of an earlier owner may have on runners that have not answered this owner.
     assumed: ResourceUse,
+    /// Use of waiting work that may start but found no runner in this pass, and has one reserved.
+    claimed: ResourceUse,
+    /// Use of the work that arrived after the last decision on pool sizes.
+    arrived: ResourceUse,
+    /// Its quota does not allow all of its waiting work to run.
+    at_quota: bool,
     /// Weighted share as of [`OrganisationTable::weighted_share`] in the pass of placement with this number.
     share: (u64, u64),
     /// Work items that the quota kept from starting in the last pass of placement.
@@ -38,6 +44,9 @@
             cap: ResourceCap::default(),
             used: ResourceUse::default(),
             assumed: ResourceUse::default(),
+            claimed: ResourceUse::default(),
+            arrived: ResourceUse::default(),
+            at_quota: false,
             share: (0, 0),
             over_quota: 0,
         };
@@ -67,6 +76,12 @@
     /// Organisations that the quota kept from starting work in the last pass of placement, and in the one before.
     over_quota: Vec<OrganisationKey>,
     over_quota_before: Vec<OrganisationKey>,
+    /// Organisations with `claimed` use.
+    claimants: Vec<OrganisationKey>,
+    /// Organisations with `arrived` use.
+    arrivals: Vec<OrganisationKey>,
+    /// Organisations at their quota.
+    at_quota: Vec<OrganisationKey>,
     /// Number of the present pass of placement, from 1, and the capacity that shares are parts of.
     pass: u64,
     capacity: ResourceUse,
@@ -80,6 +95,9 @@
             rows: vec![OrganisationRow::new("", &FleetRules::default())],
             over_quota: Vec::new(),
             over_quota_before: Vec::new(),
+            claimants: Vec::new(),
+            arrivals: Vec::new(),
+            at_quota: Vec::new(),
             pass: 0,
             capacity: ResourceUse::default(),
         };
@@ -160,7 +178,71 @@
             mem_mb: limit(demand.mem_mb, mem_mb),
             gpu: limit(demand.gpu, gpu),
         };
-        row.total().plus(demand).is_within(&cap)
+        let total = row.total().plus(&row.claimed);
+        total.plus(demand).is_within(&cap)
+    }
+
+    /// Counts waiting work against the quota until the next pass of placement: a quota for a few work items must not keep
+    /// runners reserved, or request hosts, for hundreds.
+    pub fn claim(&mut self, key: OrganisationKey, demand: &ResourceUse) {
+        let row = &mut self.rows[key.index()];
+        row.claimed = row.claimed.plus(demand);
+        self.claimants.push(key);
+    }
+
+    /// Returns whether an organisation has a quota.
+    pub fn is_limited(&self, key: OrganisationKey) -> bool {
+        self.rows[key.index()].cap != ResourceCap::default()
+    }
+
+    /// Returns how much of `waiting` may run beside what an organisation uses, in percent.
+    pub fn allowed_percent(&self, key: OrganisationKey, waiting: &ResourceUse) -> u64 {
+        let row = &self.rows[key.index()];
+        let used = row.total().plus(&row.arrived);
+        let percent = |cap: u64, used: u64, waiting: u64| {
+            let free = cap.saturating_sub(used);
+            if cap == 0 || waiting <= free {
+                return 100;
+            }
+            free.saturating_mul(100).div_ceil(waiting)
+        };
+        percent(row.cap.cpu, used.cpu, waiting.cpu)
+            .min(percent(row.cap.mem_mb, used.mem_mb, waiting.mem_mb))
+            .min(percent(row.cap.gpu, used.gpu, waiting.gpu))
+    }
+
+    /// Records work that arrives; returns how much of it the quota may allow to run, in percent.
+    pub fn record_arrival(&mut self, key: OrganisationKey, arriving: &ResourceUse) -> u64 {
+        if self.is_at_quota(key) {
+            return 0;
+        }
+        let percent = self.allowed_percent(key, arriving);
+        let row = &mut self.rows[key.index()];
+        row.arrived = row.arrived.plus(arriving);
+        self.arrivals.push(key);
+        percent
+    }
+
+    /// Begins a decision on pool sizes: what has arrived is waiting work now.
+    pub fn clear_arrivals(&mut self) {
+        for key in self.arrivals.drain(..) {
+            self.rows[key.index()].arrived = ResourceUse::default();
+        }
+    }
+
+    /// Replaces the organisations whose quota does not allow all of their waiting work to run.
+    pub fn set_at_quota(&mut self, organisations: Vec<OrganisationKey>) {
+        for key in std::mem::replace(&mut self.at_quota, organisations) {
+            self.rows[key.index()].at_quota = false;
+        }
+        for key in &self.at_quota {
+            self.rows[key.index()].at_quota = true;
+        }
+    }
+
+    /// Returns whether the quota of an organisation does not allow all of its waiting work to run.
+    pub fn is_at_quota(&self, key: OrganisationKey) -> bool {
+        self.rows[key.index()].at_quota
     }
 
     /// Returns the dominant share that an organisation uses of the capacity, in billionths, divided by its weight. It is
@@ -191,6 +273,9 @@
 
     /// Begins a pass of placement over runners with this capacity.
     pub fn begin_pass(&mut self, capacity: ResourceUse) {
+        for key in self.claimants.drain(..) {
+            self.rows[key.index()].claimed = ResourceUse::default();
+        }
         self.pass += 1;
         self.capacity = capacity;
         for key in &self.over_quota {
--- a/crates/dispatch/src/owner/host_moves.rs
+++ b/crates/dispatch/src/owner/host_moves.rs
@@ -5,7 +5,8 @@
         unplaced_serving::hosts_for_unplaced,
     },
     crate::{
-        pools::{HostMove, PoolPlan, PoolStats, job_demand, plan_pools},
+        organisations::{OrganisationKey, ResourceUse},
+        pools::{HostMove, JobDemand, PoolPlan, PoolStats, job_demand, plan_pools},
         runners::{Capacity, RunnerStatus},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
@@ -97,18 +98,29 @@
             }
         }
         let largest = self.largest_capacity();
+        let mut limited: Vec<LimitedDemand> = Vec::new();
         for key in self.jobs.unfinished() {
             let Some(job) = self.jobs.get(*key) else {
                 continue;
             };
-            let pool = stats.iter_mut().find(|pool| pool.name == job.queue.service);
-            if let Some(pool) = pool {
-                pool.spread = pool.spread.max(job.long_running_spread());
-                let demand = job_demand(job, largest, now);
-                pool.demand_cpu = pool.demand_cpu.saturating_add(demand.in_time);
-                pool.late_cpu = pool.late_cpu.saturating_add(demand.late);
+            let pool = stats.iter().position(|pool| pool.name == job.queue.service);
+            let Some(pool) = pool else {
+                continue;
+            };
+            let demand = job_demand(job, largest, now);
+            let spread = job.long_running_spread();
+            if self.organisations.is_limited(job.organisation_key) {
+                limited.push(LimitedDemand {
+                    organisation: job.organisation_key,
+                    pool,
+                    demand,
+                    spread,
+                });
+            } else {
+                stats[pool].add_demand(&demand, spread);
             }
         }
+        self.add_limited(limited, &mut stats);
         for pool in &mut stats {
             pool.serving = self.serving_hosts(&pool.name, pool.host_capacity, largest, now);
             let arriving = self.arrivals.demand_cpu(&pool.name, now);
@@ -117,6 +129,35 @@
         stats
     }
 
+    /// Adds the demand of organisations with a quota, as far as the quota allows it to run: more hosts would not serve the
+    /// rest. Over all pools, the same part of the waiting work of an organisation counts.
+    fn add_limited(&mut self, mut limited: Vec<LimitedDemand>, stats: &mut [PoolStats]) {
+        self.organisations.clear_arrivals();
+        limited.sort_unstable_by_key(|part| part.organisation);
+        let mut at_quota = Vec::new();
+        for parts in limited.chunk_by(|left, right| left.organisation == right.organisation) {
+            let organisation = parts[0].organisation;
+            let waiting = parts.iter().fold(ResourceUse::default(), |sum, part| {
+                sum.plus(&part.demand.waiting_use)
+            });
+            let percent = self.organisations.allowed_percent(organisation, &waiting);
+            if percent < 100 {
+                at_quota.push(organisation);
+            }
+            for part in parts {
+                let has_runs = part.demand.in_time + part.demand.late
+                    > part.demand.waiting.0 + part.demand.waiting.1;
+                let spread = if percent > 0 || has_runs {
+                    part.spread
+                } else {
+                    0
+                };
+                stats[part.pool].add_demand(&part.demand.limited(percent), spread);
+            }
+        }
+        self.organisations.set_at_quota(at_quota);
+    }
+
     /// Returns the number of hosts of a pool that accept work, and of those that long-running work waits for beyond them.
     /// Work that is larger than `largest`, the largest host, needs none.
     fn serving_hosts(
@@ -178,6 +219,16 @@
     }
 }
 
+/// Demand of a job whose organisation has a quota.
+#[derive(Clone, Copy, Debug)]
+struct LimitedDemand {
+    organisation: OrganisationKey,
+    /// Index of the pool.
+    pool: usize,
+    demand: JobDemand,
+    spread: usize,
+}
+
 /// Whether a host could move to another pool.
 enum HostOccupancy {
     /// It could move at once; it has had no runs since this time.
--- a/crates/dispatch/src/owner/job_calls.rs
+++ b/crates/dispatch/src/owner/job_calls.rs
@@ -2,6 +2,7 @@
     super::{OwnerCommand, OwnerState, journal_queue::StoredEffect},
     crate::{
         jobs::{JobId, JobKey, JobPhase, JobState},
+        organisations::ResourceUse,
         pools::work_left,
         records::JobSubmission,
     },
@@ -124,6 +125,11 @@
         if job.spec.times == 0 {
             let work = work_left(&job, self.largest_capacity());
             let service = job.queue.service.clone();
+            // What a quota does not allow to run is no demand.
+            let work = match self.arriving_percent(&job) {
+                100 => work,
+                percent => work.saturating_mul(percent) / 100,
+            };
             self.arrivals.record_arrival(&service, work, now);
         }
         let key = self.jobs.insert(job);
@@ -132,6 +138,19 @@
             .on_stored(StoredEffect::Reply(key, call_id, CallResponse::Accepted));
     }
 
+    /// Returns how much of an arriving job the quota of its organisation may allow to run, in percent.
+    fn arriving_percent(&mut self, job: &JobState) -> u64 {
+        if !self.organisations.is_limited(job.organisation_key) {
+            return 100;
+        }
+        let steps = job.spec.steps.iter();
+        let arriving = steps.fold(ResourceUse::default(), |sum, step| {
+            sum.plus(&ResourceUse::of_step(step, step.count))
+        });
+        self.organisations
+            .record_arrival(job.organisation_key, &arriving)
+    }
+
     fn resubmit(&mut self, call_id: CallId, key: JobKey) {
         if self.jobs.get(key).is_some_and(|job| job.accepted) {
             self.reply(call_id, CallResponse::Accepted);
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -132,6 +132,8 @@
                 self.fits_drained(*runner, demand) && self.is_eligible(key, *runner, demand, now)
             });
             pass.reserved.extend(reserved);
+            let (organisation, quota_demand) = self.quota_demand(key);
+            self.organisations.claim(organisation, &quota_demand);
             self.record_unplaced(key, demand, reserved, &pass.unplaced_before);
         } else if !self.is_constrained(key) {
             pass.full_queues.push((queue, demand));
--- a/crates/dispatch/src/pools/job_demand.rs
+++ b/crates/dispatch/src/pools/job_demand.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
         jobs::{JobState, WorkItem},
+        organisations::ResourceUse,
         runners::Capacity,
     },
     goldcreststall_core::ids::LocalTime,
@@ -16,6 +17,23 @@
     pub in_time: u64,
     /// Demand of work items whose job is late or will be.
     pub late: u64,
+    /// Part of `in_time` and of `late` of work items without a run.
+    pub waiting: (u64, u64),
+    /// What these work items would use.
+    pub waiting_use: ResourceUse,
+}
+
+impl JobDemand {
+    /// Returns the demand with only `percent` of that of work items without a run.
+    pub fn limited(&self, percent: u64) -> Self {
+        let left_out = |waiting: u64| waiting - waiting.saturating_mul(percent) / 100;
+        let (in_time, late) = self.waiting;
+        Self {
+            in_time: self.in_time - left_out(in_time),
+            late: self.late - left_out(late),
+            ..*self
+        }
+    }
 }
 
 /// Returns the demand of a job's ready and running work items. Those that need more than `largest`, the capacity of the
@@ -39,14 +57,22 @@
             continue;
         }
         let cpu = u64::from(job.step_of(item).counted_cpu());
+        let waiting_cpu = if item.runs.is_empty() { cpu } else { 0 };
         if in_time {
             demand.in_time += cpu;
+            demand.waiting.0 += waiting_cpu;
         } else {
             demand.late += cpu;
+            demand.waiting.1 += waiting_cpu;
+        }
+        if item.runs.is_empty() {
+            let item_use = ResourceUse::of_step(job.step_of(item), 1);
+            demand.waiting_use = demand.waiting_use.plus(&item_use);
         }
     }
     if now > job.useful_until() {
         demand.late /= OVERDUE_DIVISOR;
+        demand.waiting.1 /= OVERDUE_DIVISOR;
     }
     demand
 }
--- a/crates/dispatch/src/pools/pool_planner.rs
+++ b/crates/dispatch/src/pools/pool_planner.rs
@@ -1,4 +1,4 @@
-use {crate::runners::Capacity, goldcreststall_core::ids::LocalTime};
+use {super::JobDemand, crate::runners::Capacity, goldcreststall_core::ids::LocalTime};
 
 /// Share of a pool's capacity that is planned as used, in percent. The rest serves the arrivals during the two seconds
 /// that a host takes to move, and covers fragmentation: work does not fill hosts completely.
@@ -40,6 +40,13 @@
 }
 
 impl PoolStats {
+    /// Adds the demand of a job, whose long-running work must be spread over `spread` hosts.
+    pub fn add_demand(&mut self, demand: &JobDemand, spread: usize) {
+        self.spread = self.spread.max(spread);
+        self.demand_cpu = self.demand_cpu.saturating_add(demand.in_time);
+        self.late_cpu = self.late_cpu.saturating_add(demand.late);
+    }
+
     fn hosts_for(&self, cpu: u64) -> usize {
         let planned = u64::from(self.host_capacity.cpu.max(1)) * PLANNED_USE_PERCENT / 100;
         cpu.div_ceil(planned.max(1)).min(MAX_POOL_HOSTS) as usize
