Entry: the same bounds on what callers hold

Cause: goldcreststall-entry collected bodies of jobs chunk by chunk, limited neither connections nor the bytes that all of them hold, and the HTTP library kept up to 417,792 bytes for a connection. Change: CallerServer and the router read bodies through the intake; `--memory-mb` and `--max-fds` (256 and 4,096) give the limits. Jobs are refused before their body is read while there is no state. A connection whose caller takes no bytes of an answer for 15 s (entry: 30 s) is closed in any phase, and counts as one to shed after 3 s.

--- a/crates/callers/src/intake/body_intake.rs
+++ b/crates/callers/src/intake/body_intake.rs
@@ -6,45 +6,66 @@
 /// First size of the buffer of a body; most jobs fit.
 const FIRST_BUFFER_BYTES: usize = 4 * 1024;
 
+/// The start of a body.
+#[derive(Debug)]
+pub enum BodyStart {
+    /// The whole body.
+    Complete(Vec<u8>),
+    /// More than the limit was read; the rest is still to come.
+    Partial(Vec<u8>, Incoming),
+}
+
 /// Reads a body into one buffer whose bytes are reserved before it grows.
 ///
 /// # Errors
 /// The status of the refusal: the body is larger than `max_bytes`, broken or too slow, or the budget is used up.
 pub async fn read_body(
-    mut body: Incoming,
+    body: Incoming,
     max_bytes: usize,
     intake: &ConnectionIntake,
 ) -> Result<Vec<u8>, StatusCode> {
-    let declared = body.size_hint().upper();
-    if declared.is_some_and(|bytes| bytes > max_bytes as u64) {
+    if body.size_hint().lower() > max_bytes as u64 {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let expected = declared.map_or(max_bytes, |bytes| bytes as usize);
+    match read_start(body, max_bytes, intake).await? {
+        BodyStart::Complete(buffer) => Ok(buffer),
+        BodyStart::Partial(..) => Err(StatusCode::PAYLOAD_TOO_LARGE),
+    }
+}
+
+/// Reads a body, or its start when it is larger than `max_bytes`, into one buffer whose bytes are reserved before it
+/// grows.
+///
+/// # Errors
+/// The status of the refusal: the body is broken or too slow, or the budget is used up.
+pub async fn read_start(
+    mut body: Incoming,
+    max_bytes: usize,
+    intake: &ConnectionIntake,
+) -> Result<BodyStart, StatusCode> {
+    let declared = body.size_hint().upper().unwrap_or(u64::MAX);
+    let expected = declared.min(max_bytes as u64) as usize;
     intake.begin_body(expected);
     let mut buffer = Vec::new();
-    loop {
+    while buffer.len() <= max_bytes {
         let frame = tokio::select! {
             frame = body.frame() => frame,
             () = intake.refused() => return Err(StatusCode::SERVICE_UNAVAILABLE),
         };
         let Some(frame) = frame else {
             // The refusal may have been decided together with the arrival of the last bytes.
-            let refused = intake.is_refused();
-            return if refused {
+            return if intake.is_refused() {
                 Err(StatusCode::SERVICE_UNAVAILABLE)
             } else {
-                Ok(buffer)
+                Ok(BodyStart::Complete(buffer))
             };
         };
         let frame = frame.map_err(|_| StatusCode::BAD_REQUEST)?;
         let Some(data) = frame.data_ref() else {
             continue;
         };
-        let needed = buffer.len() + data.len();
-        if needed > max_bytes {
-            return Err(StatusCode::PAYLOAD_TOO_LARGE);
-        }
         intake.receive_body(data.len());
+        let needed = buffer.len() + data.len();
         if needed > buffer.capacity() {
             let doubled = (buffer.capacity() * 2).max(FIRST_BUFFER_BYTES);
             let capacity = doubled.min(expected).max(needed);
@@ -55,4 +76,5 @@
         }
         buffer.extend_from_slice(data);
     }
+    Ok(BodyStart::Partial(buffer, body))
 }
--- a/crates/callers/src/intake/caller_intake.rs
+++ b/crates/callers/src/intake/caller_intake.rs
@@ -22,7 +22,7 @@
     pub connections: usize,
     /// Bytes that are reserved for bodies.
     pub held_bytes: usize,
-    /// How many connections were closed or refused, in the order of [`CloseReason::ALL`].
+    /// How many connections were closed or refused since the last figures, in the order of [`CloseReason::ALL`].
     pub stops: [u64; CloseReason::COUNT],
 }
 
@@ -89,65 +89,64 @@
         })
     }
 
-    /// Returns what is held now.
-    pub fn figures(&self) -> IntakeFigures {
-        let state = self.state.lock();
-        IntakeFigures {
-            connections: state.table.connections(),
-            held_bytes: state.table.held(),
-            stops: state.table.stops(),
-        }
-    }
-
     /// Sets the time limit on headers.
     pub fn set_header_timeout(&self, timeout: Millis) {
         self.state.lock().table.set_header_timeout(timeout);
     }
 
-    /// Applies the time limits and reports to `report`, until the future is dropped.
-    pub async fn sweep(&self, logger: &Logger, mut report: impl FnMut(IntakeFigures)) {
-        let mut logged = self.figures().stops;
+    /// Applies the time limits and reports to `report`, until the future is dropped. Log lines begin with `prefix`.
+    pub async fn sweep(
+        &self,
+        prefix: &'static str,
+        logger: &Logger,
+        mut report: impl FnMut(IntakeFigures),
+    ) {
+        let mut reported = [0; CloseReason::COUNT];
+        let mut unlogged = [0; CloseReason::COUNT];
         let mut sweeps = 0;
         loop {
             tokio::time::sleep(SWEEP_INTERVAL).await;
-            {
-                let mut state = self.state.lock();
-                let stops = state.table.expire(self.now());
-                stops.into_iter().for_each(|stop| state.send(stop));
-            }
-            let figures = self.figures();
+            let figures = self.expire(&mut reported);
             report(figures);
+            for (sum, new) in unlogged.iter_mut().zip(figures.stops) {
+                *sum += new;
+            }
             sweeps += 1;
-            if sweeps >= SWEEPS_PER_LINE && is_unusual(&figures.stops, &logged) {
-                let new: Vec<(&str, u64)> = CloseReason::ALL
-                    .into_iter()
-                    .map(|reason| {
-                        (
-                            reason.name(),
-                            figures.stops[reason as usize] - logged[reason as usize],
-                        )
-                    })
-                    .filter(|(_, count)| *count > 0)
-                    .collect();
-                warn!(logger, "call: connections were closed or refused"; "reasons" => ?new,
+            if sweeps >= SWEEPS_PER_LINE && is_unusual(&unlogged) {
+                let counts =
+                    CloseReason::ALL.map(|reason| (reason.name(), unlogged[reason as usize]));
+                let counts: Vec<_> = counts.iter().filter(|(_, count)| *count > 0).collect();
+                warn!(logger, "{prefix}: connections were closed or refused"; "reasons" => ?counts,
                     "connections" => figures.connections, "held_bytes" => figures.held_bytes);
-                logged = figures.stops;
+                unlogged = [0; CloseReason::COUNT];
                 sweeps = 0;
             }
         }
     }
 
+    fn expire(&self, reported: &mut [u64; CloseReason::COUNT]) -> IntakeFigures {
+        let mut state = self.state.lock();
+        let stops = state.table.expire(self.now());
+        stops.into_iter().for_each(|stop| state.send(stop));
+        let totals = state.table.stops();
+        let new = std::array::from_fn(|index| totals[index] - reported[index]);
+        *reported = totals;
+        IntakeFigures {
+            connections: state.table.connections(),
+            held_bytes: state.table.held(),
+            stops: new,
+        }
+    }
+
     fn now(&self) -> LocalTime {
         LocalTime(self.started.elapsed().as_millis() as u64)
     }
 }
 
 /// Connections that are closed because they are idle are no reason for a log line of their own.
-fn is_unusual(stops: &[u64; CloseReason::COUNT], logged: &[u64; CloseReason::COUNT]) -> bool {
+fn is_unusual(stops: &[u64; CloseReason::COUNT]) -> bool {
     let mut reasons = CloseReason::ALL.into_iter();
-    reasons.any(|reason| {
-        reason != CloseReason::Idle && stops[reason as usize] > logged[reason as usize]
-    })
+    reasons.any(|reason| reason != CloseReason::Idle && stops[reason as usize] > 0)
 }
 
 /// A connection that counts as open until it is dropped.
@@ -202,6 +201,11 @@
         }
     }
 
+    /// Releases what the request held.
+    pub fn release(&self) {
+        self.update(|table, _| table.release(self.id));
+    }
+
     /// Notes that the request is complete and is handled.
     pub fn begin_handling(&self) {
         self.update(|table, now| table.begin_handling(self.id, now));
@@ -212,6 +216,11 @@
         self.update(|table, now| table.begin_answer(self.id, now));
     }
 
+    /// Notes whether the caller takes no bytes of an answer now.
+    pub fn set_blocked(&self, is_blocked: bool) {
+        self.update(|table, now| table.set_blocked(self.id, is_blocked, now));
+    }
+
     /// Notes that everything was written to the caller.
     pub fn finish_answer(&self) {
         self.update(|table, now| table.finish_answer(self.id, now));
--- a/crates/callers/src/intake/intake_table.rs
+++ b/crates/callers/src/intake/intake_table.rs
@@ -86,7 +86,7 @@
     Body { received: usize, remaining: usize },
     /// The complete request is handled.
     Handling,
-    /// The answer is written.
+    /// The answer is written; a caller that takes none of its bytes is `blocked`.
     Answering,
 }
 
@@ -98,6 +98,8 @@
     since: LocalTime,
     /// When the last byte of a body arrived.
     progress: LocalTime,
+    /// Since when the caller takes no bytes of an answer; `None` while it does.
+    blocked: Option<LocalTime>,
     /// Reserved bytes.
     held: usize,
 }
@@ -133,9 +135,12 @@
     /// Returns the order in which connections are shed, largest first; `None` for one that is kept.
     fn shed_order(&self, now: LocalTime) -> Option<(u8, u64)> {
         let age = now.since(self.since).0;
+        let blocked = self.blocked.map(|since| now.since(since));
+        if let Some(blocked) = blocked.filter(|blocked| *blocked > UNREAD_ANSWER_TIMEOUT) {
+            return Some((2, blocked.0));
+        }
         match self.phase {
             ConnectionPhase::Idle { served: false } | ConnectionPhase::Head => Some((2, age)),
-            ConnectionPhase::Answering if age > UNREAD_ANSWER_TIMEOUT.0 => Some((2, age)),
             ConnectionPhase::Body { .. } => self.body_wait(now).map(|wait| (1, wait)),
             ConnectionPhase::Idle { served: true } => Some((0, age)),
             ConnectionPhase::Answering | ConnectionPhase::Handling => None,
@@ -222,6 +227,7 @@
             phase: ConnectionPhase::Idle { served: false },
             since: now,
             progress: now,
+            blocked: None,
             held: 0,
         });
         (Some(id), stop)
@@ -310,13 +316,26 @@
 
     /// Notes that the answer is ready, and releases what the request held.
     pub fn begin_answer(&mut self, id: u64, now: LocalTime) {
-        if let Ok(index) = self.index(id) {
-            let row = &mut self.rows[index];
-            self.held -= std::mem::take(&mut row.held);
+        self.release(id);
+        if let Some(row) = self.row(id) {
             row.enter(ConnectionPhase::Answering, now);
         }
     }
 
+    /// Releases what the request of a connection held.
+    pub fn release(&mut self, id: u64) {
+        if let Ok(index) = self.index(id) {
+            self.held -= std::mem::take(&mut self.rows[index].held);
+        }
+    }
+
+    /// Notes whether the caller takes no bytes of an answer now.
+    pub fn set_blocked(&mut self, id: u64, is_blocked: bool, now: LocalTime) {
+        if let Some(row) = self.row(id) {
+            row.blocked = is_blocked.then(|| row.blocked.unwrap_or(now));
+        }
+    }
+
     /// Notes that everything was written to the caller.
     pub fn finish_answer(&mut self, id: u64, now: LocalTime) {
         if let Some(row) = self.row(id)
@@ -331,6 +350,12 @@
         let limits = self.limits;
         let expired = |row: &ConnectionRow| {
             let age = now.since(row.since);
+            if row
+                .blocked
+                .is_some_and(|since| now.since(since) > limits.idle_timeout)
+            {
+                return Some(ConnectionStop::Close(row.id, CloseReason::AnswerUnread));
+            }
             match row.phase {
                 ConnectionPhase::Idle { .. } if age > limits.idle_timeout => {
                     Some(ConnectionStop::Close(row.id, CloseReason::Idle))
@@ -338,9 +363,6 @@
                 ConnectionPhase::Head if age > limits.header_timeout => {
                     Some(ConnectionStop::Close(row.id, CloseReason::HeaderTimeout))
                 }
-                ConnectionPhase::Answering if age > limits.idle_timeout => {
-                    Some(ConnectionStop::Close(row.id, CloseReason::AnswerUnread))
-                }
                 ConnectionPhase::Body { .. } if now.since(row.progress) > limits.stall_timeout => {
                     Some(ConnectionStop::Refuse(row.id, CloseReason::BodyStalled))
                 }
--- a/crates/callers/src/intake/metered_stream.rs
+++ b/crates/callers/src/intake/metered_stream.rs
@@ -16,13 +16,25 @@
 #[derive(Debug)]
 pub struct MeteredStream {
     intake: Arc<ConnectionIntake>,
+    is_blocked: bool,
     stream: TcpStream,
 }
 
 impl MeteredStream {
     /// Creates a stream that reports to `intake`.
     pub fn new(stream: TcpStream, intake: Arc<ConnectionIntake>) -> Self {
-        Self { intake, stream }
+        Self {
+            intake,
+            is_blocked: false,
+            stream,
+        }
+    }
+
+    fn note_write(&mut self, result: &Poll<io::Result<usize>>) {
+        if result.is_pending() != self.is_blocked {
+            self.is_blocked = result.is_pending();
+            self.intake.set_blocked(self.is_blocked);
+        }
     }
 }
 
@@ -47,7 +59,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.note_write(&result);
+        result
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -67,7 +81,9 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.note_write(&result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/callers/src/intake/mod.rs
+++ b/crates/callers/src/intake/mod.rs
@@ -7,7 +7,7 @@
 mod metered_stream;
 
 pub use {
-    body_intake::read_body,
+    body_intake::{BodyStart, read_body, read_start},
     caller_intake::{CallerIntake, ConnectionIntake, IntakeFigures},
     intake_limits::IntakeLimits,
     intake_table::{CloseReason, ConnectionStop, IntakeTable, Reservation},
--- a/crates/callers/src/request/caller_request.rs
+++ b/crates/callers/src/request/caller_request.rs
@@ -1,5 +1,6 @@
 use {
     super::{DEADLINE, IDEMPOTENT, KEY, ORGANISATION, RequestError, SERVICE, URGENCY},
+    crate::intake::ConnectionIntake,
     goldcreststall_core::{
         error::ErrorKind,
         ids::{Millis, OrganisationName, RequestKey, ServiceName},
@@ -7,6 +8,7 @@
     },
     http::{HeaderMap, Method, Request, Version, header},
     hyper::body::Incoming,
+    std::sync::Arc,
 };
 
 /// Deadline of a request without a deadline header.
@@ -31,6 +33,8 @@
 pub struct CallerRequest {
     /// The body, still arriving.
     pub body: Incoming,
+    /// Counts the bytes of the body that are held.
+    pub connection: Arc<ConnectionIntake>,
     /// Time left until the headers of the response.
     pub deadline: Millis,
     /// Headers that are forwarded to the target.
@@ -51,16 +55,19 @@
     pub urgency: Urgency,
 }
 
-impl TryFrom<Request<Incoming>> for CallerRequest {
+impl TryFrom<(Request<Incoming>, Arc<ConnectionIntake>)> for CallerRequest {
     type Error = RequestError;
 
-    fn try_from(request: Request<Incoming>) -> Result<Self, RequestError> {
+    fn try_from(
+        (request, connection): (Request<Incoming>, Arc<ConnectionIntake>),
+    ) -> Result<Self, RequestError> {
         let (head, body) = request.into_parts();
         check_version(head.version)?;
         let headers = &head.headers;
         let path = head.uri.path_and_query();
         Ok(Self {
             body,
+            connection,
             deadline: deadline(headers)?,
             idempotent: idempotent(headers)?,
             key: key(headers)?,
--- a/crates/callers/src/request/request_error.rs
+++ b/crates/callers/src/request/request_error.rs
@@ -1,4 +1,4 @@
-use goldcreststall_core::error::ErrorKind;
+use {goldcreststall_core::error::ErrorKind, http::StatusCode};
 
 /// Why a request gets an error response.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -18,6 +18,20 @@
             kind,
         }
     }
+
+    /// Creates the error of a request whose body was refused with `status` while it was read.
+    pub fn from_refusal(status: StatusCode) -> Self {
+        match status {
+            StatusCode::SERVICE_UNAVAILABLE => Self::new(
+                ErrorKind::QueueFull,
+                "the body was too slow, or callers hold too many bodies",
+            ),
+            StatusCode::PAYLOAD_TOO_LARGE => {
+                Self::new(ErrorKind::InvalidRequest, "the body is too large")
+            }
+            _ => Self::new(ErrorKind::InvalidRequest, "the body is broken"),
+        }
+    }
 }
 
 impl From<ErrorKind> for RequestError {
--- a/crates/callers/src/server/caller_handler.rs
+++ b/crates/callers/src/server/caller_handler.rs
@@ -1,6 +1,9 @@
 use {
     super::ResponseBody,
-    crate::request::{CallerRequest, RequestError},
+    crate::{
+        intake::IntakeFigures,
+        request::{CallerRequest, RequestError},
+    },
     bytes::Bytes,
     goldcreststall_core::ids::RequestKey,
     http::{HeaderMap, Method, StatusCode},
@@ -51,6 +54,12 @@
     /// Returns whether the load balancer should send new requests here.
     fn healthy(&self) -> bool;
 
+    /// Returns whether requests can be judged; without a state they are refused before their bodies are read.
+    fn has_state(&self) -> bool;
+
+    /// Records what callers hold.
+    fn record_intake(&self, figures: IntakeFigures);
+
     /// Returns the metrics in the Prometheus text format.
     fn metrics(&self) -> String;
 }
--- a/crates/callers/tests/forwarded_headers.rs
+++ b/crates/callers/tests/forwarded_headers.rs
@@ -3,6 +3,7 @@
 use {
     bytes::Bytes,
     goldcreststall_callers::{
+        intake::{IntakeFigures, IntakeLimits},
         request::{CallerRequest, RequestError},
         server::{CallerHandler, CallerResponse, CallerServer, JobRequest, ServerLimits},
     },
@@ -47,6 +48,12 @@
         true
     }
 
+    fn has_state(&self) -> bool {
+        true
+    }
+
+    fn record_intake(&self, _: IntakeFigures) {}
+
     fn metrics(&self) -> String {
         String::new()
     }
@@ -60,7 +67,7 @@
     let timeout = Millis(60_000);
     let limits = ServerLimits {
         drain_timeout: timeout,
-        header_timeout: timeout,
+        intake: IntakeLimits::derive(None, None),
     };
     let logger = Logger::root(Discard, o!());
     let server = CallerServer::new(Arc::new(HeaderHandler(sender)), limits, logger);
--- a/crates/callers/tests/shed_order.rs
+++ b/crates/callers/tests/shed_order.rs
@@ -97,6 +97,7 @@
     table.begin_handling(handled, LocalTime(0));
     let answered = open(&mut table, 0);
     table.begin_answer(answered, LocalTime(9_000));
+    table.set_blocked(answered, true, LocalTime(9_000));
     assert_eq!(table.open(LocalTime(9_100)), (None, None));
     let (_, stop) = table.open(LocalTime(13_000));
     let closed = ConnectionStop::Close(answered, CloseReason::Connections);
--- a/crates/entry/src/daemon/entry_daemon.rs
+++ b/crates/entry/src/daemon/entry_daemon.rs
@@ -9,7 +9,10 @@
         traffic::{RequestRouter, RequestScheduler},
     },
     anyhow::Context,
-    goldcreststall_callers::server::{CallerServer, ServerLimits},
+    goldcreststall_callers::{
+        intake::IntakeLimits,
+        server::{CallerServer, ServerLimits},
+    },
     goldcreststall_core::{
         ids::{EntryId, Incarnation, Millis},
         traffic::{FairPolicy, RoutingView},
@@ -29,8 +32,8 @@
     tonic::transport::{Server, server::TcpIncoming},
 };
 
-/// How long an open connection may take to send the headers of a request.
-const HEADER_TIMEOUT: Millis = Millis(30_000);
+/// How long an open connection may be without a request.
+const IDLE_TIMEOUT: Millis = Millis(30_000);
 
 /// Runs an entry host until it receives SIGTERM or SIGINT, then drains it.
 ///
@@ -95,7 +98,10 @@
     ));
     let limits = ServerLimits {
         drain_timeout: settings.drain,
-        header_timeout: HEADER_TIMEOUT,
+        intake: IntakeLimits {
+            idle_timeout: IDLE_TIMEOUT,
+            ..IntakeLimits::derive(Some(settings.memory_mb), Some(settings.max_fds))
+        },
     };
     let server = CallerServer::new(Arc::clone(&router) as _, limits, logger.clone());
     let stop = CancellationToken::new();
--- a/crates/entry/src/settings/entry_settings.rs
+++ b/crates/entry/src/settings/entry_settings.rs
@@ -28,6 +28,10 @@
     pub log_format: LogFormat,
     /// Lowest level of log lines that are written.
     pub log_level: Level,
+    /// File descriptors that the process may use, 1 to 1,000,000.
+    pub max_fds: u32,
+    /// Memory that the process may use, 1 to 1,000,000 MB.
+    pub memory_mb: u32,
     /// Name of this entry host.
     pub name: EntryName,
     /// Address on which operators are served.
@@ -142,6 +146,8 @@
         let log_format = self.log_format();
         let log_level = self.log_level();
         let threads = self.number("threads", 1, 64);
+        let max_fds = self.number("max-fds", 1, 1_000_000);
+        let memory_mb = self.number("memory-mb", 1, 1_000_000);
         Some(EntrySettings {
             callers: callers?,
             data_centre: data_centre?,
@@ -152,6 +158,8 @@
             log: log?,
             log_format: log_format?,
             log_level: log_level?,
+            max_fds: u32::try_from(max_fds?).ok()?,
+            memory_mb: u32::try_from(memory_mb?).ok()?,
             name: name?,
             operators: operators?,
             peers: peers?,
--- a/crates/entry/src/settings/setting_specs.rs
+++ b/crates/entry/src/settings/setting_specs.rs
@@ -22,7 +22,7 @@
 }
 
 /// All settings. A flag takes precedence over its environment variable.
-pub(super) const SETTINGS: [SettingSpec; 13] = [
+pub(super) const SETTINGS: [SettingSpec; 15] = [
     spec(
         "name",
         "GOLDCRESTSTALL_NAME",
@@ -101,4 +101,16 @@
         Some("2"),
         "threads for traffic, 1 to 64",
     ),
+    spec(
+        "memory-mb",
+        "GOLDCRESTSTALL_MEMORY_MB",
+        Some("256"),
+        "memory of the host in MB, 1 to 1000000",
+    ),
+    spec(
+        "max-fds",
+        "GOLDCRESTSTALL_MAX_FDS",
+        Some("4096"),
+        "file descriptors of the process, 1 to 1000000",
+    ),
 ];
--- a/crates/entry/src/traffic/request_router.rs
+++ b/crates/entry/src/traffic/request_router.rs
@@ -10,6 +10,7 @@
     crate::{clock::BootClock, control::ControlHandle, metrics::EntryMetrics},
     bytes::Bytes,
     goldcreststall_callers::{
+        intake::IntakeFigures,
         request::{CallerRequest, RequestError, TARGET},
         server::{CallerHandler, CallerResponse, JobRequest},
     },
@@ -106,7 +107,7 @@
             organisation: request.organisation.to_string(),
         };
         let remaining = Duration::from_millis(request.deadline.0);
-        let body = tokio::time::timeout(remaining, read_body(request.body));
+        let body = tokio::time::timeout(remaining, read_body(request.body, &request.connection));
         let body = body.await.map_err(|_| ErrorKind::DeadlineUnreachable)??;
         // Queued before the key is claimed: a request that is refused at once needs no claim, so a flood causes no
         // appends to the log.
@@ -289,6 +290,14 @@
         !self.draining.load(Ordering::Acquire) && self.control.view().is_some()
     }
 
+    fn has_state(&self) -> bool {
+        self.control.view().is_some()
+    }
+
+    fn record_intake(&self, figures: IntakeFigures) {
+        self.metrics.record_intake(figures);
+    }
+
     fn metrics(&self) -> String {
         if let Some(position) = self.control.peer_state().content().position() {
             self.metrics.ledger_offset.record(position.next.0, &[]);
