Decide purely whether a wait for capacity near data pays

Work with a data rack takes a multiple of its duration on other racks, and starts there at once although a runner near its data may be free much sooner.

The module locality decides it without I/O: a bounded table of learned durations, a forecast of the capacity of a rack that work ahead claims, and the comparison of wait and gain. Nothing uses it yet.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! The package does no I/O and reads no clock: time is an argument, and commands are returned as values.
 
 pub mod jobs;
+pub mod locality;
 pub mod organisations;
 pub mod owner;
 pub mod pools;
