Wait for capacity near the data while that pays

A work item with a data rack started at once on any free runner of another rack, and a gang that prefers one rack on several.

The owner now compares the expected gain with the expected time until capacity there is free. A wait is decided again in every pass and ends with a bound of the expected gain. Runners that take no work or are due for maintenance are not waited for. With the default of 100 percent nothing waits.

--- a/crates/dispatch/src/jobs/work_item.rs
+++ b/crates/dispatch/src/jobs/work_item.rs
@@ -75,6 +75,10 @@
     pub pace: u32,
     /// When the pace was last sent.
     pub paced_at: LocalTime,
+    /// Expected duration when it was started; 0 for an adopted run.
+    pub expected: Millis,
+    /// It runs outside the rack that holds its data.
+    pub is_far: bool,
 }
 
 impl ItemRun {
@@ -91,6 +95,8 @@
             progressed_at: now,
             pace: MAX_PACE_PERCENT,
             paced_at: now,
+            expected: Millis(0),
+            is_far: false,
         }
     }
 
--- a/crates/dispatch/src/owner/gang_placement.rs
+++ b/crates/dispatch/src/owner/gang_placement.rs
@@ -81,7 +81,7 @@
     }
 
     /// Returns the racks of a pool, those with the most runners first.
-    fn racks(&self, pool: &[RunnerKey]) -> Vec<String> {
+    pub(super) fn racks(&self, pool: &[RunnerKey]) -> Vec<String> {
         let mut racks: Vec<(usize, String)> = Vec::new();
         for runner in pool {
             let Some(rack) = self.rack_of(*runner) else {
@@ -96,11 +96,11 @@
         racks.into_iter().map(|(_, rack)| rack).collect()
     }
 
-    fn rack_of(&self, runner: RunnerKey) -> Option<&str> {
+    pub(super) fn rack_of(&self, runner: RunnerKey) -> Option<&str> {
         self.runners.get(runner)?.report.rack.as_deref()
     }
 
-    fn is_in_rack(&self, runner: RunnerKey, rack: &str) -> bool {
+    pub(super) fn is_in_rack(&self, runner: RunnerKey, rack: &str) -> bool {
         self.rack_of(runner) == Some(rack)
     }
 
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -10,6 +10,8 @@
 mod instance_change;
 mod job_calls;
 mod journal_queue;
+mod locality_state;
+mod locality_waits;
 mod owner_command;
 mod owner_state;
 mod pace_control;
@@ -31,6 +33,7 @@
     host_table::{HostReport, HostResponse, HostStatus, WaveRequest},
     job_calls::{CallId, CallResponse, JobCall},
     journal_queue::{BatchId, JournalBatch},
+    locality_state::WaitCounts,
     owner_command::{AdviceCommand, OwnerCommand, RunCommand, RunName, RunStart, StartCommand},
     owner_state::{OwnerEvent, OwnerState},
     start_responses::StartResponse,
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -5,6 +5,7 @@
         evacuation::EvacuationTable,
         host_table::{HostTable, WaveTable},
         journal_queue::JournalQueue,
+        locality_state::LocalityState,
         restart_table::RestartTable,
         runner_advice::AdviceTable,
         start_budget::StartBudget,
@@ -59,6 +60,7 @@
     pub(super) hosts: HostTable,
     pub(super) waves: WaveTable,
     pub(super) journal: JournalQueue,
+    pub(super) locality: LocalityState,
     pub(super) commands: Vec<OwnerCommand>,
     pub(super) events: Vec<OwnerEvent>,
     pub(super) started: LocalTime,
@@ -97,6 +99,7 @@
             hosts: HostTable::default(),
             waves: WaveTable::default(),
             journal: JournalQueue::default(),
+            locality: LocalityState::default(),
             commands: Vec::new(),
             events: Vec::new(),
             started: now,
@@ -132,6 +135,11 @@
         self.max_lease = max_lease;
     }
 
+    /// Sets the duration of work far from its data, in percent of that near them. At 100 nothing waits for its data rack.
+    pub fn set_far_percent(&mut self, far_percent: u32) {
+        self.locality.far_percent = far_percent.max(100);
+    }
+
     /// Replaces the configuration if the new one has a higher version.
     pub fn set_rules(&mut self, rules: Arc<FleetRules>) {
         if rules.version > self.rules.version {
@@ -180,6 +188,7 @@
             self.decide_hosts(now);
             self.forget_ended(now);
             self.advice.forget_expired(now);
+            self.forget_waits();
             self.placement_due = true;
         }
         if self.placement_due && now.since(self.last_placement) >= self.placement_interval() {
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         OwnerCommand, OwnerState, StartCommand,
+        locality_waits::{DataPlacement, RackForecasts},
         ready_items::{PlacementTier, ReadyItem},
         unplaced_serving::{UnplacedServing, add_unplaced},
     },
@@ -30,14 +31,16 @@
     unplaced_before: Vec<UnplacedServing>,
     /// A gang has found no free capacity in this pass, and runners were reserved for it.
     gang_waiting: bool,
+    /// When capacity near data is free.
+    forecasts: RackForecasts,
 }
 
 /// A work item to be placed, and what decides on which runner.
 #[derive(Clone, Copy, Debug)]
-struct PlacedItem {
-    key: ItemKey,
-    tier: PlacementTier,
-    demand: Capacity,
+pub(super) struct PlacedItem {
+    pub(super) key: ItemKey,
+    pub(super) tier: PlacementTier,
+    pub(super) demand: Capacity,
     /// Runner with capacity that is reserved for it.
     target: Option<RunnerKey>,
 }
@@ -94,7 +97,13 @@
             return;
         }
         let pool = &pass.pools[pool_index].1;
-        if let Some(runner) = self.choose_runner(&item, pool, &pass.reserved, now) {
+        let near_data = self.place_near_data(&item, pool, &pass.reserved, &mut pass.forecasts, now);
+        let chosen = match near_data {
+            DataPlacement::Waits => return,
+            DataPlacement::Chosen(chosen) => chosen,
+            DataPlacement::Anywhere => self.choose_runner(&item, pool, &pass.reserved, now),
+        };
+        if let Some(runner) = chosen {
             self.issue_start(key, runner, now);
         } else if queue.advice.is_some() {
             let pool = pool.clone();
@@ -112,7 +121,7 @@
 
     /// Returns the runner of a pool on which a work item starts now; that of its last failed run only if no other one has
     /// room.
-    fn choose_runner(
+    pub(super) fn choose_runner(
         &self,
         item: &PlacedItem,
         pool: &[RunnerKey],
@@ -135,7 +144,7 @@
     }
 
     /// Returns whether a work item may start on a runner and has room there, beside what is reserved for other work.
-    fn can_start(
+    pub(super) fn can_start(
         &self,
         item: &PlacedItem,
         runner: RunnerKey,
@@ -209,6 +218,16 @@
             .filter(|runner| !reserved.contains(runner))
             .collect();
         if let Some(placement) = self.find_gang_placement(members, &pool, RunnerState::free, now) {
+            let may_wait =
+                !pass.gang_waiting && matches!(tier, PlacementTier::Started | PlacementTier::New);
+            let waits_in = may_wait
+                .then(|| self.wait_for_rack(members, &placement, &pool, &mut pass.forecasts, now))
+                .flatten();
+            if let Some(runners) = waits_in {
+                pass.gang_waiting = true;
+                pass.reserved.extend(runners);
+                return;
+            }
             let last_run =
                 |key: &ItemKey| self.jobs.item(*key).map_or(0, |(_, item)| item.last_run);
             let run = members
@@ -356,7 +375,7 @@
             })
     }
 
-    fn failed_on(&self, key: ItemKey) -> Option<RunnerKey> {
+    pub(super) fn failed_on(&self, key: ItemKey) -> Option<RunnerKey> {
         let (_, item) = self.jobs.item(key)?;
         let (runner, _) = item.failed_on?;
         Some(runner)
@@ -401,6 +420,7 @@
         self.log_event("place", command.name.to_string(), detail);
         self.take_start_budget(key, command.spec.len());
         let recorded_run = ItemRun::starting(command.run, runner, deadline_ms, now);
+        let recorded_run = self.with_expectation(key, recorded_run);
         self.attach_run(key, recorded_run);
         self.end_evacuation(key);
         self.commands.push(OwnerCommand::Start(command));
--- a/crates/dispatch/src/owner/run_ends.rs
+++ b/crates/dispatch/src/owner/run_ends.rs
@@ -49,6 +49,9 @@
             return;
         };
         let sent = self.run_mut(key, runner, end.run).map(|run| run.sent);
+        if end.kind == EndKind::Done {
+            self.learn_duration(key, runner, end.run, now);
+        }
         let was_recorded = self.detach_run(key, runner, end.run, now);
         if !matches!(end.kind, EndKind::Done) {
             let detail = format!("run={} how={:?} booked={was_recorded}", end.run, end.kind);
