Pass FarFactor to the owner and count its waits for data

The bound FarFactor was read from the settings and reached no decision.

ActorArgs has the bounds of the settings, and each term's owner gets the factor. The counter gcs_data_waits has the waits that began, paid, did not pay and were dropped, also with the decision on and no load it adds nothing else.

Tests: owner_actor, ended_term, host_commands, lost_answers, task_panic, start_limiter, odd_bodies and odd_settings passed; the other tests of these packages were built, not run.

--- a/crates/node/src/control/owner_actor.rs
+++ b/crates/node/src/control/owner_actor.rs
@@ -16,7 +16,7 @@
     goldcreststall_dispatch::{
         owner::{CallResponse, JobCall, OwnerCommand, OwnerState, WaveRequest},
         records::StoreRecord,
-        routes::FleetRules,
+        routes::{FleetRules, ServiceBounds},
         runners::RunnerReport,
     },
     goldcreststall_entry::clock::{BootClock, wall_time},
@@ -38,6 +38,8 @@
 pub struct ActorArgs {
     /// Commands may be sent only while this lease is held.
     pub lease: OwnerLease,
+    /// Bounds of the deployment.
+    pub bounds: ServiceBounds,
     /// Bytes per second that this host's link carries.
     pub link_rate: u64,
     /// Log of decisions.
@@ -280,6 +282,7 @@
         let mut state = OwnerState::new(token, Arc::clone(&self.rules), term.started_at);
         state.limit_link(self.args.link_rate, now);
         state.set_max_lease(self.args.max_lease);
+        state.set_far_percent(self.args.bounds.far_percent);
         state.restore(records, now, wall_time().0);
         for wave in &self.waves {
             state.wave_requested(wave.clone(), now);
@@ -359,6 +362,9 @@
             info!(self.args.logger, "owner: {}", event.event;
                 "token" => term.token, "id" => event.subject, "inputs" => event.detail);
         }
+        self.args
+            .metrics
+            .count_waits(&mut term.counted_waits, state.wait_counts());
         let executor = CommandExecutor {
             actor: self.actor.clone(),
             args: self.args.clone(),
--- a/crates/node/src/control/owner_term.rs
+++ b/crates/node/src/control/owner_term.rs
@@ -2,7 +2,7 @@
     super::{waiting_starts::WaitingStarts, wave_reports::WaveReports},
     crate::{delegates::CommandLimiter, journal::JobJournal},
     goldcreststall_core::ids::{LocalTime, Millis},
-    goldcreststall_dispatch::owner::{CallId, CallResponse, JobCall, OwnerState},
+    goldcreststall_dispatch::owner::{CallId, CallResponse, JobCall, OwnerState, WaitCounts},
     std::{collections::VecDeque, sync::Arc},
     tokio::sync::{Semaphore, oneshot},
     tokio_util::sync::CancellationToken,
@@ -32,6 +32,8 @@
     /// Limits the moves and maintenance commands in flight.
     pub(super) host_limiter: Arc<Semaphore>,
     pub(super) waiting_starts: WaitingStarts,
+    /// Waits for capacity near data that the metrics contain already.
+    pub(super) counted_waits: WaitCounts,
     pub(super) reports: WaveReports,
     /// Calls that arrived before the records of earlier terms were read, in the order of their arrival.
     pub(super) queued_calls: VecDeque<QueuedCall>,
@@ -65,6 +67,7 @@
             limiter: CommandLimiter::new(MAX_STARTS_PER_RUNNER),
             host_limiter: Arc::new(Semaphore::new(MAX_HOST_COMMANDS)),
             waiting_starts: WaitingStarts::default(),
+            counted_waits: WaitCounts::default(),
             reports,
             queued_calls: VecDeque::new(),
             store_failing_since: None,
--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -154,6 +154,7 @@
     let delegates = DelegateRegistry::new(lease.clone(), logger.clone());
     let limiter = CommandLimiter::new(MAX_COMMANDS_PER_RUNNER);
     let args = ActorArgs {
+        bounds: settings.bounds,
         lease: lease.clone(),
         link_rate: settings.link_rate(),
         logger: logger.clone(),
--- a/crates/node/src/metrics/node_metrics.rs
+++ b/crates/node/src/metrics/node_metrics.rs
@@ -1,4 +1,5 @@
 use {
+    goldcreststall_dispatch::owner::WaitCounts,
     goldcreststall_entry::metrics::MetricsRegistry,
     opentelemetry::{
         KeyValue,
@@ -12,6 +13,7 @@
     responses: Counter<u64>,
     response_ms: Histogram<u64>,
     commands: Counter<u64>,
+    waits: Counter<u64>,
     registry: MetricsRegistry,
 }
 
@@ -27,6 +29,7 @@
             responses: meter.u64_counter("gcs_answers").build(),
             response_ms: meter.u64_histogram("gcs_answer_milliseconds").build(),
             commands: meter.u64_counter("gcs_orders").build(),
+            waits: meter.u64_counter("gcs_data_waits").build(),
             registry,
         })
     }
@@ -43,6 +46,22 @@
         self.commands.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts the waits for capacity near data since those of this term that were counted before.
+    pub fn count_waits(&self, counted: &mut WaitCounts, counts: WaitCounts) {
+        let results = [
+            ("begun", counts.begun - counted.begun),
+            ("paid", counts.paid - counted.paid),
+            ("unpaid", counts.unpaid - counted.unpaid),
+            ("dropped", counts.dropped - counted.dropped),
+        ];
+        for (result, added) in results {
+            if added > 0 {
+                self.waits.add(added, &[KeyValue::new("result", result)]);
+            }
+        }
+        *counted = counts;
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         self.registry.text()
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -20,7 +20,7 @@
         jobs::{JobId, JobSpec, StepName, StepSpec},
         owner::{HostReport, HostResponse, JobCall},
         records::JobSubmission,
-        routes::RouteRule,
+        routes::{RouteRule, ServiceBounds},
         runners::{Capacity, RunnerReport, RunnerStatus},
     },
     goldcreststall_node::{
@@ -107,6 +107,7 @@
     let runners = Arc::new(FakeRunners::default());
     let store = Arc::new(FakeStore::default());
     let actor = OwnerActor::spawn(ActorArgs {
+        bounds: ServiceBounds::default(),
         lease: lease.clone(),
         link_rate: 1_000_000,
         logger: logger(),
