--- a/crates/node/src/metrics/node_metrics.rs
+++ b/crates/node/src/metrics/node_metrics.rs
@@ -1,4 +1,5 @@
 use {
+    goldcreststall_dispatch::owner::WaitCounts,
     goldcreststall_entry::metrics::MetricsRegistry,
     opentelemetry::{
         KeyValue,
@@ -15,6 +16,7 @@
     caller_stops: Counter<u64>,
     caller_connections: Gauge<u64>,
     caller_bytes: Gauge<u64>,
+    waits: Counter<u64>,
     registry: MetricsRegistry,
 }
 
@@ -33,6 +35,7 @@
             caller_stops: meter.u64_counter("gcs_caller_stops").build(),
             caller_connections: meter.u64_gauge("gcs_caller_connections").build(),
             caller_bytes: meter.u64_gauge("gcs_caller_bytes").build(),
+            waits: meter.u64_counter("gcs_data_waits").build(),
             registry,
         })
     }
@@ -63,6 +66,22 @@
         }
     }
 
+    /// Counts the waits for capacity near data since those of this term that were counted before.
+    pub fn count_waits(&self, counted: &mut WaitCounts, counts: WaitCounts) {
+        let results = [
+            ("begun", counts.begun - counted.begun),
+            ("paid", counts.paid - counted.paid),
+            ("unpaid", counts.unpaid - counted.unpaid),
+            ("dropped", counts.dropped - counted.dropped),
+        ];
+        for (result, added) in results {
+            if added > 0 {
+                self.waits.add(added, &[KeyValue::new("result", result)]);
+            }
+        }
+        *counted = counts;
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         self.registry.text()
