A wave that is stuck for lack of room requests hosts, and gives them back

Cause: hosts are emptied only when others have room for their work that lasts. Where that work fills the memory of its pool, no host of the pool could be emptied, while the pool planner, which counts processor time, left the spare pool alone. In virtual time (60 hosts, 30 due within 26 s, 12 at once, 20 spare hosts, memory filled to 85 or 90%) 12 hosts were left, and `wave waits` said for_room=12 to the end; with 75% or less none was left.

Change: WaveStage computes backwards from the end of the wave how many additional hosts a pool needs; the pool planner adds them. Hosts that are themselves due move last. What came from a spare pool beyond the need of the work goes back once it is empty and the waves have ended. `wave waits` shows `wanted_hosts`, `pool figures` shows `waves`.

Result: in the same fleet the wave is completed in its time, with at most 6 hosts for it, never more than its limit away, no work item away beyond MayMiss, and all spare hosts back 10 s after its time (memory_is_full, which fails without the requests or the return). No host moves where there is room (room_is_enough) or for labelled work (label_of_no_spare_host, which fails without its rule). All tests of the package pass.

--- a/crates/dispatch/src/owner/host_commands.rs
+++ b/crates/dispatch/src/owner/host_commands.rs
@@ -36,6 +36,7 @@
                 paused_until: LocalTime(0),
                 maintained: None,
                 moved: None,
+                due: false,
             });
             let is_back = |at: LocalTime| now >= at + maintenance + MAINTENANCE_MARGIN;
             if report.status == HostStatus::Up && state.maintained.is_some_and(is_back) {
@@ -109,6 +110,7 @@
             return;
         }
         if self.earlier_commands_expired(now) && !self.is_recovering(now) {
+            self.wave_room.clear_requests();
             let mut round = self.renew_evacuations(now);
             for wave in 0..self.waves.waves.len() {
                 self.advance_wave(wave, &mut round, now);
@@ -135,7 +137,7 @@
             .is_some_and(|uptime| uptime >= COMMAND_LEASE)
     }
 
-    /// Clears the cordon and the due mark of all runners, then cordons those whose hosts have a command. Waves and
+    /// Clears the cordon and the due mark of all runners and hosts, then cordons those whose hosts have a command. Waves and
     /// moves set them again.
     fn uncordon(&mut self) {
         for key in self.runners.keys() {
@@ -144,6 +146,9 @@
                 state.due = false;
             }
         }
+        for state in &mut self.hosts.hosts {
+            state.due = false;
+        }
         let commanded: Vec<String> = self
             .hosts
             .hosts
--- a/crates/dispatch/src/owner/host_moves.rs
+++ b/crates/dispatch/src/owner/host_moves.rs
@@ -24,9 +24,12 @@
         let stats = self.pool_stats(now);
         let plan = plan_pools(&stats);
         self.log_pools(&stats, &plan, now);
-        for HostMove { host, pool, reason } in plan.moves {
-            self.start_operation(&host, HostOperation::Move { pool }, reason, now);
+        self.record_lent(&stats, &plan);
+        for HostMove { host, pool, reason } in &plan.moves {
+            let (pool, reason) = (pool.clone(), reason.clone());
+            self.start_operation(host, HostOperation::Move { pool }, reason, now);
         }
+        self.return_lent(&stats, &plan, now);
         for host in plan.drains {
             let runner = self
                 .hosts
@@ -49,12 +52,13 @@
             let line = (pool.name.clone(), pool.hosts, *target);
             if !logged.contains(&line) {
                 let detail = format!(
-                    "hosts={} target={target} empty={} demand_cpu={} late_cpu={} spread={}",
+                    "hosts={} target={target} empty={} demand_cpu={} late_cpu={} spread={} waves={}",
                     pool.hosts,
                     pool.movable.len(),
                     pool.demand_cpu,
                     pool.late_cpu,
-                    pool.spread
+                    pool.spread,
+                    pool.waves.1
                 );
                 self.log_event("pool figures", pool.name.clone(), detail);
             }
@@ -84,6 +88,7 @@
             };
             if self.is_usable(state) {
                 pool.hosts += 1;
+                pool.waves.0 += usize::from(!self.is_arriving(state));
                 if state.report.capacity.cpu > pool.host_capacity.cpu {
                     pool.host_capacity = state.report.capacity;
                 }
@@ -110,6 +115,7 @@
             }
         }
         for pool in &mut stats {
+            pool.waves.1 = self.wave_room.requested(&pool.name);
             pool.serving = self.serving_hosts(&pool.name, pool.host_capacity, largest, now);
             let arriving = self.arrivals.demand_cpu(&pool.name, now);
             pool.demand_cpu = pool.demand_cpu.max(arriving);
@@ -159,8 +165,10 @@
         if !idle || !up || state.paused_until > now || !self.can_command(state, now) {
             return HostOccupancy::Kept;
         }
+        // The hosts that are due for maintenance move last: the pool that gets them would soon lose them again.
+        let empty_since = |since| if state.due { now } else { since };
         if spare {
-            return HostOccupancy::Empty(LocalTime(0));
+            return HostOccupancy::Empty(empty_since(LocalTime(0)));
         }
         let Some(key) = state.runner_key(&self.runners) else {
             return HostOccupancy::Kept;
@@ -172,7 +180,7 @@
             return HostOccupancy::Kept;
         }
         if runner.items.is_empty() {
-            return HostOccupancy::Empty(runner.empty_since);
+            return HostOccupancy::Empty(empty_since(runner.empty_since));
         }
         HostOccupancy::Busy(runner.used.cpu)
     }
--- a/crates/dispatch/src/owner/host_table.rs
+++ b/crates/dispatch/src/owner/host_table.rs
@@ -79,6 +79,8 @@
     pub(super) maintained: Option<LocalTime>,
     /// The pool that the host was moved to, and when; set until the list shows it.
     pub(super) moved: Option<(String, LocalTime)>,
+    /// A wave has yet to maintain it, so that another host moves first.
+    pub(super) due: bool,
 }
 
 impl HostState {
@@ -140,6 +142,13 @@
     pub(super) reported: bool,
 }
 
+impl WaveState {
+    /// Returns by when all hosts are to be maintained.
+    pub(super) fn end(&self) -> LocalTime {
+        self.requested_at + self.request.duration
+    }
+}
+
 /// The waves, by number.
 #[derive(Debug, Default)]
 pub(super) struct WaveTable {
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -26,6 +26,7 @@
 mod stuck_runs;
 mod unplaced_serving;
 mod wave_control;
+mod wave_room;
 
 pub use {
     host_table::{HostReport, HostResponse, HostStatus, WaveRequest},
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -9,6 +9,7 @@
         runner_advice::AdviceTable,
         start_budget::StartBudget,
         unplaced_serving::UnplacedServing,
+        wave_room::WaveRoomTable,
     },
     crate::{
         jobs::{JobKey, JobTable},
@@ -58,6 +59,7 @@
     pub(super) runners: RunnerTable,
     pub(super) hosts: HostTable,
     pub(super) waves: WaveTable,
+    pub(super) wave_room: WaveRoomTable,
     pub(super) journal: JournalQueue,
     pub(super) commands: Vec<OwnerCommand>,
     pub(super) events: Vec<OwnerEvent>,
@@ -96,6 +98,7 @@
             runners: RunnerTable::default(),
             hosts: HostTable::default(),
             waves: WaveTable::default(),
+            wave_room: WaveRoomTable::default(),
             journal: JournalQueue::default(),
             commands: Vec::new(),
             events: Vec::new(),
--- a/crates/dispatch/src/owner/wave_control.rs
+++ b/crates/dispatch/src/owner/wave_control.rs
@@ -20,7 +20,9 @@
     Host,
     /// Too many other hosts are away, or are drained first.
     Others,
-    /// No other host has room for all of its long-running work, or work is on its way here or waits and could start here.
+    /// Work is on its way here, or waits and could start here.
+    Needed,
+    /// No other host has room for all of its long-running work.
     Room,
     /// Its runner is not listed, and may still have work.
     Runner,
@@ -61,10 +63,10 @@
         if wave.progress.completed {
             return;
         }
-        let (started, request, requested_at) = (
+        let (started, request, end) = (
             wave.progress.started.clone(),
             wave.request.clone(),
-            wave.requested_at,
+            wave.end(),
         );
         let is_waiting = |host: &String| started.binary_search(host).is_err();
         let remaining: Vec<String> = request
@@ -81,7 +83,10 @@
             return;
         }
         for host in &remaining {
-            let state = self.hosts.get(host);
+            let state = self.hosts.get_mut(host).map(|state| {
+                state.due = true;
+                &*state
+            });
             let key = state.and_then(|state| state.runner_key(&self.runners));
             if let Some(state) = key.and_then(|key| self.runners.get_mut(key)) {
                 state.due = true;
@@ -89,9 +94,15 @@
         }
         let rounds = remaining.len().div_ceil(request.cap.max(1) as usize) as u64;
         let needed = Millis(rounds * WAVE_MARGIN.0);
-        let end = requested_at + request.duration;
         let late = now + needed >= end;
-        self.start_maintenance(&request, remaining, away, late, round, now);
+        self.start_maintenance(
+            &request,
+            remaining,
+            away,
+            (late, end.since(now)),
+            round,
+            now,
+        );
     }
 
     fn complete_wave(&mut self, index: usize) {
@@ -111,10 +122,7 @@
         let mut away = 0;
         for host in &request.hosts {
             if let Some(state) = self.hosts.get(host) {
-                let is_commanded =
-                    matches!(state.operation, Some((HostOperation::Maintain { .. }, _)));
-                let is_listed = state.report.status == HostStatus::Maintenance;
-                away += u32::from(is_commanded || is_listed || state.maintained.is_some());
+                away += u32::from(self.is_away(state));
             }
         }
         away
@@ -125,7 +133,7 @@
         request: &WaveRequest,
         mut remaining: Vec<String>,
         away: u32,
-        late: bool,
+        (late, time_left): (bool, Millis),
         round: &mut EvacuationRound,
         now: LocalTime,
     ) {
@@ -145,7 +153,11 @@
             let reason = format!("away={away} cap={} late={late}", request.cap);
             self.start_operation(&host, HostOperation::Maintain { wave }, reason, now);
         }
-        self.log_waiting(request.number, &waiting, now);
+        let is_stuck = |(_, wait): &&(String, WaveWait)| *wait == WaveWait::Room;
+        let stuck = waiting.iter().filter(is_stuck);
+        let stuck: Vec<&str> = stuck.map(|(host, _)| host.as_str()).collect();
+        let requested = self.request_wave_room(request, &stuck, time_left);
+        self.log_waiting(request.number, &waiting, requested, now);
     }
 
     /// Empties a host as far as the budgets allow. Returns why its maintenance cannot start yet, if it cannot.
@@ -159,7 +171,7 @@
     ) -> Result<(), WaveWait> {
         let runner = self.maintainable_runner(host, now)?;
         if runner.is_some_and(|key| self.is_needed(key, now)) {
-            return Err(WaveWait::Room);
+            return Err(WaveWait::Needed);
         }
         if let Some(key) = runner.filter(|key| self.has_work(*key)) {
             let long_running = self.has_long_running(key);
@@ -211,7 +223,13 @@
     }
 
     /// Logs how many hosts a wave waits for and why, at most once per interval.
-    fn log_waiting(&mut self, number: u64, waiting: &[(String, WaveWait)], now: LocalTime) {
+    fn log_waiting(
+        &mut self,
+        number: u64,
+        waiting: &[(String, WaveWait)],
+        requested: usize,
+        now: LocalTime,
+    ) {
         if waiting.is_empty() || now < self.waves.logged + LOG_INTERVAL {
             return;
         }
@@ -224,9 +242,9 @@
             .last()
             .map(|(host, wait)| format!("{host}:{wait:?}"));
         let detail = format!(
-            "for_work={} for_room={} for_runner={} for_host={} for_others={} one={}",
+            "for_work={} for_room={} for_runner={} for_host={} for_others={} wanted_hosts={requested} one={}",
             count(WaveWait::Work),
-            count(WaveWait::Room),
+            count(WaveWait::Room) + count(WaveWait::Needed),
             count(WaveWait::Runner),
             count(WaveWait::Host),
             count(WaveWait::Others),
--- a/crates/dispatch/src/pools/pool_planner.rs
+++ b/crates/dispatch/src/pools/pool_planner.rs
@@ -33,6 +33,9 @@
     /// Number of hosts that accept work, and of those that long-running work waits for beyond them; the second is 0 when
     /// none waits.
     pub serving: (usize, usize),
+    /// Number of hosts in the pool, without those that are on their way to it, and of those that waves need beyond them; the
+    /// second is 0 when they need none.
+    pub waves: (usize, usize),
     /// Hosts that can move, with the time since which they have been empty.
     pub movable: Vec<(LocalTime, String)>,
     /// Hosts whose work ends by itself, with the processor time in use.
@@ -45,8 +48,17 @@
         cpu.div_ceil(planned.max(1)).min(MAX_POOL_HOSTS) as usize
     }
 
-    /// Returns the number of hosts that the pool needs for work that can be in time.
+    /// Returns the number of hosts that the pool needs for work that can be in time, and for waves.
     fn needed(&self) -> usize {
+        let waves = match self.waves {
+            (_, 0) => 0,
+            (present, missing) => present + missing,
+        };
+        self.needed_for_work().max(waves)
+    }
+
+    /// Returns the number of hosts that the pool needs for work that can be in time.
+    pub fn needed_for_work(&self) -> usize {
         if self.spare {
             return 0;
         }
