A wave leaves time for the work items of a step that leave in turns

Cause: the hosts that a wave requests were planned as if a host could always be emptied at once. Where a step may miss one work item, its work items leave one after the other, each up to 5.5 s; in virtual time (160 hosts, 80 due within 26 s, start-up of 5 s, memory filled to 90%) the last host was not back in time.

Change: 5.5 s for each turn but the first of the longest step are left out of the time in which batches are planned.

--- a/crates/dispatch/src/owner/wave_room.rs
+++ b/crates/dispatch/src/owner/wave_room.rs
@@ -4,6 +4,7 @@
         host_table::{HostOperation, HostState},
     },
     crate::{
+        jobs::{ItemKey, ItemRun},
         pools::{HostMove, PoolPlan, PoolStats, WaveStage},
         runners::Capacity,
     },
@@ -75,7 +76,7 @@
     ) -> usize {
         let mut stages: Vec<(String, WaveStage)> = Vec::new();
         for host in stuck {
-            let Some((pool, used)) = self.movable_work(host) else {
+            let Some((pool, used, turns)) = self.movable_work(host) else {
                 continue;
             };
             let known = stages.iter().position(|(name, _)| *name == pool);
@@ -85,12 +86,15 @@
                     cap: request.cap as usize,
                     under_way: self.hosts_under_way(request, &pool),
                     stuck: Vec::new(),
+                    turns: 0,
                     host_capacity: self.pool_capacity(&pool),
                 };
                 stages.push((pool, stage));
                 stages.len() - 1
             });
-            stages[index].1.stuck.push(used);
+            let stage = &mut stages[index].1;
+            stage.stuck.push(used);
+            stage.turns = stage.turns.max(turns);
         }
         let mut requested = 0;
         for (pool, stage) in stages {
@@ -101,9 +105,9 @@
         requested
     }
 
-    /// Returns the pool of a host and the capacity that its long-running work uses; none when a host that moves to the
-    /// pool may not be allowed to run all of it.
-    fn movable_work(&self, host: &str) -> Option<(String, Capacity)> {
+    /// Returns the pool of a host, the capacity that its long-running work uses, and how many turns the work items of its
+    /// steps need; none when a host that moves to the pool may not be allowed to run all of it.
+    fn movable_work(&self, host: &str) -> Option<(String, Capacity, usize)> {
         let state = self.hosts.get(host)?;
         let key = state.runner_key(&self.runners)?;
         let is_free = |item| {
@@ -115,9 +119,25 @@
         let runs = self.runs_on(key);
         let mut lasting = runs.iter().filter(|(item, _)| self.is_long_running(*item));
         let used = self.runners.get(key)?.used_for_good;
+        let turns = lasting.clone().map(|(item, _)| self.turns_of(*item)).max();
         lasting
             .all(|(item, _)| is_free(*item))
-            .then(|| (state.report.pool.clone(), used))
+            .then(|| (state.report.pool.clone(), used, turns.unwrap_or(0)))
+    }
+
+    /// Returns how many work items of a step must leave hosts that are due one after the other, because only some may be
+    /// missing at a time.
+    fn turns_of(&self, key: ItemKey) -> usize {
+        let Some((job, item)) = self.jobs.item(key) else {
+            return 0;
+        };
+        let is_due = |run: &ItemRun| self.runners.get(run.runner).is_some_and(|state| state.due);
+        let siblings = job.step_items(item.occurrence, item.step).iter();
+        let leaving = siblings.filter(|item| item.runs.iter().any(is_due));
+        match job.step_of(item).may_miss {
+            0 => 1,
+            may_miss => leaving.count().div_ceil(may_miss as usize),
+        }
     }
 
     /// Returns how many hosts of a wave in a pool are being emptied or maintained.
--- a/crates/dispatch/src/pools/wave_stage.rs
+++ b/crates/dispatch/src/pools/wave_stage.rs
@@ -3,6 +3,8 @@
 /// Time in which a host with long-running work is emptied, maintained and in use again: the notice of a work item that
 /// starts elsewhere (5.5 s) and a maintenance with the delay of the lists (2 to 3 s).
 const HOST_ROUND: Millis = Millis(8_000);
+/// Longest time for which a work item is away that starts elsewhere.
+const NOTICE: Millis = Millis(5_500);
 /// Time in which a host moves to the pool and takes work.
 const MOVE_TIME: Millis = Millis(2_500);
 
@@ -17,6 +19,8 @@
     pub under_way: usize,
     /// Capacity that long-running work uses on each host that cannot be emptied because no other host has room for it.
     pub stuck: Vec<Capacity>,
+    /// Most work items of one step that must move one after the other, within the number of them that may be missing.
+    pub turns: usize,
     /// Capacity of a host that moves to the pool.
     pub host_capacity: Capacity,
 }
@@ -29,7 +33,9 @@
         let mut stuck: Vec<Capacity> = self.stuck.clone();
         // Work that is larger than a host, or that fills none, finds no room on another host either.
         stuck.retain(|used| self.host_capacity.covers(used));
-        let time = self.time_left.0.saturating_sub(MOVE_TIME.0);
+        // The work items of a step that wait for their turn need the end of the wave for themselves.
+        let later_turns = NOTICE.0 * self.turns.saturating_sub(1) as u64;
+        let time = self.time_left.0.saturating_sub(MOVE_TIME.0 + later_turns);
         // On average half of the round of a host that is under way has passed.
         let half_rounds = (2 * stuck.len() + self.under_way) as u64;
         let batch = (half_rounds * HOST_ROUND.0).div_ceil(2 * time.max(HOST_ROUND.0)) as usize;
