--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -10,6 +10,7 @@
         runner_advice::AdviceTable,
         start_budget::StartBudget,
         unplaced_serving::UnplacedServing,
+        wave_room::WaveRoomTable,
     },
     crate::{
         jobs::{JobKey, JobState, JobTable},
@@ -63,6 +64,7 @@
     pub(super) has_assumed_use: bool,
     pub(super) hosts: HostTable,
     pub(super) waves: WaveTable,
+    pub(super) wave_room: WaveRoomTable,
     pub(super) journal: JournalQueue,
     pub(super) locality: LocalityState,
     pub(super) commands: Vec<OwnerCommand>,
@@ -104,6 +106,7 @@
             runners: RunnerTable::default(),
             hosts: HostTable::default(),
             waves: WaveTable::default(),
+            wave_room: WaveRoomTable::default(),
             journal: JournalQueue::default(),
             locality: LocalityState::default(),
             commands: Vec::new(),
