Report refused keys as violations in the soak

With a key that the entry hosts do not accept, short_soak organisations passed: its callers gave up.

Change: a call that is answered 401 contradicts the configuration, whose keys never change. Result: with another header the run fails ("a valid key was refused"); short_soak organisations and run_check pass.

--- a/crates/soak/src/load/submitted_jobs.rs
+++ b/crates/soak/src/load/submitted_jobs.rs
@@ -71,6 +71,7 @@
         match outcome {
             CallOutcome::Accepted => self.accepted = self.accepted.or(Some(now)),
             CallOutcome::Refused | CallOutcome::NoQueue => {}
+            CallOutcome::Unauthorized => self.record_refused_key(now),
             _ => self.outcome_unknown = true,
         }
     }
@@ -82,6 +83,10 @@
         let was_accepted = self.accepted.is_some_and(|accepted| accepted < sent);
         let phase = match outcome {
             CallOutcome::State(phase) => phase,
+            CallOutcome::Unauthorized => {
+                self.record_refused_key(now);
+                return;
+            }
             CallOutcome::Gone if was_accepted => {
                 self.contradictions
                     .push((now, "an accepted job is unknown".to_owned()));
@@ -99,6 +104,12 @@
         }
     }
 
+    /// Every configuration of a run has the same keys, so that none may be refused.
+    fn record_refused_key(&mut self, now: Millis) {
+        self.contradictions
+            .push((now, "a valid key was refused".to_owned()));
+    }
+
     /// Decodes the work plan from the job specification; empty if it cannot be parsed.
     pub fn plan(&self) -> WorkPlan {
         serde_json::from_str(&self.spec.spec).unwrap_or_default()
