Responses of services: one buffer each, and a budget for all that are read

Cause: each response could have 64 MiB, any number at a time, and parts of one byte kept a whole read buffer each. Change: parts are copied into one buffer; a client and its clones read at most 64 MiB at a time.

--- a/crates/platform/src/http/http_client.rs
+++ b/crates/platform/src/http/http_client.rs
@@ -1,5 +1,9 @@
 use {
-    super::{connection_count::ConnectionCount, reset_connector::ResetConnector},
+    super::{
+        connection_count::ConnectionCount,
+        reset_connector::ResetConnector,
+        response_budget::{HeldResponse, ResponseBudget},
+    },
     bytes::{Bytes, BytesMut},
     goldcreststall_core::ids::Millis,
     http::{HeaderMap, Method, Request, StatusCode, header, request::Builder, response::Parts},
@@ -12,7 +16,8 @@
     std::{future::Future, net::SocketAddr, time::Duration},
 };
 
-/// Largest response that is read, in bytes; limits the memory that a response of a faulty service can take.
+/// Largest response that is read, in bytes; limits the memory that a response of a faulty service can take. It is also the
+/// limit on all responses together that a client and its clones are reading.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
 /// TCP user timeout: how long sent data may stay unacknowledged before the kernel closes the connection. A host that
@@ -54,6 +59,8 @@
     address: SocketAddr,
     client: Client<ResetConnector, Full<Bytes>>,
     connections: ConnectionCount,
+    max_response_bytes: usize,
+    responses: ResponseBudget,
 }
 
 impl HttpClient {
@@ -79,6 +86,18 @@
             address,
             client,
             connections,
+            max_response_bytes: MAX_RESPONSE_BYTES,
+            responses: ResponseBudget::new(MAX_RESPONSE_BYTES),
+        }
+    }
+
+    /// Returns a client that shares the connections of this one and reads responses of at most `max_bytes` each, and
+    /// `total_bytes` at a time.
+    pub fn with_response_limits(&self, max_bytes: usize, total_bytes: usize) -> Self {
+        Self {
+            max_response_bytes: max_bytes,
+            responses: ResponseBudget::new(total_bytes),
+            ..self.clone()
         }
     }
 
@@ -86,8 +105,7 @@
     pub fn with_address(&self, address: SocketAddr) -> Self {
         Self {
             address,
-            client: self.client.clone(),
-            connections: self.connections.clone(),
+            ..self.clone()
         }
     }
 
@@ -157,8 +175,9 @@
         let request = self.build_request(request, path, Bytes::new())?;
         let (head, mut body) = wait_for(timeout, self.send_head(request)).await?;
         let mut collected = BytesMut::new();
+        let mut held = self.responses.reserve_none();
         while let Some(part) = wait_for(timeout, next_part(&mut body)).await? {
-            collected.extend_from_slice(&part);
+            append(&mut collected, &part, &mut held)?;
         }
         Ok(HttpResponse {
             body: collected.freeze(),
@@ -191,14 +210,14 @@
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<HttpResponse, CallError> {
-        let (head, body) = self.send_head(request).await?;
-        let body = body
-            .collect()
-            .await
-            .map_err(|error| CallError::Unconfirmed(error.to_string()))?
-            .to_bytes();
+        let (head, mut body) = self.send_head(request).await?;
+        let mut collected = BytesMut::new();
+        let mut held = self.responses.reserve_none();
+        while let Some(part) = next_part(&mut body).await? {
+            append(&mut collected, &part, &mut held)?;
+        }
         Ok(HttpResponse {
-            body,
+            body: collected.freeze(),
             headers: head.headers,
             status: head.status,
         })
@@ -217,10 +236,17 @@
             }
         })?;
         let (head, body) = response.into_parts();
-        Ok((head, Limited::new(body, MAX_RESPONSE_BYTES)))
+        Ok((head, Limited::new(body, self.max_response_bytes)))
     }
 }
 
+/// Copies a part into the one buffer of a response: a part of one byte would keep a whole read buffer.
+fn append(collected: &mut BytesMut, part: &[u8], held: &mut HeldResponse) -> Result<(), CallError> {
+    held.grow(collected.len() + part.len())?;
+    collected.extend_from_slice(part);
+    held.grow(collected.capacity())
+}
+
 /// Returns the next part of a body; `None` at its end.
 async fn next_part(body: &mut Limited<Incoming>) -> Result<Option<Bytes>, CallError> {
     while let Some(frame) = body.frame().await {
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod counted_stream;
 mod http_client;
 mod reset_connector;
+mod response_budget;
 
 pub use {
     connection_count::ConnectionCount,
--- a/crates/platform/src/worker_service/http_worker_service.rs
+++ b/crates/platform/src/worker_service/http_worker_service.rs
@@ -4,7 +4,7 @@
         WorkerEndpoint, WorkerError, WorkerService, WorkerStatus,
     },
     async_trait::async_trait,
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     http::{Method, Request, Response, StatusCode, header},
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
@@ -167,10 +167,14 @@
 }
 
 async fn read_body(response: Response<Incoming>) -> Result<Bytes, WorkerError> {
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
-    let body = body.collect().await;
-    let body = body.map_err(|error| WorkerError::Unknown(error.to_string()))?;
-    Ok(body.to_bytes())
+    let mut body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+    // One buffer: a part of one byte would keep a whole read buffer.
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| WorkerError::Unknown(error.to_string()))?;
+        collected.extend_from_slice(frame.data_ref().map_or(&[][..], |part| part));
+    }
+    Ok(collected.freeze())
 }
 
 fn decode<A: DeserializeOwned>(status: StatusCode, bytes: &[u8]) -> Result<A, WorkerError> {
