Links and operators: bounds on connections and calls

Cause: links between entry hosts accepted any number of connections, which could stay silent, and handled any number of calls at a time; every address that connected was kept. A connection of operators could have any number of calls. Change: 512 connections, the first frame within 10 s, calls of 32 MiB together (above it the links are not read), 1,024 addresses; 16 calls at a time on a connection of operators.

--- a/crates/entry/src/daemon/entry_daemon.rs
+++ b/crates/entry/src/daemon/entry_daemon.rs
@@ -34,6 +34,8 @@
 
 /// How long an open connection may be without a request.
 const IDLE_TIMEOUT: Millis = Millis(30_000);
+/// Most calls of operators on one connection at a time; each has a message of at most 4 MiB, the default of the library.
+const MAX_OPERATOR_CALLS: usize = 16;
 
 /// Runs an entry host until it receives SIGTERM or SIGINT, then drains it.
 ///
@@ -137,6 +139,8 @@
     let service = OperatorServer::service(Arc::new(backend));
     let stopped = stop.clone().cancelled_owned();
     let server = Server::builder()
+        .concurrency_limit_per_connection(MAX_OPERATOR_CALLS)
+        .max_concurrent_streams(MAX_OPERATOR_CALLS as u32)
         .add_service(service)
         .serve_with_incoming_shutdown(TcpIncoming::from(listener), stopped);
     let logger = logger.clone();
--- a/crates/node/src/links/link_server.rs
+++ b/crates/node/src/links/link_server.rs
@@ -13,10 +13,10 @@
     kameo::actor::ActorRef,
     prost::Message,
     slog::{Logger, warn},
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::{mpsc, oneshot},
+        sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot},
     },
 };
 
@@ -24,6 +24,14 @@
 const ACCEPT_RETRY_DELAY: Millis = Millis(10);
 /// Most responses that wait to be written to one connection.
 const RESPONSE_QUEUE_LENGTH: usize = 1_024;
+/// Most open connections: an entry host opens one for calls, one as a delegate, and a short one to ask for the owner.
+const MAX_CONNECTIONS: usize = 512;
+/// Longest wait for the first frame of a connection; entry hosts send it at once.
+const FIRST_FRAME_TIMEOUT: Duration = Duration::from_secs(10);
+/// KiB of all calls that are handled at a time: 32 MiB, more than 100 of the largest jobs.
+/// Above it, the connections are not read until calls have been answered.
+const MAX_CALL_KIB: usize = 32 * 1024;
+const BYTES_PER_KIB: usize = 1024;
 
 /// Serves the connections of other entry hosts: their calls to the owner, and their offers to be its delegates.
 #[derive(Clone)]
@@ -41,11 +49,23 @@
 impl LinkServer {
     /// Serves until the process ends.
     pub async fn serve(self, listener: TcpListener) {
+        let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        let calls = Arc::new(Semaphore::new(MAX_CALL_KIB));
         loop {
             match listener.accept().await {
                 Ok((stream, from)) => {
+                    let Ok(connection) = Arc::clone(&connections).try_acquire_owned() else {
+                        // Entry hosts connect again by themselves.
+                        warn!(self.logger, "link: too many connections"; "from" => %from);
+                        tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_DELAY.0)).await;
+                        continue;
+                    };
                     self.peers.add_host(from.ip());
-                    tokio::spawn(self.clone().serve_connection(stream));
+                    let served = self.clone().serve_connection(stream, Arc::clone(&calls));
+                    tokio::spawn(async move {
+                        served.await;
+                        drop(connection);
+                    });
                 }
                 Err(error) => {
                     warn!(self.logger, "link: a connection was not accepted"; "error" => %error);
@@ -55,9 +75,10 @@
         }
     }
 
-    async fn serve_connection(self, stream: TcpStream) {
+    async fn serve_connection(self, stream: TcpStream, calls: Arc<Semaphore>) {
         let (mut frames, sink) = split_frames(stream);
-        let Some(first) = self.next_call(&mut frames).await else {
+        let first = tokio::time::timeout(FIRST_FRAME_TIMEOUT, self.next_call(&mut frames));
+        let Ok(Some(first)) = first.await else {
             return;
         };
         match first.registration {
@@ -65,11 +86,17 @@
                 let profile = DelegateProfile::from(raw);
                 self.delegates.serve(profile, frames, sink).await;
             }
-            None => self.serve_calls(first, frames, sink).await,
+            None => self.serve_calls(first, frames, sink, calls).await,
         }
     }
 
-    async fn serve_calls(self, first: RawCall, mut frames: FrameStream, mut sink: FrameSink) {
+    async fn serve_calls(
+        self,
+        first: RawCall,
+        mut frames: FrameStream,
+        mut sink: FrameSink,
+        calls: Arc<Semaphore>,
+    ) {
         let (responses, mut queue) = mpsc::channel::<Bytes>(RESPONSE_QUEUE_LENGTH);
         tokio::spawn(async move {
             while let Some(frame) = queue.recv().await {
@@ -80,7 +107,12 @@
         });
         let mut next = Some(first);
         while let Some(call) = next {
-            tokio::spawn(self.clone().respond(call, responses.clone()));
+            let kib = (call.call.len() / BYTES_PER_KIB + 1) as u32;
+            // The semaphore is never closed.
+            let Ok(permit) = Arc::clone(&calls).acquire_many_owned(kib).await else {
+                return;
+            };
+            tokio::spawn(self.clone().respond(call, responses.clone(), permit));
             next = self.next_call(&mut frames).await;
         }
     }
@@ -95,7 +127,12 @@
             .ok()
     }
 
-    async fn respond(self, raw: RawCall, responses: mpsc::Sender<Bytes>) {
+    async fn respond(
+        self,
+        raw: RawCall,
+        responses: mpsc::Sender<Bytes>,
+        _permit: OwnedSemaphorePermit,
+    ) {
         let response = if raw.call.is_empty() {
             Vec::new()
         } else {
--- a/crates/node/src/links/peer_directory.rs
+++ b/crates/node/src/links/peer_directory.rs
@@ -8,6 +8,9 @@
     tokio::sync::watch,
 };
 
+/// Most addresses that are kept; a fleet has fewer entry hosts.
+const MAX_PEERS: usize = 1_024;
+
 /// The other entry hosts that this process knows, and the owner of the fleet. Entry hosts that cannot reach the store
 /// find a new owner through each other.
 #[derive(Clone)]
@@ -33,7 +36,9 @@
             return;
         }
         let mut addresses = self.addresses.lock();
-        if let Err(index) = addresses.binary_search(&address) {
+        if let Err(index) = addresses.binary_search(&address)
+            && addresses.len() < MAX_PEERS
+        {
             addresses.insert(index, address);
         }
     }
