Idle connections of callers end after IdleTimeoutMs of the configuration

Cause: the configuration's IdleTimeoutMs was not read; 15 s was fixed in the code. Change: it is decoded into CallLimits and applied with the header limit; absent means 15,000.

--- a/crates/callers/src/intake/caller_intake.rs
+++ b/crates/callers/src/intake/caller_intake.rs
@@ -89,9 +89,10 @@
         })
     }
 
-    /// Sets the time limit on headers.
-    pub fn set_header_timeout(&self, timeout: Millis) {
-        self.state.lock().table.set_header_timeout(timeout);
+    /// Sets the time limits on headers, and on connections without a request.
+    pub fn set_timeouts(&self, header_timeout: Millis, idle_timeout: Millis) {
+        let mut state = self.state.lock();
+        state.table.set_timeouts(header_timeout, idle_timeout);
     }
 
     /// Applies the time limits and reports to `report`, until the future is dropped. Log lines begin with `prefix`.
--- a/crates/callers/src/intake/intake_table.rs
+++ b/crates/callers/src/intake/intake_table.rs
@@ -385,9 +385,10 @@
         stops
     }
 
-    /// Sets the time limit on headers.
-    pub fn set_header_timeout(&mut self, timeout: Millis) {
-        self.limits.header_timeout = timeout;
+    /// Sets the time limits on headers, and on connections without a request.
+    pub fn set_timeouts(&mut self, header_timeout: Millis, idle_timeout: Millis) {
+        self.limits.header_timeout = header_timeout;
+        self.limits.idle_timeout = idle_timeout;
     }
 
     fn refuse(&mut self, id: u64, reason: CloseReason, now: LocalTime) {
--- a/crates/dispatch/src/routes/fleet_rules.rs
+++ b/crates/dispatch/src/routes/fleet_rules.rs
@@ -55,6 +55,8 @@
     pub body_bytes: usize,
     /// Time limit for receiving the complete headers.
     pub header_timeout: Millis,
+    /// Time after which a connection without a request may be closed.
+    pub idle_timeout: Millis,
 }
 
 impl Default for CallLimits {
@@ -63,6 +65,7 @@
             header_bytes: 16 * 1024,
             body_bytes: 256 * 1024,
             header_timeout: Millis(3_000),
+            idle_timeout: Millis(15_000),
         }
     }
 }
