Slow runs of steps that allow it get a copy

Cause: 3% of the work items take seven times as long as the others, and `Speculative` steps ran without copies.

Change: a second run is started on free capacity that no other work waits for, when the only run of a work item has lasted 1 s and twice the median of its step's finished work items. Copies use at most a tenth of the processor time in use in the pool, and leave a fifth of the pool free.

The effect on callers is not measured.

--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -21,6 +21,7 @@
 mod run_table;
 mod runner_advice;
 mod runner_responses;
+mod speculation;
 mod start_budget;
 mod start_responses;
 mod stuck_runs;
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -77,6 +77,8 @@
     /// Listed reports of instances that started before the known ones; they are handled once those have ended.
     pub(super) deferred_reports: Vec<RunnerReport>,
     pub(super) placement_due: bool,
+    /// The next pass of placement looks for slow runs.
+    pub(super) copies_due: bool,
     /// Long-running work that found no runner in the last pass of placement.
     pub(super) unplaced_serving: Vec<UnplacedServing>,
     pub(super) stall_grace_until: LocalTime,
@@ -114,6 +116,7 @@
             has_runner_list: false,
             deferred_reports: Vec::new(),
             placement_due: true,
+            copies_due: false,
             unplaced_serving: Vec::new(),
             stall_grace_until: now,
             logged_pools: Vec::new(),
@@ -185,6 +188,7 @@
             self.forget_ended(now);
             self.advice.forget_expired(&self.jobs, now);
             self.placement_due = true;
+            self.copies_due = true;
         }
         if self.placement_due && now.since(self.last_placement) >= self.placement_interval() {
             self.placement_due = false;
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -60,6 +60,13 @@
             }
             self.place_item(key, rank.tier, &mut pass, now);
         }
+        // Copies take what all other work leaves.
+        let has_other_work = pass.gang_waiting || !self.unplaced_serving.is_empty();
+        if std::mem::take(&mut self.copies_due) && !has_other_work {
+            let full = pass.full_queues.iter().map(|(queue, _)| &*queue.service);
+            let full: Vec<&str> = full.collect();
+            self.start_copies(&full, &pass.reserved, now);
+        }
     }
 
     fn place_item(
@@ -362,7 +369,7 @@
         Some(runner)
     }
 
-    fn issue_start(&mut self, key: ItemKey, runner: RunnerKey, now: LocalTime) {
+    pub(super) fn issue_start(&mut self, key: ItemKey, runner: RunnerKey, now: LocalTime) {
         let last_run = self.jobs.item(key).map_or(0, |(_, item)| item.last_run);
         self.issue_run(key, runner, last_run.saturating_add(1), now);
     }
