Copies of slow runs stay within the quota of their organisation

Cause: a copy was started without a look at the quota, and with organisations in the configuration none was started at all, because the fair order of placement returned before. Change: both orders of placement are functions of their own, and copies come after either; start_copy asks the quota.

--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -52,26 +52,16 @@
     pub(super) fn place_items(&mut self, now: LocalTime, wall_ms: u64) {
         self.count_unconfirmed();
         self.organisations.begin_pass(self.present_capacity());
-        let mut ready = self.ready_items(now, wall_ms);
+        let ready = self.ready_items(now, wall_ms);
         let mut pass = PlacementPass {
             unplaced_before: std::mem::take(&mut self.unplaced_serving),
             ..PlacementPass::default()
         };
         self.start_budget.refill(now);
         if self.rules.organisations.is_some() {
-            let mut order = FairOrder::new(ready);
-            while let Some(ready) = order.pop(|key| self.organisations.weighted_share(key)) {
-                if !self.place_next(ready, &mut pass, now) {
-                    break;
-                }
-            }
-            return;
-        }
-        ready.sort_unstable_by_key(|ready| (ready.rank, ready.key));
-        for ready in ready {
-            if !self.place_next(ready, &mut pass, now) {
-                break;
-            }
+            self.place_fairly(ready, &mut pass, now);
+        } else {
+            self.place_by_rank(ready, &mut pass, now);
         }
         // Copies take what all other work leaves.
         let has_other_work = pass.gang_waiting || !self.unplaced_serving.is_empty();
@@ -82,6 +72,30 @@
         }
     }
 
+    /// Places work items in the order of their ranks, and within a tier and priority by the shares of organisations.
+    fn place_fairly(&mut self, ready: Vec<ReadyItem>, pass: &mut PlacementPass, now: LocalTime) {
+        let mut order = FairOrder::new(ready);
+        while let Some(ready) = order.pop(|key| self.organisations.weighted_share(key)) {
+            if !self.place_next(ready, pass, now) {
+                return;
+            }
+        }
+    }
+
+    fn place_by_rank(
+        &mut self,
+        mut ready: Vec<ReadyItem>,
+        pass: &mut PlacementPass,
+        now: LocalTime,
+    ) {
+        ready.sort_unstable_by_key(|ready| (ready.rank, ready.key));
+        for ready in ready {
+            if !self.place_next(ready, pass, now) {
+                return;
+            }
+        }
+    }
+
     /// Places a work item. Returns false when the link carries no further start command now.
     fn place_next(&mut self, ready: ReadyItem, pass: &mut PlacementPass, now: LocalTime) -> bool {
         if !self.start_budget.is_available() {
--- a/crates/dispatch/src/owner/speculation.rs
+++ b/crates/dispatch/src/owner/speculation.rs
@@ -71,7 +71,9 @@
         let cpu = u64::from(run.demand.cpu);
         let is_bounded = (pool.copies + cpu) * COPY_DIVISOR <= pool.used;
         let is_free = pool.used + cpu + pool.capacity / FREE_DIVISOR <= pool.capacity;
-        if !is_bounded || !is_free || !self.start_budget.is_available() {
+        let (organisation, quota_demand) = self.quota_demand(run.item);
+        let is_allowed = self.organisations.allows(organisation, &quota_demand);
+        if !is_bounded || !is_free || !is_allowed || !self.start_budget.is_available() {
             return;
         }
         let runners = self.runners.all().filter(|(runner, state)| {
--- a/crates/dispatch/tests/slow_copies.rs
+++ b/crates/dispatch/tests/slow_copies.rs
@@ -4,7 +4,7 @@
 mod fleet;
 
 use {
-    fleet::{TestFleet, empty_response, ended_run, listed_run, step},
+    fleet::{TestFleet, empty_response, ended_run, job, listed_run, step},
     goldcreststall_dispatch::{
         jobs::{JobId, JobPhase, StepSpec},
         owner::{CallResponse, JobCall, OwnerCommand, StartCommand, StartResponse},
@@ -13,6 +13,17 @@
     },
 };
 
+const RUNNERS: [&str; 6] = ["r1", "r2", "r3", "r4", "r5", "r6"];
+
+fn start_for_ink(fleet: &mut TestFleet, id: u64, shape: StepSpec) -> Vec<StartCommand> {
+    fleet.submit_for(id, "ink", job(vec![shape]));
+    fleet.store();
+    fleet.advance(10);
+    let starts = fleet.starts();
+    fleet.accept_starts(&starts);
+    starts
+}
+
 /// A step of eight work items, each of half a runner.
 fn wide_step(speculative: bool) -> StepSpec {
     StepSpec {
@@ -32,8 +43,20 @@
 
 impl SlowFleet {
     fn new(shape: StepSpec) -> Self {
-        let ids = ["r1", "r2", "r3", "r4", "r5", "r6"];
-        let (fleet, mut starts) = TestFleet::with_work(&ids, vec![shape]);
+        let (fleet, starts) = TestFleet::with_work(&RUNNERS, vec![shape]);
+        Self::after_starts(fleet, starts)
+    }
+
+    /// The same with a job of an organisation that has a quota, in thousandths of a core.
+    fn with_quota(shape: StepSpec, quota_cpu: u64) -> Self {
+        let mut fleet = TestFleet::new(1, &RUNNERS);
+        fleet.answer_first_holds();
+        fleet.set_organisations(2, &[("ink", 1, quota_cpu)]);
+        let starts = start_for_ink(&mut fleet, 1, shape);
+        Self::after_starts(fleet, starts)
+    }
+
+    fn after_starts(fleet: TestFleet, mut starts: Vec<StartCommand>) -> Self {
         let slow = starts.pop().expect("eight starts");
         let mut slow_fleet = Self {
             fleet,
@@ -114,6 +137,19 @@
     }
 }
 
+/// Guards against a copy that brings an organisation above its quota.
+#[test]
+fn within_quota() {
+    for (quota_cpu, copies) in [(16_000, 0), (18_000, 1)] {
+        let mut slow_fleet = SlowFleet::with_quota(wide_step(true), quota_cpu);
+        let mut others = start_for_ink(&mut slow_fleet.fleet, 2, step(14, 1_000));
+        assert_eq!(others.len(), 14);
+        others.extend(slow_fleet.fleet.start_work(3, vec![step(6, 1_000)]));
+        slow_fleet.pass_time(1_500, others);
+        assert_eq!(slow_fleet.later.len(), copies, "quota of {quota_cpu}");
+    }
+}
+
 /// Guards against a third run while a copy without an answer may still begin.
 #[test]
 fn copy_without_answer() {
