End the wait of a job that is on time while it still is

A job that a start far from its data kept on time went on waiting until that start was too late: the rule changed for it as its time ran out.

The bound of a wait is set when it begins; for such a job it is at most what is left of its time after the slower run.

Eligibility is checked only for runners that would be earlier. Tests of the package: all passed.

--- a/crates/dispatch/src/locality/capacity_forecast.rs
+++ b/crates/dispatch/src/locality/capacity_forecast.rs
@@ -120,18 +120,22 @@
         demand: &Capacity,
         is_eligible: impl Fn(RunnerKey) -> bool,
     ) -> Option<ForecastSlot> {
-        let slot = |(index, forecast): (usize, &RunnerForecast)| {
-            let at = forecast.earliest(demand)?;
-            Some(ForecastSlot {
-                runner: forecast.runner,
-                at,
-                index,
-            })
-        };
-        let slots = self.runners.iter().enumerate().filter_map(slot);
-        slots
-            .filter(|slot| is_eligible(slot.runner))
-            .min_by_key(|slot| slot.at)
+        let mut best: Option<ForecastSlot> = None;
+        for (index, forecast) in self.runners.iter().enumerate() {
+            let Some(at) = forecast.earliest(demand) else {
+                continue;
+            };
+            // Eligibility takes longer to check than the time.
+            let is_earlier = best.is_none_or(|slot| at < slot.at);
+            if is_earlier && is_eligible(forecast.runner) {
+                best = Some(ForecastSlot {
+                    runner: forecast.runner,
+                    at,
+                    index,
+                });
+            }
+        }
+        best
     }
 
     /// Takes the capacity of a slot for work of this duration.
--- a/crates/dispatch/src/locality/wait_decision.rs
+++ b/crates/dispatch/src/locality/wait_decision.rs
@@ -10,14 +10,10 @@
 pub struct WaitInputs {
     /// Expected duration near the data.
     pub duration: Millis,
-    /// High quantile of the durations near the data.
-    pub high_duration: Millis,
     /// Duration far from the data, in percent of that near it.
     pub far_percent: u32,
     /// Expected time until capacity near the data is free for this work; `None` if none is expected.
     pub expected_wait: Option<Millis>,
-    /// Time until the latest start with which the job is on time; 0 when that has passed.
-    pub slack: Millis,
     /// How long the work has waited so far.
     pub waited: Millis,
     /// Longest wait; set when the wait began.
@@ -39,10 +35,14 @@
     Millis(duration.0.saturating_mul(extra_percent) / 100)
 }
 
-/// Returns the longest wait of work with this expected duration. A wait that is as long as the expected gain and does not
-/// pay costs at most as much again as the start far from the data at once would have.
-pub fn wait_bound(duration: Millis, far_percent: u32) -> Millis {
-    expected_gain(duration, far_percent).min(MAX_WAIT)
+/// Returns the longest wait of work with this expected duration, when `slack` is left until the latest start with which
+/// its job is on time. A wait that is as long as the expected gain and does not pay costs at most as much again as the
+/// start far from the data at once would have. A job that is on time by that start stays so after a wait that does not
+/// pay; one that is not ends earlier only by a wait that does.
+pub fn wait_bound(duration: Millis, far_percent: u32, slack: Millis) -> Millis {
+    let gain = expected_gain(duration, far_percent);
+    let on_time = slack.0.checked_sub(gain.0).map(Millis);
+    gain.min(on_time.unwrap_or(gain)).min(MAX_WAIT)
 }
 
 impl WaitInputs {
@@ -53,13 +53,7 @@
             return WaitDecision::Start;
         };
         let left = Millis(self.bound.0.saturating_sub(self.waited.0));
-        let pays = expected_wait + MIN_ADVANTAGE < gain && expected_wait < left;
-        // A job that is on time by a start now must stay so, also when the work ahead of it takes long. One that is not
-        // ends earlier after the wait than without it.
-        let on_time_now = self.slack >= gain;
-        let spread = Millis(self.high_duration.0.saturating_sub(self.duration.0));
-        let stays_on_time = expected_wait + spread <= self.slack;
-        if pays && (stays_on_time || !on_time_now) {
+        if expected_wait + MIN_ADVANTAGE < gain && expected_wait < left {
             WaitDecision::Wait
         } else {
             WaitDecision::Start
--- a/crates/dispatch/src/owner/locality_waits.rs
+++ b/crates/dispatch/src/owner/locality_waits.rs
@@ -272,13 +272,17 @@
         let wait = self.locality.wait(key);
         WaitInputs {
             duration: times.learned.median,
-            high_duration: times.learned.high,
             far_percent,
             expected_wait,
-            slack: times.latest_start.since(now),
             waited: wait.map_or(Millis(0), |wait| now.since(wait.since)),
             bound: wait.map_or_else(
-                || wait_bound(times.learned.median, far_percent),
+                || {
+                    wait_bound(
+                        times.learned.median,
+                        far_percent,
+                        times.latest_start.since(now),
+                    )
+                },
                 |wait| wait.bound,
             ),
         }
@@ -319,11 +323,10 @@
         if begun && let Some(job) = self.jobs.get(key.job) {
             let name = job.item_name(key.item).to_string();
             let detail = format!(
-                "{detail} expected_wait_ms={} bound_ms={} duration_ms={} slack_ms={}",
+                "{detail} expected_wait_ms={} bound_ms={} duration_ms={}",
                 inputs.expected_wait.unwrap_or_default().0,
                 inputs.bound.0,
-                inputs.duration.0,
-                inputs.slack.0
+                inputs.duration.0
             );
             self.log_event("wait for data", name, detail);
         }
