Refusal of jobs above the rate of their organisation

A flood of one organisation filled the backlog of a pool, so that jobs of all others were refused, and it grew without bound where a quota kept it waiting.

Change: jobs above weight times window are refused with 429, a Retry-After from the organisation's own waiting jobs and the reason in the body, while the pool has no free capacity in the last pass of placement or the quota is used up; otherwise they are accepted. What only a quota keeps waiting is no backlog of its pool. A full pool names its reason to organisations; other callers get the answer as before. A known job is never refused.

--- a/crates/dispatch/src/organisations/mod.rs
+++ b/crates/dispatch/src/organisations/mod.rs
@@ -3,9 +3,11 @@
 mod organisation_rule;
 mod organisation_table;
 mod resource_use;
+mod submission_rate;
 
 pub use {
     organisation_rule::{OrganisationRule, ResourceCap},
     organisation_table::{OrganisationKey, OrganisationTable},
     resource_use::ResourceUse,
+    submission_rate::SubmissionRate,
 };
--- a/crates/dispatch/src/organisations/organisation_table.rs
+++ b/crates/dispatch/src/organisations/organisation_table.rs
@@ -1,6 +1,7 @@
 use {
-    super::{ResourceCap, ResourceUse},
+    super::{ResourceCap, ResourceUse, SubmissionRate},
     crate::routes::FleetRules,
+    goldcreststall_core::ids::{LocalTime, Millis},
 };
 
 /// Index of an organisation in the [`OrganisationTable`].
@@ -66,6 +67,20 @@
     }
 }
 
+/// What admission and reports need of one organisation.
+#[derive(Clone, Copy, Debug, Default)]
+struct OrganisationFigures {
+    rate: SubmissionRate,
+    /// Jobs of which no work item has started.
+    waiting_jobs: u32,
+    /// When the oldest of them was submitted.
+    oldest: Option<LocalTime>,
+    /// Work of unfinished jobs while the organisation is at its quota, in thousandths of a core times milliseconds.
+    backlog: u64,
+    refused_over_rate: u64,
+    refused_pool_full: u64,
+}
+
 /// The organisations that have had jobs in this term, with what they use. Designed for 10,000 organisations and thousands
 /// of checks in a pass of placement: a check and an update take constant time.
 #[derive(Clone, Debug)]
@@ -73,6 +88,8 @@
     by_name: Vec<(String, OrganisationKey)>,
     /// The first row stands for work without an organisation.
     rows: Vec<OrganisationRow>,
+    /// Kept apart from the rows, which a pass of placement reads.
+    figures: Vec<OrganisationFigures>,
     /// Organisations that the quota kept from starting work in the last pass of placement, and in the one before.
     over_quota: Vec<OrganisationKey>,
     over_quota_before: Vec<OrganisationKey>,
@@ -93,6 +110,7 @@
         let mut table = Self {
             by_name: Vec::new(),
             rows: vec![OrganisationRow::new("", &FleetRules::default())],
+            figures: vec![OrganisationFigures::default()],
             over_quota: Vec::new(),
             over_quota_before: Vec::new(),
             claimants: Vec::new(),
@@ -118,6 +136,7 @@
             Err(index) => {
                 let key = OrganisationKey(self.rows.len() as u32);
                 self.rows.push(OrganisationRow::new(name, rules));
+                self.figures.push(OrganisationFigures::default());
                 self.by_name.insert(index, (name.to_owned(), key));
                 key
             }
@@ -266,6 +285,68 @@
         self.rows[key.index()].cap
     }
 
+    /// Returns whether one more job of an organisation is within its rate over the window.
+    pub fn is_within_rate(&mut self, key: OrganisationKey, window: Millis, now: LocalTime) -> bool {
+        let weight = self.weight(key);
+        let rate = &mut self.figures[key.index()].rate;
+        rate.allows(weight, window, now)
+    }
+
+    /// Counts an accepted job in the rate of its organisation.
+    pub fn record_submission(&mut self, key: OrganisationKey, window: Millis, now: LocalTime) {
+        self.figures[key.index()].rate.record(window, now);
+    }
+
+    /// Counts a refused job; `over_rate` tells the reason from a full pool.
+    pub fn count_refused(&mut self, key: OrganisationKey, over_rate: bool) {
+        let figures = &mut self.figures[key.index()];
+        if over_rate {
+            figures.refused_over_rate += 1;
+        } else {
+            figures.refused_pool_full += 1;
+        }
+    }
+
+    /// Begins a new count of waiting jobs.
+    pub fn clear_waiting(&mut self) {
+        for figures in &mut self.figures {
+            figures.waiting_jobs = 0;
+            figures.oldest = None;
+            figures.backlog = 0;
+        }
+    }
+
+    /// Counts a job of which no work item has started.
+    pub fn add_waiting(&mut self, key: OrganisationKey, first_seen: LocalTime) {
+        let figures = &mut self.figures[key.index()];
+        figures.waiting_jobs += 1;
+        let oldest = figures.oldest.unwrap_or(first_seen);
+        figures.oldest = Some(oldest.min(first_seen));
+    }
+
+    /// Adds work that only the quota keeps waiting, in thousandths of a core times milliseconds.
+    pub fn add_backlog(&mut self, key: OrganisationKey, work: u64) {
+        let backlog = &mut self.figures[key.index()].backlog;
+        *backlog = backlog.saturating_add(work);
+    }
+
+    /// Returns how long the work that only the quota keeps waiting needs within the quota; 0 without a quota of processor
+    /// time.
+    pub fn backlog_time(&self, key: OrganisationKey) -> Millis {
+        let backlog = self.figures[key.index()].backlog;
+        Millis(backlog.checked_div(self.cap(key).cpu).unwrap_or(0))
+    }
+
+    /// Returns the number of jobs of an organisation that have not started, as of the last count.
+    pub fn waiting_jobs(&self, key: OrganisationKey) -> u32 {
+        self.figures[key.index()].waiting_jobs
+    }
+
+    /// Returns the weight of an organisation, at least 1.
+    pub fn weight(&self, key: OrganisationKey) -> u64 {
+        self.rows[key.index()].weight
+    }
+
     /// Returns the number of work items that the quota kept from starting in the last pass of placement.
     pub fn over_quota(&self, key: OrganisationKey) -> u32 {
         self.rows[key.index()].over_quota
--- a/crates/dispatch/src/owner/admission.rs
+++ b/crates/dispatch/src/owner/admission.rs
@@ -79,14 +79,25 @@
             }
         }
         let largest = self.largest_capacity();
+        self.organisations.clear_waiting();
         for key in self.jobs.unfinished() {
             let Some(job) = self.jobs.get(*key) else {
                 continue;
             };
+            let organisation = job.organisation_key;
+            if job.accepted && !job.started && !job.phase.is_final() {
+                self.organisations.add_waiting(organisation, job.first_seen);
+            }
             // Jobs that are no longer useful to their callers are placed last and delay no other job.
             if now > job.useful_until() {
                 continue;
             }
+            // What a quota keeps waiting delays no job of another organisation.
+            if self.organisations.is_at_quota(organisation) {
+                self.organisations
+                    .add_backlog(organisation, work_left(job, largest));
+                continue;
+            }
             let pool = backlogs
                 .iter_mut()
                 .find(|pool| pool.service == job.queue.service);
@@ -115,7 +126,11 @@
             .find(|pool| pool.service == job.queue.service)?;
         let useful_time = job.useful_until().since(job.first_seen);
         let limit = Millis(useful_time.0.saturating_mul(BACKLOG_FACTOR));
-        let waiting_time = pool.waiting_time();
+        let waiting_time = if self.organisations.is_at_quota(job.organisation_key) {
+            self.organisations.backlog_time(job.organisation_key)
+        } else {
+            pool.waiting_time()
+        };
         (waiting_time > limit).then(|| Millis(waiting_time.0 - limit.0))
     }
 }
--- a/crates/dispatch/src/owner/job_calls.rs
+++ b/crates/dispatch/src/owner/job_calls.rs
@@ -30,7 +30,7 @@
     SubmitFor(JobId, Box<JobSubmission>, String),
 }
 
-/// The response to a call.
+/// The response to a call. Entry hosts of other versions know the variants by their place: new ones go to the end.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum CallResponse {
     /// The submission or cancellation is stored.
@@ -47,6 +47,8 @@
     Unavailable,
     /// The outcome is unknown.
     Unknown,
+    /// Not executed: the organisation of the job is above its rate and capacity is short. Time after which to retry.
+    OverRate(Millis),
 }
 
 impl JobCall {
@@ -107,10 +109,13 @@
         job.organisation_key = self
             .organisations
             .intern(job.organisation.as_deref(), &self.rules);
-        if let Some(retry_after) = self.retry_after(&job) {
-            let detail = format!("queue={} come_back_ms={}", job.queue.name, retry_after.0);
+        if let Err((reason, retry_after)) = self.check_submission(&job, now) {
+            let mut detail = format!("queue={} come_back_ms={}", job.queue.name, retry_after.0);
+            if let Some(organisation) = &job.organisation {
+                detail += &format!(" why={} organisation={organisation}", reason.name());
+            }
             self.log_event("job refused", id.to_string(), detail);
-            self.reply(call_id, CallResponse::Busy(retry_after));
+            self.reply(call_id, reason.response(retry_after));
             return;
         }
         let detail = format!(
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -26,6 +26,7 @@
 mod start_budget;
 mod start_responses;
 mod stuck_runs;
+mod submission_limit;
 mod unplaced_serving;
 mod wave_control;
 
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -14,7 +14,7 @@
         jobs::{JobKey, JobState, JobTable},
         organisations::OrganisationTable,
         pools::ArrivalRate,
-        routes::FleetRules,
+        routes::{FleetRules, ServiceBounds},
         runners::{DEFAULT_MAX_LEASE, RunnerKey, RunnerReport, RunnerTable, max_lapse_delay},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
@@ -74,6 +74,10 @@
     pub(super) start_budget: StartBudget,
     /// Longest lease that a runner accepts.
     pub(super) max_lease: Millis,
+    /// Time over which the rate of an organisation's submissions is measured.
+    pub(super) quota_window: Millis,
+    /// Services whose waiting work found no free capacity in the last pass of placement.
+    pub(super) short_services: Vec<String>,
     pub(super) recovered: bool,
     pub(super) has_runner_list: bool,
     /// Listed reports of instances that started before the known ones; they are handled once those have ended.
@@ -113,6 +117,8 @@
             restarts: RestartTable::default(),
             start_budget: StartBudget::default(),
             max_lease: DEFAULT_MAX_LEASE,
+            quota_window: ServiceBounds::default().quota_window,
+            short_services: Vec::new(),
             recovered: false,
             has_runner_list: false,
             deferred_reports: Vec::new(),
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -62,8 +62,10 @@
                     break;
                 }
             }
+            self.short_services = self.find_short_services(&pass, now);
             return;
         }
+        self.short_services.clear();
         ready.sort_unstable_by_key(|ready| (ready.rank, ready.key));
         for ready in ready {
             if !self.place_next(ready, &mut pass, now) {
@@ -83,6 +85,22 @@
         true
     }
 
+    /// Returns the services that have no free capacity for work that waits after a pass. Work larger than any runner does
+    /// not count: no capacity is enough for it.
+    fn find_short_services(&self, pass: &PlacementPass, now: LocalTime) -> Vec<String> {
+        let largest = self.largest_capacity();
+        let with_capacity = self.services_with_capacity(now);
+        let names = self.rules.services.iter().map(|service| &service.name);
+        let is_short = |name: &&String| {
+            let is_unmet = |(queue, unmet): &(Arc<RouteRule>, Capacity)| {
+                queue.service == **name && largest.covers(unmet)
+            };
+            let is_full = with_capacity.binary_search(&name.as_str()).is_err();
+            is_full || pass.full_queues.iter().any(is_unmet)
+        };
+        names.filter(is_short).cloned().collect()
+    }
+
     /// Returns the capacity of all runners that are present.
     fn present_capacity(&self) -> ResourceUse {
         let runners = self.runners.all().map(|(_, state)| state);
--- a/crates/dispatch/src/owner/ready_items.rs
+++ b/crates/dispatch/src/owner/ready_items.rs
@@ -78,7 +78,7 @@
 
     /// Returns the services that have a runner with free capacity, so that a pass does not visit the backlog of full
     /// pools.
-    fn services_with_capacity(&self, now: LocalTime) -> Vec<&str> {
+    pub(super) fn services_with_capacity(&self, now: LocalTime) -> Vec<&str> {
         let has_capacity = |state: &RunnerState| {
             let free = state.free();
             state.accepts_work(now) && free.cpu > 0 && free.mem_mb > 0
--- a/crates/node/src/api/api_request.rs
+++ b/crates/node/src/api/api_request.rs
@@ -38,8 +38,14 @@
     Invalid(String),
     /// There is no such queue.
     NoRoute,
+    /// Nothing was done and nothing will be: the organisation is above its rate and capacity is short; the caller may retry
+    /// after this time.
+    OverRate(Millis),
     /// Number of the queue's jobs that have not started.
     Pending(u32),
+    /// Nothing was done and nothing will be: the job of an organisation would be placed too late; the caller may retry
+    /// after this time.
+    PoolFull(Millis),
     /// State of the job.
     State(JobPhase),
     /// Nothing was done and nothing will be; the caller may retry after this time.
@@ -56,7 +62,9 @@
             Self::Gone => "gone",
             Self::Invalid(_) => "invalid",
             Self::NoRoute => "no_route",
+            Self::OverRate(_) => "over_rate",
             Self::Pending(_) => "pending",
+            Self::PoolFull(_) => "pool_full",
             Self::State(_) => "state",
             Self::Unavailable(_) => "unavailable",
             Self::Unknown => "unknown",
--- a/crates/node/src/api/job_api.rs
+++ b/crates/node/src/api/job_api.rs
@@ -178,10 +178,13 @@
     }
 
     async fn call_owner(&self, call: JobCall, timeout: Millis) -> ApiResponse {
+        let has_organisation = matches!(call, JobCall::SubmitFor(..));
         match self.owner_client.call(call, timeout).await {
             CallResponse::Accepted => ApiResponse::Accepted,
+            CallResponse::Busy(after) if has_organisation => ApiResponse::PoolFull(after),
             CallResponse::Busy(after) => ApiResponse::Unavailable(after),
             CallResponse::Gone => ApiResponse::Gone,
+            CallResponse::OverRate(after) => ApiResponse::OverRate(after),
             CallResponse::Pending(count) => ApiResponse::Pending(count),
             CallResponse::State(phase) => ApiResponse::State(phase),
             CallResponse::Unavailable => ApiResponse::Unavailable(RETRY_AFTER_NO_OWNER),
--- a/crates/node/src/api/owner_client.rs
+++ b/crates/node/src/api/owner_client.rs
@@ -97,7 +97,8 @@
                 match self.attempt(location, call.clone(), deadline).await {
                     Attempt::Answered(CallResponse::Unavailable) => refused_attempts += 1,
                     // The attempt whose answer was lost may still arrive and be accepted.
-                    Attempt::Answered(CallResponse::Busy(_)) if lost && is_change => {}
+                    Attempt::Answered(CallResponse::Busy(_) | CallResponse::OverRate(_))
+                        if lost && is_change => {}
                     Attempt::Answered(CallResponse::Unknown) | Attempt::Lost => lost = true,
                     Attempt::Answered(response) => return response,
                     Attempt::NotSent => {}
--- a/crates/node/src/control/owner_actor.rs
+++ b/crates/node/src/control/owner_actor.rs
@@ -46,6 +46,8 @@
     pub maintenance: Millis,
     /// Longest lease that a runner accepts.
     pub max_lease: Millis,
+    /// Time over which the rate of an organisation's submissions is measured.
+    pub quota_window: Millis,
     /// Counters and histograms.
     pub metrics: Arc<NodeMetrics>,
     /// The advice service.
@@ -280,6 +282,7 @@
         let mut state = OwnerState::new(token, Arc::clone(&self.rules), term.started_at);
         state.limit_link(self.args.link_rate, now);
         state.set_max_lease(self.args.max_lease);
+        state.set_quota_window(self.args.quota_window);
         state.restore(records, now, wall_time().0);
         for wave in &self.waves {
             state.wave_requested(wave.clone(), now);
--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -159,6 +159,7 @@
         logger: logger.clone(),
         maintenance: settings.maintenance,
         max_lease: settings.max_lease,
+        quota_window: settings.bounds.quota_window,
         metrics: Arc::clone(&metrics),
         advice: Arc::clone(&ports.advice),
         runners: Arc::new(DelegatedRunners::new(
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -112,6 +112,7 @@
         logger: logger(),
         maintenance: Millis(2_000),
         max_lease: Millis(10_000),
+        quota_window: Millis(5_000),
         metrics: Arc::new(NodeMetrics::new().expect("metrics")),
         advice: Arc::new(NoAdvice),
         runners: Arc::clone(&runners) as _,
