--- a/crates/dispatch/src/organisations/mod.rs
+++ b/crates/dispatch/src/organisations/mod.rs
@@ -1,11 +1,13 @@
 //! Organisations: who may submit jobs, how much of it may run at the same time, and which share is due.
 
+mod organisation_report;
 mod organisation_rule;
 mod organisation_table;
 mod resource_use;
 mod submission_rate;
 
 pub use {
+    organisation_report::OrganisationReport,
     organisation_rule::{OrganisationRule, ResourceCap},
     organisation_table::{OrganisationKey, OrganisationTable},
     resource_use::ResourceUse,
--- a/crates/dispatch/src/organisations/organisation_table.rs
+++ b/crates/dispatch/src/organisations/organisation_table.rs
@@ -1,9 +1,12 @@
 use {
-    super::{ResourceCap, ResourceUse, SubmissionRate},
+    super::{OrganisationReport, ResourceCap, ResourceUse, SubmissionRate},
     crate::routes::FleetRules,
     goldcreststall_core::ids::{LocalTime, Millis},
 };
 
+/// Most organisations that are reported one by one; bounds the number of metrics.
+const MAX_REPORTED: usize = 32;
+
 /// Index of an organisation in the [`OrganisationTable`].
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct OrganisationKey(u32);
@@ -347,9 +350,37 @@
         self.rows[key.index()].weight
     }
 
-    /// Returns the number of work items that the quota kept from starting in the last pass of placement.
-    pub fn over_quota(&self, key: OrganisationKey) -> u32 {
-        self.rows[key.index()].over_quota
+    /// Returns the figures of the 32 organisations with the most processor time in use, then the most waiting jobs, and the
+    /// sum of the others.
+    pub fn reports(&self, now: LocalTime) -> Vec<OrganisationReport> {
+        let mut names = vec![""; self.rows.len()];
+        for (name, key) in &self.by_name {
+            names[key.index()] = name;
+        }
+        let rows = self.rows.iter().zip(&self.figures).zip(names);
+        let report = |((row, figures), name): ((&OrganisationRow, &OrganisationFigures), &str)| {
+            OrganisationReport {
+                name: Some(name.to_owned()),
+                running_cpu: row.used.cpu,
+                waiting_jobs: u64::from(figures.waiting_jobs),
+                over_quota: u64::from(row.over_quota),
+                refused_over_rate: figures.refused_over_rate,
+                refused_pool_full: figures.refused_pool_full,
+                oldest_wait: figures.oldest.map_or(Millis(0), |oldest| now.since(oldest)),
+            }
+        };
+        let mut reports: Vec<OrganisationReport> = rows.map(report).collect();
+        reports.sort_by(|left, right| {
+            let size = |it: &OrganisationReport| (it.running_cpu, it.waiting_jobs);
+            size(right).cmp(&size(left))
+        });
+        let others = reports.split_off(reports.len().min(MAX_REPORTED));
+        if !others.is_empty() {
+            let mut sum = OrganisationReport::default();
+            others.iter().for_each(|report| sum.add(report));
+            reports.push(sum);
+        }
+        reports
     }
 
     /// Begins a pass of placement over runners with this capacity.
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -12,7 +12,7 @@
     },
     crate::{
         jobs::{JobKey, JobState, JobTable},
-        organisations::OrganisationTable,
+        organisations::{OrganisationReport, OrganisationTable},
         pools::ArrivalRate,
         routes::{FleetRules, ServiceBounds},
         runners::{DEFAULT_MAX_LEASE, RunnerKey, RunnerReport, RunnerTable, max_lapse_delay},
@@ -25,6 +25,8 @@
 const ENDED_JOB_RETENTION: Millis = Millis(125_000);
 /// Time between two rounds of the less urgent decisions.
 const SLOW_ROUND_INTERVAL: Millis = Millis(100);
+/// Time between two reports on organisations.
+const REPORT_INTERVAL: Millis = Millis(1_000);
 /// Minimum time between two passes of placement. Thousands of responses of runners can arrive per second, and each
 /// makes a pass due.
 const PLACEMENT_INTERVAL: Millis = Millis(4);
@@ -92,6 +94,7 @@
     last_placement: LocalTime,
     pub(super) last_tick: LocalTime,
     next_slow_round: LocalTime,
+    next_report: LocalTime,
 }
 
 impl OwnerState {
@@ -130,6 +133,7 @@
             last_placement: LocalTime(0),
             last_tick: now,
             next_slow_round: now,
+            next_report: now,
         }
     }
 
@@ -163,6 +167,16 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Returns the figures of organisations for operators, at most once a second; none where the configuration has no
+    /// organisations.
+    pub fn take_organisation_reports(&mut self, now: LocalTime) -> Option<Vec<OrganisationReport>> {
+        if self.rules.organisations.is_none() || now < self.next_report {
+            return None;
+        }
+        self.next_report = now + REPORT_INTERVAL;
+        Some(self.organisations.reports(now))
+    }
+
     /// Returns the id and address of a runner.
     pub fn runner_address(&self, key: RunnerKey) -> Option<(&str, SocketAddr)> {
         let report = self.runner_report(key)?;
--- a/crates/node/src/control/owner_actor.rs
+++ b/crates/node/src/control/owner_actor.rs
@@ -362,6 +362,9 @@
             info!(self.args.logger, "owner: {}", event.event;
                 "token" => term.token, "id" => event.subject, "inputs" => event.detail);
         }
+        if let Some(reports) = state.take_organisation_reports(now) {
+            self.args.metrics.set_organisations(&reports);
+        }
         let executor = CommandExecutor {
             actor: self.actor.clone(),
             args: self.args.clone(),
