Figures of a placement pass with quotas, pool sizes and admission

The benchmark's jobs were above the rate of their organisations, so that admission refused a part of them.

--- a/crates/dispatch/examples/placement_pass.rs
+++ b/crates/dispatch/examples/placement_pass.rs
@@ -33,7 +33,8 @@
 fn rules(organisations: usize) -> Arc<FleetRules> {
     let rule = |number| OrganisationRule {
         name: format!("organisation-{number:05}"),
-        weight: 1 + number as u64 % 20,
+        // High enough that no job is above the rate of its organisation.
+        weight: 1_000 * (1 + number as u64 % 20),
         cap: ResourceCap {
             cpu: 4_000_000,
             ..ResourceCap::default()
