--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -29,6 +29,7 @@
 mod start_budget;
 mod start_responses;
 mod stuck_runs;
+mod submission_limit;
 mod unplaced_serving;
 mod wave_control;
 mod wave_room;
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -14,9 +14,9 @@
     },
     crate::{
         jobs::{JobKey, JobState, JobTable},
-        organisations::OrganisationTable,
+        organisations::{OrganisationReport, OrganisationTable},
         pools::ArrivalRate,
-        routes::FleetRules,
+        routes::{FleetRules, ServiceBounds},
         runners::{DEFAULT_MAX_LEASE, RunnerKey, RunnerReport, RunnerTable, max_lapse_delay},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
@@ -27,6 +27,8 @@
 const ENDED_JOB_RETENTION: Millis = Millis(125_000);
 /// Time between two rounds of the less urgent decisions.
 const SLOW_ROUND_INTERVAL: Millis = Millis(100);
+/// Time between two reports on organisations.
+const REPORT_INTERVAL: Millis = Millis(1_000);
 /// Minimum time between two passes of placement. Thousands of responses of runners can arrive per second, and each
 /// makes a pass due.
 const PLACEMENT_INTERVAL: Millis = Millis(4);
@@ -78,6 +80,10 @@
     pub(super) start_budget: StartBudget,
     /// Longest lease that a runner accepts.
     pub(super) max_lease: Millis,
+    /// Time over which the rate of an organisation's submissions is measured.
+    pub(super) quota_window: Millis,
+    /// Services whose waiting work found no free capacity in the last pass of placement.
+    pub(super) short_services: Vec<String>,
     pub(super) recovered: bool,
     pub(super) has_runner_list: bool,
     /// Listed reports of instances that started before the known ones; they are handled once those have ended.
@@ -94,6 +100,7 @@
     last_placement: LocalTime,
     pub(super) last_tick: LocalTime,
     next_slow_round: LocalTime,
+    next_report: LocalTime,
 }
 
 impl OwnerState {
@@ -121,6 +128,8 @@
             restarts: RestartTable::default(),
             start_budget: StartBudget::default(),
             max_lease: DEFAULT_MAX_LEASE,
+            quota_window: ServiceBounds::default().quota_window,
+            short_services: Vec::new(),
             recovered: false,
             has_runner_list: false,
             deferred_reports: Vec::new(),
@@ -133,6 +142,7 @@
             last_placement: LocalTime(0),
             last_tick: now,
             next_slow_round: now,
+            next_report: now,
         }
     }
 
@@ -171,6 +181,16 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Returns the figures of organisations for operators, at most once a second; none where the configuration has no
+    /// organisations.
+    pub fn take_organisation_reports(&mut self, now: LocalTime) -> Option<Vec<OrganisationReport>> {
+        if self.rules.organisations.is_none() || now < self.next_report {
+            return None;
+        }
+        self.next_report = now + REPORT_INTERVAL;
+        Some(self.organisations.reports(now))
+    }
+
     /// Returns the id and address of a runner.
     pub fn runner_address(&self, key: RunnerKey) -> Option<(&str, SocketAddr)> {
         let report = self.runner_report(key)?;
--- a/crates/node/src/control/owner_actor.rs
+++ b/crates/node/src/control/owner_actor.rs
@@ -283,6 +283,7 @@
         state.limit_link(self.args.link_rate, now);
         state.set_max_lease(self.args.max_lease);
         state.set_far_percent(self.args.bounds.far_percent);
+        state.set_quota_window(self.args.bounds.quota_window);
         state.restore(records, now, wall_time().0);
         for wave in &self.waves {
             state.wave_requested(wave.clone(), now);
@@ -365,6 +366,9 @@
         self.args
             .metrics
             .count_waits(&mut term.counted_waits, state.wait_counts());
+        if let Some(reports) = state.take_organisation_reports(now) {
+            self.args.metrics.set_organisations(&reports);
+        }
         let executor = CommandExecutor {
             actor: self.actor.clone(),
             args: self.args.clone(),
--- a/crates/node/src/metrics/node_metrics.rs
+++ b/crates/node/src/metrics/node_metrics.rs
@@ -1,12 +1,18 @@
 use {
-    goldcreststall_dispatch::owner::WaitCounts,
-    goldcreststall_entry::metrics::MetricsRegistry,
+    super::organisation_lines::organisation_lines,
+    goldcreststall_core::ids::{LocalTime, Millis},
+    goldcreststall_dispatch::{organisations::OrganisationReport, owner::WaitCounts},
+    goldcreststall_entry::{clock::BootClock, metrics::MetricsRegistry},
     opentelemetry::{
         KeyValue,
         metrics::{Counter, Gauge, Histogram},
     },
+    parking_lot::Mutex,
 };
 
+/// How long figures of organisations are shown after the last report; an entry host that owns the fleet no more has none.
+const REPORT_RETENTION: Millis = Millis(5_000);
+
 /// Counters and histograms of an entry host, exported in the Prometheus text format.
 #[derive(Debug)]
 pub struct NodeMetrics {
@@ -18,6 +24,8 @@
     caller_bytes: Gauge<u64>,
     waits: Counter<u64>,
     registry: MetricsRegistry,
+    /// Lines about organisations, and when the owner on this host wrote them.
+    organisations: Mutex<Option<(LocalTime, String)>>,
 }
 
 impl NodeMetrics {
@@ -37,6 +45,7 @@
             caller_bytes: meter.u64_gauge("gcs_caller_bytes").build(),
             waits: meter.u64_counter("gcs_data_waits").build(),
             registry,
+            organisations: Mutex::new(None),
         })
     }
 
@@ -82,8 +91,20 @@
         *counted = counts;
     }
 
+    /// Replaces the figures of organisations, which only the owner has.
+    pub fn set_organisations(&self, reports: &[OrganisationReport]) {
+        let lines = organisation_lines(reports);
+        *self.organisations.lock() = Some((BootClock.now(), lines));
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
-        self.registry.text()
+        let mut text = self.registry.text();
+        if let Some((written, lines)) = &*self.organisations.lock()
+            && BootClock.now().since(*written) <= REPORT_RETENTION
+        {
+            text.push_str(lines);
+        }
+        text
     }
 }
