--- a/crates/dispatch/src/owner/job_calls.rs
+++ b/crates/dispatch/src/owner/job_calls.rs
@@ -2,6 +2,7 @@
     super::{OwnerCommand, OwnerState, journal_queue::StoredEffect},
     crate::{
         jobs::{JobId, JobKey, JobPhase, JobState},
+        organisations::ResourceUse,
         pools::work_left,
         records::JobSubmission,
     },
@@ -33,7 +34,7 @@
     StateFor(JobId, Option<String>),
 }
 
-/// The response to a call.
+/// The response to a call. Entry hosts of other versions know the variants by their place: new ones go to the end.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum CallResponse {
     /// The submission or cancellation is stored.
@@ -50,6 +51,8 @@
     Unavailable,
     /// The outcome is unknown.
     Unknown,
+    /// Not executed: the organisation of the job is above its rate and capacity is short. Time after which to retry.
+    OverRate(Millis),
 }
 
 impl JobCall {
@@ -140,10 +143,13 @@
         job.organisation_key = self
             .organisations
             .intern(job.organisation.as_deref(), &self.rules);
-        if let Some(retry_after) = self.retry_after(&job) {
-            let detail = format!("queue={} come_back_ms={}", job.queue.name, retry_after.0);
+        if let Err((reason, retry_after)) = self.check_submission(&job, now) {
+            let mut detail = format!("queue={} come_back_ms={}", job.queue.name, retry_after.0);
+            if let Some(organisation) = &job.organisation {
+                detail += &format!(" why={} organisation={organisation}", reason.name());
+            }
             self.log_event("job refused", id.to_string(), detail);
-            self.reply(call_id, CallResponse::Busy(retry_after));
+            self.reply(call_id, reason.response(retry_after));
             return;
         }
         let detail = format!(
@@ -158,6 +164,11 @@
         if job.spec.times == 0 {
             let work = work_left(&job, self.largest_capacity());
             let service = job.queue.service.clone();
+            // What a quota does not allow to run is no demand.
+            let work = match self.arriving_percent(&job) {
+                100 => work,
+                percent => work.saturating_mul(percent) / 100,
+            };
             self.arrivals.record_arrival(&service, work, now);
         }
         let key = self.jobs.insert(job);
@@ -166,6 +177,19 @@
             .on_stored(StoredEffect::Reply(key, call_id, CallResponse::Accepted));
     }
 
+    /// Returns how much of an arriving job the quota of its organisation may allow to run, in percent.
+    fn arriving_percent(&mut self, job: &JobState) -> u64 {
+        if !self.organisations.is_limited(job.organisation_key) {
+            return 100;
+        }
+        let steps = job.spec.steps.iter();
+        let arriving = steps.fold(ResourceUse::default(), |sum, step| {
+            sum.plus(&ResourceUse::of_step(step, step.count))
+        });
+        self.organisations
+            .record_arrival(job.organisation_key, &arriving)
+    }
+
     fn resubmit(&mut self, call_id: CallId, key: JobKey) {
         if self.jobs.get(key).is_some_and(|job| job.accepted) {
             self.reply(call_id, CallResponse::Accepted);
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod evacuation;
+mod fair_order;
 mod gang_placement;
 mod hold_planner;
 mod host_commands;
@@ -10,6 +11,8 @@
 mod instance_change;
 mod job_calls;
 mod journal_queue;
+mod locality_state;
+mod locality_waits;
 mod owner_command;
 mod owner_state;
 mod pace_control;
@@ -22,16 +25,20 @@
 mod run_table;
 mod runner_advice;
 mod runner_responses;
+mod speculation;
 mod start_budget;
 mod start_responses;
 mod stuck_runs;
+mod submission_limit;
 mod unplaced_serving;
 mod wave_control;
+mod wave_room;
 
 pub use {
     host_table::{HostReport, HostResponse, HostStatus, WaveRequest},
     job_calls::{CallId, CallResponse, JobCall},
     journal_queue::{BatchId, JournalBatch},
+    locality_state::WaitCounts,
     owner_command::{AdviceCommand, OwnerCommand, RunCommand, RunName, RunStart, StartCommand},
     owner_state::{OwnerEvent, OwnerState},
     start_responses::StartResponse,
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -5,16 +5,18 @@
         evacuation::EvacuationTable,
         host_table::{HostTable, WaveTable},
         journal_queue::JournalQueue,
+        locality_state::LocalityState,
         restart_table::RestartTable,
         runner_advice::AdviceTable,
         start_budget::StartBudget,
         unplaced_serving::UnplacedServing,
+        wave_room::WaveRoomTable,
     },
     crate::{
         jobs::{JobKey, JobState, JobTable},
-        organisations::OrganisationTable,
+        organisations::{OrganisationReport, OrganisationTable},
         pools::ArrivalRate,
-        routes::FleetRules,
+        routes::{FleetRules, ServiceBounds},
         runners::{DEFAULT_MAX_LEASE, RunnerKey, RunnerReport, RunnerTable, max_lapse_delay},
     },
     goldcreststall_core::ids::{LocalTime, Millis},
@@ -25,6 +27,8 @@
 const ENDED_JOB_RETENTION: Millis = Millis(125_000);
 /// Time between two rounds of the less urgent decisions.
 const SLOW_ROUND_INTERVAL: Millis = Millis(100);
+/// Time between two reports on organisations.
+const REPORT_INTERVAL: Millis = Millis(1_000);
 /// Minimum time between two passes of placement. Thousands of responses of runners can arrive per second, and each
 /// makes a pass due.
 const PLACEMENT_INTERVAL: Millis = Millis(4);
@@ -62,7 +66,9 @@
     pub(super) has_assumed_use: bool,
     pub(super) hosts: HostTable,
     pub(super) waves: WaveTable,
+    pub(super) wave_room: WaveRoomTable,
     pub(super) journal: JournalQueue,
+    pub(super) locality: LocalityState,
     pub(super) commands: Vec<OwnerCommand>,
     pub(super) events: Vec<OwnerEvent>,
     pub(super) started: LocalTime,
@@ -74,11 +80,17 @@
     pub(super) start_budget: StartBudget,
     /// Longest lease that a runner accepts.
     pub(super) max_lease: Millis,
+    /// Time over which the rate of an organisation's submissions is measured.
+    pub(super) quota_window: Millis,
+    /// Services whose waiting work found no free capacity in the last pass of placement.
+    pub(super) short_services: Vec<String>,
     pub(super) recovered: bool,
     pub(super) has_runner_list: bool,
     /// Listed reports of instances that started before the known ones; they are handled once those have ended.
     pub(super) deferred_reports: Vec<RunnerReport>,
     pub(super) placement_due: bool,
+    /// The next pass of placement looks for slow runs.
+    pub(super) copies_due: bool,
     /// Long-running work that found no runner in the last pass of placement.
     pub(super) unplaced_serving: Vec<UnplacedServing>,
     pub(super) stall_grace_until: LocalTime,
@@ -88,6 +100,7 @@
     last_placement: LocalTime,
     pub(super) last_tick: LocalTime,
     next_slow_round: LocalTime,
+    next_report: LocalTime,
 }
 
 impl OwnerState {
@@ -102,7 +115,9 @@
             runners: RunnerTable::default(),
             hosts: HostTable::default(),
             waves: WaveTable::default(),
+            wave_room: WaveRoomTable::default(),
             journal: JournalQueue::default(),
+            locality: LocalityState::default(),
             commands: Vec::new(),
             events: Vec::new(),
             started: now,
@@ -113,10 +128,13 @@
             restarts: RestartTable::default(),
             start_budget: StartBudget::default(),
             max_lease: DEFAULT_MAX_LEASE,
+            quota_window: ServiceBounds::default().quota_window,
+            short_services: Vec::new(),
             recovered: false,
             has_runner_list: false,
             deferred_reports: Vec::new(),
             placement_due: true,
+            copies_due: false,
             unplaced_serving: Vec::new(),
             stall_grace_until: now,
             logged_pools: Vec::new(),
@@ -124,6 +142,7 @@
             last_placement: LocalTime(0),
             last_tick: now,
             next_slow_round: now,
+            next_report: now,
         }
     }
 
@@ -138,6 +157,11 @@
         self.max_lease = max_lease;
     }
 
+    /// Sets the duration of work far from its data, in percent of that near them. At 100 nothing waits for its data rack.
+    pub fn set_far_percent(&mut self, far_percent: u32) {
+        self.locality.far_percent = far_percent.max(100);
+    }
+
     /// Replaces the configuration if the new one has a higher version.
     pub fn set_rules(&mut self, rules: Arc<FleetRules>) {
         if rules.version > self.rules.version {
@@ -157,6 +181,16 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Returns the figures of organisations for operators, at most once a second; none where the configuration has no
+    /// organisations.
+    pub fn take_organisation_reports(&mut self, now: LocalTime) -> Option<Vec<OrganisationReport>> {
+        if self.rules.organisations.is_none() || now < self.next_report {
+            return None;
+        }
+        self.next_report = now + REPORT_INTERVAL;
+        Some(self.organisations.reports(now))
+    }
+
     /// Returns the id and address of a runner.
     pub fn runner_address(&self, key: RunnerKey) -> Option<(&str, SocketAddr)> {
         let report = self.runner_report(key)?;
@@ -189,7 +223,9 @@
             self.decide_hosts(now);
             self.forget_ended(now);
             self.advice.forget_expired(&self.jobs, now);
+            self.forget_waits();
             self.placement_due = true;
+            self.copies_due = true;
         }
         if self.placement_due && now.since(self.last_placement) >= self.placement_interval() {
             self.placement_due = false;
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -1,11 +1,14 @@
 use {
     super::{
         OwnerCommand, OwnerState, StartCommand,
+        fair_order::FairOrder,
+        locality_waits::{DataPlacement, RackForecasts},
         ready_items::{PlacementTier, ReadyItem},
         unplaced_serving::{UnplacedServing, add_unplaced},
     },
     crate::{
         jobs::{ItemKey, ItemRun, JobState, StepSpec, WorkItem},
+        organisations::ResourceUse,
         routes::RouteRule,
         runners::{Capacity, RunnerKey, RunnerState},
     },
@@ -30,14 +33,16 @@
     unplaced_before: Vec<UnplacedServing>,
     /// A gang has found no free capacity in this pass, and runners were reserved for it.
     gang_waiting: bool,
+    /// When capacity near data is free.
+    forecasts: RackForecasts,
 }
 
 /// A work item to be placed, and what decides on which runner.
 #[derive(Clone, Copy, Debug)]
-struct PlacedItem {
-    key: ItemKey,
-    tier: PlacementTier,
-    demand: Capacity,
+pub(super) struct PlacedItem {
+    pub(super) key: ItemKey,
+    pub(super) tier: PlacementTier,
+    pub(super) demand: Capacity,
     /// Runner with capacity that is reserved for it.
     target: Option<RunnerKey>,
 }
@@ -46,17 +51,49 @@
     /// Starts ready work items on runners with free capacity.
     pub(super) fn place_items(&mut self, now: LocalTime, wall_ms: u64) {
         self.count_unconfirmed();
-        self.organisations.begin_pass();
-        let mut ready = self.ready_items(now, wall_ms);
+        self.organisations.begin_pass(self.present_capacity());
+        let ready = self.ready_items(now, wall_ms);
         let mut pass = PlacementPass {
             unplaced_before: std::mem::take(&mut self.unplaced_serving),
             ..PlacementPass::default()
         };
         self.start_budget.refill(now);
+        if self.rules.organisations.is_some() {
+            self.place_fairly(ready, &mut pass, now);
+            self.short_services = self.find_short_services(&pass, now);
+        } else {
+            self.short_services.clear();
+            self.place_by_rank(ready, &mut pass, now);
+        }
+        // Copies take what all other work leaves.
+        let has_other_work = pass.gang_waiting || !self.unplaced_serving.is_empty();
+        if std::mem::take(&mut self.copies_due) && !has_other_work {
+            let full = pass.full_queues.iter().map(|(queue, _)| &*queue.service);
+            let full: Vec<&str> = full.collect();
+            self.start_copies(&full, &pass.reserved, now);
+        }
+    }
+
+    /// Places work items in the order of their ranks, and within a tier and priority by the shares of organisations.
+    fn place_fairly(&mut self, ready: Vec<ReadyItem>, pass: &mut PlacementPass, now: LocalTime) {
+        let mut order = FairOrder::new(ready);
+        while let Some(ready) = order.pop(|key| self.organisations.weighted_share(key)) {
+            if !self.place_next(ready, pass, now) {
+                return;
+            }
+        }
+    }
+
+    fn place_by_rank(
+        &mut self,
+        mut ready: Vec<ReadyItem>,
+        pass: &mut PlacementPass,
+        now: LocalTime,
+    ) {
         ready.sort_unstable_by_key(|ready| (ready.rank, ready.key));
         for ready in ready {
-            if !self.place_next(ready, &mut pass, now) {
-                break;
+            if !self.place_next(ready, pass, now) {
+                return;
             }
         }
     }
@@ -68,20 +105,37 @@
             self.placement_due = true;
             return false;
         }
-        self.place_item(ready.key, ready.rank.tier, pass, now);
+        self.place_item(&ready, pass, now);
         true
     }
 
-    fn place_item(
-        &mut self,
-        key: ItemKey,
-        tier: PlacementTier,
-        pass: &mut PlacementPass,
-        now: LocalTime,
-    ) {
-        if !self.fits_quota(key) {
-            return;
-        }
+    /// Returns the services that have no free capacity for work that waits after a pass. Work larger than any runner does
+    /// not count: no capacity is enough for it.
+    fn find_short_services(&self, pass: &PlacementPass, now: LocalTime) -> Vec<String> {
+        let largest = self.largest_capacity();
+        let with_capacity = self.services_with_capacity(now);
+        let names = self.rules.services.iter().map(|service| &service.name);
+        let is_short = |name: &&String| {
+            let is_unmet = |(queue, unmet): &(Arc<RouteRule>, Capacity)| {
+                queue.service == **name && largest.covers(unmet)
+            };
+            let is_full = with_capacity.binary_search(&name.as_str()).is_err();
+            is_full || pass.full_queues.iter().any(is_unmet)
+        };
+        names.filter(is_short).cloned().collect()
+    }
+
+    /// Returns the capacity of all runners that are present.
+    fn present_capacity(&self) -> ResourceUse {
+        let runners = self.runners.all().map(|(_, state)| state);
+        let present = runners.filter(|state| state.is_present());
+        present.fold(ResourceUse::default(), |sum, state| {
+            sum.plus(&ResourceUse::from(state.report.capacity))
+        })
+    }
+
+    fn place_item(&mut self, ready: &ReadyItem, pass: &mut PlacementPass, now: LocalTime) {
+        let (key, tier) = (ready.key, ready.rank.tier);
         let Some(job) = self.jobs.get(key.job) else {
             return;
         };
@@ -101,13 +155,22 @@
         if cannot_fit && item.target.is_none() {
             return;
         }
+        if !self.fits_quota(ready) {
+            return;
+        }
         let pool_index = self.pool_of_pass(&queue, pass, now);
         if let Some(members) = self.gang_of(key) {
             self.place_gang(&members, tier, pool_index, pass, now);
             return;
         }
         let pool = &pass.pools[pool_index].1;
-        if let Some(runner) = self.choose_runner(&item, pool, &pass.reserved, now) {
+        let near_data = self.place_near_data(&item, pool, &pass.reserved, &mut pass.forecasts, now);
+        let chosen = match near_data {
+            DataPlacement::Waits => return,
+            DataPlacement::Chosen(chosen) => chosen,
+            DataPlacement::Anywhere => self.choose_runner(&item, pool, &pass.reserved, now),
+        };
+        if let Some(runner) = chosen {
             self.issue_start(key, runner, now);
         } else if queue.advice.is_some() {
             let pool = pool.clone();
@@ -117,6 +180,8 @@
                 self.fits_drained(*runner, demand) && self.is_eligible(key, *runner, demand, now)
             });
             pass.reserved.extend(reserved);
+            let (organisation, quota_demand) = self.quota_demand(key);
+            self.organisations.claim(organisation, &quota_demand);
             self.record_unplaced(key, demand, reserved, &pass.unplaced_before);
         } else if !self.is_constrained(key) {
             pass.full_queues.push((queue, demand));
@@ -125,7 +190,7 @@
 
     /// Returns the runner of a pool on which a work item starts now; that of its last failed run only if no other one has
     /// room.
-    fn choose_runner(
+    pub(super) fn choose_runner(
         &self,
         item: &PlacedItem,
         pool: &[RunnerKey],
@@ -148,7 +213,7 @@
     }
 
     /// Returns whether a work item may start on a runner and has room there, beside what is reserved for other work.
-    fn can_start(
+    pub(super) fn can_start(
         &self,
         item: &PlacedItem,
         runner: RunnerKey,
@@ -222,6 +287,16 @@
             .filter(|runner| !reserved.contains(runner))
             .collect();
         if let Some(placement) = self.find_gang_placement(members, &pool, RunnerState::free, now) {
+            let may_wait =
+                !pass.gang_waiting && matches!(tier, PlacementTier::Started | PlacementTier::New);
+            let waits_in = may_wait
+                .then(|| self.wait_for_rack(members, &placement, &pool, &mut pass.forecasts, now))
+                .flatten();
+            if let Some(runners) = waits_in {
+                pass.gang_waiting = true;
+                pass.reserved.extend(runners);
+                return;
+            }
             let last_run =
                 |key: &ItemKey| self.jobs.item(*key).map_or(0, |(_, item)| item.last_run);
             let run = members
@@ -369,13 +444,13 @@
             })
     }
 
-    fn failed_on(&self, key: ItemKey) -> Option<RunnerKey> {
+    pub(super) fn failed_on(&self, key: ItemKey) -> Option<RunnerKey> {
         let (_, item) = self.jobs.item(key)?;
         let (runner, _) = item.failed_on?;
         Some(runner)
     }
 
-    fn issue_start(&mut self, key: ItemKey, runner: RunnerKey, now: LocalTime) {
+    pub(super) fn issue_start(&mut self, key: ItemKey, runner: RunnerKey, now: LocalTime) {
         let last_run = self.jobs.item(key).map_or(0, |(_, item)| item.last_run);
         self.issue_run(key, runner, last_run.saturating_add(1), now);
     }
@@ -414,6 +489,7 @@
         self.log_event("place", command.name.to_string(), detail);
         self.take_start_budget(key, command.spec.len());
         let recorded_run = ItemRun::starting(command.run, runner, deadline_ms, now);
+        let recorded_run = self.with_expectation(key, recorded_run);
         self.attach_run(key, recorded_run);
         self.end_evacuation(key);
         self.commands.push(OwnerCommand::Start(command));
--- a/crates/dispatch/src/pools/pool_planner.rs
+++ b/crates/dispatch/src/pools/pool_planner.rs
@@ -1,4 +1,4 @@
-use {crate::runners::Capacity, goldcreststall_core::ids::LocalTime};
+use {super::JobDemand, crate::runners::Capacity, goldcreststall_core::ids::LocalTime};
 
 /// Share of a pool's capacity that is planned as used, in percent. The rest serves the arrivals during the two seconds
 /// that a host takes to move, and covers fragmentation: work does not fill hosts completely.
@@ -33,6 +33,9 @@
     /// Number of hosts that accept work, and of those that long-running work waits for beyond them; the second is 0 when
     /// none waits.
     pub serving: (usize, usize),
+    /// Number of hosts in the pool, without those that are on their way to it, and of those that waves need beyond them; the
+    /// second is 0 when they need none.
+    pub waves: (usize, usize),
     /// Hosts that can move, with the time since which they have been empty.
     pub movable: Vec<(LocalTime, String)>,
     /// Hosts whose work ends by itself, with the processor time in use.
@@ -40,13 +43,29 @@
 }
 
 impl PoolStats {
+    /// Adds the demand of a job, whose long-running work must be spread over `spread` hosts.
+    pub fn add_demand(&mut self, demand: &JobDemand, spread: usize) {
+        self.spread = self.spread.max(spread);
+        self.demand_cpu = self.demand_cpu.saturating_add(demand.in_time);
+        self.late_cpu = self.late_cpu.saturating_add(demand.late);
+    }
+
     fn hosts_for(&self, cpu: u64) -> usize {
         let planned = u64::from(self.host_capacity.cpu.max(1)) * PLANNED_USE_PERCENT / 100;
         cpu.div_ceil(planned.max(1)).min(MAX_POOL_HOSTS) as usize
     }
 
-    /// Returns the number of hosts that the pool needs for work that can be in time.
+    /// Returns the number of hosts that the pool needs for work that can be in time, and for waves.
     fn needed(&self) -> usize {
+        let waves = match self.waves {
+            (_, 0) => 0,
+            (present, missing) => present + missing,
+        };
+        self.needed_for_work().max(waves)
+    }
+
+    /// Returns the number of hosts that the pool needs for work that can be in time.
+    pub fn needed_for_work(&self) -> usize {
         if self.spare {
             return 0;
         }
--- a/crates/node/src/metrics/node_metrics.rs
+++ b/crates/node/src/metrics/node_metrics.rs
@@ -1,11 +1,18 @@
 use {
-    goldcreststall_entry::metrics::MetricsRegistry,
+    super::organisation_lines::organisation_lines,
+    goldcreststall_core::ids::{LocalTime, Millis},
+    goldcreststall_dispatch::{organisations::OrganisationReport, owner::WaitCounts},
+    goldcreststall_entry::{clock::BootClock, metrics::MetricsRegistry},
     opentelemetry::{
         KeyValue,
         metrics::{Counter, Gauge, Histogram},
     },
+    parking_lot::Mutex,
 };
 
+/// How long figures of organisations are shown after the last report; an entry host that owns the fleet no more has none.
+const REPORT_RETENTION: Millis = Millis(5_000);
+
 /// Counters and histograms of an entry host, exported in the Prometheus text format.
 #[derive(Debug)]
 pub struct NodeMetrics {
@@ -15,7 +22,10 @@
     caller_stops: Counter<u64>,
     caller_connections: Gauge<u64>,
     caller_bytes: Gauge<u64>,
+    waits: Counter<u64>,
     registry: MetricsRegistry,
+    /// Lines about organisations, and when the owner on this host wrote them.
+    organisations: Mutex<Option<(LocalTime, String)>>,
 }
 
 impl NodeMetrics {
@@ -33,7 +43,9 @@
             caller_stops: meter.u64_counter("gcs_caller_stops").build(),
             caller_connections: meter.u64_gauge("gcs_caller_connections").build(),
             caller_bytes: meter.u64_gauge("gcs_caller_bytes").build(),
+            waits: meter.u64_counter("gcs_data_waits").build(),
             registry,
+            organisations: Mutex::new(None),
         })
     }
 
@@ -63,8 +75,36 @@
         }
     }
 
+    /// Counts the waits for capacity near data since those of this term that were counted before.
+    pub fn count_waits(&self, counted: &mut WaitCounts, counts: WaitCounts) {
+        let results = [
+            ("begun", counts.begun - counted.begun),
+            ("paid", counts.paid - counted.paid),
+            ("unpaid", counts.unpaid - counted.unpaid),
+            ("dropped", counts.dropped - counted.dropped),
+        ];
+        for (result, added) in results {
+            if added > 0 {
+                self.waits.add(added, &[KeyValue::new("result", result)]);
+            }
+        }
+        *counted = counts;
+    }
+
+    /// Replaces the figures of organisations, which only the owner has.
+    pub fn set_organisations(&self, reports: &[OrganisationReport]) {
+        let lines = organisation_lines(reports);
+        *self.organisations.lock() = Some((BootClock.now(), lines));
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
-        self.registry.text()
+        let mut text = self.registry.text();
+        if let Some((written, lines)) = &*self.organisations.lock()
+            && BootClock.now().since(*written) <= REPORT_RETENTION
+        {
+            text.push_str(lines);
+        }
+        text
     }
 }
