Answers close their connections while all connections are in use

Cause: a complete request is never shed, so that callers that pipeline requests and read no answer kept all connections of an entry host: without an owner each request takes 2 s, and 120 clients with 100 requests each kept an ordinary caller out for minutes. Seen by held_memory::pipelined_requests once the entry host had a configuration.

--- a/crates/callers/src/intake/caller_intake.rs
+++ b/crates/callers/src/intake/caller_intake.rs
@@ -212,6 +212,11 @@
         self.update(|table, now| table.begin_handling(self.id, now));
     }
 
+    /// Returns whether the connection is to be closed after its answer.
+    pub fn ends_answered(&self) -> bool {
+        self.intake.state.lock().table.ends_answered()
+    }
+
     /// Notes that the answer is ready.
     pub fn begin_answer(&self) {
         self.update(|table, now| table.begin_answer(self.id, now));
--- a/crates/callers/src/intake/intake_table.rs
+++ b/crates/callers/src/intake/intake_table.rs
@@ -183,6 +183,12 @@
         self.rows.len()
     }
 
+    /// Returns whether an answer ends its connection, because all connections are in use. A complete request is never shed,
+    /// so that a caller which sends request after request would otherwise keep its connection from all others.
+    pub fn ends_answered(&self) -> bool {
+        self.rows.len() >= self.limits.connections
+    }
+
     /// Returns the number of reserved bytes.
     pub fn held(&self) -> usize {
         self.held
--- a/crates/callers/src/server/caller_server.rs
+++ b/crates/callers/src/server/caller_server.rs
@@ -137,7 +137,7 @@
 ) -> Response<ResponseBody> {
     connection.begin_handling();
     let path = request.uri().path();
-    let response = match (request.method(), path) {
+    let mut response = match (request.method(), path) {
         (&Method::GET, "/health") => health(handler),
         (&Method::GET, "/metrics") => text_response(StatusCode::OK, handler.metrics()),
         (&Method::POST, "/v1/keys") => issue_key(handler).await,
@@ -147,6 +147,10 @@
         _ => forward(handler, Arc::clone(&connection), request).await,
     };
     connection.release();
+    if connection.ends_answered() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
     response.map(|body| Box::pin(AnsweredBody::new(body, connection)) as ResponseBody)
 }
 
--- a/crates/callers/tests/shed_order.rs
+++ b/crates/callers/tests/shed_order.rs
@@ -104,6 +104,20 @@
     assert_eq!(stop, Some(closed));
 }
 
+/// Guards against callers that keep all connections by sending request after request, none of which is shed.
+#[test]
+fn full_table() {
+    let mut table = table(2);
+    let first = open(&mut table, 0);
+    table.begin_handling(first, LocalTime(0));
+    assert!(!table.ends_answered());
+    let second = open(&mut table, 0);
+    table.begin_handling(second, LocalTime(0));
+    assert!(table.ends_answered());
+    table.close(first);
+    assert!(!table.ends_answered());
+}
+
 /// Guards against limits in time that end idle connections too early, or slow ones never.
 #[test]
 fn time_limits() {
