--- a/crates/callers/src/intake/caller_intake.rs
+++ b/crates/callers/src/intake/caller_intake.rs
@@ -10,7 +10,7 @@
     tokio_util::sync::CancellationToken,
 };
 
-/// Time between two looks at the time limits; a limit takes effect that much later.
+/// Interval at which the time limits are checked; a limit takes effect up to this much later.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// Fewest sweeps between two log lines about closed connections, so that a flood writes a line every five seconds.
 const SWEEPS_PER_LINE: u32 = 20;
@@ -144,7 +144,7 @@
     }
 }
 
-/// Connections that are closed because they are idle are no reason for a log line of their own.
+/// Returns whether connections were closed or refused for a reason other than idleness, which is usual.
 fn is_unusual(stops: &[u64; CloseReason::COUNT]) -> bool {
     let mut reasons = CloseReason::ALL.into_iter();
     reasons.any(|reason| reason != CloseReason::Idle && stops[reason as usize] > 0)
--- a/crates/callers/src/intake/intake_limits.rs
+++ b/crates/callers/src/intake/intake_limits.rs
@@ -10,7 +10,8 @@
 /// Memory that a connection can hold besides a body: the read buffer, the headers that were taken from it, which keep
 /// another buffer of that size, the write buffer and the state of the HTTP library.
 const CONNECTION_BYTES: usize = 64 * 1024;
-/// Part of the memory for all request bodies, and the part for connections; the rest is for the work of the process.
+/// One in this many: the fractions of the memory for all request bodies and for connections. The rest is for the work of
+/// the process.
 const BODY_MEMORY_DIVISOR: usize = 8;
 const CONNECTION_MEMORY_DIVISOR: usize = 4;
 /// Smallest budget for bodies: four of the largest size.
@@ -20,17 +21,17 @@
 /// Limits on what all callers together can make the process hold.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct IntakeLimits {
-    /// Bytes of all request bodies that are being read or handled.
+    /// Most bytes of all request bodies that are being read or handled.
     pub body_bytes: usize,
     /// Longest time from the headers to the end of a body.
     pub body_timeout: Millis,
-    /// Open connections.
+    /// Most open connections.
     pub connections: usize,
     /// Longest time from the first byte of a request to the end of its headers.
     pub header_timeout: Millis,
     /// Longest time without a request, and longest time in which a caller takes no bytes of an answer.
     pub idle_timeout: Millis,
-    /// Open connections that have sent no complete request, or are sending one.
+    /// Most open connections that have sent no complete request, or are sending one.
     pub incomplete: usize,
     /// Longest time without a byte of a body.
     pub stall_timeout: Millis,
--- a/crates/dispatch/src/jobs/work_item.rs
+++ b/crates/dispatch/src/jobs/work_item.rs
@@ -77,7 +77,7 @@
     pub paced_at: LocalTime,
     /// Expected duration when it was started; 0 for an adopted run.
     pub expected: Millis,
-    /// It runs outside the rack that holds its data.
+    /// Whether it runs outside the rack that holds its data.
     pub is_far: bool,
 }
 
--- a/crates/dispatch/src/organisations/mod.rs
+++ b/crates/dispatch/src/organisations/mod.rs
@@ -1,4 +1,5 @@
-//! Organisations: who may submit jobs, how much of it may run at the same time, and which share is due.
+//! Organisations: who may submit jobs, how much of their work may run at the same time, and their shares of the
+//! capacity.
 
 mod key_index;
 mod organisation_report;
--- a/crates/dispatch/src/organisations/organisation_table.rs
+++ b/crates/dispatch/src/organisations/organisation_table.rs
@@ -20,7 +20,7 @@
     }
 }
 
-/// What is known of one organisation.
+/// Weight, quota and use of one organisation, which a pass of placement reads.
 #[derive(Clone, Copy, Debug)]
 struct OrganisationRow {
     weight: u64,
@@ -33,7 +33,7 @@
     claimed: ResourceUse,
     /// Use of the work that arrived after the last decision on pool sizes.
     arrived: ResourceUse,
-    /// Its quota does not allow all of its waiting work to run.
+    /// Whether its quota does not allow all of its waiting work to run.
     at_quota: bool,
     /// Weighted share as of [`OrganisationTable::weighted_share`] in the pass of placement with this number.
     share: (u64, u64),
--- a/crates/dispatch/src/organisations/resource_use.rs
+++ b/crates/dispatch/src/organisations/resource_use.rs
@@ -3,7 +3,7 @@
     crate::{jobs::StepSpec, runners::Capacity},
 };
 
-/// One in this many is the smallest share that is told from none.
+/// Shares are counted in parts of this size: billionths.
 const SHARE_SCALE: u64 = 1_000_000_000;
 
 /// What work uses on all runners together. A sum over hundreds of runners needs more than the 32 bits of a
--- a/crates/dispatch/src/owner/job_calls.rs
+++ b/crates/dispatch/src/owner/job_calls.rs
@@ -14,8 +14,8 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct CallId(pub u64);
 
-/// A call of the job interface, already routed to its queue. Entry hosts of other versions know the variants by their
-/// place: new ones go to the end.
+/// A call of the job interface, already routed to its queue. The encoding numbers the variants, and entry hosts of other
+/// versions know these numbers: new variants go to the end.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum JobCall {
     /// Cancel a job.
@@ -34,7 +34,7 @@
     StateFor(JobId, Option<String>),
 }
 
-/// The response to a call. Entry hosts of other versions know the variants by their place: new ones go to the end.
+/// The response to a call. New variants go to the end, as in [`JobCall`].
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum CallResponse {
     /// The submission or cancellation is stored.
--- a/crates/dispatch/src/owner/locality_state.rs
+++ b/crates/dispatch/src/owner/locality_state.rs
@@ -31,7 +31,7 @@
 /// What the owner has learned about durations, and the work that waits for its data rack.
 #[derive(Debug)]
 pub(super) struct LocalityState {
-    /// Duration of work far from its data, in percent of that near them.
+    /// Duration of work far from its data, in percent of its duration near them.
     pub(super) far_percent: u32,
     pub(super) durations: DurationTable,
     /// Sorted by key. An entry stays until the work item starts, so that a wait that was too long is not begun again.
--- a/crates/dispatch/src/owner/locality_waits.rs
+++ b/crates/dispatch/src/owner/locality_waits.rs
@@ -25,13 +25,13 @@
 pub(super) enum DataPlacement {
     /// It has no data rack, or is not slower on others.
     Anywhere,
-    /// On this runner; none has room if there is none.
+    /// On this runner; `None` if no runner has free capacity for it.
     Chosen(Option<RunnerKey>),
     /// Not now: it waits for capacity near its data.
     Waits,
 }
 
-/// The runners near some data, and when they have room.
+/// Runners of one service in one rack, and the forecast of their capacity.
 #[derive(Debug)]
 struct RackForecast {
     service: String,
@@ -42,7 +42,8 @@
     capacity: Option<CapacityForecast>,
 }
 
-/// The racks that work of a pass prefers, and what it needs of its step. Work items of one step are adjacent.
+/// Forecasts of the data racks of the work in one pass of placement, and the times of the step that was looked up last:
+/// work items of one step are adjacent.
 #[derive(Debug, Default)]
 pub(super) struct RackForecasts {
     racks: Vec<RackForecast>,
@@ -210,7 +211,7 @@
         waits.then_some(runners)
     }
 
-    /// Returns the expected capacity of those runners that are worth a wait.
+    /// Returns the forecast for those of the runners that accept work, are not due for maintenance and are not reserved.
     fn capacity_forecast(
         &self,
         runners: &[RunnerKey],
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -62,7 +62,7 @@
     pub(super) jobs: JobTable,
     pub(super) runners: RunnerTable,
     pub(super) organisations: OrganisationTable,
-    /// The table of organisations counts use that runs of an earlier owner may have.
+    /// Whether the table of organisations counts use that runs of an earlier owner may have.
     pub(super) has_assumed_use: bool,
     pub(super) hosts: HostTable,
     pub(super) waves: WaveTable,
@@ -89,7 +89,7 @@
     /// Listed reports of instances that started before the known ones; they are handled once those have ended.
     pub(super) deferred_reports: Vec<RunnerReport>,
     pub(super) placement_due: bool,
-    /// The next pass of placement looks for slow runs.
+    /// Whether the next pass of placement looks for slow runs.
     pub(super) copies_due: bool,
     /// Long-running work that found no runner in the last pass of placement.
     pub(super) unplaced_serving: Vec<UnplacedServing>,
@@ -157,7 +157,7 @@
         self.max_lease = max_lease;
     }
 
-    /// Sets the duration of work far from its data, in percent of that near them. At 100 nothing waits for its data rack.
+    /// Sets the duration of work far from its data, in percent of its duration near them. At 100 nothing waits for its data rack.
     pub fn set_far_percent(&mut self, far_percent: u32) {
         self.locality.far_percent = far_percent.max(100);
     }
--- a/crates/dispatch/src/owner/speculation.rs
+++ b/crates/dispatch/src/owner/speculation.rs
@@ -40,7 +40,7 @@
 
 impl OwnerState {
     /// Starts second runs of slow work items of steps that allow it, on free capacity that no other work waits for. The
-    /// first run to end counts, and the other one is then stopped. `full` are the services in which work waits, and
+    /// first run to end as done counts, and the other one is then stopped. `full` are the services in which work waits, and
     /// `reserved` the runners that get no other work.
     pub(super) fn start_copies(&mut self, full: &[&str], reserved: &[RunnerKey], now: LocalTime) {
         let mut slow = Vec::new();
@@ -122,7 +122,7 @@
     }
 }
 
-/// Adds the single runs of a job that last much longer than the finished work items of their steps.
+/// Adds the slow runs of a job whose work items have no copy yet.
 fn collect_slow(key: JobKey, job: &JobState, now: LocalTime, slow: &mut Vec<SlowRun>) {
     // The work items of a step are adjacent.
     let mut step: Option<(u32, u32)> = None;
--- a/crates/dispatch/src/owner/submission_limit.rs
+++ b/crates/dispatch/src/owner/submission_limit.rs
@@ -12,7 +12,8 @@
 /// Why a job is refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum RefusalReason {
-    /// The organisation is above its rate, and its pool has no free capacity or its quota is used up.
+    /// The organisation is above its rate, and its pool has no free capacity or its quota does not allow all of its waiting
+    /// work to run.
     OverRate,
     /// The job would be placed too late.
     PoolFull,
--- a/crates/dispatch/src/owner/wave_room.rs
+++ b/crates/dispatch/src/owner/wave_room.rs
@@ -11,7 +11,7 @@
     goldcreststall_core::ids::{LocalTime, Millis},
 };
 
-/// How long a host must have been empty before it is given back: the next pulse of demand may need it.
+/// How long a host must have been empty before it is given back: the next burst of demand may need it.
 const RETURN_DELAY: Millis = Millis(5_000);
 
 /// Hosts of one pool for the waves.
@@ -222,7 +222,7 @@
         }
     }
 
-    /// Returns whether the time of a wave that is not completed has not ended.
+    /// Returns whether a wave is not completed and still within its time.
     fn is_wave_due(&self, now: LocalTime) -> bool {
         let mut waves = self.waves.waves.iter();
         waves.any(|wave| !wave.progress.completed && now < wave.end())
--- a/crates/dispatch/src/pools/wave_stage.rs
+++ b/crates/dispatch/src/pools/wave_stage.rs
@@ -19,7 +19,8 @@
     pub under_way: usize,
     /// Capacity that long-running work uses on each host that cannot be emptied because no other host has room for it.
     pub stuck: Vec<Capacity>,
-    /// Most work items of one step that must move one after the other, within the number of them that may be missing.
+    /// Most turns in which the work items of one step leave their hosts, because only `may_miss` of them may be away at a
+    /// time.
     pub turns: usize,
     /// Capacity of a host that moves to the pool.
     pub host_capacity: Capacity,
@@ -27,13 +28,13 @@
 
 impl WaveStage {
     /// Returns the number of additional hosts that the pool needs, so that the hosts without room for their work can be
-    /// emptied in batches up to the end of the wave. Each batch uses the hosts of the one before, so that the number is
-    /// the smaller the more time is left.
+    /// emptied in batches up to the end of the wave. Each batch uses the hosts of the one before, so that the number
+    /// falls with the time that is left.
     pub fn missing_hosts(&self) -> usize {
         let mut stuck: Vec<Capacity> = self.stuck.clone();
-        // Work that is larger than a host, or that fills none, finds no room on another host either.
+        // Work that is larger than a host of the pool has no room on an additional one either.
         stuck.retain(|used| self.host_capacity.covers(used));
-        // The work items of a step that wait for their turn need the end of the wave for themselves.
+        // Each turn of a step after the first needs the time of a notice at the end of the wave.
         let later_turns = NOTICE.0 * self.turns.saturating_sub(1) as u64;
         let time = self.time_left.0.saturating_sub(MOVE_TIME.0 + later_turns);
         // On average half of the round of a host that is under way has passed.
--- a/crates/dispatch/tests/wave_time.rs
+++ b/crates/dispatch/tests/wave_time.rs
@@ -46,9 +46,9 @@
     due
 }
 
-/// Long-running work fills the memory of its pool, while its processors and all spare hosts are idle: no host of the wave can
-/// be emptied unless the pool gets hosts for it. Each step may miss one work item at a time, so that the last ones of a step need
-/// the end of the wave for themselves. The wave gives the hosts back.
+/// Long-running work fills the memory of its pool, while its processors and all spare hosts are idle: no host of the wave
+/// can be emptied unless the pool gets hosts for it. Each step may miss one work item at a time, so that the last ones of
+/// a step need the end of the wave for themselves. The wave gives the hosts back.
 #[test]
 fn memory_is_full() {
     let mut fleet = fleet_with_memory(90);
--- a/crates/measures/examples/data_wait_pass.rs
+++ b/crates/measures/examples/data_wait_pass.rs
@@ -66,7 +66,8 @@
     }
 }
 
-/// Prints the mean time of a slow round with its pass, while no runner answers, when the whole pool or only the data rack is full.
+/// Prints the mean time of a slow round with its pass, while no runner answers, when the whole pool or only the data rack
+/// is full.
 fn print_pass(far_percent: u32, is_pool_full: bool) {
     let mut now = LocalTime(100_000);
     let rules = FleetRules {
--- a/crates/node/src/links/link_server.rs
+++ b/crates/node/src/links/link_server.rs
@@ -28,8 +28,8 @@
 const MAX_CONNECTIONS: usize = 512;
 /// Longest wait for the first frame of a connection; entry hosts send it at once.
 const FIRST_FRAME_TIMEOUT: Duration = Duration::from_secs(10);
-/// KiB of all calls that are handled at a time: 32 MiB, more than 100 of the largest jobs.
-/// Above it, the connections are not read until calls have been answered.
+/// Most KiB of all calls that are handled at a time: 32 MiB, more than 100 of the largest jobs. Above it, the connections
+/// are not read until calls have been answered.
 const MAX_CALL_KIB: usize = 32 * 1024;
 const BYTES_PER_KIB: usize = 1024;
 
