--- a/crates/dispatch/src/organisations/organisation_table.rs
+++ b/crates/dispatch/src/organisations/organisation_table.rs
@@ -7,6 +7,9 @@
 /// Most organisations that are reported one by one; bounds the number of metrics.
 const MAX_REPORTED: usize = 32;
 
+/// Factor on shares before they are divided by a weight, so that small shares stay distinct with weights up to a billion.
+const WEIGHT_SCALE: u64 = 1_000_000;
+
 /// Index of an organisation in the [`OrganisationTable`].
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct OrganisationKey(u32);
@@ -267,12 +270,13 @@
         self.rows[key.index()].at_quota
     }
 
-    /// Returns the dominant share that an organisation uses of the capacity, in billionths, divided by its weight. It is
+    /// Returns the dominant share that an organisation uses of the capacity, scaled and divided by its weight. It is
     /// computed once a pass, and again after a start: the order of work asks for it for each work item.
     pub fn weighted_share(&mut self, key: OrganisationKey) -> u64 {
         let row = &mut self.rows[key.index()];
         if row.share.0 != self.pass {
-            let share = row.total().dominant_share(&self.capacity) / row.weight;
+            let share = row.total().dominant_share(&self.capacity);
+            let share = share.saturating_mul(WEIGHT_SCALE) / row.weight;
             row.share = (self.pass, share);
         }
         row.share.1
--- a/crates/dispatch/src/owner/locality_waits.rs
+++ b/crates/dispatch/src/owner/locality_waits.rs
@@ -143,9 +143,12 @@
         let Some(slot) = slot.filter(|_| inputs.decide() == WaitDecision::Wait) else {
             return false;
         };
-        capacity.claim(slot, &item.demand, times.learned.median);
         let detail = format!("rack={}", rack.rack);
-        self.begin_rack_wait(item.key, &inputs, &detail, now)
+        let waits = self.begin_rack_wait(item.key, &inputs, &detail, now);
+        if waits {
+            capacity.claim(slot, &item.demand, times.learned.median);
+        }
+        waits
     }
 
     /// Returns the runners that a gang waits for in one rack, when it can start now on several racks only and the wait
--- a/crates/dispatch/tests/fair_shares.rs
+++ b/crates/dispatch/tests/fair_shares.rs
@@ -55,6 +55,22 @@
     );
 }
 
+/// Guards against shares that are rounded to nothing with the largest weights.
+#[test]
+fn large_weights() {
+    let starts = start_all(
+        &[("ink", 900_000_000, 0), ("lead", 300_000_000, 0)],
+        |fleet| {
+            fleet.submit_for(200, "lead", job(vec![step(20, 1_000)]));
+            fleet.submit_for(100, "ink", job(vec![step(20, 1_000)]));
+        },
+    );
+    assert_eq!(
+        (count_from(&starts, 100), count_from(&starts, 200)),
+        (12, 4)
+    );
+}
+
 #[test]
 fn unused_share() {
     let starts = start_all(&[("ink", 3, 0), ("lead", 1, 0)], |fleet| {
