--- a/crates/node/src/links/link_server.rs
+++ b/crates/node/src/links/link_server.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        FrameSink, FrameStream, PeerDirectory, RawCall, link_messages::RawResponse, split_frames,
+        FrameSink, FrameStream, PeerDirectory, RawCall, link_messages::RawResponse,
+        peer_directory::MAX_PEERS, split_frames,
     },
     crate::{
         control::{ControlEvent, OwnerActor},
@@ -24,8 +25,9 @@
 const ACCEPT_RETRY_DELAY: Millis = Millis(10);
 /// Most responses that wait to be written to one connection.
 const RESPONSE_QUEUE_LENGTH: usize = 1_024;
-/// Most open connections: an entry host opens one for calls, one as a delegate, and a short one to ask for the owner.
-const MAX_CONNECTIONS: usize = 512;
+/// Most open connections. An entry host opens one for calls, one as a delegate, and a short one to ask for the owner; after
+/// a loss of power, those of its earlier process may still be open.
+const MAX_CONNECTIONS: usize = 4 * MAX_PEERS;
 /// Longest wait for the first frame of a connection; entry hosts send it at once.
 const FIRST_FRAME_TIMEOUT: Duration = Duration::from_secs(10);
 /// Most KiB of all calls that are handled at a time: 32 MiB, more than 100 of the largest jobs. Above it, the connections
--- a/crates/node/src/links/peer_directory.rs
+++ b/crates/node/src/links/peer_directory.rs
@@ -9,7 +9,7 @@
 };
 
 /// Most addresses that are kept; a fleet has fewer entry hosts.
-const MAX_PEERS: usize = 1_024;
+pub(super) const MAX_PEERS: usize = 1_024;
 
 /// The other entry hosts that this process knows, and the owner of the fleet. Entry hosts that cannot reach the store
 /// find a new owner through each other.
