Limit the memory that accepted jobs hold in the owner

What callers saw: some kilobytes of valid submissions made the owner hold hundreds of megabytes. Calls then ended without an answer, the ownership moved, and the next owner built the same state; hosts have 160 to 512 MB.

Cause: long-running and recurring jobs were accepted whatever waited, and others by estimated time only, so that an estimate of 1 ms was no limit. Each work item is an object from the acceptance of its job on: a step of 20,000 takes 76 bytes on the wire and about 5 MB in the owner, its places in a pass of placement included.

Why it works: JobMemoryLimit counts what each job holds, from its submission until it is forgotten, and refuses a job before anything of it is stored: 503 with Retry-After. A quarter of MemoryMb for all jobs, half of that for jobs that may last for ever, and half of what is left for one new job, so that ordinary jobs are accepted where large ones are not. Nothing that was accepted is dropped. An entry host with 160 MB accepts the largest job that the check of descriptions allows (job_memory::largest_jobs). Refusals are counted by reason.

--- a/crates/dispatch/src/jobs/job_spec.rs
+++ b/crates/dispatch/src/jobs/job_spec.rs
@@ -107,6 +107,16 @@
         self.times.max(1)
     }
 
+    /// Returns whether any work items of the job run until it is cancelled.
+    pub fn is_long_running(&self) -> bool {
+        self.steps.iter().any(|step| step.long_running)
+    }
+
+    /// Returns whether the job is long-running or recurs.
+    pub fn is_lasting(&self) -> bool {
+        self.times > 0 || self.is_long_running()
+    }
+
     /// Checks that the job can be run.
     ///
     /// # Errors
@@ -143,6 +153,19 @@
         Ok(())
     }
 
+    /// Returns the memory that the description holds besides its own size, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        let text = |text: &Option<String>| text.as_ref().map_or(0, String::len);
+        let step_bytes = |step: &StepSpec| {
+            size_of::<StepSpec>()
+                + size_of_val(step.after.as_slice())
+                + text(&step.required_label)
+                + text(&step.data_rack)
+        };
+        let steps = self.steps.iter().map(step_bytes).sum::<usize>();
+        steps + self.spec.len()
+    }
+
     /// Returns the length of the critical path from the start of each step to the end of the job, by the estimated
     /// durations, in milliseconds.
     pub fn critical_paths(&self) -> Vec<u64> {
--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -12,6 +12,12 @@
 /// Multiple of its latency objective up to which a late job is still useful to its caller.
 const USEFUL_LATENCY_FACTOR: u64 = 3;
 
+/// Memory that a work item holds, in bytes: itself, and its places in the lists of one pass of placement.
+const ITEM_BYTES: usize = size_of::<WorkItem>() + 120;
+/// Memory that a job holds besides its description and its work items, in bytes: itself, its queue's configuration, and its
+/// places in tables.
+const JOB_BYTES: usize = size_of::<JobState>() + size_of::<RouteRule>() + 256;
+
 /// A job known to the owner.
 #[derive(Debug)]
 pub struct JobState {
@@ -46,6 +52,8 @@
     pub started: bool,
     /// When the final phase was reached.
     pub ended: Option<LocalTime>,
+    /// Parts of the job run until it is cancelled, or long after its submission.
+    is_lasting: bool,
     /// Critical path of the job by the estimated durations, in milliseconds.
     critical_path: u64,
     items_per_occurrence: u32,
@@ -86,7 +94,9 @@
             organisation,
             ..
         } = submission;
-        let mut items = Vec::new();
+        let items_per_occurrence: u32 = spec.steps.iter().map(|step| step.count).sum();
+        let item_count = u64::from(items_per_occurrence) * u64::from(spec.occurrences());
+        let mut items = Vec::with_capacity(item_count as usize);
         for occurrence in 0..spec.occurrences() {
             for (step, shape) in spec.steps.iter().enumerate() {
                 items.extend((0..shape.count).map(|index| WorkItem {
@@ -97,7 +107,6 @@
                 }));
             }
         }
-        let items_per_occurrence = spec.steps.iter().map(|step| step.count).sum();
         let steps = step_rows(&spec);
         Self {
             id,
@@ -114,6 +123,7 @@
             unconfirmed: false,
             started: false,
             ended: None,
+            is_lasting: spec.is_lasting(),
             critical_path: spec.critical_path(),
             items_per_occurrence,
             steps,
@@ -139,6 +149,7 @@
             unconfirmed: false,
             started: true,
             ended: Some(now),
+            is_lasting: false,
             critical_path: 0,
             items_per_occurrence: 0,
             steps: Vec::new(),
@@ -239,7 +250,7 @@
 
     /// Returns whether any work items of the job run until it is cancelled.
     pub fn is_long_running(&self) -> bool {
-        self.spec.steps.iter().any(|step| step.long_running)
+        self.spec.is_long_running()
     }
 
     /// Returns the length of the critical path from the start of a step to the end of the job, in milliseconds. Once
@@ -300,6 +311,18 @@
         self.spec = JobSpec::default();
         self.steps = Vec::new();
         self.critical_path = 0;
+        self.is_lasting = false;
+    }
+
+    /// Returns the memory that the job holds, in bytes; less after [`Self::shrink`].
+    pub fn held_bytes(&self) -> usize {
+        let steps = self.steps.len() * size_of::<StepRow>();
+        JOB_BYTES + self.spec.held_bytes() + steps + self.items.len() * ITEM_BYTES
+    }
+
+    /// Returns whether the job may hold its memory for long: it is long-running or recurs.
+    pub fn is_lasting(&self) -> bool {
+        self.is_lasting
     }
 
     /// Returns whether the final phase is stored and no run of the job is left.
--- a/crates/dispatch/src/jobs/job_table.rs
+++ b/crates/dispatch/src/jobs/job_table.rs
@@ -3,6 +3,33 @@
     std::ops::Range,
 };
 
+/// Memory that jobs hold, in bytes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct HeldMemory {
+    /// Memory of all jobs.
+    pub total: usize,
+    /// Memory of the jobs that are long-running or recur.
+    pub lasting: usize,
+}
+
+impl HeldMemory {
+    fn of_job(job: &JobState) -> Self {
+        let total = job.held_bytes();
+        let lasting = if job.is_lasting() { total } else { 0 };
+        Self { total, lasting }
+    }
+
+    fn add(&mut self, other: Self) {
+        self.total += other.total;
+        self.lasting += other.lasting;
+    }
+
+    fn remove(&mut self, other: Self) {
+        self.total -= other.total;
+        self.lasting -= other.lasting;
+    }
+}
+
 /// All jobs known to the owner, in an arena with an index by id.
 #[derive(Debug, Default)]
 pub struct JobTable {
@@ -10,6 +37,7 @@
     /// Boxed, because a key is not used again: the place of a removed job is kept for the rest of the term.
     jobs: Vec<Option<Box<JobState>>>,
     unfinished: Vec<JobKey>,
+    held: HeldMemory,
 }
 
 impl JobTable {
@@ -23,10 +51,37 @@
         if !job.phase.is_final() {
             self.unfinished.push(key);
         }
+        self.held.add(HeldMemory::of_job(&job));
         self.jobs.push(Some(Box::new(job)));
         key
     }
 
+    /// Returns the memory that the jobs in the table hold.
+    pub fn held(&self) -> HeldMemory {
+        self.held
+    }
+
+    /// Frees the data that only an unfinished job needs, see [`JobState::shrink`].
+    pub fn shrink(&mut self, key: JobKey) {
+        let Some(Some(job)) = self.jobs.get_mut(key.0 as usize) else {
+            return;
+        };
+        self.held.remove(HeldMemory::of_job(job));
+        job.shrink();
+        self.held.add(HeldMemory::of_job(job));
+    }
+
+    /// Sets the text of a recovered job, which is read after the other records.
+    pub fn set_text(&mut self, key: JobKey, text: String) {
+        let Some(Some(job)) = self.jobs.get_mut(key.0 as usize) else {
+            return;
+        };
+        self.held.remove(HeldMemory::of_job(job));
+        job.spec.spec = text;
+        job.has_text = true;
+        self.held.add(HeldMemory::of_job(job));
+    }
+
     /// Finds a job by its id.
     pub fn find(&self, id: JobId) -> Option<JobKey> {
         let index = self.index_of(id).ok()?;
@@ -75,6 +130,7 @@
             self.by_id.remove(index);
         }
         self.unfinished.retain(|other| *other != key);
+        self.held.remove(HeldMemory::of_job(&job));
         Some(*job)
     }
 
--- a/crates/dispatch/src/jobs/mod.rs
+++ b/crates/dispatch/src/jobs/mod.rs
@@ -12,6 +12,6 @@
     job_phase::JobPhase,
     job_spec::{JobSpec, SpecError, StepSpec},
     job_state::JobState,
-    job_table::JobTable,
+    job_table::{HeldMemory, JobTable},
     work_item::{ItemKey, ItemRun, JobKey, MAX_PACE_PERCENT, RunPhase, StepKey, WorkItem},
 };
--- a/crates/dispatch/src/owner/admission.rs
+++ b/crates/dispatch/src/owner/admission.rs
@@ -114,10 +114,16 @@
         self.backlogs = backlogs;
     }
 
+    /// Returns the time that the work which waits for a service takes its pool.
+    pub(super) fn waiting_time(&self, service: &str) -> Millis {
+        let pool = self.backlogs.iter().find(|pool| pool.service == service);
+        pool.map_or(Millis(0), PoolBacklog::waiting_time)
+    }
+
     /// Returns the time after which the caller should retry, when the job would no longer be useful to it by the time
     /// it is placed; none when the job can be accepted.
     pub(super) fn retry_after(&self, job: &JobState) -> Option<Millis> {
-        if job.is_long_running() || job.spec.times > 0 {
+        if job.is_lasting() {
             return None;
         }
         let pool = self
--- a/crates/dispatch/src/owner/job_calls.rs
+++ b/crates/dispatch/src/owner/job_calls.rs
@@ -144,9 +144,15 @@
             .organisations
             .intern(job.organisation.as_deref(), &self.rules);
         if let Err((reason, retry_after)) = self.check_submission(&job, now) {
-            let mut detail = format!("queue={} come_back_ms={}", job.queue.name, retry_after.0);
+            self.refusals[reason as usize] += 1;
+            let mut detail = format!(
+                "queue={} come_back_ms={} why={}",
+                job.queue.name,
+                retry_after.0,
+                reason.name()
+            );
             if let Some(organisation) = &job.organisation {
-                detail += &format!(" why={} organisation={organisation}", reason.name());
+                detail += &format!(" organisation={organisation}");
             }
             self.log_event("job refused", id.to_string(), detail);
             self.reply(call_id, reason.response(retry_after));
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -10,6 +10,7 @@
 mod host_table;
 mod instance_change;
 mod job_calls;
+mod job_memory;
 mod journal_queue;
 mod locality_state;
 mod locality_waits;
@@ -37,9 +38,11 @@
 pub use {
     host_table::{HostReport, HostResponse, HostStatus, WaveRequest},
     job_calls::{CallId, CallResponse, JobCall},
+    job_memory::JobMemoryLimit,
     journal_queue::{BatchId, JournalBatch},
     locality_state::WaitCounts,
     owner_command::{AdviceCommand, OwnerCommand, RunCommand, RunName, RunStart, StartCommand},
     owner_state::{OwnerEvent, OwnerState},
     start_responses::StartResponse,
+    submission_limit::{RefusalCounts, RefusalReason},
 };
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -4,11 +4,13 @@
         admission::PoolBacklog,
         evacuation::EvacuationTable,
         host_table::{HostTable, WaveTable},
+        job_memory::JobMemoryLimit,
         journal_queue::JournalQueue,
         locality_state::LocalityState,
         restart_table::RestartTable,
         runner_advice::AdviceTable,
         start_budget::StartBudget,
+        submission_limit::RefusalCounts,
         unplaced_serving::UnplacedServing,
         wave_room::WaveRoomTable,
     },
@@ -78,6 +80,9 @@
     pub(super) evacuations: EvacuationTable,
     pub(super) restarts: RestartTable,
     pub(super) start_budget: StartBudget,
+    pub(super) job_memory: JobMemoryLimit,
+    /// Jobs refused in this term.
+    pub(super) refusals: RefusalCounts,
     /// Longest lease that a runner accepts.
     pub(super) max_lease: Millis,
     /// Time over which the rate of an organisation's submissions is measured.
@@ -127,6 +132,8 @@
             evacuations: EvacuationTable::default(),
             restarts: RestartTable::default(),
             start_budget: StartBudget::default(),
+            job_memory: JobMemoryLimit::default(),
+            refusals: RefusalCounts::default(),
             max_lease: DEFAULT_MAX_LEASE,
             quota_window: ServiceBounds::default().quota_window,
             short_services: Vec::new(),
@@ -346,14 +353,14 @@
             .map(|(key, _)| key)
             .collect();
         for key in ended {
-            let Some(job) = self.jobs.get_mut(key) else {
+            let Some(job) = self.jobs.get(key) else {
                 continue;
             };
             if job
                 .ended
                 .is_none_or(|at| now.since(at) <= ENDED_JOB_RETENTION)
             {
-                job.shrink();
+                self.jobs.shrink(key);
             } else if let Some(job) = self.jobs.remove(key) {
                 self.journal.forget(job.id);
             }
--- a/crates/dispatch/src/owner/restore.rs
+++ b/crates/dispatch/src/owner/restore.rs
@@ -96,11 +96,10 @@
     pub fn texts_restored(&mut self, texts: Vec<(JobId, String)>, complete: bool) {
         for (id, text) in texts {
             let key = self.jobs.find(id);
-            if let Some(job) = key.and_then(|key| self.jobs.get_mut(key))
-                && !job.has_text
+            if let Some(key) = key
+                && self.jobs.get(key).is_some_and(|job| !job.has_text)
             {
-                job.spec.spec = text;
-                job.has_text = true;
+                self.jobs.set_text(key, text);
             }
         }
         if complete {
--- a/crates/dispatch/src/owner/submission_limit.rs
+++ b/crates/dispatch/src/owner/submission_limit.rs
@@ -11,7 +11,9 @@
 
 /// Why a job is refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum RefusalReason {
+pub enum RefusalReason {
+    /// The jobs that are held leave no memory for it.
+    MemoryFull,
     /// The organisation is above its rate, and its pool has no free capacity or its quota does not allow all of its waiting
     /// work to run.
     OverRate,
@@ -19,9 +21,17 @@
     PoolFull,
 }
 
+/// Number of refused jobs by reason, in the order of [`RefusalReason::ALL`].
+pub type RefusalCounts = [u64; RefusalReason::ALL.len()];
+
 impl RefusalReason {
-    pub(super) fn name(self) -> &'static str {
+    /// All reasons.
+    pub const ALL: [Self; 3] = [Self::MemoryFull, Self::OverRate, Self::PoolFull];
+
+    /// Returns the name of the reason in logs and metrics.
+    pub fn name(self) -> &'static str {
         match self {
+            Self::MemoryFull => "memory_full",
             Self::OverRate => "over_rate",
             Self::PoolFull => "pool_full",
         }
@@ -30,7 +40,7 @@
     pub(super) fn response(self, retry_after: Millis) -> CallResponse {
         match self {
             Self::OverRate => CallResponse::OverRate(retry_after),
-            Self::PoolFull => CallResponse::Busy(retry_after),
+            Self::MemoryFull | Self::PoolFull => CallResponse::Busy(retry_after),
         }
     }
 }
@@ -41,6 +51,11 @@
         self.quota_window = quota_window;
     }
 
+    /// Returns how many jobs were refused in this term.
+    pub fn refusal_counts(&self) -> RefusalCounts {
+        self.refusals
+    }
+
     /// Decides whether a job that is not known yet is accepted; otherwise returns the reason and the time after which the
     /// caller should retry. Jobs above the rate of their organisation are accepted while they can start.
     pub(super) fn check_submission(
@@ -63,6 +78,10 @@
             self.organisations.count_refused(key, false);
             return Err((RefusalReason::PoolFull, retry_after));
         }
+        if let Some(retry_after) = self.retry_without_memory(job) {
+            self.organisations.count_refused(key, false);
+            return Err((RefusalReason::MemoryFull, retry_after));
+        }
         if is_rated {
             self.organisations.record_submission(key, window, now);
         }
--- a/crates/dispatch/tests/fleet/mod.rs
+++ b/crates/dispatch/tests/fleet/mod.rs
@@ -309,6 +309,14 @@
     }
 }
 
+/// Decodes the records of batches, as the next owner reads them.
+pub fn stored_records(batches: &[JournalBatch]) -> Vec<StoreRecord> {
+    let rows = batches.iter().flat_map(|batch| &batch.records);
+    let rows = rows.filter(|(_, value)| !value.is_empty());
+    rows.map(|(key, value)| StoreRecord::decode(key, value).expect("a record"))
+        .collect()
+}
+
 pub fn empty_response(clock_ms: u64) -> HoldResponse {
     HoldResponse {
         clock_ms,
--- a/crates/node/src/control/owner_actor.rs
+++ b/crates/node/src/control/owner_actor.rs
@@ -14,7 +14,7 @@
     },
     goldcreststall_core::ids::{LocalTime, Millis},
     goldcreststall_dispatch::{
-        owner::{CallResponse, JobCall, OwnerCommand, OwnerState, WaveRequest},
+        owner::{CallResponse, JobCall, JobMemoryLimit, OwnerCommand, OwnerState, WaveRequest},
         records::StoreRecord,
         routes::{FleetRules, ServiceBounds},
         runners::RunnerReport,
@@ -42,6 +42,8 @@
     pub bounds: ServiceBounds,
     /// Bytes per second that this host's link carries.
     pub link_rate: u64,
+    /// Limit on the memory that jobs hold.
+    pub job_memory: JobMemoryLimit,
     /// Log of decisions.
     pub logger: Logger,
     /// How long the maintenance of a host takes.
@@ -281,6 +283,7 @@
         };
         let mut state = OwnerState::new(token, Arc::clone(&self.rules), term.started_at);
         state.limit_link(self.args.link_rate, now);
+        state.limit_job_memory(self.args.job_memory);
         state.set_max_lease(self.args.max_lease);
         state.set_far_percent(self.args.bounds.far_percent);
         state.set_quota_window(self.args.bounds.quota_window);
@@ -301,6 +304,7 @@
     fn end_term(&mut self, reason: &'static str) {
         self.runners = None;
         if let Some(term) = self.term.take() {
+            self.args.metrics.record_job_bytes(0);
             info!(self.args.logger, "owner: the term has ended"; "token" => term.token,
                 "why" => reason);
         }
@@ -366,6 +370,10 @@
         self.args
             .metrics
             .count_waits(&mut term.counted_waits, state.wait_counts());
+        self.args
+            .metrics
+            .count_refusals(&mut term.counted_refusals, state.refusal_counts());
+        self.args.metrics.record_job_bytes(state.job_bytes());
         if let Some(reports) = state.take_organisation_reports(now) {
             self.args.metrics.set_organisations(&reports);
         }
--- a/crates/node/src/control/owner_term.rs
+++ b/crates/node/src/control/owner_term.rs
@@ -2,7 +2,9 @@
     super::{waiting_starts::WaitingStarts, wave_reports::WaveReports},
     crate::{delegates::CommandLimiter, journal::JobJournal},
     goldcreststall_core::ids::{LocalTime, Millis},
-    goldcreststall_dispatch::owner::{CallId, CallResponse, JobCall, OwnerState, WaitCounts},
+    goldcreststall_dispatch::owner::{
+        CallId, CallResponse, JobCall, OwnerState, RefusalCounts, WaitCounts,
+    },
     std::{collections::VecDeque, sync::Arc},
     tokio::sync::{Semaphore, oneshot},
     tokio_util::sync::CancellationToken,
@@ -34,6 +36,8 @@
     pub(super) waiting_starts: WaitingStarts,
     /// Waits for capacity near data that the metrics contain already.
     pub(super) counted_waits: WaitCounts,
+    /// Refused jobs that the metrics contain already.
+    pub(super) counted_refusals: RefusalCounts,
     pub(super) reports: WaveReports,
     /// Calls that arrived before the records of earlier terms were read, in the order of their arrival.
     pub(super) queued_calls: VecDeque<QueuedCall>,
@@ -68,6 +72,7 @@
             host_limiter: Arc::new(Semaphore::new(MAX_HOST_COMMANDS)),
             waiting_starts: WaitingStarts::default(),
             counted_waits: WaitCounts::default(),
+            counted_refusals: RefusalCounts::default(),
             reports,
             queued_calls: VecDeque::new(),
             store_failing_since: None,
--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -18,7 +18,9 @@
     anyhow::{Context, bail},
     async_trait::async_trait,
     goldcreststall_core::ids::Millis,
-    goldcreststall_dispatch::{routes::ServiceBounds, runners::RunnerReport},
+    goldcreststall_dispatch::{
+        owner::JobMemoryLimit, routes::ServiceBounds, runners::RunnerReport,
+    },
     goldcreststall_entry::clock::wall_time,
     kameo::actor::{ActorRef, Spawn},
     slog::{Logger, error, info},
@@ -155,6 +157,7 @@
     let limiter = CommandLimiter::new(MAX_COMMANDS_PER_RUNNER);
     let args = ActorArgs {
         bounds: settings.bounds,
+        job_memory: JobMemoryLimit::derive(settings.limits.memory_mb),
         lease: lease.clone(),
         link_rate: settings.link_rate(),
         logger: logger.clone(),
--- a/crates/node/src/metrics/node_metrics.rs
+++ b/crates/node/src/metrics/node_metrics.rs
@@ -1,7 +1,10 @@
 use {
     super::organisation_lines::organisation_lines,
     goldcreststall_core::ids::{LocalTime, Millis},
-    goldcreststall_dispatch::{organisations::OrganisationReport, owner::WaitCounts},
+    goldcreststall_dispatch::{
+        organisations::OrganisationReport,
+        owner::{RefusalCounts, RefusalReason, WaitCounts},
+    },
     goldcreststall_entry::{clock::BootClock, metrics::MetricsRegistry},
     opentelemetry::{
         KeyValue,
@@ -23,6 +26,8 @@
     caller_connections: Gauge<u64>,
     caller_bytes: Gauge<u64>,
     waits: Counter<u64>,
+    refused_jobs: Counter<u64>,
+    job_bytes: Gauge<u64>,
     registry: MetricsRegistry,
     /// Lines about organisations, and when the owner on this host wrote them.
     organisations: Mutex<Option<(LocalTime, String)>>,
@@ -43,6 +48,8 @@
             caller_stops: meter.u64_counter("gcs_caller_stops").build(),
             caller_connections: meter.u64_gauge("gcs_caller_connections").build(),
             caller_bytes: meter.u64_gauge("gcs_caller_bytes").build(),
+            refused_jobs: meter.u64_counter("gcs_refused_jobs").build(),
+            job_bytes: meter.u64_gauge("gcs_job_bytes").build(),
             waits: meter.u64_counter("gcs_data_waits").build(),
             registry,
             organisations: Mutex::new(None),
@@ -91,6 +98,23 @@
         *counted = counts;
     }
 
+    /// Counts the refused jobs since those of this term that were counted before.
+    pub fn count_refusals(&self, counted: &mut RefusalCounts, counts: RefusalCounts) {
+        for reason in RefusalReason::ALL {
+            let added = counts[reason as usize] - counted[reason as usize];
+            if added > 0 {
+                let labels = [KeyValue::new("reason", reason.name())];
+                self.refused_jobs.add(added, &labels);
+            }
+        }
+        *counted = counts;
+    }
+
+    /// Records the memory that the owner's jobs hold.
+    pub fn record_job_bytes(&self, bytes: u64) {
+        self.job_bytes.record(bytes, &[]);
+    }
+
     /// Replaces the figures of organisations, which only the owner has.
     pub fn set_organisations(&self, reports: &[OrganisationReport]) {
         let lines = organisation_lines(reports);
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -18,7 +18,7 @@
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::{
         jobs::{JobId, JobSpec, StepName, StepSpec},
-        owner::{HostReport, HostResponse, JobCall},
+        owner::{HostReport, HostResponse, JobCall, JobMemoryLimit},
         records::JobSubmission,
         routes::{RouteRule, ServiceBounds},
         runners::{Capacity, RunnerReport, RunnerStatus},
@@ -108,6 +108,7 @@
     let store = Arc::new(FakeStore::default());
     let actor = OwnerActor::spawn(ActorArgs {
         bounds: ServiceBounds::default(),
+        job_memory: JobMemoryLimit::default(),
         lease: lease.clone(),
         link_rate: 1_000_000,
         logger: logger(),
--- a/crates/soak/src/run/soak_run.rs
+++ b/crates/soak/src/run/soak_run.rs
@@ -71,6 +71,7 @@
             hosts: shape.hosts,
             max_connections: shape.max_connections,
             organisations: shape.organisations,
+            limits: None,
         };
         let system = SoakSystem::start(size, folder).await?;
         let submitted_jobs = Arc::new(SubmittedJobs::default());
--- a/crates/soak/src/system/entry_process.rs
+++ b/crates/soak/src/system/entry_process.rs
@@ -1,6 +1,6 @@
 use {
     super::{address_block::AddressBlock, process_sockets},
-    goldcreststall_adapter_standin::{NodeAddresses, node_file},
+    goldcreststall_adapter_standin::{NodeAddresses, NodeLimits, node_file},
     goldcreststall_standins::process::{ChildProcess, TcpRelay},
     rustix::process::Signal,
     std::{
@@ -25,6 +25,7 @@
     pub(super) link_relay: TcpRelay,
     pub(super) store_relay: TcpRelay,
     pub(super) host_service_relay: TcpRelay,
+    addresses: NodeAddresses,
     advertised_link: SocketAddr,
     settings_file: PathBuf,
     log: PathBuf,
@@ -38,6 +39,7 @@
         entry: usize,
         store: SocketAddr,
         host_service: SocketAddr,
+        limits: Option<NodeLimits>,
         folder: &Path,
     ) -> anyhow::Result<Self> {
         let store_relay = TcpRelay::start(store).await?;
@@ -52,19 +54,37 @@
             ready: block.ready(entry),
             store: store_relay.address,
             hosts: host_service_relay.address,
+            limits,
         };
-        let settings_file = folder.join(format!("entry-{entry}.toml"));
-        std::fs::write(&settings_file, node_file(&addresses))?;
-        Ok(Self {
+        let process = Self {
             caller_relay,
             link_relay,
             store_relay,
             host_service_relay,
+            addresses,
             advertised_link: block.link_relay(entry),
-            settings_file,
+            settings_file: folder.join(format!("entry-{entry}.toml")),
             log: folder.join(format!("entry-{entry}.log")),
             child: None,
-        })
+        };
+        process.write_settings()?;
+        Ok(process)
+    }
+
+    /// Changes the limits in the settings file, which the process reads when it starts.
+    pub(super) fn set_limits(&mut self, limits: NodeLimits) -> anyhow::Result<()> {
+        self.addresses.limits = Some(limits);
+        self.write_settings()
+    }
+
+    fn write_settings(&self) -> anyhow::Result<()> {
+        std::fs::write(&self.settings_file, node_file(&self.addresses))?;
+        Ok(())
+    }
+
+    /// Returns the id of the process, if it was started and not killed since.
+    pub(super) fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(ChildProcess::id)
     }
 
     pub(super) fn start(&mut self) -> anyhow::Result<()> {
--- a/crates/soak/src/system/soak_system.rs
+++ b/crates/soak/src/system/soak_system.rs
@@ -1,7 +1,7 @@
 use {
     super::{address_block::AddressBlock, entry_process::EntryProcess},
     goldcreststall_adapter_standin::{
-        ConfigShape, FleetShape, PlatformStandIn, PoolShape, QueueShape,
+        ConfigShape, FleetShape, NodeLimits, PlatformStandIn, PoolShape, QueueShape,
     },
     goldcreststall_dispatch::runners::Capacity,
     goldcreststall_standins::process::TcpRelay,
@@ -39,6 +39,8 @@
     pub max_connections: usize,
     /// The queue of the first pool belongs to an organisation; the others are public.
     pub organisations: bool,
+    /// Limits of each entry host; `None` for the defaults of the daemon.
+    pub limits: Option<NodeLimits>,
 }
 
 /// All parts of a run apart from its callers. Dropping it ends the processes, relays and stand-ins.
@@ -83,7 +85,8 @@
         for entry in 0..shape.entries {
             let (store, host_service) = (platform.store_address, platform.hosts_address);
             let mut process =
-                EntryProcess::prepare(block, entry, store, host_service, folder).await?;
+                EntryProcess::prepare(block, entry, store, host_service, shape.limits, folder)
+                    .await?;
             process.start()?;
             entries.push(process);
         }
@@ -133,6 +136,28 @@
             .collect()
     }
 
+    /// Kills all entry hosts and starts them again with these limits.
+    ///
+    /// # Errors
+    /// If a settings file cannot be written or a process cannot be started.
+    pub fn restart_with(&self, limits: NodeLimits) -> anyhow::Result<()> {
+        let mut entries = self.entries.lock();
+        for entry in entries.iter_mut() {
+            entry.kill();
+        }
+        for entry in entries.iter_mut() {
+            entry.set_limits(limits)?;
+            entry.start()?;
+        }
+        Ok(())
+    }
+
+    /// Returns the ids of the processes of the entry hosts; those of killed ones are left out.
+    pub fn process_ids(&self) -> Vec<u32> {
+        let entries = self.entries.lock();
+        entries.iter().filter_map(EntryProcess::id).collect()
+    }
+
     /// Returns the number of entry hosts whose process has ended by itself.
     pub fn ended_processes(&self) -> usize {
         let mut entries = self.entries.lock();
