Start at most 2,000 runs on a runner at a time

What callers saw: two accepted jobs of 20,000 work items that demand no processor and no memory made all entry hosts exceed their memory, and nothing more started on the runner that had them.

Cause: placement fills one runner after the other by free capacity, and work without demand fits for ever, so that one runner got all 40,000 runs. Each waiting start is a task and each run is in every list of the runner; lists above 1 MiB are not read.

Why it works: a runner takes part in a placement only while it has fewer than 2,000 recorded runs; the members that a gang already has there in the same placement count too. The list of 2,000 runs takes about 100 kB. A run of the first kind takes 80 bytes instead of the 320 of a vector that grows, and counts for the limit on the memory of jobs.

--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ItemName, JobId, JobPhase, JobSpec, StepSpec, WorkItem},
+    super::{ItemName, ItemRun, JobId, JobPhase, JobSpec, StepSpec, WorkItem},
     crate::{
         organisations::OrganisationKey,
         records::{JobProgress, JobSubmission},
@@ -12,8 +12,8 @@
 /// Multiple of its latency objective up to which a late job is still useful to its caller.
 const USEFUL_LATENCY_FACTOR: u64 = 3;
 
-/// Memory that a work item holds, in bytes: itself, and its places in the lists of one pass of placement.
-const ITEM_BYTES: usize = size_of::<WorkItem>() + 120;
+/// Memory that a work item holds, in bytes: itself, a run, and its places in the lists of one pass of placement.
+const ITEM_BYTES: usize = size_of::<WorkItem>() + size_of::<ItemRun>() + 120;
 /// Memory that a job holds besides its description and its work items, in bytes: itself, its queue's configuration, and its
 /// places in tables.
 const JOB_BYTES: usize = size_of::<JobState>() + size_of::<RouteRule>() + 256;
--- a/crates/dispatch/src/owner/gang_placement.rs
+++ b/crates/dispatch/src/owner/gang_placement.rs
@@ -55,9 +55,13 @@
         room: fn(&RunnerState) -> Capacity,
         now: LocalTime,
     ) -> Option<GangPlacement> {
+        let takes_runs = |runner: RunnerKey, added: u32| {
+            let state = self.runners.get(runner);
+            state.is_some_and(|state| state.takes_runs(added as usize))
+        };
         let mut free_capacities: Vec<(RunnerKey, Capacity, u32)> = pool
             .iter()
-            .filter_map(|runner| Some((*runner, room(self.runners.get(*runner)?), 0)))
+            .filter_map(|runner| Some((*runner, room(self.runners.get(*runner)?), 0_u32)))
             .collect();
         let mut placement = GangPlacement::new();
         for member in members {
@@ -70,6 +74,7 @@
             let candidate = free_capacities.iter_mut().find(|(runner, free, count)| {
                 *count < max_per_runner
                     && free.covers(&demand)
+                    && takes_runs(*runner, *count + 1)
                     && self.is_eligible(*member, *runner, demand, now)
             });
             let (runner, free, count) = candidate?;
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -413,6 +413,7 @@
         };
         let step = job.step_of(item);
         state.report.capacity.covers(&demand)
+            && state.takes_runs(1)
             && fits_label(step, state)
             && fits_spread(key, (job, item), &state.items)
             && self.ticket(key, runner, now).is_some()
--- a/crates/dispatch/src/owner/run_table.rs
+++ b/crates/dispatch/src/owner/run_table.rs
@@ -42,6 +42,8 @@
         job.started = true;
         let item = &mut job.items[key.item as usize];
         item.last_run = item.last_run.max(recorded_run.run);
+        // Most work items never have a second run.
+        item.runs.reserve_exact(1);
         item.runs.push(recorded_run);
     }
 
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -8,6 +8,10 @@
 /// of it.
 const LIST_GAP: Millis = Millis(1_500);
 
+/// Most runs that are started on a runner at a time. Work may demand no capacity, and a list of all runs must stay well below
+/// the longest response of a runner that is read, 1 MiB.
+const MAX_RUNS: usize = 2_000;
+
 /// Index of an instance of a runner in the [`super::RunnerTable`].
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct RunnerKey(pub u32);
@@ -142,6 +146,11 @@
         self.report.capacity.minus(&taken)
     }
 
+    /// Returns whether `added` more runs may be started beside those that are recorded.
+    pub fn takes_runs(&self, added: usize) -> bool {
+        self.items.len() + added <= MAX_RUNS
+    }
+
     /// Returns whether the runner is listed and may still run. The list keeps an entry for some seconds after its runner
     /// has ended.
     pub fn is_present(&self) -> bool {
--- a/crates/soak/tests/accepted_memory.rs
+++ b/crates/soak/tests/accepted_memory.rs
@@ -331,6 +331,17 @@
     CrowdedSystem::check_crowd(job).await;
 }
 
+/// Guards against work that demands nothing, so that any number of it runs on one runner, whose lists then exceed any limit.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn items_without_demand() {
+    let step = StepSpec {
+        count: MANY_ITEMS,
+        estimate_ms: 1,
+        ..StepSpec::default()
+    };
+    CrowdedSystem::check_crowd(one_step(step)).await;
+}
+
 /// Guards against an owner that recovers more work than fits into its memory, also where it has less than the one before.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn smaller_successor() {
