Share the text of a job among its start commands

What callers saw: one accepted job with a text of 16,000 bytes and 20,000 work items made the owner hold 262 MB.

Cause: each start command had a copy of the text, and thousands wait until their runners can be called.

Why it works: the text is copied once, at the first start of the job, and counts twice for the limit on the memory of jobs.

--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -44,6 +44,8 @@
     pub accepted: bool,
     /// The text for runners is known; a recovered job starts no work item before.
     pub has_text: bool,
+    /// The text as its start commands share it; none before the first one.
+    shared_text: Option<Arc<str>>,
     /// A start command of this owner has carried the text.
     pub text_sent: bool,
     /// Work items started by an earlier owner may be running on runners that have not answered this owner yet.
@@ -119,6 +121,7 @@
             stored_phase: JobPhase::Queued,
             accepted: false,
             has_text: true,
+            shared_text: None,
             text_sent: false,
             unconfirmed: false,
             started: false,
@@ -145,6 +148,7 @@
             stored_phase: phase,
             accepted: true,
             has_text: true,
+            shared_text: None,
             text_sent: true,
             unconfirmed: false,
             started: true,
@@ -195,6 +199,15 @@
         &self.spec.steps[item.step as usize]
     }
 
+    /// Returns the text for runners. All start commands share it: thousands may wait to be sent.
+    pub fn shared_text(&mut self) -> Arc<str> {
+        let text = &self.spec.spec;
+        let shared = self
+            .shared_text
+            .get_or_insert_with(|| Arc::from(text.as_str()));
+        Arc::clone(shared)
+    }
+
     /// Returns the wire name of the work item at index `number`.
     pub fn item_name(&self, number: u32) -> ItemName {
         let item = &self.items[number as usize];
@@ -309,6 +322,7 @@
     pub fn shrink(&mut self) {
         self.items = Vec::new();
         self.spec = JobSpec::default();
+        self.shared_text = None;
         self.steps = Vec::new();
         self.critical_path = 0;
         self.is_lasting = false;
@@ -317,7 +331,9 @@
     /// Returns the memory that the job holds, in bytes; less after [`Self::shrink`].
     pub fn held_bytes(&self) -> usize {
         let steps = self.steps.len() * size_of::<StepRow>();
-        JOB_BYTES + self.spec.held_bytes() + steps + self.items.len() * ITEM_BYTES
+        let shared_text = self.spec.spec.len();
+        let description = self.spec.held_bytes() + shared_text + steps;
+        JOB_BYTES + description + self.items.len() * ITEM_BYTES
     }
 
     /// Returns whether the job may hold its memory for long: it is long-running or recurs.
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -468,6 +468,9 @@
         };
         let free = state.free();
         let id = state.report.id.clone();
+        let Some(spec) = self.jobs.get_mut(key.job).map(JobState::shared_text) else {
+            return;
+        };
         let Some((job, item)) = self.jobs.item(key) else {
             return;
         };
@@ -476,7 +479,7 @@
             item: key,
             name: job.item_name(key.item),
             run,
-            spec: Arc::from(job.spec.spec.as_str()),
+            spec,
             deadline_ms,
             checkpoint: item.checkpoint.clone(),
             ticket,
--- a/crates/soak/tests/accepted_memory.rs
+++ b/crates/soak/tests/accepted_memory.rs
@@ -34,6 +34,8 @@
 const CALL_TIMEOUT: Millis = Millis(3_000);
 /// Work items of the largest job.
 const MANY_ITEMS: u32 = 20_000;
+/// Longest text of a job.
+const MAX_TEXT_BYTES: usize = 16_000;
 /// Number of attempts, a fifth of a second apart, after which the system counts as hung.
 const MAX_ATTEMPTS: u32 = 600;
 const ATTEMPT_INTERVAL: Duration = Duration::from_millis(200);
@@ -342,6 +344,21 @@
     CrowdedSystem::check_crowd(one_step(step)).await;
 }
 
+/// Guards against a copy of the text of a job for each of its starts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn long_texts() {
+    let step = StepSpec {
+        count: MANY_ITEMS,
+        estimate_ms: 1,
+        ..StepSpec::default()
+    };
+    let job = JobSpec {
+        spec: "a".repeat(MAX_TEXT_BYTES),
+        ..one_step(step)
+    };
+    CrowdedSystem::check_crowd(job).await;
+}
+
 /// Guards against an owner that recovers more work than fits into its memory, also where it has less than the one before.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn smaller_successor() {
