--- a/crates/node/src/api/job_api.rs
+++ b/crates/node/src/api/job_api.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ApiAction, ApiHead, ApiRequest, ApiResponse, OwnerClient, PresentedKey},
+    super::{ApiAction, ApiHead, ApiRequest, ApiResponse, OwnerClient, PresentedKey, text_start},
     crate::{feeds::StoreContact, metrics::NodeMetrics},
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::{
@@ -170,7 +170,8 @@
         let is_query_result = matches!(response, ApiResponse::State(_) | ApiResponse::Pending(_));
         if !is_query_result {
             let version = rules.map(|rules| rules.version);
-            info!(self.logger, "call: answered"; "host" => &head.host, "id" => &head.path,
+            let (host, path) = (text_start(&head.host), text_start(&head.path));
+            info!(self.logger, "call: answered"; "host" => host, "id" => path,
                 "config" => ?version, "answer" => ?response, "took_ms" => elapsed.0);
         }
     }
