Bound the time of passes over very many work items

What callers saw: with a few accepted jobs of thousands of long-running work items, calls got no answer and the ownership moved again and again.

Cause: each long-running work item without a runner was compared with every runner of its pool, and a pass began 4 ms after the one before, however long that took: only the number of jobs lengthened the time between passes.

Why it works: a pass remembers the last 16 kinds of long-running work for which it found no runner and could reserve none; work of such a kind that demands as much is left unplaced at once, as it was before after the search. The time between passes grows by a millisecond for each 1,000 work items that the last pass looked at, where that is longer than by the number of jobs. A pass after a small one comes as soon as before.

--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -32,6 +32,7 @@
 mod stuck_runs;
 mod submission_limit;
 mod unplaced_serving;
+mod unservable_work;
 mod wave_control;
 mod wave_room;
 
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -37,6 +37,9 @@
 /// The time between passes of placement grows by a millisecond for this many unfinished jobs, so that passes over a
 /// large backlog leave time for the responses of runners.
 const JOBS_PER_MILLI: u64 = 50;
+/// The same for this many work items that the last pass looked at, where that is longer: a few jobs can have a hundred
+/// thousand.
+const ITEMS_PER_MILLI: u64 = 1_000;
 /// Time between two ticks above which this process counts as stalled.
 const STALL_THRESHOLD: Millis = Millis(400);
 /// How long after a stall the silence of a runner proves nothing: its responses may still be queued in this process.
@@ -103,6 +106,8 @@
     pub(super) logged_pools: Vec<(String, usize, usize)>,
     pub(super) pools_logged_at: LocalTime,
     last_placement: LocalTime,
+    /// Work items that could start when the last pass of placement began.
+    pub(super) last_pass_items: usize,
     pub(super) last_tick: LocalTime,
     next_slow_round: LocalTime,
     next_report: LocalTime,
@@ -147,6 +152,7 @@
             logged_pools: Vec::new(),
             pools_logged_at: LocalTime(0),
             last_placement: LocalTime(0),
+            last_pass_items: 0,
             last_tick: now,
             next_slow_round: now,
             next_report: now,
@@ -243,7 +249,9 @@
     }
 
     fn placement_interval(&self) -> Millis {
-        PLACEMENT_INTERVAL + Millis(self.jobs.unfinished().len() as u64 / JOBS_PER_MILLI)
+        let by_jobs = self.jobs.unfinished().len() as u64 / JOBS_PER_MILLI;
+        let by_items = self.last_pass_items as u64 / ITEMS_PER_MILLI;
+        PLACEMENT_INTERVAL + Millis(by_jobs.max(by_items))
     }
 
     /// Allows recovered jobs to start in each pool that can have no unknown work of an earlier owner: all of its
--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -5,6 +5,7 @@
         locality_waits::{DataPlacement, RackForecasts},
         ready_items::{PlacementTier, ReadyItem},
         unplaced_serving::{UnplacedServing, add_unplaced},
+        unservable_work::UnservableWork,
     },
     crate::{
         jobs::{ItemKey, ItemRun, JobState, StepSpec, WorkItem},
@@ -31,6 +32,8 @@
     reserved: Vec<RunnerKey>,
     /// Long-running work that had found no runner in the pass before.
     unplaced_before: Vec<UnplacedServing>,
+    /// Long-running work for which no runner was found or can be reserved: neither can one for more of it.
+    unservable: UnservableWork,
     /// A gang has found no free capacity in this pass, and runners were reserved for it.
     gang_waiting: bool,
     /// When capacity near data is free.
@@ -44,7 +47,7 @@
     pub(super) tier: PlacementTier,
     pub(super) demand: Capacity,
     /// Runner with capacity that is reserved for it.
-    target: Option<RunnerKey>,
+    pub(super) target: Option<RunnerKey>,
 }
 
 impl OwnerState {
@@ -53,6 +56,7 @@
         self.count_unconfirmed();
         self.organisations.begin_pass(self.present_capacity());
         let ready = self.ready_items(now, wall_ms);
+        self.last_pass_items = ready.len();
         let mut pass = PlacementPass {
             unplaced_before: std::mem::take(&mut self.unplaced_serving),
             ..PlacementPass::default()
@@ -158,6 +162,10 @@
         if !self.fits_quota(ready) {
             return;
         }
+        if tier == PlacementTier::Serving && self.is_unservable(&item, &queue, &pass.unservable) {
+            self.leave_unplaced(key, demand, None, pass);
+            return;
+        }
         let pool_index = self.pool_of_pass(&queue, pass, now);
         if let Some(members) = self.gang_of(key) {
             self.place_gang(&members, tier, pool_index, pass, now);
@@ -180,14 +188,28 @@
                 self.fits_drained(*runner, demand) && self.is_eligible(key, *runner, demand, now)
             });
             pass.reserved.extend(reserved);
-            let (organisation, quota_demand) = self.quota_demand(key);
-            self.organisations.claim(organisation, &quota_demand);
-            self.record_unplaced(key, demand, reserved, &pass.unplaced_before);
+            if reserved.is_none() {
+                self.record_unservable(&item, queue, &mut pass.unservable);
+            }
+            self.leave_unplaced(key, demand, reserved, pass);
         } else if !self.is_constrained(key) {
             pass.full_queues.push((queue, demand));
         }
     }
 
+    /// Leaves long-running work for a later pass, with the runner that is reserved for it.
+    fn leave_unplaced(
+        &mut self,
+        key: ItemKey,
+        demand: Capacity,
+        reserved: Option<RunnerKey>,
+        pass: &PlacementPass,
+    ) {
+        let (organisation, quota_demand) = self.quota_demand(key);
+        self.organisations.claim(organisation, &quota_demand);
+        self.record_unplaced(key, demand, reserved, &pass.unplaced_before);
+    }
+
     /// Returns the runner of a pool on which a work item starts now; that of its last failed run only if no other one has
     /// room.
     pub(super) fn choose_runner(
@@ -388,7 +410,7 @@
     }
 
     /// Returns whether a work item may find no runner although one has free capacity.
-    fn is_constrained(&self, key: ItemKey) -> bool {
+    pub(super) fn is_constrained(&self, key: ItemKey) -> bool {
         let Some((job, item)) = self.jobs.item(key) else {
             return false;
         };
