Keep recovered jobs dormant while there is no memory for their work items

What callers saw: after a change to an owner with less memory than the one before, or one that accepted without a limit, the new owner built the same state and ended as the one before; where it lived, it refused every ordinary job for as long as the recovered work lasted.

Cause: the limit on the memory of jobs was for new jobs only, and a recovered job got all of its work items at once.

Why it works: a job of which nothing is known to have started is held by its description until it would be accepted as a new one. It stays known: queries, cancellations and repeated submissions are answered as before. A listed run or end gives it its work items at once, so that no run is stopped as unknown or started again.

--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -31,8 +31,10 @@
     pub organisation_key: OrganisationKey,
     /// Description by the caller; empty after [`Self::shrink`].
     pub spec: JobSpec,
-    /// The work items, ordered by occurrence, step and index; empty after [`Self::shrink`].
+    /// The work items, ordered by occurrence, step and index; empty for a dormant job and after [`Self::shrink`].
     pub items: Vec<WorkItem>,
+    /// The work items do not exist yet, because there is no memory for them. Nothing of a dormant job is started.
+    pub is_dormant: bool,
     /// When this owner first saw the job; for a recovered job the estimated time of its submission, where that is
     /// stored.
     pub first_seen: LocalTime,
@@ -90,6 +92,34 @@
 impl JobState {
     /// Creates a job that has not started; [`JobSpec::check`] must have accepted its description.
     pub fn new(id: JobId, submission: JobSubmission, first_seen: LocalTime) -> Self {
+        let mut job = Self::dormant(id, submission, first_seen);
+        job.create_items();
+        job
+    }
+
+    /// Creates the work items of a dormant job.
+    pub fn create_items(&mut self) {
+        self.is_dormant = false;
+        self.items = Vec::with_capacity(self.item_count());
+        for occurrence in 0..self.spec.occurrences() {
+            for (step, shape) in (0_u32..).zip(&self.spec.steps) {
+                self.items.extend((0..shape.count).map(|index| WorkItem {
+                    occurrence,
+                    step,
+                    index,
+                    ..WorkItem::default()
+                }));
+            }
+        }
+    }
+
+    /// Returns the number of work items, whether they exist or not.
+    fn item_count(&self) -> usize {
+        self.items_per_occurrence as usize * self.spec.occurrences() as usize
+    }
+
+    /// Creates a dormant job; [`JobSpec::check`] must have accepted its description.
+    pub fn dormant(id: JobId, submission: JobSubmission, first_seen: LocalTime) -> Self {
         let JobSubmission {
             queue,
             job: spec,
@@ -97,25 +127,14 @@
             ..
         } = submission;
         let items_per_occurrence: u32 = spec.steps.iter().map(|step| step.count).sum();
-        let item_count = u64::from(items_per_occurrence) * u64::from(spec.occurrences());
-        let mut items = Vec::with_capacity(item_count as usize);
-        for occurrence in 0..spec.occurrences() {
-            for (step, shape) in spec.steps.iter().enumerate() {
-                items.extend((0..shape.count).map(|index| WorkItem {
-                    occurrence,
-                    step: step as u32,
-                    index,
-                    ..WorkItem::default()
-                }));
-            }
-        }
         let steps = step_rows(&spec);
         Self {
             id,
             queue: Arc::new(queue),
             organisation,
             organisation_key: OrganisationKey::NONE,
-            items,
+            items: Vec::new(),
+            is_dormant: true,
             first_seen,
             phase: JobPhase::Queued,
             stored_phase: JobPhase::Queued,
@@ -143,6 +162,7 @@
             organisation_key: OrganisationKey::NONE,
             spec: JobSpec::default(),
             items: Vec::new(),
+            is_dormant: false,
             first_seen: now,
             phase,
             stored_phase: phase,
@@ -310,7 +330,7 @@
 
     /// Marks the job as completed when all work items are done; returns whether this changed its phase.
     pub fn complete_if_done(&mut self) -> bool {
-        if self.phase.is_final() || !self.items.iter().all(|item| item.done) {
+        if self.phase.is_final() || self.is_dormant || !self.items.iter().all(|item| item.done) {
             return false;
         }
         self.phase = JobPhase::Completed;
@@ -321,6 +341,7 @@
     /// of two minutes with all their work items would not fit into the memory of a small entry host.
     pub fn shrink(&mut self) {
         self.items = Vec::new();
+        self.is_dormant = false;
         self.spec = JobSpec::default();
         self.shared_text = None;
         self.steps = Vec::new();
@@ -330,10 +351,19 @@
 
     /// Returns the memory that the job holds, in bytes; less after [`Self::shrink`].
     pub fn held_bytes(&self) -> usize {
+        self.expected_bytes(self.items.len())
+    }
+
+    /// Returns the memory that the job holds once its work items exist, in bytes.
+    pub fn bytes_with_items(&self) -> usize {
+        self.expected_bytes(self.item_count())
+    }
+
+    fn expected_bytes(&self, items: usize) -> usize {
         let steps = self.steps.len() * size_of::<StepRow>();
         let shared_text = self.spec.spec.len();
         let description = self.spec.held_bytes() + shared_text + steps;
-        JOB_BYTES + description + self.items.len() * ITEM_BYTES
+        JOB_BYTES + description + items * ITEM_BYTES
     }
 
     /// Returns whether the job may hold its memory for long: it is long-running or recurs.
--- a/crates/dispatch/src/jobs/job_table.rs
+++ b/crates/dispatch/src/jobs/job_table.rs
@@ -61,6 +61,19 @@
         self.held
     }
 
+    /// Creates the work items of a dormant job, whose runs get numbers above `last_run`.
+    pub fn wake(&mut self, key: JobKey, last_run: u32) {
+        let Some(Some(job)) = self.jobs.get_mut(key.0 as usize) else {
+            return;
+        };
+        self.held.remove(HeldMemory::of_job(job));
+        job.create_items();
+        for item in &mut job.items {
+            item.last_run = last_run;
+        }
+        self.held.add(HeldMemory::of_job(job));
+    }
+
     /// Frees the data that only an unfinished job needs, see [`JobState::shrink`].
     pub fn shrink(&mut self, key: JobKey) {
         let Some(Some(job)) = self.jobs.get_mut(key.0 as usize) else {
--- a/crates/dispatch/src/owner/gang_placement.rs
+++ b/crates/dispatch/src/owner/gang_placement.rs
@@ -147,7 +147,7 @@
 /// Returns the indexes of the members of all gangs whose newest run lacks a member.
 fn incomplete_gangs(job: &JobState) -> Vec<u32> {
     let mut indexes = Vec::new();
-    if job.unconfirmed || !job.spec.steps.iter().any(|step| step.gang) {
+    if job.unconfirmed || job.is_dormant || !job.spec.steps.iter().any(|step| step.gang) {
         return indexes;
     }
     for occurrence in 0..job.spec.occurrences() {
--- a/crates/dispatch/src/owner/job_memory.rs
+++ b/crates/dispatch/src/owner/job_memory.rs
@@ -42,13 +42,13 @@
     }
 
     /// Returns whether a new job fits beside what is held already.
-    fn admits(self, held: HeldMemory, job: &JobState) -> bool {
+    pub(super) fn admits(self, held: HeldMemory, job: &JobState) -> bool {
         let mut free = self.bytes.saturating_sub(held.total);
         if job.is_lasting() {
             let lasting_bytes = self.bytes / LASTING_DIVISOR;
             free = free.min(lasting_bytes.saturating_sub(held.lasting));
         }
-        job.held_bytes() <= free / JOB_DIVISOR
+        job.bytes_with_items() <= free / JOB_DIVISOR
     }
 }
 
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! The owner's state - jobs, runners, hosts and waves - and its reaction to each event.
 
 mod admission;
+mod dormant_jobs;
 mod evacuation;
 mod fair_order;
 mod gang_placement;
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -84,6 +84,8 @@
     pub(super) restarts: RestartTable,
     pub(super) start_budget: StartBudget,
     pub(super) job_memory: JobMemoryLimit,
+    /// Recovered jobs whose work items do not exist yet, in the order in which they get them.
+    pub(super) dormant_jobs: Vec<JobKey>,
     /// Jobs refused in this term.
     pub(super) refusals: RefusalCounts,
     /// Longest lease that a runner accepts.
@@ -138,6 +140,7 @@
             restarts: RestartTable::default(),
             start_budget: StartBudget::default(),
             job_memory: JobMemoryLimit::default(),
+            dormant_jobs: Vec::new(),
             refusals: RefusalCounts::default(),
             max_lease: DEFAULT_MAX_LEASE,
             quota_window: ServiceBounds::default().quota_window,
@@ -235,6 +238,7 @@
             self.forget_ended_unplaced();
             self.decide_hosts(now);
             self.forget_ended(now);
+            self.wake_dormant();
             self.advice.forget_expired(&self.jobs, now);
             self.forget_waits();
             self.placement_due = true;
--- a/crates/dispatch/src/owner/quotas.rs
+++ b/crates/dispatch/src/owner/quotas.rs
@@ -103,6 +103,13 @@
 fn unconfirmed_use(job: &JobState) -> UnconfirmedUse<'_> {
     let mut counted = ResourceUse::default();
     let mut filling_cpu = 0_u64;
+    if job.is_dormant {
+        // What an earlier owner has started of it is not known.
+        for step in &job.spec.steps {
+            let count = step.count.saturating_mul(job.spec.occurrences());
+            counted = counted.plus(&ResourceUse::of_step(step, count));
+        }
+    }
     // The members of a gang that is done may still be stopping.
     let may_run = |item: &&WorkItem| item.runs.is_empty() && (!item.done || job.step_of(item).gang);
     for item in job.items.iter().filter(may_run) {
--- a/crates/dispatch/src/owner/restore.rs
+++ b/crates/dispatch/src/owner/restore.rs
@@ -54,12 +54,18 @@
                 0 => Millis(0),
                 accepted_ms => Millis(wall_ms.saturating_sub(accepted_ms)).min(MAX_RECOVERED_AGE),
             };
-            let mut job = JobState::new(id, submission, now - age);
+            let mut job = JobState::dormant(id, submission, now - age);
             job.organisation_key = self
                 .organisations
                 .intern(job.organisation.as_deref(), &self.rules);
             job.accepted = true;
-            if let Some(stored) = progress.get(&id) {
+            let stored = progress.get(&id);
+            if stored.is_some_and(JobProgress::needs_items)
+                || self.job_memory.admits(self.jobs.held(), &job)
+            {
+                job.create_items();
+            }
+            if let Some(stored) = stored {
                 job.restore(stored);
             }
             if job.phase.is_final() {
@@ -70,12 +76,15 @@
             }
             job.unconfirmed = true;
             job.has_text = !job.spec.spec.is_empty();
-            let first_run = self.token.saturating_mul(RUNS_PER_TOKEN);
+            let last_run = self.last_earlier_run();
             for item in &mut job.items {
-                item.last_run =
-                    u32::try_from(first_run).map_or(MAX_FIRST_RUN, |run| run.min(MAX_FIRST_RUN));
+                item.last_run = last_run;
+            }
+            let is_dormant = job.is_dormant;
+            let key = self.jobs.insert(job);
+            if is_dormant {
+                self.dormant_jobs.push(key);
             }
-            self.jobs.insert(job);
             progress.remove(&id);
         }
         for (id, stored) in progress {
@@ -87,10 +96,20 @@
             // No job was accepted before this term, so that there can be no unknown run.
             self.recovered = true;
         }
-        let detail = format!("unfinished_jobs={restored}");
+        let detail = format!(
+            "unfinished_jobs={restored} dormant={} job_bytes={}",
+            self.dormant_jobs.len(),
+            self.jobs.held().total
+        );
         self.log_event("store read", format!("token {}", self.token), detail);
     }
 
+    /// Returns the highest run number that earlier owners may have used.
+    pub(super) fn last_earlier_run(&self) -> u32 {
+        let run = self.token.saturating_mul(RUNS_PER_TOKEN);
+        u32::try_from(run).map_or(MAX_FIRST_RUN, |run| run.min(MAX_FIRST_RUN))
+    }
+
     /// Adds texts of recovered jobs, which can then start. `complete` tells that no more texts are stored: jobs without
     /// one have an empty text.
     pub fn texts_restored(&mut self, texts: Vec<(JobId, String)>, complete: bool) {
--- a/crates/dispatch/src/owner/run_ends.rs
+++ b/crates/dispatch/src/owner/run_ends.rs
@@ -40,6 +40,7 @@
     }
 
     fn handle_end(&mut self, runner: RunnerKey, end: &EndedRun, now: LocalTime) {
+        self.wake_listed(end.name.job);
         let Some(key) = self.jobs.find_item(&end.name) else {
             self.log_event(
                 "end of an unknown job",
--- a/crates/dispatch/src/owner/runner_responses.rs
+++ b/crates/dispatch/src/owner/runner_responses.rs
@@ -177,6 +177,7 @@
         is_known_instance: bool,
         now: LocalTime,
     ) -> bool {
+        self.wake_listed(listed.name.job);
         let Some(key) = self.jobs.find_item(&listed.name) else {
             return false;
         };
--- a/crates/dispatch/src/records/store_record.rs
+++ b/crates/dispatch/src/records/store_record.rs
@@ -63,6 +63,13 @@
     pub failures: Vec<(u32, Vec<u32>)>,
 }
 
+impl JobProgress {
+    /// Returns whether the progress is about work items, which must exist to take it.
+    pub fn needs_items(&self) -> bool {
+        self.started || !self.done.is_empty() || !self.failures.is_empty()
+    }
+}
+
 /// Stored progress of a wave.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct WaveProgress {
--- a/crates/dispatch/tests/fleet/mod.rs
+++ b/crates/dispatch/tests/fleet/mod.rs
@@ -8,8 +8,8 @@
         jobs::{JobId, JobSpec, StepSpec},
         organisations::{OrganisationRule, ResourceCap},
         owner::{
-            CallId, CallResponse, HostReport, HostStatus, JobCall, JournalBatch, OwnerCommand,
-            OwnerState, StartCommand, StartResponse,
+            CallId, CallResponse, HostReport, HostStatus, JobCall, JobMemoryLimit, JournalBatch,
+            OwnerCommand, OwnerState, StartCommand, StartResponse,
         },
         records::{JobSubmission, StoreRecord},
         routes::{FleetRules, RouteRule, ServiceRule},
@@ -123,6 +123,17 @@
 
     /// Creates an owner in the term with `token` that has read `records` at `wall_ms`.
     pub fn restored(token: u64, records: Vec<StoreRecord>, wall_ms: u64, ids: &[&str]) -> Self {
+        Self::restored_within(JobMemoryLimit::default(), token, records, wall_ms, ids)
+    }
+
+    /// Does the same for an owner with a limit on the memory of its jobs.
+    pub fn restored_within(
+        limit: JobMemoryLimit,
+        token: u64,
+        records: Vec<StoreRecord>,
+        wall_ms: u64,
+        ids: &[&str],
+    ) -> Self {
         let now = LocalTime(100_000);
         let mut fleet = Self {
             owner: OwnerState::new(token, rules(), now),
@@ -130,6 +141,7 @@
             commands: Vec::new(),
             runners: ids.iter().map(|id| runner(id)).collect(),
         };
+        fleet.owner.limit_job_memory(limit);
         fleet.owner.restore(records, now, wall_ms);
         fleet.list_runners();
         fleet
--- a/crates/soak/tests/accepted_memory.rs
+++ b/crates/soak/tests/accepted_memory.rs
@@ -29,6 +29,11 @@
     memory_mb: 48,
     max_fds: 1_000,
 };
+/// Limits of entry hosts whose work the others take over.
+const LARGER_LIMITS: NodeLimits = NodeLimits {
+    memory_mb: 512,
+    max_fds: 1_000,
+};
 const CROWD: u64 = 150;
 const CONCURRENT_CALLS: u64 = 50;
 const CALL_TIMEOUT: Millis = Millis(3_000);
@@ -58,6 +63,10 @@
 
 impl CrowdedSystem {
     async fn start() -> Self {
+        Self::start_with(LIMITS).await
+    }
+
+    async fn start_with(limits: NodeLimits) -> Self {
         let alone = ALONE.lock().await;
         let folder = tempfile::tempdir().expect("a temporary folder");
         // Each run of a process has addresses of its own.
@@ -68,7 +77,7 @@
             hosts: HOSTS,
             max_connections: DEFAULT_MAX_CONNECTIONS,
             organisations: false,
-            limits: Some(LIMITS),
+            limits: Some(limits),
         };
         let system = SoakSystem::start(shape, folder.path())
             .await
@@ -375,6 +384,20 @@
     }
 }
 
+/// Guards against an owner that cannot hold what an owner with much more memory has accepted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn larger_predecessor() {
+    let mut system = CrowdedSystem::start_with(LARGER_LIMITS).await;
+    let step = StepSpec {
+        estimate_ms: 1,
+        ..many_items()
+    };
+    let accepted = system.submit_crowd(&one_step(step)).await;
+    let restarted = system.system.restart_with(LIMITS);
+    restarted.expect("the entry hosts start again");
+    system.check(LIMITS, &accepted).await;
+}
+
 /// Guards against what is kept of jobs that were cancelled and sent again under other ids.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn cancelled_jobs() {
