Accepted memory: crowd of 30 entry hosts

Guards against calls that the owner handles at a time for many entry hosts, whatever they hold: 150 submissions of 4,500 steps at once. The limit of 32 MiB on calls of links, which does not follow MemoryMb, stays a suspicion.

--- a/crates/soak/tests/accepted_memory.rs
+++ b/crates/soak/tests/accepted_memory.rs
@@ -18,6 +18,7 @@
 };
 
 const ENTRY_HOSTS: usize = 3;
+const MANY_ENTRY_HOSTS: usize = 30;
 const HOSTS: usize = 18;
 /// Limits of each entry host; the bounds on its resident memory and open descriptors.
 const LIMITS: NodeLimits = NodeLimits {
@@ -63,17 +64,17 @@
 
 impl CrowdedSystem {
     async fn start() -> Self {
-        Self::start_with(LIMITS).await
+        Self::start_with(LIMITS, ENTRY_HOSTS).await
     }
 
-    async fn start_with(limits: NodeLimits) -> Self {
+    async fn start_with(limits: NodeLimits, entries: usize) -> Self {
         let alone = ALONE.lock().await;
         let folder = tempfile::tempdir().expect("a temporary folder");
         // Each run of a process has addresses of its own.
         static RUNS: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
         let shape = SystemShape {
             seed: RUNS.fetch_add(1, std::sync::atomic::Ordering::Relaxed),
-            entries: ENTRY_HOSTS,
+            entries,
             hosts: HOSTS,
             max_connections: DEFAULT_MAX_CONNECTIONS,
             organisations: false,
@@ -130,11 +131,15 @@
 
     /// Submits the job many times through all entry hosts; returns the ids that were accepted.
     async fn submit_crowd(&self, job: &JobSpec) -> Vec<JobId> {
+        self.submit_concurrently(job, CONCURRENT_CALLS).await
+    }
+
+    async fn submit_concurrently(&self, job: &JobSpec, concurrent: u64) -> Vec<JobId> {
         let entries = self.system.caller_addresses();
         let mut accepted = Vec::new();
-        for first in (0..CROWD).step_by(CONCURRENT_CALLS as usize) {
+        for first in (0..CROWD).step_by(concurrent as usize) {
             let mut calls = JoinSet::new();
-            for number in first..CROWD.min(first + CONCURRENT_CALLS) {
+            for number in first..CROWD.min(first + concurrent) {
                 let (client, queue, job) = (self.client.clone(), self.queue.clone(), job.clone());
                 let entry = entries[number as usize % entries.len()];
                 calls.spawn(async move {
@@ -387,7 +392,7 @@
 /// Guards against an owner that cannot hold what an owner with much more memory has accepted.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn larger_predecessor() {
-    let mut system = CrowdedSystem::start_with(LARGER_LIMITS).await;
+    let mut system = CrowdedSystem::start_with(LARGER_LIMITS, ENTRY_HOSTS).await;
     let step = StepSpec {
         estimate_ms: 1,
         ..many_items()
@@ -398,6 +403,22 @@
     system.check(LIMITS, &accepted).await;
 }
 
+/// Guards against calls of many entry hosts that the owner handles at a time, whatever they hold.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn many_entry_hosts() {
+    let mut system = CrowdedSystem::start_with(LIMITS, MANY_ENTRY_HOSTS).await;
+    let step = StepSpec {
+        count: 1,
+        cpu: 100,
+        mem_mb: 10,
+        estimate_ms: 1,
+        ..StepSpec::default()
+    };
+    let job = many_steps(4_500, &step);
+    let accepted = system.submit_concurrently(&job, CROWD).await;
+    system.check(LIMITS, &accepted).await;
+}
+
 /// Guards against what is kept of jobs that were cancelled and sent again under other ids.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn cancelled_jobs() {
