Free the places of removed jobs

What callers saw: nothing yet; the owner grew by 8 bytes for each job that it ever had. One caller that submits and cancels as fast as the store writes, 600 a second, costs 17 MB an hour.

Cause: a key is an index that is not used again, and the place of a removed job stayed for the rest of the term.

Why it works: places are in chunks of 64 jobs, and a chunk is freed with its last job. What stays is 8 bytes for 64 jobs.

--- a/crates/dispatch/src/jobs/job_table.rs
+++ b/crates/dispatch/src/jobs/job_table.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ItemKey, ItemName, JobId, JobKey, JobState, StepKey, WorkItem},
+    super::{ItemKey, ItemName, JobId, JobKey, JobState, StepKey, WorkItem, job_arena::JobArena},
     std::ops::Range,
 };
 
@@ -34,8 +34,7 @@
 #[derive(Debug, Default)]
 pub struct JobTable {
     by_id: Vec<(JobId, JobKey)>,
-    /// Boxed, because a key is not used again: the place of a removed job is kept for the rest of the term.
-    jobs: Vec<Option<Box<JobState>>>,
+    jobs: JobArena,
     unfinished: Vec<JobKey>,
     held: HeldMemory,
 }
@@ -43,7 +42,7 @@
 impl JobTable {
     /// Adds a job. The id must not be in the table.
     pub fn insert(&mut self, job: JobState) -> JobKey {
-        let key = JobKey(self.jobs.len() as u32);
+        let key = self.jobs.next_key();
         match self.index_of(job.id) {
             Ok(index) => self.by_id[index].1 = key,
             Err(index) => self.by_id.insert(index, (job.id, key)),
@@ -52,7 +51,7 @@
             self.unfinished.push(key);
         }
         self.held.add(HeldMemory::of_job(&job));
-        self.jobs.push(Some(Box::new(job)));
+        self.jobs.push(job);
         key
     }
 
@@ -63,7 +62,7 @@
 
     /// Creates the work items of a dormant job, whose runs get numbers above `last_run`.
     pub fn wake(&mut self, key: JobKey, last_run: u32) {
-        let Some(Some(job)) = self.jobs.get_mut(key.0 as usize) else {
+        let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
         self.held.remove(HeldMemory::of_job(job));
@@ -76,7 +75,7 @@
 
     /// Frees the data that only an unfinished job needs, see [`JobState::shrink`].
     pub fn shrink(&mut self, key: JobKey) {
-        let Some(Some(job)) = self.jobs.get_mut(key.0 as usize) else {
+        let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
         self.held.remove(HeldMemory::of_job(job));
@@ -86,7 +85,7 @@
 
     /// Sets the text of a recovered job, which is read after the other records.
     pub fn set_text(&mut self, key: JobKey, text: String) {
-        let Some(Some(job)) = self.jobs.get_mut(key.0 as usize) else {
+        let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
         self.held.remove(HeldMemory::of_job(job));
@@ -103,12 +102,12 @@
 
     /// Returns a job; none when it was removed.
     pub fn get(&self, key: JobKey) -> Option<&JobState> {
-        self.jobs.get(key.0 as usize)?.as_deref()
+        self.jobs.get(key)
     }
 
     /// Returns a job for changes; none when it was removed.
     pub fn get_mut(&mut self, key: JobKey) -> Option<&mut JobState> {
-        self.jobs.get_mut(key.0 as usize)?.as_deref_mut()
+        self.jobs.get_mut(key)
     }
 
     /// Finds a work item by its wire name.
@@ -138,13 +137,13 @@
 
     /// Removes a job; its key is not used again.
     pub fn remove(&mut self, key: JobKey) -> Option<JobState> {
-        let job = self.jobs.get_mut(key.0 as usize)?.take()?;
+        let job = self.jobs.take(key)?;
         if let Ok(index) = self.index_of(job.id) {
             self.by_id.remove(index);
         }
         self.unfinished.retain(|other| *other != key);
         self.held.remove(HeldMemory::of_job(&job));
-        Some(*job)
+        Some(job)
     }
 
     /// Returns the jobs without a final phase, in the order of their arrival; jobs that have reached one are still
@@ -157,7 +156,7 @@
     pub fn prune_unfinished(&mut self) {
         let jobs = &self.jobs;
         let is_unfinished = |key: &JobKey| {
-            let job = jobs[key.0 as usize].as_ref();
+            let job = jobs.get(*key);
             job.is_some_and(|job| !job.phase.is_final())
         };
         self.unfinished.retain(is_unfinished);
--- a/crates/dispatch/src/jobs/mod.rs
+++ b/crates/dispatch/src/jobs/mod.rs
@@ -1,5 +1,6 @@
 //! Jobs, their steps and work items.
 
+mod job_arena;
 mod job_id;
 mod job_phase;
 mod job_spec;
