Jobs of a queue share its configuration in the owner

What callers saw: with 160 MB, jobs would be refused for lack of memory at 530 a second, because those that have ended stay known for two minutes.

Cause: each job had a copy of its queue's configuration, also after its end, so that an ended job held 632 bytes.

Evidence: job_memory::rate_of_ended_jobs, ended jobs of two minutes at 800 a second, failed with 632 bytes a job; it passes now.

Why it works: the owner keeps one copy of each configuration of a queue that is in use, and drops it with the last job of an earlier version.

--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -14,9 +14,9 @@
 
 /// Memory that a work item holds, in bytes: itself, a run, and its places in the lists of one pass of placement.
 const ITEM_BYTES: usize = size_of::<WorkItem>() + size_of::<ItemRun>() + 120;
-/// Memory that a job holds besides its description and its work items, in bytes: itself, its queue's configuration, and its
-/// places in tables.
-const JOB_BYTES: usize = size_of::<JobState>() + size_of::<RouteRule>() + 256;
+/// Memory that a job holds besides its description and its work items, in bytes: itself, and its places in tables. Jobs
+/// of a queue share its configuration.
+const JOB_BYTES: usize = size_of::<JobState>() + 64;
 
 /// A job known to the owner.
 #[derive(Debug)]
--- a/crates/dispatch/src/owner/job_calls.rs
+++ b/crates/dispatch/src/owner/job_calls.rs
@@ -140,6 +140,7 @@
             return;
         }
         let mut job = JobState::new(id, submission.clone(), now);
+        job.queue = self.queues.share(&job.queue);
         job.organisation_key = self
             .organisations
             .intern(job.organisation.as_deref(), &self.rules);
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -19,6 +19,7 @@
 mod owner_state;
 mod pace_control;
 mod placement;
+mod queue_table;
 mod quotas;
 mod ready_items;
 mod restart_table;
--- a/crates/dispatch/src/owner/owner_state.rs
+++ b/crates/dispatch/src/owner/owner_state.rs
@@ -7,6 +7,7 @@
         job_memory::JobMemoryLimit,
         journal_queue::JournalQueue,
         locality_state::LocalityState,
+        queue_table::QueueTable,
         restart_table::RestartTable,
         runner_advice::AdviceTable,
         start_budget::StartBudget,
@@ -83,6 +84,7 @@
     pub(super) evacuations: EvacuationTable,
     pub(super) restarts: RestartTable,
     pub(super) start_budget: StartBudget,
+    pub(super) queues: QueueTable,
     pub(super) job_memory: JobMemoryLimit,
     /// Recovered jobs whose work items do not exist yet, in the order in which they get them.
     pub(super) dormant_jobs: Vec<JobKey>,
@@ -139,6 +141,7 @@
             evacuations: EvacuationTable::default(),
             restarts: RestartTable::default(),
             start_budget: StartBudget::default(),
+            queues: QueueTable::default(),
             job_memory: JobMemoryLimit::default(),
             dormant_jobs: Vec::new(),
             refusals: RefusalCounts::default(),
--- a/crates/dispatch/src/owner/restore.rs
+++ b/crates/dispatch/src/owner/restore.rs
@@ -55,6 +55,7 @@
                 accepted_ms => Millis(wall_ms.saturating_sub(accepted_ms)).min(MAX_RECOVERED_AGE),
             };
             let mut job = JobState::dormant(id, submission, now - age);
+            job.queue = self.queues.share(&job.queue);
             job.organisation_key = self
                 .organisations
                 .intern(job.organisation.as_deref(), &self.rules);
--- a/crates/dispatch/tests/job_memory.rs
+++ b/crates/dispatch/tests/job_memory.rs
@@ -137,6 +137,24 @@
     assert!(before < ended && ended < unfinished / 10);
 }
 
+/// Guards against ended jobs that leave no memory for new ones: with the least memory that entry hosts have, those of two
+/// minutes at 800 a second fit.
+#[test]
+fn rate_of_ended_jobs() {
+    let mut fleet = TestFleet::new(1, &["r1"]);
+    for id in 1..=JOBS {
+        submit(&mut fleet, id, job(vec![short_step(1)]));
+        fleet.call(JOBS + id, JobCall::Cancel(JobId(id)));
+        fleet.store();
+    }
+    for _ in 0..20 {
+        fleet.advance(100);
+    }
+    let job_bytes = fleet.owner.job_bytes() / JOBS;
+    let limit = JobMemoryLimit::derive(Some(160));
+    assert!(800 * 125 * job_bytes <= limit.bytes as u64, "{job_bytes}");
+}
+
 /// Guards against an owner that counts no recovered job.
 #[test]
 fn recovered_jobs() {
