--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -180,6 +180,16 @@
         }
     }
 
+    /// Returns the submission of the job as it is stored. The job must not have been shrunk.
+    pub fn submission(&self, accepted_ms: u64) -> JobSubmission {
+        JobSubmission {
+            queue: RouteRule::clone(&self.queue),
+            job: self.spec.clone(),
+            accepted_ms,
+            organisation: self.organisation.clone(),
+        }
+    }
+
     /// Applies the stored progress of the job.
     pub fn restore(&mut self, progress: &JobProgress) {
         self.phase = progress.phase;
--- a/crates/dispatch/src/owner/job_calls.rs
+++ b/crates/dispatch/src/owner/job_calls.rs
@@ -139,7 +139,8 @@
             self.reply(call_id, CallResponse::Unavailable);
             return;
         }
-        let mut job = JobState::new(id, submission.clone(), now);
+        let accepted_ms = submission.accepted_ms;
+        let mut job = JobState::new(id, submission, now);
         job.queue = self.queues.share(&job.queue);
         job.organisation_key = self
             .organisations
@@ -179,7 +180,7 @@
             self.arrivals.record_arrival(&service, work, now);
         }
         let key = self.jobs.insert(job);
-        self.journal.submit(key, id, submission);
+        self.journal.submit(key, accepted_ms);
         self.journal
             .on_stored(StoredEffect::Reply(key, call_id, CallResponse::Accepted));
     }
--- a/crates/dispatch/src/owner/journal_queue.rs
+++ b/crates/dispatch/src/owner/journal_queue.rs
@@ -2,7 +2,7 @@
     super::{CallId, CallResponse, OwnerState, owner_command::OwnerCommand},
     crate::{
         jobs::{JobId, JobKey, JobPhase},
-        records::{JobSubmission, StoreRecord, WaveProgress},
+        records::{StoreRecord, WaveProgress},
         runners::RunnerKey,
     },
     goldcreststall_core::ids::{LocalTime, Millis},
@@ -48,7 +48,8 @@
 /// Records that wait to be stored, and the effects that wait for them.
 #[derive(Debug)]
 pub(super) struct JournalQueue {
-    submissions: Vec<(JobKey, JobId, JobSubmission)>,
+    /// Jobs whose submissions wait, and when these were accepted, in Unix milliseconds. The jobs have their descriptions.
+    submissions: Vec<(JobKey, u64)>,
     dirty: Vec<JobKey>,
     waves: Vec<(u64, WaveProgress)>,
     forgotten: Vec<JobId>,
@@ -84,8 +85,8 @@
         self.max_bytes = (bytes as usize).clamp(MIN_BATCH_BYTES, MAX_BATCH_BYTES);
     }
 
-    pub(super) fn submit(&mut self, key: JobKey, id: JobId, submission: JobSubmission) {
-        self.submissions.push((key, id, submission));
+    pub(super) fn submit(&mut self, key: JobKey, accepted_ms: u64) {
+        self.submissions.push((key, accepted_ms));
         self.effects.push(StoredEffect::Accept(key));
     }
 
@@ -122,7 +123,7 @@
 
     /// Removes the submissions that were not sent; returns their jobs and the calls that wait for them.
     fn take_unsent(&mut self) -> (Vec<JobKey>, Vec<CallId>) {
-        let keys: Vec<JobKey> = self.submissions.drain(..).map(|(key, _, _)| key).collect();
+        let keys: Vec<JobKey> = self.submissions.drain(..).map(|(key, _)| key).collect();
         let mut call_ids = Vec::new();
         self.effects.retain(|effect| match effect {
             StoredEffect::Accept(key) | StoredEffect::Show(key, _) => !keys.contains(key),
@@ -162,19 +163,24 @@
         let mut has_space = true;
         let journal = &mut self.journal;
         let mut taken = 0;
-        for (_, id, submission) in &journal.submissions {
+        for (key, accepted_ms) in &journal.submissions {
             if !has_space {
                 break;
             }
-            has_space = push(StoreRecord::Submission(*id, submission.clone()));
+            if let Some(job) = self.jobs.get(*key) {
+                has_space = push(StoreRecord::Submission(
+                    job.id,
+                    job.submission(*accepted_ms),
+                ));
+            }
             taken += 1;
         }
         let sent: Vec<JobKey> = journal
             .submissions
             .drain(..taken)
-            .map(|(key, _, _)| key)
+            .map(|(key, _)| key)
             .collect();
-        let unsent: Vec<JobKey> = journal.submissions.iter().map(|(key, _, _)| *key).collect();
+        let unsent: Vec<JobKey> = journal.submissions.iter().map(|(key, _)| *key).collect();
         let mut deferred = Vec::new();
         for key in std::mem::take(&mut journal.dirty) {
             let Some(job) = self.jobs.get(key) else {
