--- a/crates/dispatch/src/owner/evacuation.rs
+++ b/crates/dispatch/src/owner/evacuation.rs
@@ -1,5 +1,5 @@
 use {
-    super::{OwnerState, placement::fits_spread},
+    super::{OwnerState, runner_choice::fits_spread},
     crate::{
         jobs::{ItemKey, ItemRun, JobState, RunPhase, WorkItem},
         runners::{Capacity, RunnerKey},
