Find steps that had found no runner before by binary search

What callers saw: with a few accepted jobs of thousands of long-running steps, many calls got no answer for tens of seconds.

Cause: for each step without a runner, a pass searched all such steps of the pass before one by one, to log only new ones.

No test shows it: what differs is time.

Why it works: the steps are sorted once for each pass.

--- a/crates/dispatch/src/owner/placement.rs
+++ b/crates/dispatch/src/owner/placement.rs
@@ -4,11 +4,11 @@
         fair_order::FairOrder,
         locality_waits::{DataPlacement, RackForecasts},
         ready_items::{PlacementTier, ReadyItem},
-        unplaced_serving::{UnplacedServing, add_unplaced},
+        unplaced_serving::{add_unplaced, take_steps},
         unservable_work::UnservableWork,
     },
     crate::{
-        jobs::ItemKey,
+        jobs::{ItemKey, StepKey},
         organisations::ResourceUse,
         routes::RouteRule,
         runners::{Capacity, RunnerKey, RunnerState},
@@ -26,8 +26,8 @@
     full_queues: Vec<(Arc<RouteRule>, Capacity)>,
     /// Runners that get no other work until a serving work item or a gang fits.
     reserved: Vec<RunnerKey>,
-    /// Long-running work that had found no runner in the pass before.
-    unplaced_before: Vec<UnplacedServing>,
+    /// Steps with long-running work that had found no runner in the pass before, sorted.
+    unplaced_before: Vec<StepKey>,
     /// Long-running work for which no runner was found or can be reserved: neither can one for more of it.
     unservable: UnservableWork,
     /// A gang has found no free capacity in this pass, and runners were reserved for it.
@@ -54,7 +54,7 @@
         let ready = self.ready_items(now, wall_ms);
         self.last_pass_items = ready.len();
         let mut pass = PlacementPass {
-            unplaced_before: std::mem::take(&mut self.unplaced_serving),
+            unplaced_before: take_steps(&mut self.unplaced_serving),
             ..PlacementPass::default()
         };
         self.start_budget.refill(now);
@@ -213,13 +213,13 @@
         key: ItemKey,
         demand: Capacity,
         reserved: Option<RunnerKey>,
-        before: &[UnplacedServing],
+        before: &[StepKey],
     ) {
         let (Some(step), Some((job, item))) = (self.step_key(key), self.jobs.item(key)) else {
             return;
         };
         let is_first = add_unplaced(&mut self.unplaced_serving, step, (job, item), demand);
-        if !is_first || before.iter().any(|unplaced| unplaced.step == step) {
+        if !is_first || before.binary_search(&step).is_ok() {
             return;
         }
         let name = job.item_name(key.item).to_string();
--- a/crates/dispatch/src/owner/unplaced_serving.rs
+++ b/crates/dispatch/src/owner/unplaced_serving.rs
@@ -54,6 +54,13 @@
     }
 }
 
+/// Removes the long-running work that found no runner; returns its steps, sorted.
+pub(super) fn take_steps(unplaced: &mut Vec<UnplacedServing>) -> Vec<StepKey> {
+    let mut steps: Vec<StepKey> = unplaced.drain(..).map(|unplaced| unplaced.step).collect();
+    steps.sort_unstable();
+    steps
+}
+
 /// Adds a work item to the others of its step. Returns whether it is the first one.
 pub(super) fn add_unplaced(
     unplaced: &mut Vec<UnplacedServing>,
