--- a/crates/soak/src/system/soak_system.rs
+++ b/crates/soak/src/system/soak_system.rs
@@ -136,6 +136,16 @@
             .collect()
     }
 
+    /// Suspends the process of an entry host, or lets a suspended one go on.
+    pub fn suspend(&self, entry: usize, is_suspended: bool) {
+        let signal = if is_suspended {
+            Signal::STOP
+        } else {
+            Signal::CONT
+        };
+        self.entries.lock()[entry].signal(signal);
+    }
+
     /// Kills all entry hosts and starts them again with these limits.
     ///
     /// # Errors
--- a/crates/soak/tests/accepted_memory.rs
+++ b/crates/soak/tests/accepted_memory.rs
@@ -40,6 +40,8 @@
 const CALL_TIMEOUT: Millis = Millis(3_000);
 /// Work items of the largest job.
 const MANY_ITEMS: u32 = 20_000;
+/// Less than the timeout of a call, so that calls still wait when the owner goes on.
+const SUSPENSION: Duration = Duration::from_millis(1_500);
 /// Longest text of a job.
 const MAX_TEXT_BYTES: usize = 16_000;
 /// Number of attempts, a fifth of a second apart, after which the system counts as hung.
@@ -215,6 +217,17 @@
         }
     }
 
+    /// Returns the entry host that has become the owner, as its log tells.
+    fn owner(&self) -> usize {
+        let is_owner = |entry: &usize| {
+            let log = self.folder.path().join(format!("entry-{entry}.log"));
+            let text = fs::read_to_string(log).unwrap_or_default();
+            text.contains("owner: store read")
+        };
+        let mut entries = 0..self.system.process_ids().len();
+        entries.find(is_owner).expect("an owner")
+    }
+
     /// Returns a figure of `/proc/PID/status` of each process, in kB.
     fn status_kb(&self, name: &str) -> Vec<u64> {
         let figure = |id: u32| {
@@ -419,6 +432,27 @@
     system.check(LIMITS, &accepted).await;
 }
 
+/// Guards against the calls that reach an owner which was suspended: they have collected at all entry hosts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn suspended_owner() {
+    let mut system = CrowdedSystem::start_with(LIMITS, MANY_ENTRY_HOSTS).await;
+    let step = StepSpec {
+        count: 1,
+        cpu: 100,
+        mem_mb: 10,
+        estimate_ms: 1,
+        ..StepSpec::default()
+    };
+    let job = many_steps(4_500, &step);
+    let owner = system.owner();
+    system.system.suspend(owner, true);
+    let (accepted, ()) = tokio::join!(system.submit_concurrently(&job, CROWD), async {
+        sleep(SUSPENSION).await;
+        system.system.suspend(owner, false);
+    });
+    system.check(LIMITS, &accepted).await;
+}
+
 /// Guards against what is kept of jobs that were cancelled and sent again under other ids.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn cancelled_jobs() {
