Recovered jobs that end by themselves all have their turn

What callers saw: nothing yet; jobs that were accepted could wait for ever after a change of the owner.

Cause: a recovered job was woken only if it would be accepted as a new one, one after the other, so that a long-running job without memory held up all behind it, and an owner with as much memory as the one before could leave jobs dormant that the other had held, because the order of recovery differs from that of acceptance.

Why it works: if all recovered jobs fit together, none is dormant. Else each round looks at every dormant job, and one that ends by itself has its work items in any case, so that the limit is exceeded by one job at most. Sums of held memory do not wrap.

--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -93,12 +93,12 @@
     /// Creates a job that has not started; [`JobSpec::check`] must have accepted its description.
     pub fn new(id: JobId, submission: JobSubmission, first_seen: LocalTime) -> Self {
         let mut job = Self::dormant(id, submission, first_seen);
-        job.create_items();
+        job.create_items(0);
         job
     }
 
-    /// Creates the work items of a dormant job.
-    pub fn create_items(&mut self) {
+    /// Creates the work items of a dormant job; their runs get numbers above `last_run`.
+    pub fn create_items(&mut self, last_run: u32) {
         self.is_dormant = false;
         self.items = Vec::with_capacity(self.item_count());
         for occurrence in 0..self.spec.occurrences() {
@@ -107,6 +107,7 @@
                     occurrence,
                     step,
                     index,
+                    last_run,
                     ..WorkItem::default()
                 }));
             }
--- a/crates/dispatch/src/jobs/job_table.rs
+++ b/crates/dispatch/src/jobs/job_table.rs
@@ -25,8 +25,8 @@
     }
 
     fn remove(&mut self, other: Self) {
-        self.total -= other.total;
-        self.lasting -= other.lasting;
+        self.total = self.total.saturating_sub(other.total);
+        self.lasting = self.lasting.saturating_sub(other.lasting);
     }
 }
 
@@ -60,16 +60,13 @@
         self.held
     }
 
-    /// Creates the work items of a dormant job, whose runs get numbers above `last_run`.
+    /// Creates the work items of a dormant job, see [`JobState::create_items`].
     pub fn wake(&mut self, key: JobKey, last_run: u32) {
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
         self.held.remove(HeldMemory::of_job(job));
-        job.create_items();
-        for item in &mut job.items {
-            item.last_run = last_run;
-        }
+        job.create_items(last_run);
         self.held.add(HeldMemory::of_job(job));
     }
 
--- a/crates/dispatch/src/owner/dormant_jobs.rs
+++ b/crates/dispatch/src/owner/dormant_jobs.rs
@@ -4,24 +4,45 @@
 };
 
 impl OwnerState {
-    /// Creates the work items of dormant jobs for which there is memory, in the order of their recovery. One that would never
-    /// fit gets them when it is the only unfinished job that has any.
+    /// Creates the work items of all recovered jobs if they fit together, as they did at an earlier owner with as much
+    /// memory; else only of those for which there is memory beside new jobs.
+    pub(super) fn wake_recovered(&mut self) {
+        let dormant = self.dormant_jobs.iter();
+        let jobs = dormant.filter_map(|key| self.jobs.get(*key));
+        let added: usize = jobs
+            .map(|job| job.bytes_with_items() - job.held_bytes())
+            .sum();
+        if self.jobs.held().total + added > self.job_memory.bytes {
+            self.wake_dormant();
+            return;
+        }
+        let last_run = self.last_earlier_run();
+        for key in std::mem::take(&mut self.dormant_jobs) {
+            self.jobs.wake(key, last_run);
+        }
+    }
+
+    /// Creates the work items of dormant jobs that would be accepted now as new ones, in the order of their recovery. One job
+    /// that ends by itself has them in any case, so that all such jobs have their turn.
     pub(super) fn wake_dormant(&mut self) {
-        let jobs = &self.jobs;
-        let is_dormant = |key: &JobKey| {
-            let job = jobs.get(*key);
-            job.is_some_and(|job| job.is_dormant && !job.phase.is_final())
-        };
-        self.dormant_jobs.retain(is_dormant);
-        while let Some(key) = self.dormant_jobs.first().copied() {
+        if self.dormant_jobs.is_empty() {
+            return;
+        }
+        let mut has_ending = self.has_ending_items();
+        for key in std::mem::take(&mut self.dormant_jobs) {
             let Some(job) = self.jobs.get(key) else {
-                return;
+                continue;
             };
-            if !self.job_memory.admits(self.jobs.held(), job) && self.has_items() {
-                return;
+            if !job.is_dormant || job.phase.is_final() {
+                continue;
+            }
+            let is_next = !has_ending && !job.is_lasting();
+            if is_next || self.job_memory.admits(self.jobs.held(), job) {
+                has_ending |= !job.is_lasting();
+                self.wake(key);
+            } else {
+                self.dormant_jobs.push(key);
             }
-            self.dormant_jobs.remove(0);
-            self.wake(key);
         }
     }
 
@@ -36,11 +57,13 @@
         }
     }
 
-    /// Returns whether an unfinished job has work items.
-    fn has_items(&self) -> bool {
+    /// Returns whether an unfinished job that ends by itself has work items.
+    fn has_ending_items(&self) -> bool {
+        let has_items =
+            |job: &JobState| !job.phase.is_final() && !job.is_lasting() && !job.items.is_empty();
         let unfinished = self.jobs.unfinished().iter();
         let mut jobs = unfinished.filter_map(|key| self.jobs.get(*key));
-        jobs.any(|job: &JobState| !job.phase.is_final() && !job.items.is_empty())
+        jobs.any(has_items)
     }
 
     fn wake(&mut self, key: JobKey) {
--- a/crates/dispatch/src/owner/restore.rs
+++ b/crates/dispatch/src/owner/restore.rs
@@ -61,10 +61,8 @@
                 .intern(job.organisation.as_deref(), &self.rules);
             job.accepted = true;
             let stored = progress.get(&id);
-            if stored.is_some_and(JobProgress::needs_items)
-                || self.job_memory.admits(self.jobs.held(), &job)
-            {
-                job.create_items();
+            if stored.is_some_and(JobProgress::needs_items) {
+                job.create_items(self.last_earlier_run());
             }
             if let Some(stored) = stored {
                 job.restore(stored);
@@ -77,10 +75,6 @@
             }
             job.unconfirmed = true;
             job.has_text = !job.spec.spec.is_empty();
-            let last_run = self.last_earlier_run();
-            for item in &mut job.items {
-                item.last_run = last_run;
-            }
             let is_dormant = job.is_dormant;
             let key = self.jobs.insert(job);
             if is_dormant {
@@ -93,6 +87,7 @@
                 self.jobs.insert(JobState::ended(id, stored.phase, now));
             }
         }
+        self.wake_recovered();
         if restored == 0 {
             // No job was accepted before this term, so that there can be no unknown run.
             self.recovered = true;
--- a/crates/dispatch/tests/dormant_jobs.rs
+++ b/crates/dispatch/tests/dormant_jobs.rs
@@ -128,3 +128,63 @@
     settle(&mut next, &[]);
     assert!(!next.starts().is_empty());
 }
+
+/// The next owner of jobs of an owner without work, with a limit.
+fn successor(limit: JobMemoryLimit, jobs: &[JobSpec]) -> TestFleet {
+    let mut first = TestFleet::new(1, &["r1"]);
+    for (id, spec) in (1..).zip(jobs) {
+        first.submit(id, spec.clone());
+    }
+    let records = stored_records(&first.store());
+    let mut next = TestFleet::restored_within(limit, 2, records, 0, &["r1"]);
+    next.owner.texts_restored(Vec::new(), true);
+    next
+}
+
+/// Bytes that the owner's jobs hold once none is dormant.
+fn bytes_of(jobs: &[JobSpec]) -> u64 {
+    successor(JobMemoryLimit::default(), jobs).owner.job_bytes()
+}
+
+/// Guards against jobs that wait at an owner with as much memory as the one that has accepted them.
+#[test]
+fn equal_successor() {
+    let jobs = [
+        long_running(200),
+        large_job(),
+        long_running(400),
+        large_job(),
+    ];
+    let bytes = bytes_of(&jobs);
+    let limit = JobMemoryLimit {
+        bytes: bytes as usize,
+    };
+    assert_eq!(successor(limit, &jobs).owner.job_bytes(), bytes);
+}
+
+/// Guards against jobs that end and wait for ever behind long-running ones: for these there may never be memory.
+#[test]
+fn behind_long_running() {
+    let jobs = [
+        long_running(400),
+        long_running(400),
+        large_job(),
+        large_job(),
+    ];
+    let limit = JobMemoryLimit { bytes: 100_000 };
+    let mut fleet = successor(limit, &jobs);
+    assert!(fleet.owner.job_bytes() < bytes_of(&jobs) / 2);
+    settle(&mut fleet, &[]);
+    fleet.now = fleet.now + LEASE_LAPSE;
+    settle(&mut fleet, &[]);
+    let starts = fleet.starts();
+    assert!(starts.iter().all(|start| start.name.job == JobId(3)));
+    assert!(!starts.is_empty());
+}
+
+fn long_running(count: u32) -> JobSpec {
+    job(vec![StepSpec {
+        long_running: true,
+        ..step(count, 8_000)
+    }])
+}
