--- a/crates/dispatch/src/jobs/job_state.rs
+++ b/crates/dispatch/src/jobs/job_state.rs
@@ -250,14 +250,15 @@
         }
     }
 
-    /// Returns the index of the work item with this wire name.
+    /// Returns the index of the work item with this wire name; none for a dormant job.
     pub fn find_item(&self, name: &ItemName) -> Option<u32> {
         let step = self.spec.steps.get(name.step as usize)?;
         if name.occurrence >= self.spec.occurrences() || name.index >= step.count {
             return None;
         }
         let range = self.step_range(name.occurrence, name.step);
-        Some(range.start + name.index)
+        let number = range.start + name.index;
+        ((number as usize) < self.items.len()).then_some(number)
     }
 
     /// Returns the work items of one step in one occurrence.
@@ -360,6 +361,11 @@
         self.is_lasting = false;
     }
 
+    /// Returns whether the data that only an unfinished job needs has been freed.
+    pub fn is_shrunk(&self) -> bool {
+        self.spec.steps.is_empty()
+    }
+
     /// Returns the memory that the job holds, in bytes; less after [`Self::shrink`].
     pub fn held_bytes(&self) -> usize {
         self.expected_bytes(self.items.len())
--- a/crates/dispatch/src/jobs/job_table.rs
+++ b/crates/dispatch/src/jobs/job_table.rs
@@ -72,7 +72,7 @@
 
     /// Frees the data that only an unfinished job needs, see [`JobState::shrink`].
     pub fn shrink(&mut self, key: JobKey) {
-        let Some(job) = self.jobs.get_mut(key) else {
+        let Some(job) = self.jobs.get_mut(key).filter(|job| !job.is_shrunk()) else {
             return;
         };
         self.held.remove(HeldMemory::of_job(job));
--- a/crates/dispatch/src/owner/dormant_jobs.rs
+++ b/crates/dispatch/src/owner/dormant_jobs.rs
@@ -48,6 +48,9 @@
 
     /// Creates the work items of a dormant job, of which a runner has listed one.
     pub(super) fn wake_listed(&mut self, id: JobId) {
+        if self.dormant_jobs.is_empty() {
+            return;
+        }
         let key = self.jobs.find(id);
         let job = key.and_then(|key| Some((key, self.jobs.get(key)?)));
         if let Some((key, job)) = job
