Accepted memory: work that a larger predecessor has started, as a known failure

The test has 18 jobs of 20,000 work items accepted with MemoryMb 512; each starts its first work item. All entry hosts are then killed and started with 64.

--- a/crates/soak/tests/accepted_memory.rs
+++ b/crates/soak/tests/accepted_memory.rs
@@ -179,6 +179,30 @@
     system.check(LIMITS, &accepted).await;
 }
 
+/// Guards against an owner that cannot hold what an owner with much more memory has accepted, where all of it has started.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn started_by_predecessor() {
+    let mut system = CrowdedSystem::start_with(LARGER_LIMITS, ENTRY_HOSTS).await;
+    let first = StepSpec {
+        count: 1,
+        estimate_ms: 1,
+        ..StepSpec::default()
+    };
+    let second = StepSpec {
+        count: MANY_ITEMS - 1,
+        after: vec![0],
+        ..first.clone()
+    };
+    let job = JobSpec {
+        steps: vec![first, second],
+        ..JobSpec::default()
+    };
+    let accepted = system.submit_crowd(&job).await;
+    let restarted = system.system.restart_with(LIMITS);
+    restarted.expect("the entry hosts start again");
+    system.check(LIMITS, &accepted).await;
+}
+
 /// Guards against calls of many entry hosts that the owner handles at a time, whatever they hold.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn many_entry_hosts() {
