--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod idle_lease;
 mod json;
+mod late_life;
 mod platform;
 mod record;
 mod relay;
@@ -99,6 +100,7 @@
 fn play(name: &str, folder: &Path, temporary: &Path) -> io::Result<Verdict> {
     match name {
         "idle-lease" => idle_lease::play(prepare(idle_lease::RUNNERS, folder, temporary)?),
+        "late-life" => late_life::play(prepare(late_life::RUNNERS, folder, temporary)?),
         _ => Ok(Verdict::NotRun),
     }
 }
--- a/review/standin-3/runner.rs
+++ b/review/standin-3/runner.rs
@@ -165,14 +165,14 @@
     }
 
     /// Begins the next life under the same id.
-    pub fn restart(&self) {
+    pub fn restart(&self, reach: Reach) {
         let mut life = self.life();
         life.born = unix_ms();
         life.started = Instant::now();
         (life.token, life.deadline, life.last_end) = (0, 0, 0);
         life.ends.clear();
         life.refused.clear();
-        life.reach = Reach::Everyone;
+        life.reach = reach;
     }
 
     /// Returns the highest fence number that the runner has seen.
