--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -52,9 +52,13 @@
     }
 
     /// Waits until all entry hosts are ready.
-    pub fn wait_ready(&self, limit: Duration) -> bool {
+    pub fn wait_ready(&mut self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
         while Instant::now() < until {
+            if self.nodes.iter_mut().any(Node::has_ended) {
+                self.write("an entry host has ended by itself");
+                return false;
+            }
             if self.nodes.iter().all(Node::is_ready) {
                 self.write("all entry hosts are ready");
                 return true;
--- a/review/standin-3/platform.rs
+++ b/review/standin-3/platform.rs
@@ -13,7 +13,10 @@
     net::{SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -21,6 +24,10 @@
 const CHECK_IN: Duration = Duration::from_millis(1_500);
 /// Check-ins that a runner may miss before its entry is removed.
 const MISSED_CHECK_INS: u32 = 3;
+/// Ports of entry hosts, and how many of them a play needs at most.
+const FIRST_PORT: u16 = 20_000;
+const PORTS: u32 = 12_000;
+const PORTS_OF_PLAY: u32 = 16;
 const PROGRAM: &str = "target/release/goldcreststall-node";
 
 pub struct Platform {
@@ -38,6 +45,21 @@
     Ok((listener, address))
 }
 
+/// Binds a port for an entry host. It lies below the range from which outgoing connections take theirs, and plays at the
+/// same time begin their search at different ports, so that it is still free when the entry host binds it.
+fn bind_for_node() -> io::Result<(TcpListener, SocketAddr)> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    for _ in 0..PORTS {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed) + std::process::id() * PORTS_OF_PLAY;
+        let port = FIRST_PORT + (number % PORTS) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            let address = listener.local_addr()?;
+            return Ok((listener, address));
+        }
+    }
+    Err(io::Error::other("no port is free"))
+}
+
 impl Platform {
     pub fn start(shapes: &[RunnerShape], record: Arc<Record>, folder: PathBuf) -> io::Result<Self> {
         let store = Arc::new(Store::default());
@@ -63,7 +85,7 @@
     /// Starts an entry host in a zone; `cut` cuts it off from the store, the host service and the other entry hosts.
     pub fn start_node(&self, name: &str, zone: &str, cut: &Cut) -> io::Result<Node> {
         let ports: Vec<SocketAddr> = (0..5)
-            .map(|_| bind())
+            .map(|_| bind_for_node())
             .collect::<io::Result<Vec<_>>>()?
             .into_iter()
             .map(|(_, address)| address)
