--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -7,10 +7,15 @@
     echo "run the build of the deploy file and review/build-3.sh first" >&2
     exit 2
 fi
-target/review-3/case-standin late-life review/12 &
+temporary=$(mktemp -d) || exit 2
+TMPDIR=$temporary target/review-3/case-standin late-life review/12 &
 case=$!
-# The entry hosts are in the process group of the stand-in.
-trap 'kill -KILL -- "-$case" 2>/dev/null' EXIT
+# The entry hosts are in the process group of the stand-in. KEEP=1 leaves their logs.
+finish() {
+    kill -KILL -- "-$case" 2>/dev/null
+    [ -n "${KEEP:-}" ] || rm -rf "$temporary"
+}
+trap finish EXIT
 trap 'exit 2' INT TERM
 wait "$case"
 exit $?
