Stop runs that a restarted runner has begun with a deadline on its earlier clock

Cause: the next instance executed a start whose deadline was on the clock of the ended one, some 22 s ahead of its own, and granted the longest lease that it accepts, 10 s. Its answer showed the new clock. The owner recorded that as a reading of the known clock, took the run for started, and placed three more there with deadlines that looked right, under the same lease. The owner was cut off and could not store the restart; its successor counted on 3.9 s.

Change: the deadline less the clock in the answer is the lease that was granted. If it is longer than an owner grants, the process that has sent the start stops the run (GuardedRunners), and so does the owner, which sends nothing more there before a list of runs names the instance. A reading below the last one is not recorded. A start without an answer is stopped on the next instance as soon as that is seen, also where a list shows it first.

Why it works: what is left running has shown a lease of at most 3.51 s, whatever instance answered, and a stop takes up to 0.2 s; the successor waits 3.9 s from a later moment. It does not depend on how long the runner was down, how far the clocks differ, or whether the owner still holds its lease.

The fake runners of the node's tests have a clock that runs, since a clock that stands still now means another instance.

Open: the sender of such a start is killed, paused or cut off from the runner before it reads the answer (docs/incidents/inc-misdirected-start.md).

--- a/crates/dispatch/src/jobs/work_item.rs
+++ b/crates/dispatch/src/jobs/work_item.rs
@@ -110,10 +110,11 @@
     }
 
     /// Returns the run as one that the next instance of its runner may have accepted. A stop that the ended instance has
-    /// acknowledged means nothing to the next one.
+    /// acknowledged means nothing to the next one, and a start without a response is to be stopped there: its deadline is on
+    /// another clock.
     pub fn transferred(self, next: RunnerKey, now: LocalTime) -> Self {
         let phase = match self.phase {
-            RunPhase::Stopped { .. } => RunPhase::Stopping,
+            RunPhase::Starting | RunPhase::Stopped { .. } => RunPhase::Stopping,
             phase => phase,
         };
         Self {
--- a/crates/dispatch/src/owner/start_responses.rs
+++ b/crates/dispatch/src/owner/start_responses.rs
@@ -1,6 +1,9 @@
 use {
     super::{OwnerState, RunCommand, StartCommand, instance_change::STRAY_TIMEOUT},
-    crate::{jobs::RunPhase, runners::RunnerKey},
+    crate::{
+        jobs::RunPhase,
+        runners::{RunnerKey, is_overlong},
+    },
     goldcreststall_core::ids::{LocalTime, Millis},
     serde::{Deserialize, Serialize},
 };
@@ -46,6 +49,12 @@
     fn extends_lease(self) -> bool {
         matches!(self, Self::Begun(_) | Self::NoRoom | Self::OldRun)
     }
+
+    /// Returns whether the run has begun under a longer lease than an owner grants: the deadline of its start, in milliseconds
+    /// on the clock of the instance that it was meant for, says nothing to the instance that has executed it.
+    pub fn is_overlong(self, deadline_ms: u64) -> bool {
+        matches!(self, Self::Begun(clock_ms) if is_overlong(deadline_ms, clock_ms))
+    }
 }
 
 impl OwnerState {
@@ -61,7 +70,10 @@
             state.last_response = now;
             state.unanswered_starts = 0;
         }
-        if let StartResponse::Begun(clock) = response {
+        let is_overlong = response.is_overlong(command.deadline_ms);
+        if let StartResponse::Begun(clock) = response
+            && !is_overlong
+        {
             self.record_start_reading(command.runner, clock, now);
         }
         if response == StartResponse::Unknown {
@@ -71,6 +83,9 @@
         }
         let command = &*self.readdressed(command);
         match response {
+            StartResponse::Begun(clock) if is_overlong => {
+                self.start_misdirected(command, clock, now);
+            }
             StartResponse::Begun(_) => self.start_accepted(command, now),
             StartResponse::Fenced => return false,
             StartResponse::Unknown => self.start_unknown(command, now),
@@ -101,6 +116,22 @@
         }
     }
 
+    /// Stops a run that another instance has begun, under a lease that no successor of this owner counts on. The runner gets
+    /// no new work until it has named its instance.
+    fn start_misdirected(&mut self, command: &StartCommand, clock_ms: u64, now: LocalTime) {
+        let detail = format!(
+            "run={} clock_ms={clock_ms} deadline_ms={} begun on another clock; stopping the run",
+            command.run, command.deadline_ms
+        );
+        self.log_event("start misdirected", command.name.to_string(), detail);
+        if let Some(state) = self.runners.get_mut(command.runner) {
+            state.in_doubt = true;
+            state.next_hold = state.next_hold.min(now);
+        }
+        self.stop_run(command.item, command.runner, command.run);
+        self.stop_gang(command.item, command.run);
+    }
+
     fn start_refused(&mut self, command: &StartCommand, response: StartResponse, now: LocalTime) {
         let StartCommand {
             runner, item, run, ..
@@ -175,6 +206,7 @@
             return;
         };
         if let Some(state) = self.runners.get_mut(command.runner) {
+            state.in_doubt |= state.clock.is_foreign(clock);
             state.clock.record_reading(clock, now);
             state.last_response = now;
             state.next_hold = state.next_hold.min(now);
--- a/crates/dispatch/src/runners/lease_clock.rs
+++ b/crates/dispatch/src/runners/lease_clock.rs
@@ -11,6 +11,11 @@
 /// it by up to one in 49.
 const CLOCK_DRIFT_DIVISOR: u64 = 49;
 
+/// How far the shown lease may exceed [`RUNNER_LEASE`]: readings of clocks are whole milliseconds.
+const ROUNDING_MARGIN: Millis = Millis(10);
+/// How far responses may overtake each other: a reading lower than the latest one by more is of another clock.
+const OVERTAKING_TIME: Millis = Millis(2_000);
+
 /// Largest reading of a runner's clock that is believed, in milliseconds: 100 years of uptime. A larger one would make
 /// leases overflow, or last for ever.
 pub const MAX_CLOCK_MS: u64 = 100 * 365 * 24 * 3_600_000;
@@ -26,6 +31,12 @@
     lease + Millis(lease.0 / CLOCK_DRIFT_DIVISOR) + KILL_MARGIN
 }
 
+/// Returns whether a deadline, executed while the runner's clock read `clock_ms`, has granted more than an owner grants. The
+/// deadline is then on another clock, that of an earlier instance, and no successor counts on so long a lease.
+pub fn is_overlong(deadline_ms: u64, clock_ms: u64) -> bool {
+    deadline_ms.saturating_sub(clock_ms) > RUNNER_LEASE.0 + ROUNDING_MARGIN.0
+}
+
 /// Commands that were meant for an earlier instance of a runner and may reach the next one. Their deadlines are on another
 /// clock, so that each may grant a lease as long as the runner accepts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -46,9 +57,11 @@
 }
 
 impl LeaseClock {
-    /// Records a reading of the runner's clock that arrived at `now`; one above [`MAX_CLOCK_MS`] is ignored.
+    /// Records a reading of the runner's clock that arrived at `now`. One above [`MAX_CLOCK_MS`] is ignored, and so is one
+    /// below the latest: it was overtaken, or is of another instance, for whose clock the granted leases mean nothing.
     pub fn record_reading(&mut self, clock_ms: u64, now: LocalTime) {
-        if clock_ms > MAX_CLOCK_MS {
+        let is_overtaken = self.reading.is_some_and(|(latest, _)| clock_ms < latest);
+        if clock_ms > MAX_CLOCK_MS || is_overtaken {
             return;
         }
         if self.reading.is_none() {
@@ -62,6 +75,12 @@
         self.reading = Some((clock_ms, now));
     }
 
+    /// Returns whether a reading is too low to be of this clock, so that another instance has responded.
+    pub fn is_foreign(&self, clock_ms: u64) -> bool {
+        let latest = self.reading.map_or(0, |(latest, _)| latest);
+        clock_ms + OVERTAKING_TIME.0 < latest
+    }
+
     /// Records that commands for an earlier instance may arrive until `until`, and grant leases of up to `lease`.
     pub fn expect_strays(&mut self, lease: Millis, until: LocalTime) {
         let earlier = self.strays.unwrap_or(StrayCommands { until, lease });
--- a/crates/dispatch/src/runners/mod.rs
+++ b/crates/dispatch/src/runners/mod.rs
@@ -7,7 +7,8 @@
 
 pub use {
     lease_clock::{
-        DEFAULT_MAX_LEASE, LeaseClock, MAX_CLOCK_MS, RUNNER_LEASE, lapse_delay, max_lapse_delay,
+        DEFAULT_MAX_LEASE, LeaseClock, MAX_CLOCK_MS, RUNNER_LEASE, is_overlong, lapse_delay,
+        max_lapse_delay,
     },
     runner_report::{
         Capacity, EndKind, EndedRun, HoldResponse, ListedRun, RunnerReport, RunnerStatus,
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -67,7 +67,8 @@
     /// Listed runs of unknown jobs, whose use of capacity is not known either: work item, run, and when a stop was last
     /// issued.
     pub unknown_runs: Vec<(ItemName, u32, LocalTime)>,
-    /// The list names an earlier start than the one known; the next response shows which instance runs.
+    /// The list names an earlier start than the one known, or a response was on another clock; the next list of runs shows
+    /// which instance runs.
     pub in_doubt: bool,
     /// It has restarted under its id, and no later owner would know of it yet: it gets no new work.
     pub is_restart_unstored: bool,
--- a/crates/dispatch/tests/stray_commands.rs
+++ b/crates/dispatch/tests/stray_commands.rs
@@ -7,7 +7,7 @@
     fleet::{TestFleet, empty_response, ended_run, job, listed_run, runner, step},
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::{
-        owner::{OwnerCommand, StartCommand},
+        owner::{OwnerCommand, RunCommand, StartCommand, StartResponse},
         runners::{DEFAULT_MAX_LEASE, EndKind, HoldResponse, RunnerKey},
     },
 };
@@ -218,3 +218,114 @@
     let wait = wait_for_work(&mut runner, Some(earlier));
     assert!(wait <= Millis(500), "work only after {wait}");
 }
+
+/// How far the clock of the first instance is ahead of that of the next one.
+const CLOCK_GAP: u64 = 50_000;
+
+/// Two runners that are idle, and a start that is on its way to the first one, which has restarted meanwhile.
+fn start_to_restarted() -> (TestFleet, StartCommand) {
+    let mut fleet = TestFleet::new(1, &["r1", "r2"]);
+    fleet.answer_first_holds();
+    let start = fleet.submit_work(1, vec![step(1, 1_000)]).remove(0);
+    (fleet, start)
+}
+
+/// Answers a start as the next instance does, whose clock is far behind.
+fn begin_on_next(fleet: &mut TestFleet, start: &StartCommand) {
+    let clock = fleet.clock() - CLOCK_GAP;
+    let response = StartResponse::Begun(clock);
+    assert!(fleet.owner.start_answered(start, response, fleet.now));
+}
+
+/// Returns the runners to which the run was told to stop, and removes the commands.
+fn stops_of(fleet: &mut TestFleet, start: &StartCommand) -> Vec<RunnerKey> {
+    let mut stopped_on = Vec::new();
+    fleet.commands.retain(|command| match command {
+        OwnerCommand::Stop(stop) if stop.name == start.name && stop.run == start.run => {
+            stopped_on.push(stop.runner);
+            false
+        }
+        _ => true,
+    });
+    stopped_on
+}
+
+/// Guards against a run under a lease that no successor counts on: the next instance has begun it before the owner knows of
+/// the restart, and with a deadline on the clock of the ended one.
+#[test]
+fn start_answered_by_next() {
+    let (mut fleet, start) = start_to_restarted();
+    begin_on_next(&mut fleet, &start);
+    fleet.advance(10);
+    assert_eq!(stops_of(&mut fleet, &start), [start.runner]);
+}
+
+/// Guards against more such starts, one of which would count with the clock that the first one has shown.
+#[test]
+fn no_start_in_doubt() {
+    let (mut fleet, start) = start_to_restarted();
+    begin_on_next(&mut fleet, &start);
+    fleet.submit(2, job(vec![step(20, 100)]));
+    fleet.store();
+    for _ in 0..20 {
+        fleet.advance(50);
+        let to_restarted = |other: &StartCommand| other.runner == start.runner;
+        assert!(
+            !fleet.starts().iter().any(to_restarted),
+            "work for a runner that has not named its instance"
+        );
+    }
+}
+
+/// Guards against such a run that the next instance has listed before its start is answered: the restart is not stored yet.
+#[test]
+fn start_listed_by_next() {
+    let (mut fleet, start) = start_to_restarted();
+    fleet.advance(10);
+    let next = HoldResponse {
+        started_ms: Some(NEXT),
+        running: vec![listed_run(&start)],
+        ..empty_response(fleet.clock() - CLOCK_GAP)
+    };
+    fleet
+        .owner
+        .hold_answered(start.runner, fleet.now, 0, next, fleet.now);
+    begin_on_next(&mut fleet, &start);
+    fleet.advance(10);
+    assert!(
+        !stops_of(&mut fleet, &start).is_empty(),
+        "a run under an overlong lease goes on"
+    );
+}
+
+/// Guards against such a run whose start is never answered.
+#[test]
+fn start_in_flight() {
+    let (mut fleet, start) = start_to_restarted();
+    fleet.runners[0].started_ms = NEXT;
+    fleet.list_runners();
+    fleet.advance(10);
+    assert!(
+        !stops_of(&mut fleet, &start).is_empty(),
+        "the next instance may begin the run"
+    );
+}
+
+/// Guards against a deadline that is taken for one on the clock of the known instance after a stop was answered by the next
+/// one: a runner that has shown another clock gets no work until it has named its instance.
+#[test]
+fn stop_answered_by_next() {
+    let (mut fleet, starts) = TestFleet::with_work(&["r1"], vec![step(1, 1_000)]);
+    let stop = RunCommand {
+        runner: starts[0].runner,
+        item: Some(starts[0].item),
+        name: starts[0].name,
+        run: starts[0].run,
+    };
+    let clock = fleet.clock() - CLOCK_GAP;
+    fleet.owner.stop_answered(&stop, Some(clock), fleet.now);
+    fleet.submit(2, job(vec![step(1, 1_000)]));
+    fleet.store();
+    fleet.advance(100);
+    assert_eq!(fleet.starts(), []);
+}
--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -14,6 +14,7 @@
         ports::{
             AdviceService, HostService, OperatorRecord, PlatformStore, RecordFeed, RunnerService,
         },
+        runners::GuardedRunners,
     },
     anyhow::{Context, bail},
     async_trait::async_trait,
@@ -155,6 +156,8 @@
     let lease = OwnerLease::default();
     let delegates = DelegateRegistry::new(lease.clone(), logger.clone());
     let limiter = CommandLimiter::new(MAX_COMMANDS_PER_RUNNER);
+    let runners: Arc<dyn RunnerService> =
+        Arc::new(GuardedRunners::new(ports.runners, logger.clone()));
     let args = ActorArgs {
         bounds: settings.bounds,
         job_memory: JobMemoryLimit::derive(settings.limits.memory_mb),
@@ -166,7 +169,7 @@
         metrics: Arc::clone(&metrics),
         advice: Arc::clone(&ports.advice),
         runners: Arc::new(DelegatedRunners::new(
-            Arc::clone(&ports.runners),
+            Arc::clone(&runners),
             delegates.clone(),
             limiter.clone(),
         )),
@@ -193,7 +196,7 @@
     let delegate_task = DelegateTask {
         owner: owner_updates.clone(),
         profile: settings.delegate_profile(),
-        runners: Arc::clone(&ports.runners),
+        runners,
         limiter,
         stop: stop_claims.clone(),
         logger: logger.clone(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod links;
 pub mod metrics;
 pub mod ports;
+pub mod runners;
--- a/crates/node/tests/fakes/fake_runners.rs
+++ b/crates/node/tests/fakes/fake_runners.rs
@@ -7,8 +7,11 @@
     goldcreststall_node::ports::{HoldCall, RunnerEndpoint, RunnerService},
     parking_lot::Mutex,
     std::{
-        sync::atomic::{AtomicBool, AtomicUsize, Ordering},
-        time::Duration,
+        sync::{
+            OnceLock,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
+        time::{Duration, Instant},
     },
     tokio::sync::Notify,
 };
@@ -16,9 +19,25 @@
 /// How long a fake runner takes to answer a stop.
 const STOP_DURATION: Duration = Duration::from_millis(5);
 
+/// The steady clock of all runners, which stands at 1 ms until it is started.
+#[derive(Default)]
+pub struct RunnerClock(OnceLock<Instant>);
+
+impl RunnerClock {
+    pub fn start(&self) {
+        self.0.get_or_init(Instant::now);
+    }
+
+    fn now_ms(&self) -> u64 {
+        let elapsed = self.0.get().map(Instant::elapsed).unwrap_or_default();
+        1 + elapsed.as_millis() as u64
+    }
+}
+
 /// Runners that accept all commands.
 #[derive(Default)]
 pub struct FakeRunners {
+    pub clock: RunnerClock,
     /// Number of hold calls.
     pub holds: AtomicUsize,
     /// Number of stops.
@@ -34,6 +53,8 @@
     pub lose_starts: AtomicBool,
     /// Ids of the runners that never end stops.
     pub hanging: Mutex<Vec<String>>,
+    /// Number of stops whose responses are lost before one arrives.
+    pub lose_stops: AtomicUsize,
     /// Refuses all start commands for lack of free capacity.
     pub refuse_starts: AtomicBool,
     pub starts: Mutex<Vec<RunStart>>,
@@ -59,7 +80,7 @@
             return None;
         }
         Some(HoldResponse {
-            clock_ms: 1,
+            clock_ms: self.clock.now_ms(),
             ..HoldResponse::default()
         })
     }
@@ -80,7 +101,7 @@
         while self.block_starts.load(Ordering::SeqCst) {
             self.unblocked.notified().await;
         }
-        StartResponse::Begun(1)
+        StartResponse::Begun(self.clock.now_ms())
     }
 
     async fn stop(&self, runner: &RunnerEndpoint, _run: &RunName) -> Option<u64> {
@@ -94,7 +115,11 @@
         self.most_stops.fetch_max(open, Ordering::SeqCst);
         tokio::time::sleep(STOP_DURATION).await;
         self.open_stops.fetch_sub(1, Ordering::SeqCst);
-        (!self.unreachable.load(Ordering::SeqCst)).then_some(1)
+        let losses = &self.lose_stops;
+        let one_less = |count: usize| count.checked_sub(1);
+        let is_lost = losses.fetch_update(Ordering::SeqCst, Ordering::SeqCst, one_less);
+        let is_answered = is_lost.is_err() && !self.unreachable.load(Ordering::SeqCst);
+        is_answered.then(|| self.clock.now_ms())
     }
 
     async fn pace(&self, _runner: &RunnerEndpoint, _run: &RunName, _percent: u32) -> bool {
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -105,6 +105,7 @@
     let hosts = Arc::new(FakeHosts::default());
     let lease = OwnerLease::default();
     let runners = Arc::new(FakeRunners::default());
+    runners.clock.start();
     let store = Arc::new(FakeStore::default());
     let actor = OwnerActor::spawn(ActorArgs {
         bounds: ServiceBounds::default(),
