Count a slow clock in the deadline of a lease, and read the clocks of idle runners

Cause: LeaseClock::grant carried the last reading of the runner's clock forward by the time on the owner's clock. A runner's clock may be 2% slow; after 97 s the deadline granted 5,440 ms instead of 3,500 ms, and the successor counts on 3,871 ms. Idle runners get no hold call, so that the reading ages without limit.

The same figure comes out of idle_runners::lease_after_idle_time without any restart, cut or delay, which rules these out.

A listed runner whose last reading is 20 s old gets a hold call without a deadline. By a reading older than 30 s no work is started.

Why it works: at any age of the reading the deadline is at most the runner's clock plus 3,500 ms, on a slow clock exactly, on a right one 20 ms less for each second of age. The call every 20 s keeps the lease long enough to outlast a change of the owner; it is not what makes the bound hold.

--- a/crates/dispatch/src/owner/hold_planner.rs
+++ b/crates/dispatch/src/owner/hold_planner.rs
@@ -123,5 +123,5 @@
         || state.in_doubt
         || state.stored > state.acknowledged
         || state.processed > state.stored
-        || (state.missed_holds > 0 && state.listed)
+        || (state.listed && (state.missed_holds > 0 || state.clock.needs_reading(now)))
 }
--- a/crates/dispatch/src/runners/lease_clock.rs
+++ b/crates/dispatch/src/runners/lease_clock.rs
@@ -7,9 +7,14 @@
 pub const DEFAULT_MAX_LEASE: Millis = Millis(10_000);
 /// Added to the end of a lease: the time that the runner needs to end its work.
 const KILL_MARGIN: Millis = Millis(300);
-/// Bound on the drift of a runner's clock. The clock may be slow by one fiftieth, so that real time exceeds the time on
-/// it by up to one in 49.
-const CLOCK_DRIFT_DIVISOR: u64 = 49;
+/// Bound on the drift of a runner's clock: it may be slow by one in this many parts of real time.
+const CLOCK_DRIFT_DIVISOR: u64 = 50;
+/// Age of a reading from which on it is read again, while a runner is idle: each second of age shortens the next lease by
+/// 20 ms.
+const READING_REFRESH_AGE: Millis = Millis(20_000);
+/// Age of a reading from which on no lease is granted by it. The shortest lease is 2.9 s then, which still outlasts a change
+/// of the owner.
+const MAX_READING_AGE: Millis = Millis(30_000);
 
 /// How far the shown lease may exceed [`RUNNER_LEASE`]: readings of clocks are whole milliseconds.
 const ROUNDING_MARGIN: Millis = Millis(10);
@@ -28,7 +33,12 @@
 /// Returns how long after the arrival of a command a lease of up to `lease` has certainly lapsed: adds the possible clock
 /// drift and the time to end the work.
 pub fn lapse_delay(lease: Millis) -> Millis {
-    lease + Millis(lease.0 / CLOCK_DRIFT_DIVISOR) + KILL_MARGIN
+    lease + Millis(lease.0 / (CLOCK_DRIFT_DIVISOR - 1)) + KILL_MARGIN
+}
+
+/// Returns how far the slowest clock goes on while `elapsed` passes.
+fn least_progress(elapsed: Millis) -> Millis {
+    Millis(elapsed.0 - elapsed.0.div_ceil(CLOCK_DRIFT_DIVISOR))
 }
 
 /// Returns whether a deadline, executed while the runner's clock read `clock_ms`, has granted more than an owner grants. The
@@ -94,14 +104,26 @@
     }
 
     /// Returns the end of the lease for a command that is sent now, in milliseconds on the runner's clock, and records
-    /// it as granted; none before the first reading.
+    /// it as granted; none before the first reading, and when the last one is too old.
     pub fn grant(&mut self, now: LocalTime) -> Option<u64> {
-        let (clock, at) = self.reading?;
-        let deadline = clock + now.since(at).0 + RUNNER_LEASE.0;
+        let (clock, at) = self.reading.filter(|_| self.can_grant(now))?;
+        let deadline = clock + least_progress(now.since(at)).0 + RUNNER_LEASE.0;
         self.granted = self.granted.max(deadline);
         Some(deadline)
     }
 
+    /// Returns whether a reading is known that is recent enough to grant a lease.
+    pub fn can_grant(&self, now: LocalTime) -> bool {
+        self.reading
+            .is_some_and(|(_, at)| now.since(at) <= MAX_READING_AGE)
+    }
+
+    /// Returns whether the clock should be read again before the next lease.
+    pub fn needs_reading(&self, now: LocalTime) -> bool {
+        self.reading
+            .is_some_and(|(_, at)| now.since(at) >= READING_REFRESH_AGE)
+    }
+
     /// Returns the uptime of the runner at the last reading: each instance of a runner starts its clock at 0.
     pub fn uptime(&self) -> Option<Millis> {
         let (clock, _) = self.reading?;
--- a/crates/dispatch/src/runners/runner_state.rs
+++ b/crates/dispatch/src/runners/runner_state.rs
@@ -186,6 +186,7 @@
             && !self.is_restart_unstored
             && !self.cordoned
             && self.missed_holds == 0
+            && self.clock.can_grant(now)
             && self.report.status == RunnerStatus::Ready
             && self.cooldown_until <= now
             && self.blocked_until <= now
