Stop a run whose start got no answer also where it was sent from

What callers would see: work that runs twice after a data centre was cut off, when its runner crashed and was back under its id and one answer of it was lost.

Cause: a start without an answer may have begun under a lease of 10 s on the next instance of its runner. The owner stops it after 0.6 s, but no longer when its own lease has ended meanwhile; its successor waits for 3.9 s.

Change: GuardedRunners stops such a run as well, up to three times until a stop is answered, while the owner learns of the lost answer at once. At most as many of these stops are under way as starts of that process were in flight.

Why it works: the sender doesn't need the owner's lease for it. The run has no further use, since the owner never takes an unanswered start for running without a list that shows it, and stops it in any case.

--- a/crates/node/src/runners/guarded_runners.rs
+++ b/crates/node/src/runners/guarded_runners.rs
@@ -10,18 +10,18 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Stops that are sent for a run that began under an overlong lease, until one of them is answered.
+/// Stops that are sent for a run whose lease is overlong or not known, until one of them is answered.
 const MAX_STOP_ATTEMPTS: u32 = 3;
 /// Delay after a stop without an answer.
 const STOP_RETRY_DELAY: Millis = Millis(100);
 
-/// Stops runs that have begun under a longer lease than an owner grants.
+/// Stops runs that have begun, or may have, under a longer lease than an owner grants.
 ///
 /// A runner that has restarted under its id executes a start that was meant for its earlier instance, and the deadline on
-/// the clock of that one grants the longest lease that it accepts. The owner stops such a run too, but may have lost its own
-/// lease by then, and a successor that cannot reach the runner would not wait for so long. Therefore the process that has
-/// sent the start stops the run as soon as the answer shows the lease; a stop is idempotent, and one of an owner that has a
-/// successor is refused where that successor has been.
+/// the clock of that one grants the longest lease that it accepts. The owner stops such a run too, and each run whose start
+/// got no answer, but may have lost its own lease by then, and a successor that cannot reach the runner would not wait for so
+/// long. Therefore the process that has sent the start stops the run as well. A stop is idempotent, and one of an owner that
+/// has a successor is refused where that successor has been.
 pub struct GuardedRunners {
     runners: Arc<dyn RunnerService>,
     logger: Logger,
@@ -33,15 +33,23 @@
         Self { runners, logger }
     }
 
-    async fn stop_overlong(&self, runner: &RunnerEndpoint, run: &RunName) -> bool {
-        for _ in 0..MAX_STOP_ATTEMPTS {
-            if self.runners.stop(runner, run).await.is_some() {
-                return true;
-            }
-            tokio::time::sleep(Duration::from_millis(STOP_RETRY_DELAY.0)).await;
+    /// Stops a run whose start got no answer, while the owner learns that already.
+    fn stop_unanswered(&self, runner: &RunnerEndpoint, run: RunName) {
+        let runners = Arc::clone(&self.runners);
+        let runner = runner.clone();
+        tokio::spawn(async move { stop_run(&*runners, &runner, &run).await });
+    }
+}
+
+/// Repeats a stop until it is answered; returns whether it was.
+async fn stop_run(runners: &dyn RunnerService, runner: &RunnerEndpoint, run: &RunName) -> bool {
+    for _ in 0..MAX_STOP_ATTEMPTS {
+        if runners.stop(runner, run).await.is_some() {
+            return true;
         }
-        false
+        tokio::time::sleep(Duration::from_millis(STOP_RETRY_DELAY.0)).await;
     }
+    false
 }
 
 #[async_trait]
@@ -50,15 +58,18 @@
         self.runners.hold(runner, call).await
     }
 
-    /// Starts a run, and stops it before the response is returned if its lease is overlong.
+    /// Starts a run, and stops it before the response is returned if its lease is overlong. A run without an answer is
+    /// stopped afterwards.
     async fn start(&self, runner: &RunnerEndpoint, start: &RunStart) -> StartResponse {
         let response = self.runners.start(runner, start).await;
-        if response.is_overlong(start.deadline_ms) {
-            let run = RunName {
-                name: start.name,
-                run: start.run,
-            };
-            let stopped = self.stop_overlong(runner, &run).await;
+        let run = RunName {
+            name: start.name,
+            run: start.run,
+        };
+        if response == StartResponse::Unknown {
+            self.stop_unanswered(runner, run);
+        } else if response.is_overlong(start.deadline_ms) {
+            let stopped = stop_run(&*self.runners, runner, &run).await;
             warn!(self.logger, "runner: a run began under an overlong lease"; "runner" => &runner.id,
                 "id" => %run.name, "run" => run.run, "deadline_ms" => start.deadline_ms,
                 "answer" => ?response, "stopped" => stopped);
--- a/crates/node/tests/overlong_leases.rs
+++ b/crates/node/tests/overlong_leases.rs
@@ -14,9 +14,13 @@
         ports::{RunnerEndpoint, RunnerService},
         runners::GuardedRunners,
     },
-    std::sync::{Arc, atomic::Ordering},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
 };
 
+const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time on the clock of the instance that a start was meant for, far ahead of the clock that answers.
 const EARLIER_CLOCK: u64 = 5_000_000;
 
@@ -65,6 +69,25 @@
     assert_eq!(runners.stops.load(Ordering::SeqCst), 3);
 }
 
+/// Guards against a run whose start got no answer and that its sender leaves to the owner.
+#[tokio::test]
+async fn unanswered_start_stopped() {
+    let runners = Arc::new(FakeRunners::default());
+    runners.lose_starts.store(true, Ordering::SeqCst);
+    assert_eq!(
+        start(&runners, RUNNER_LEASE.0).await,
+        StartResponse::Unknown
+    );
+    let stopped = async {
+        while runners.stops.load(Ordering::SeqCst) == 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, stopped)
+        .await
+        .expect("a stop");
+}
+
 /// Guards against stops of runs whose lease is as long as intended.
 #[tokio::test]
 async fn usual_lease_kept() {
