Send stops after unanswered starts within the limit of commands in flight to a runner

Change: such a stop takes a permit of the same limiter as starts, and is sent once; the owner repeats it as before. Stops of overlong runs are sent within the permit of their start and are repeated as before.

--- a/crates/node/src/daemon/node_daemon.rs
+++ b/crates/node/src/daemon/node_daemon.rs
@@ -156,8 +156,11 @@
     let lease = OwnerLease::default();
     let delegates = DelegateRegistry::new(lease.clone(), logger.clone());
     let limiter = CommandLimiter::new(MAX_COMMANDS_PER_RUNNER);
-    let runners: Arc<dyn RunnerService> =
-        Arc::new(GuardedRunners::new(ports.runners, logger.clone()));
+    let runners: Arc<dyn RunnerService> = Arc::new(GuardedRunners::new(
+        ports.runners,
+        limiter.clone(),
+        logger.clone(),
+    ));
     let args = ActorArgs {
         bounds: settings.bounds,
         job_memory: JobMemoryLimit::derive(settings.limits.memory_mb),
--- a/crates/node/src/runners/guarded_runners.rs
+++ b/crates/node/src/runners/guarded_runners.rs
@@ -1,5 +1,8 @@
 use {
-    crate::ports::{HoldCall, RunnerEndpoint, RunnerService},
+    crate::{
+        delegates::CommandLimiter,
+        ports::{HoldCall, RunnerEndpoint, RunnerService},
+    },
     async_trait::async_trait,
     goldcreststall_core::ids::Millis,
     goldcreststall_dispatch::{
@@ -10,7 +13,7 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Stops that are sent for a run whose lease is overlong or not known, until one of them is answered.
+/// Stops that are sent for a run whose lease is overlong, until one of them is answered.
 const MAX_STOP_ATTEMPTS: u32 = 3;
 /// Delay after a stop without an answer.
 const STOP_RETRY_DELAY: Millis = Millis(100);
@@ -24,32 +27,42 @@
 /// has a successor is refused where that successor has been.
 pub struct GuardedRunners {
     runners: Arc<dyn RunnerService>,
+    limiter: CommandLimiter,
     logger: Logger,
 }
 
 impl GuardedRunners {
-    /// Creates a guard of the starts that `runners` sends.
-    pub fn new(runners: Arc<dyn RunnerService>, logger: Logger) -> Self {
-        Self { runners, logger }
+    /// Creates a guard of the starts that `runners` sends. Stops that do not belong to a start in flight are sent as
+    /// `limiter` allows.
+    pub fn new(runners: Arc<dyn RunnerService>, limiter: CommandLimiter, logger: Logger) -> Self {
+        Self {
+            runners,
+            limiter,
+            logger,
+        }
+    }
+
+    /// Stops a run until a stop is answered; returns whether one was.
+    async fn stop_overlong(&self, runner: &RunnerEndpoint, run: &RunName) -> bool {
+        for _ in 0..MAX_STOP_ATTEMPTS {
+            if self.runners.stop(runner, run).await.is_some() {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(STOP_RETRY_DELAY.0)).await;
+        }
+        false
     }
 
-    /// Stops a run whose start got no answer, while the owner learns that already.
+    /// Sends a stop of a run whose start got no answer, while the owner, which repeats it, learns of that already.
     fn stop_unanswered(&self, runner: &RunnerEndpoint, run: RunName) {
         let runners = Arc::clone(&self.runners);
         let runner = runner.clone();
-        tokio::spawn(async move { stop_run(&*runners, &runner, &run).await });
-    }
-}
-
-/// Repeats a stop until it is answered; returns whether it was.
-async fn stop_run(runners: &dyn RunnerService, runner: &RunnerEndpoint, run: &RunName) -> bool {
-    for _ in 0..MAX_STOP_ATTEMPTS {
-        if runners.stop(runner, run).await.is_some() {
-            return true;
-        }
-        tokio::time::sleep(Duration::from_millis(STOP_RETRY_DELAY.0)).await;
+        let limiter = self.limiter.clone();
+        tokio::spawn(async move {
+            let _permit = limiter.acquire(&runner.id).await;
+            runners.stop(&runner, &run).await
+        });
     }
-    false
 }
 
 #[async_trait]
@@ -69,7 +82,7 @@
         if response == StartResponse::Unknown {
             self.stop_unanswered(runner, run);
         } else if response.is_overlong(start.deadline_ms) {
-            let stopped = stop_run(&*self.runners, runner, &run).await;
+            let stopped = self.stop_overlong(runner, &run).await;
             warn!(self.logger, "runner: a run began under an overlong lease"; "runner" => &runner.id,
                 "id" => %run.name, "run" => run.run, "deadline_ms" => start.deadline_ms,
                 "answer" => ?response, "stopped" => stopped);
--- a/crates/node/tests/overlong_leases.rs
+++ b/crates/node/tests/overlong_leases.rs
@@ -11,6 +11,7 @@
         runners::RUNNER_LEASE,
     },
     goldcreststall_node::{
+        delegates::{CommandLimiter, MAX_COMMANDS_PER_RUNNER},
         ports::{RunnerEndpoint, RunnerService},
         runners::GuardedRunners,
     },
@@ -47,7 +48,8 @@
         checkpoint: String::new(),
         ticket: String::new(),
     };
-    let guarded = GuardedRunners::new(Arc::clone(runners) as _, logger());
+    let limiter = CommandLimiter::new(MAX_COMMANDS_PER_RUNNER);
+    let guarded = GuardedRunners::new(Arc::clone(runners) as _, limiter, logger());
     guarded.start(&endpoint(), &start).await
 }
 
