soak: partitions of an entry host with some of the hosts, whose runners restart under their ids

The soak cut connections of all entry hosts to a runner, or of one to the store, but never left an owner and runners on one side.

Change: `--partitions` draws an entry host and a third of the hosts; the entry host is cut off from the store, the host service and its peers, and the runners answer only the owner whose commands they have executed last and write no records. Up to two of them crash within the time in which an owner that is cut off still sends commands, and are back after 20 ms to 1 s. Drawn apart, so that older seeds draw the same faults as before (fault_plan::partitions_change_no_other).

Limit: the entry host is drawn at random, and a partition of one that does not own the fleet has the runners answer all.

--- a/crates/soak/src/arguments/soak_arguments.rs
+++ b/crates/soak/src/arguments/soak_arguments.rs
@@ -17,7 +17,8 @@
                    connections that a runner accepts at a time, at least 1 (default 64)
   --organisations  the queue of one pool belongs to an organisation, whose calls carry a key
   --power          entry hosts lose power as well, one or all at once
-  --only WORD      inject only faults whose name contains WORD; `power` implies --power
+  --partitions     entry hosts are cut off as well, together with some hosts whose runners may restart
+  --only WORD      inject only faults whose name contains WORD; `power` and `partition` imply their options
   --format FORMAT  text or json (default text)
   --logs FOLDER    keep the process logs of each run that violates an invariant in FOLDER
   --help
@@ -30,6 +31,8 @@
 
 /// Part of the names of the faults that `--power` adds.
 const POWER_WORD: &str = "power";
+/// Part of the names of the faults that `--partitions` adds.
+const PARTITION_WORD: &str = "partition";
 
 /// Output format of a report.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -61,6 +64,8 @@
     pub organisations: bool,
     /// Entry hosts lose power as well.
     pub power_losses: bool,
+    /// Entry hosts are cut off together with some of the hosts.
+    pub partitions: bool,
     /// Only faults whose name contains this text are injected.
     pub only: Option<String>,
     /// Output format of the reports.
@@ -83,6 +88,7 @@
             max_connections: DEFAULT_MAX_CONNECTIONS,
             organisations: false,
             power_losses: false,
+            partitions: false,
             only: None,
             format: ReportFormat::Text,
             logs: None,
@@ -113,6 +119,7 @@
                 }
                 Arg::Long("organisations") => arguments.organisations = true,
                 Arg::Long("power") => arguments.power_losses = true,
+                Arg::Long("partitions") => arguments.partitions = true,
                 Arg::Long("only") => arguments.only = Some(parser.value()?.string()?),
                 Arg::Long("format") => arguments.format = parser.value()?.parse_with(to_format)?,
                 Arg::Long("logs") => arguments.logs = Some(parser.value()?.into()),
@@ -123,6 +130,7 @@
         arguments.check()?;
         let only = arguments.only.as_deref();
         arguments.power_losses |= only.is_some_and(|only| only.contains(POWER_WORD));
+        arguments.partitions |= only.is_some_and(|only| only.contains(PARTITION_WORD));
         Ok(arguments)
     }
 
--- a/crates/soak/src/plan/fault_plan.rs
+++ b/crates/soak/src/plan/fault_plan.rs
@@ -1,5 +1,8 @@
 use {
-    super::{Fault, HostFaultKind, PlannedFault, StoreFaultKind, WireScope},
+    super::{
+        Fault, HostFaultKind, PlannedFault, StoreFaultKind, WireScope,
+        partition_plan::draw_partitions,
+    },
     goldcreststall_standins::process::RelayMode,
     rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom},
     std::time::Duration,
@@ -39,6 +42,8 @@
     pub duration: Duration,
     /// Entry hosts lose power as well.
     pub power_losses: bool,
+    /// Entry hosts are cut off together with some of the hosts.
+    pub partitions: bool,
 }
 
 /// All faults of a run.
@@ -55,6 +60,9 @@
         if size.power_losses {
             faults.extend(draw_power_losses(seed, size));
         }
+        if size.partitions {
+            faults.extend(draw_partitions(seed, size));
+        }
         faults.retain(|planned| only.is_none_or(|only| planned.fault.name().contains(only)));
         faults.sort_by_key(|planned| planned.at);
         Self { faults }
--- a/crates/soak/src/plan/mod.rs
+++ b/crates/soak/src/plan/mod.rs
@@ -1,9 +1,11 @@
 //! Draws from a seed which faults are injected and when.
 
 mod fault_plan;
+mod partition_plan;
 mod planned_fault;
 
 pub use {
     fault_plan::{FaultPlan, PlanSize},
+    partition_plan::{Partition, PartitionCrash},
     planned_fault::{Fault, HostFaultKind, PlannedFault, StoreFaultKind, WireScope},
 };
--- a/crates/soak/src/plan/planned_fault.rs
+++ b/crates/soak/src/plan/planned_fault.rs
@@ -1,4 +1,4 @@
-use {goldcreststall_standins::process::RelayMode, std::time::Duration};
+use {super::Partition, goldcreststall_standins::process::RelayMode, std::time::Duration};
 
 /// The connections that a network fault affects. Entry hosts and hosts are given by their index.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -69,6 +69,8 @@
     /// Kills the runner of a host and restarts it after a time, under its former id if its record in the store still
     /// exists.
     CrashHost(usize, Duration),
+    /// Cuts an entry host off together with some of the hosts.
+    Partition(Partition),
     /// Publishes a configuration that adds or removes a queue and changes the timeouts.
     Configure,
     /// Requests a maintenance wave of the hosts, with a maximum number of hosts at once.
@@ -98,6 +100,7 @@
             Self::ForgetHistory => "forget-history",
             Self::Host(..) => "host",
             Self::CrashHost(..) => "crash-host",
+            Self::Partition(_) => "partition",
             Self::Configure => "configure",
             Self::Wave(..) => "wave",
             Self::Burst(_) => "burst",
--- a/crates/soak/src/run/program.rs
+++ b/crates/soak/src/run/program.rs
@@ -57,6 +57,7 @@
             max_connections: arguments.max_connections,
             organisations: arguments.organisations,
             power_losses: arguments.power_losses,
+            partitions: arguments.partitions,
             only: arguments.only.clone(),
         };
         // Dropping the run ends its processes, so that none is left over when the soak test is stopped by a signal.
--- a/crates/soak/src/run/soak_run.rs
+++ b/crates/soak/src/run/soak_run.rs
@@ -44,6 +44,8 @@
     pub organisations: bool,
     /// Entry hosts lose power as well.
     pub power_losses: bool,
+    /// Entry hosts are cut off together with some of the hosts.
+    pub partitions: bool,
     /// If set, only faults whose name contains this text are injected.
     pub only: Option<String>,
 }
@@ -95,6 +97,7 @@
                 hosts: self.shape.hosts,
                 duration: self.shape.duration,
                 power_losses: self.shape.power_losses,
+                partitions: self.shape.partitions,
             },
             self.shape.only.as_deref(),
         );
--- a/crates/soak/src/system/fault_driver.rs
+++ b/crates/soak/src/system/fault_driver.rs
@@ -1,6 +1,6 @@
 use {
     super::SoakSystem,
-    crate::plan::{Fault, HostFaultKind, PlannedFault, StoreFaultKind, WireScope},
+    crate::plan::{Fault, HostFaultKind, Partition, PlannedFault, StoreFaultKind, WireScope},
     goldcreststall_adapter_standin::{HostFault, StoreFault},
     goldcreststall_standins::process::{RelayMode, TcpRelay},
     rustix::process::Signal,
@@ -97,11 +97,8 @@
             tokio::time::sleep(duration).await;
             system.platform.set_host_fault(host, HostFault::None);
         }
-        Fault::CrashHost(host, downtime) => {
-            system.platform.crash_host(host);
-            tokio::time::sleep(downtime).await;
-            system.platform.restart_host(host);
-        }
+        Fault::CrashHost(host, downtime) => crash(&system, host, downtime).await,
+        Fault::Partition(partition) => isolate(&system, &partition).await,
         Fault::Configure => system.change_config(),
         Fault::Wave(hosts, cap) => {
             let number = wave_count.fetch_add(1, Ordering::Relaxed) + 1;
@@ -116,6 +113,39 @@
     }
 }
 
+async fn crash(system: &SoakSystem, host: usize, downtime: Duration) {
+    system.platform.crash_host(host);
+    tokio::time::sleep(downtime).await;
+    system.platform.restart_host(host);
+}
+
+async fn isolate(system: &Arc<SoakSystem>, partition: &Partition) {
+    let end = Instant::now() + partition.duration;
+    let scopes = [
+        WireScope::Link(partition.entry),
+        WireScope::Store(partition.entry),
+        WireScope::HostService(partition.entry),
+    ];
+    for scope in scopes {
+        with_relay(system, scope, |relay| relay.set(RelayMode::Silent));
+    }
+    system.platform.isolate_hosts(&partition.hosts);
+    let mut crashes = JoinSet::new();
+    for planned in partition.crashes.clone() {
+        let system = Arc::clone(system);
+        crashes.spawn(async move {
+            tokio::time::sleep(planned.delay).await;
+            crash(&system, planned.host, planned.downtime).await;
+        });
+    }
+    while crashes.join_next().await.is_some() {}
+    tokio::time::sleep_until(end).await;
+    for scope in scopes {
+        with_relay(system, scope, |relay| relay.set(RelayMode::Open));
+    }
+    system.platform.reconnect_hosts(&partition.hosts);
+}
+
 fn signal(system: &SoakSystem, entry: usize, signal: Signal) {
     system.entries.lock()[entry].signal(signal);
 }
--- a/crates/soak/tests/fault_plan.rs
+++ b/crates/soak/tests/fault_plan.rs
@@ -2,7 +2,7 @@
 //! seed.
 
 use {
-    goldcreststall_soak::plan::{Fault, FaultPlan, PlanSize},
+    goldcreststall_soak::plan::{Fault, FaultPlan, PlanSize, PlannedFault},
     std::time::Duration,
 };
 
@@ -11,6 +11,7 @@
     hosts: 18,
     duration: Duration::from_secs(60),
     power_losses: false,
+    partitions: false,
 };
 const SIZE_WITH_POWER_LOSSES: PlanSize = PlanSize {
     power_losses: true,
@@ -81,6 +82,23 @@
     }
 }
 
+/// The seeds of earlier failures would draw other faults otherwise.
+#[test]
+fn partitions_change_no_other() {
+    let size = PlanSize {
+        partitions: true,
+        ..SIZE
+    };
+    for seed in 0..20 {
+        let plan = FaultPlan::draw(seed, size, None);
+        let is_partition = |planned: &PlannedFault| planned.fault.name() == "partition";
+        let (partitions, others): (Vec<_>, Vec<_>) =
+            plan.faults.into_iter().partition(is_partition);
+        assert!(!partitions.is_empty());
+        assert_eq!(others, FaultPlan::draw(seed, SIZE, None).faults);
+    }
+}
+
 #[test]
 fn power_of_one_and_all() {
     let plans = (0..20).map(|seed| FaultPlan::draw(seed, SIZE_WITH_POWER_LOSSES, Some("power")));
--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -26,6 +26,8 @@
     max_connections: Option<usize>,
     #[serde(default)]
     power_losses: bool,
+    #[serde(default)]
+    partitions: bool,
     only: Option<String>,
     cause: String,
 }
@@ -57,6 +59,17 @@
     run(FIXED_SEED + 1, fixed_shape(true), "with organisations").await;
 }
 
+/// Guards against work that runs twice when an owner is cut off with some of the runners, and one of them restarts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn partitions() {
+    let shape = RunShape {
+        entries: 2,
+        partitions: true,
+        ..fixed_shape(false)
+    };
+    run(FIXED_SEED + 2, shape, "with partitions").await;
+}
+
 fn fixed_shape(organisations: bool) -> RunShape {
     RunShape {
         entries: 4,
@@ -66,6 +79,7 @@
         max_connections: DEFAULT_MAX_CONNECTIONS,
         organisations,
         power_losses: false,
+        partitions: false,
         only: None,
     }
 }
@@ -83,6 +97,7 @@
             organisations: false,
             max_connections: case.max_connections.unwrap_or(DEFAULT_MAX_CONNECTIONS),
             power_losses: case.power_losses,
+            partitions: case.partitions,
             only: case.only,
         };
         run(case.seed, shape, &case.cause).await;
